--- a/troutstand/testing/operator.py
+++ b/troutstand/control/client.py
@@ -1,11 +1,12 @@
-"""Act as an operator of a site under test, over its HTTP interface."""
+"""Call the processes of a site as an operator."""
 
 from __future__ import annotations
 
-import http.client
+import asyncio
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
+import aiohttp
 import msgspec
 
 from troutstand.core.reports import (
@@ -20,14 +21,25 @@
 )
 from troutstand.core.table import Row, name_row
 from troutstand.daemon.refusals import ErrorBody, ErrorEnvelope
-from troutstand.generated.settings import Address
 from troutstand.generated.table import Change, RowKey
 
+if TYPE_CHECKING:
+    from troutstand.generated.settings import Address
+
 T = TypeVar("T")
 _OK = 200
 _TIMEOUT_S = 10.0
 
 
+@dataclass(frozen=True)
+class Fetched:
+    """Carry the answer to one HTTP request."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
 class RefusedCall(Exception):
     """Report a refusal that a process answered with."""
 
@@ -37,18 +49,38 @@
         self.body = body
 
 
+async def _fetch(
+    address: Address, method: str, path: str, body: bytes, headers: dict[str, str]
+) -> Fetched:
+    url = f"http://{address.ip}:{address.port}{path}"
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.request(method, url, data=body or None, headers=headers) as response,
+    ):
+        return Fetched(response.status, await response.read(), dict(response.headers))
+
+
 def fetch(
-    address: Address, method: str, path: str, body: bytes = b"", token: str = ""
-) -> tuple[int, bytes]:
-    """Send one HTTP request and return the status and the body."""
-    connection = http.client.HTTPConnection(address.ip, address.port, timeout=_TIMEOUT_S)
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    token: str = "",
+    headers: dict[str, str] | None = None,
+) -> Fetched:
+    """Send one HTTP request from outside any event loop.
+
+    Raises
+    ------
+    OSError
+        Where the process does not answer whole.
+    """
+    sent = {"Authorization": f"Bearer {token}", **(headers or {})}
     try:
-        headers = {"Authorization": f"Bearer {token}"}
-        connection.request(method, path, body or None, headers)
-        response = connection.getresponse()
-        return response.status, response.read()
-    finally:
-        connection.close()
+        return asyncio.run(_fetch(address, method, path, body, sent))
+    except aiohttp.ClientError as error:
+        raise ConnectionError(str(error)) from error
 
 
 @dataclass(frozen=True)
@@ -66,10 +98,11 @@
         RefusedCall
             Where the process refuses.
         """
-        status, data = fetch(self.admins[process], method, path, body, self.token)
-        if status != _OK:
-            raise RefusedCall(status, msgspec.json.decode(data, type=ErrorEnvelope).error)
-        return msgspec.json.decode(data, type=kind)
+        fetched = fetch(self.admins[process], method, path, body, self.token)
+        if fetched.status != _OK:
+            envelope = msgspec.json.decode(fetched.body, type=ErrorEnvelope)
+            raise RefusedCall(fetched.status, envelope.error)
+        return msgspec.json.decode(fetched.body, type=kind)
 
     def read_status(self, process: str) -> StatusReport:
         """Read a process's status."""
@@ -79,7 +112,7 @@
         """Read a process's status if it answers."""
         try:
             return self.read_status(process)
-        except (OSError, http.client.HTTPException, RefusedCall):
+        except (OSError, RefusedCall):
             return None
 
     def read_table(self, process: str) -> TableReport:
@@ -100,8 +133,11 @@
     ) -> AcceptReport:
         """Accept an edit of the table."""
         keys = [RowKey(name.kind, name.name) for name in map(name_row, deletes or [])]
-        call = AcceptCall(Change(edit_id, base, upserts, keys))
-        body = msgspec.json.encode(call)
+        return self.send_change(process, Change(edit_id, base, upserts, keys))
+
+    def send_change(self, process: str, change: Change) -> AcceptReport:
+        """Send an edit of the table."""
+        body = msgspec.json.encode(AcceptCall(change))
         return self.call(process, "POST", "/admin/table/accept", AcceptReport, body)
 
     def try_accept(
@@ -110,14 +146,14 @@
         """Accept an edit if the process can."""
         try:
             return self.accept(process, edit_id, base, upserts)
-        except (OSError, http.client.HTTPException, RefusedCall):
+        except (OSError, RefusedCall):
             return None
 
     def try_form(self, process: str) -> bool:
         """Form the keeper set; tell whether it is formed."""
         try:
             self.call(process, "POST", "/admin/keepers/form", KeepersReport)
-        except (OSError, http.client.HTTPException):
+        except OSError:
             return False
         except RefusedCall as refusal:
             return "belongs to a keeper set" in refusal.body.message
@@ -135,8 +171,8 @@
     def is_healthy(self, callers: Address) -> bool:
         """Tell whether an entry process wants callers."""
         try:
-            return fetch(callers, "GET", "/healthz")[0] == _OK
-        except (OSError, http.client.HTTPException):
+            return fetch(callers, "GET", "/healthz").status == _OK
+        except OSError:
             return False
 
     def find_scheduler(self, processes: list[str]) -> str | None:
--- /dev/null
+++ b/troutstand/testing/demo.py
@@ -0,0 +1,94 @@
+"""Run a small site on loopback under mixed load and print what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+from cyclopts import App
+
+from troutstand.generated.control import ControlSettings, Process
+from troutstand.testing.load import Load, Result
+from troutstand.testing.mixes import MIXES, Drawer
+from troutstand.testing.score import (
+    count_refusals,
+    score_commands,
+    score_tiers,
+    score_waste,
+)
+from troutstand.testing.site import OPERATOR_TOKEN, Site
+
+app = App(name="demo", help="Run a small site under mixed load.")
+
+
+def write_control_settings(site: Site) -> Path:
+    """Write the settings of troutstandctl for a site."""
+    token = site.folder / "operator-token"
+    token.write_text(OPERATOR_TOKEN)
+    processes = [Process(name, a.ip, a.port) for name, a in site.admins.items()]
+    logs = [str(site.folder / f"{name}.log") for name in site.admins]
+    settings = ControlSettings(processes, str(token), logs)
+    path = site.folder / "control.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(settings)))
+    return path
+
+
+def _print_results(site: Site, results: list[Result]) -> bool:
+    records = [site.folder / f"{name}.records" for name in site.processes]
+    engines = [path for path in records if "-engine-" in path.name]
+    services = [path for path in records if "-service-" in path.name]
+    print(f"{'TIER':10}{'OFFERED':>9}{'WHOLE':>9}{'GOOD':>9}{'REFUSED':>9}{'FIRST P95':>12}")
+    for score in score_tiers(results, site.rows):
+        print(
+            f"{score.tier:10}{score.offered:9}{score.whole:9}{score.good:9}"
+            f"{score.refused:9}{score.first_token_p95_s:10.3f} s"
+        )
+    waste = score_waste(engines, results, site.plan.cache_tokens)
+    print(f"wasted prefill: {waste.share:.3f} of {waste.prompt_tokens} prompt tokens")
+    print("refusals:", count_refusals(results) or "none")
+    commands = score_commands(results, services)
+    print(
+        f"commands: {commands.sent} sent, {commands.done} done, {commands.ran_twice} ran twice,"
+        f" {commands.false_not_run} false 'not run', {commands.unknown} unknown"
+    )
+    wrong = [r for r in results if r.whole and not r.own]
+    unanswered = [r for r in results if not r.own]
+    print(f"answers that were not whole or not the caller's own: {len(wrong)}")
+    promises = commands.ran_twice + commands.false_not_run + commands.lost
+    return not wrong and not unanswered and promises == 0
+
+
+@app.default
+def run(*, mix: str = "irrigation", rate: float = 40.0, seconds: float = 8.0, seed: int = 1) -> int:
+    """Run the demo; exit 0 only where every answer was whole and its caller's own."""
+    site = Site(Path(tempfile.mkdtemp(prefix="troutstand-demo-")))
+    site.lay_out()
+    try:
+        print("starting 3 entry processes, 1 keeper, 4 engines and 2 services")
+        site.start()
+        site.find_scheduler("north")
+        control = write_control_settings(site)
+        drawn = Drawer(MIXES[mix], seed).draw(rate, seconds)
+        print(f"sending {len(drawn)} requests of the {mix} mix over {seconds:g} s, seed {seed}")
+        load = Load([site.callers[name] for name in site.entries])
+        results = asyncio.run(load.run(drawn))
+        in_order = _print_results(site, results)
+    finally:
+        site.stop()
+    print("\nthe processes were started as")
+    for process in site.processes.values():
+        print("  " + " ".join(["python", *process.command[1:]]))
+    print("the time line lies in the logs; to read it:")
+    print(f"  .venv/bin/troutstandctl timeline --settings {control}")
+    print(f"  .venv/bin/troutstandctl trace --settings {control} --output trace.json")
+    print(
+        "every answer was whole and its caller's own" if in_order else "NOT every answer was whole"
+    )
+    return 0 if in_order else 1
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- a/troutstand/testing/engine.py
+++ b/troutstand/testing/engine.py
@@ -19,6 +19,9 @@
 
 _REPORT_EVERY_S = 2.0
 _RECENT_REQUESTS = 100_000
+# The last characters of a prompt come back in the answer, so that its caller
+# knows it for its own.
+NONCE_CHARACTERS = 12
 
 
 class EngineSettings(msgspec.Struct, frozen=True):
@@ -58,6 +61,7 @@
     computed_tokens: int = 0
     held_tokens: int = 0
     sent_tokens: int = 0
+    nonce: str = ""
 
 
 @dataclass
@@ -70,6 +74,7 @@
     is_chat: bool
     prompt_tokens: int
     cached_tokens: int
+    nonce: str = ""
     cancelled: bool = False
     sent: int = 0
 
@@ -144,6 +149,7 @@
         text = _read_text(plain)
         prefixes = hash_prefixes(stream.model, text)
         stream.prompt_tokens = count_tokens(text)
+        stream.nonce = text[-NONCE_CHARACTERS:]
         stream.cached_tokens = min(stream.prompt_tokens, self.cache.match(prefixes))
         computed = stream.prompt_tokens - stream.cached_tokens
         self.record(
@@ -154,6 +160,7 @@
                 stream.prompt_tokens,
                 computed,
                 stream.cached_tokens,
+                nonce=stream.nonce,
             )
         )
         if self.fault.stall:
@@ -201,11 +208,8 @@
         return True
 
     def _make_token(self, stream: Stream, number: int) -> bytes:
-        word = f"{stream.request[:8]}-{number} "
-        if stream.is_chat:
-            piece = f'"delta":{{"content":"{word}"}}'
-        else:
-            piece = f'"text":"{word}"'
+        word = f"{stream.nonce}-{number} "
+        piece = f'"delta":{{"content":"{word}"}}' if stream.is_chat else f'"text":"{word}"'
         return self._make_event(stream, number, f'"choices":[{{"index":0,{piece}}}]')
 
     def _make_end(self, stream: Stream) -> bytes:
--- /dev/null
+++ b/troutstand/testing/load.py
@@ -0,0 +1,196 @@
+"""Send a load to a site's entry processes and check every answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from troutstand.daemon.refusals import ErrorBody, ErrorEnvelope
+from troutstand.testing.site import MODEL, SERVICE
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from troutstand.generated.settings import Address
+    from troutstand.testing.mixes import Drawn
+
+_OK = 200
+_DONE = b"data: [DONE]"
+_DATA = b"data: "
+_TIMEOUT_S = 60.0
+_RESEND_S = 0.2
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    error: ErrorBody | None = None
+
+
+class ChatCallMessage(msgspec.Struct):
+    """Carry a message to send."""
+
+    role: str
+    content: str
+
+
+class ChatCall(msgspec.Struct):
+    """Carry a chat completion to send."""
+
+    model: str
+    messages: list[ChatCallMessage]
+    max_tokens: int
+    stream: bool = True
+
+
+@dataclass
+class Result:
+    """Tell how one request ended for its caller.
+
+    `whole` says that the caller took it for a whole answer, `own` that it was
+    whole indeed and its own.
+    """
+
+    drawn: Drawn
+    sent_s: float
+    first_token_s: float | None = None
+    longest_gap_s: float = 0.0
+    ended_s: float = 0.0
+    status: int = 0
+    refusal: ErrorBody | None = None
+    whole: bool = False
+    own: bool = False
+    broken: str = ""
+    sends: int = 1
+
+
+def expect_answer(drawn: Drawn) -> str:
+    """Return the answer that the stand-in engine gives to a request."""
+    return "".join(f"{drawn.nonce}-{number} " for number in range(drawn.answer_tokens))
+
+
+@dataclass
+class Load:
+    """Send drawn requests at their times to the entry processes in turn.
+
+    Parameters
+    ----------
+    resends
+        How often a command, or a request whose connection broke, is sent
+        again with its key to the next entry process.
+    """
+
+    entries: Sequence[Address]
+    resends: int = 0
+    results: list[Result] = field(default_factory=list)
+    _turn: itertools.count[int] = field(default_factory=itertools.count)
+
+    async def run(self, drawn: list[Drawn]) -> list[Result]:
+        """Send everything and return every result."""
+        start_s = time.monotonic()
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+            tasks: list[asyncio.Task[Result]] = []
+            for item in drawn:
+                await asyncio.sleep(max(0.0, start_s + item.at_s - time.monotonic()))
+                tasks.append(asyncio.create_task(self._send(session, item)))
+            return list(await asyncio.gather(*tasks))
+
+    def _next_url(self) -> str:
+        entry = self.entries[next(self._turn) % len(self.entries)]
+        return f"http://{entry.ip}:{entry.port}"
+
+    async def _send(self, session: aiohttp.ClientSession, drawn: Drawn) -> Result:
+        result = Result(drawn, time.monotonic())
+        while True:
+            result.broken, result.refusal = "", None
+            try:
+                if drawn.is_command:
+                    await self._send_command(session, result)
+                else:
+                    await self._send_chat(session, result)
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                result.broken = type(error).__name__
+            if not self._should_resend(result):
+                break
+            result.sends += 1
+            await asyncio.sleep(_RESEND_S)
+        result.ended_s = time.monotonic()
+        self.results.append(result)
+        return result
+
+    def _should_resend(self, result: Result) -> bool:
+        if result.whole or result.sends > self.resends:
+            return False
+        refusal = result.refusal
+        return bool(result.broken) or (refusal is not None and refusal.retry_after_s is not None)
+
+    async def _send_chat(self, session: aiohttp.ClientSession, result: Result) -> None:
+        drawn = result.drawn
+        message = ChatCallMessage("user", drawn.prompt)
+        body = msgspec.json.encode(ChatCall(MODEL, [message], drawn.answer_tokens))
+        headers = {"Authorization": f"Bearer token-{drawn.workspace}"}
+        if self.resends:
+            headers["Idempotency-Key"] = f"chat-{drawn.nonce}"
+        url = self._next_url() + "/v1/chat/completions"
+        async with session.post(url, data=body, headers=headers) as response:
+            result.status = response.status
+            if response.status != _OK:
+                data = await response.read()
+                result.refusal = msgspec.json.decode(data, type=ErrorEnvelope).error
+                return
+            await self._read_stream(response, result)
+
+    async def _read_stream(self, response: aiohttp.ClientResponse, result: Result) -> None:
+        text: list[str] = []
+        last_s = time.monotonic()
+        done = False
+        async for line in response.content:
+            if not line.startswith(_DATA):
+                continue
+            if line.startswith(_DONE):
+                done = True
+                continue
+            now_s = time.monotonic()
+            if result.first_token_s is None:
+                result.first_token_s = now_s
+            else:
+                result.longest_gap_s = max(result.longest_gap_s, now_s - last_s)
+            last_s = now_s
+            chunk = msgspec.json.decode(line[len(_DATA) :], type=_Chunk)
+            if chunk.error:
+                result.refusal = chunk.error
+            text += [c.delta.content or "" for c in chunk.choices if c.delta]
+        result.whole = done and result.refusal is None
+        result.own = result.whole and "".join(text) == expect_answer(result.drawn)
+
+    async def _send_command(self, session: aiohttp.ClientSession, result: Result) -> None:
+        drawn = result.drawn
+        headers = {
+            "Authorization": f"Bearer token-{drawn.workspace}",
+            "Idempotency-Key": f"command-{drawn.nonce}",
+            "Content-Type": "text/plain",
+        }
+        url = f"{self._next_url()}/services/{SERVICE}/valves/{drawn.nonce}/shut"
+        async with session.post(url, data=drawn.nonce.encode(), headers=headers) as response:
+            result.status = response.status
+            data = await response.read()
+            if response.status != _OK:
+                result.refusal = msgspec.json.decode(data, type=ErrorEnvelope).error
+                return
+            result.whole = True
+            result.own = drawn.nonce.encode() in data
--- /dev/null
+++ b/troutstand/testing/score.py
@@ -0,0 +1,172 @@
+"""Score a load's results: goodput by tier, wasted prefill, and broken promises."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from troutstand.core.prefix import PrefixCache, hash_prefixes
+from troutstand.generated.table import Tier
+from troutstand.testing.engine import EngineRecord
+from troutstand.testing.service import ServiceRecord
+from troutstand.testing.site import MODEL
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from troutstand.core.table import Row
+    from troutstand.testing.load import Result
+
+
+@dataclass(frozen=True)
+class TierScore:
+    """Tell what became of one tier's requests."""
+
+    tier: str
+    offered: int
+    whole: int
+    good: int
+    refused: int
+    first_token_p95_s: float
+
+
+def _is_good(result: Result, tier: Tier) -> bool:
+    if not result.own or result.first_token_s is None:
+        return False
+    first_s = result.first_token_s - result.sent_s
+    in_time = result.ended_s - result.sent_s <= tier.deadline_s
+    return (
+        first_s <= tier.first_token_s and result.longest_gap_s <= tier.between_tokens_s and in_time
+    )
+
+
+def take_percentile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def score_tiers(results: Iterable[Result], rows: Iterable[Row]) -> list[TierScore]:
+    """Score every tier's requests for models, the first-ranked tier first."""
+    tiers = sorted((row for row in rows if isinstance(row, Tier)), key=lambda row: row.rank)
+    scores: list[TierScore] = []
+    kept = [result for result in results if not result.drawn.is_command]
+    for tier in tiers:
+        own = [result for result in kept if result.drawn.tier == tier.name]
+        first = [r.first_token_s - r.sent_s for r in own if r.first_token_s is not None]
+        scores.append(
+            TierScore(
+                tier=tier.name,
+                offered=len(own),
+                whole=sum(result.own for result in own),
+                good=sum(_is_good(result, tier) for result in own),
+                refused=sum(result.refusal is not None for result in own),
+                first_token_p95_s=take_percentile(first, 0.95),
+            )
+        )
+    return scores
+
+
+def count_refusals(results: Iterable[Result]) -> dict[str, int]:
+    """Count refusals by code, and broken connections."""
+    counts: Counter[str] = Counter()
+    for result in results:
+        if result.refusal:
+            counts[f"{result.refusal.number} {result.refusal.code} run={result.refusal.run}"] += 1
+        elif result.broken:
+            counts[f"broken {result.broken}"] += 1
+    return dict(sorted(counts.items()))
+
+
+@dataclass(frozen=True)
+class Waste:
+    """Tell how many prompt tokens were computed in vain."""
+
+    prompt_tokens: int
+    computed_tokens: int
+    wasted_tokens: int
+
+    @property
+    def share(self) -> float:
+        """Return the wasted share of all prompt tokens."""
+        return self.wasted_tokens / self.prompt_tokens if self.prompt_tokens else 0.0
+
+
+@dataclass(frozen=True)
+class _Started:
+    engine: str
+    record: EngineRecord
+
+
+def _read_engine(path: Path) -> list[_Started]:
+    lines = path.read_bytes().splitlines() if path.exists() else []
+    records = [msgspec.json.decode(line, type=EngineRecord) for line in lines]
+    return [_Started(path.stem, record) for record in records if record.event == "started"]
+
+
+def score_waste(
+    record_files: Iterable[Path], results: Iterable[Result], cache_tokens: int
+) -> Waste:
+    """Replay the engines' own records and count what was computed in vain.
+
+    A token is wasted where a target held it in its cache and another computed
+    it, or where its request got no whole answer.
+    """
+    prompts = {result.drawn.nonce: result for result in results if not result.drawn.is_command}
+    started = [item for path in record_files for item in _read_engine(path)]
+    caches: dict[str, PrefixCache] = {}
+    prompt = computed = wasted = 0
+    for item in sorted(started, key=lambda item: item.record.at_s):
+        result = prompts.get(item.record.nonce)
+        if result is None:
+            continue
+        prefixes = hash_prefixes(MODEL, f"user: {result.drawn.prompt}")
+        held = max((cache.match(prefixes) for cache in caches.values()), default=0)
+        own = caches.setdefault(item.engine, PrefixCache(cache_tokens))
+        own.insert(prefixes)
+        record = item.record
+        prompt += record.prompt_tokens
+        computed += record.computed_tokens
+        wasted += record.computed_tokens if not result.own else 0
+        wasted += max(0, held - record.held_tokens) if result.own else 0
+    return Waste(prompt, computed, wasted)
+
+
+@dataclass(frozen=True)
+class CommandScore:
+    """Tell what became of the commands, against the services' own records."""
+
+    sent: int
+    done: int
+    ran_twice: int
+    false_not_run: int
+    lost: int
+    unknown: int
+
+
+def read_runs(record_files: Iterable[Path]) -> Counter[str]:
+    """Count how often each command's body ran, by the services' own records."""
+    runs: Counter[str] = Counter()
+    for path in record_files:
+        for line in path.read_bytes().splitlines() if path.exists() else []:
+            runs[msgspec.json.decode(line, type=ServiceRecord).body] += 1
+    return runs
+
+
+def score_commands(results: Iterable[Result], record_files: Iterable[Path]) -> CommandScore:
+    """Compare what callers were told with what ran."""
+    runs = read_runs(record_files)
+    commands = [result for result in results if result.drawn.is_command]
+    told_not_run = [r for r in commands if r.refusal is not None and r.refusal.run == "no"]
+    return CommandScore(
+        sent=len(commands),
+        done=sum(result.own for result in commands),
+        ran_twice=sum(count > 1 for count in runs.values()),
+        false_not_run=sum(runs[result.drawn.nonce] > 0 for result in told_not_run),
+        lost=sum(result.own and runs[result.drawn.nonce] == 0 for result in commands),
+        unknown=sum(r.refusal is not None and r.refusal.run == "unknown" for r in commands),
+    )
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -9,20 +9,23 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
-from troutstand.core.table import Row
+from troutstand.control.client import Operator
 from troutstand.generated.settings import Address, Limits, Peer, Role, Settings
 from troutstand.generated.table import Model, Protocol, Service, Target, Tier, Workspace
 from troutstand.testing.engine import EngineSettings
-from troutstand.testing.operator import Operator
 from troutstand.testing.service import ServiceSettings
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from troutstand.core.table import Row
+
 T = TypeVar("T")
 
 OPERATOR_TOKEN = "operator-token"
