--- a/troutstand/daemon/configuration.py
+++ b/troutstand/daemon/configuration.py
@@ -8,6 +8,18 @@
 
 from troutstand.core.codec import decode_record, encode_record
 from troutstand.core.codes import ResultCode
+from troutstand.core.edit import (
+    Edit,
+    EditAccepted,
+    EditStale,
+    EditUnknown,
+    Event,
+    ProposeVersion,
+    ReadVersion,
+    VersionBlank,
+    VersionDecided,
+    VersionUnreachable,
+)
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId, Version
 from troutstand.core.table import name_version
@@ -129,30 +141,45 @@
         ExceptionGroup
             Of TABLE_INVALID.
         """
+        known = self.follower.table.find_edit(change.edit_id)
+        edit = Edit(change.edit_id, change.base, self.version, known)
+        action = edit.start()
+        while True:
+            match action:
+                case ReadVersion(version):
+                    event = await self._read(version)
+                case ProposeVersion(version):
+                    self.follower.table.preview(change)
+                    event = await self._propose(version, change)
+                case EditAccepted(version):
+                    self._events.emit("table_accepted", version=version, edit=change.edit_id)
+                    return Version(version)
+                case EditStale():
+                    raise self._make_stale(change.base)
+                case EditUnknown():
+                    detail = f"edit {change.edit_id}: no majority answered; send it again"
+                    raise TroutstandError(ResultCode.TABLE_UNKNOWN, detail)
+            action = edit.receive(event)
+
+    async def _read(self, version: int) -> Event:
+        try:
+            data = await self._registers.read(name_version(version))
+        except TroutstandError:
+            return VersionUnreachable()
+        if data is None:
+            return VersionBlank()
+        return await self._learn_decided(version, data)
+
+    async def _propose(self, version: int, change: Change) -> Event:
         try:
-            await self.catch_up()
-            known = self.follower.table.find_edit(change.edit_id)
-            if known is not None:
-                return known
-            if change.base != self.version:
-                raise self._make_stale(change.base)
-            self.follower.table.preview(change)
-            return await self._propose(change)
-        except TroutstandError as error:
-            if error.code is not ResultCode.QUORUM_UNREACHABLE:
-                raise
-            detail = f"edit {change.edit_id}: no majority of keepers answered; send it again"
-            raise TroutstandError(ResultCode.TABLE_UNKNOWN, detail) from error
-
-    async def _propose(self, change: Change) -> Version:
-        version = change.base + 1
-        decided = await self._registers.decide(name_version(version), encode_record(change))
-        await self.learn(Changes(version, version, [decided]))
-        winner = decode_record(decided, Change)
-        if winner.edit_id != change.edit_id:
-            raise self._make_stale(change.base)
-        self._events.emit("table_accepted", version=version, edit=change.edit_id)
-        return Version(version)
+            data = await self._registers.decide(name_version(version), encode_record(change))
+        except TroutstandError:
+            return VersionUnreachable()
+        return await self._learn_decided(version, data)
+
+    async def _learn_decided(self, version: int, data: bytes) -> Event:
+        await self.learn(Changes(version, version, [data]))
+        return VersionDecided(decode_record(data, Change).edit_id)
 
     def _make_stale(self, base: int) -> TroutstandError:
         lines = [f"edited from version {base}, the table is at {self.version}"]
--- /dev/null
+++ b/troutstand/testing/models/__init__.py
@@ -0,0 +1,1 @@
+"""Check the daemon's own state machines by exhaustive search."""
