Let the caller number its attempts at a command

Ruled out: telling an attempt's closing before from after a sending's start; a sending that is delayed on the network looks the same as a new one. Change: a sending claims only the attempt that its caller numbered (X-Attempt, 1 without it), after it closed every lower one; a resend without a number gets the first one's final answer. Before 'not run' is said, a later attempt is looked for. Shown, all exhaustive: attempts (1,2) 1,665 states, (1,1) 1,174, (1,2,3) 56,983, (1,1,1) 20,094; every property holds. With a guard taken out each fails: a silent owner closed as not run (9 steps), dispatch without a claim (8), the next attempt on silence (8), the next attempt unasked (11). Failed: (1,2,1), a caller that lowers its number while an older sending is under way, still finds 'not run' false in 9 steps (36,770 states). Retry counts of client libraries begin anew and so are not taken for the number; callers must not lower it.

--- a/troutstand/core/command.py
+++ b/troutstand/core/command.py
@@ -5,6 +5,10 @@
 claim's owner, which then never dispatches: a dispatcher that froze between its
 last check and its send still holds the claim, so that everybody else can close
 the attempt only as "unknown" (issue 4).
+
+A sending uses the one attempt that its caller numbered, once all lower ones
+are closed. Otherwise an earlier sending, long given up, could open the next
+attempt after its caller was told "not run"; the model found that.
 """
 
 from __future__ import annotations
@@ -16,7 +20,8 @@
 from troutstand.core.ids import CommandKey, Incarnation, ProcessId, RegisterName
 from troutstand.generated.messages import Claim, Outcome, OutcomeKind
 
-MAX_ATTEMPTS = 200
+# The owner of an attempt that was closed before anybody claimed it.
+NOBODY = ProcessId("")
 
 
 def name_claim(key: CommandKey, attempt: int) -> RegisterName:
@@ -37,6 +42,13 @@
     claim: Claim
 
 
+@dataclass(frozen=True)
+class ReadClaim:
+    """Read who claimed an attempt beyond the caller's."""
+
+    register: RegisterName
+
+
 @dataclass(frozen=True)
 class ProposeOutcome:
     """Propose an outcome; the owner may use round 0."""
@@ -77,7 +89,7 @@
     run: Run
 
 
-Action = ProposeClaim | ProposeOutcome | AskOwner | Dispatch | Answer | Refuse
+Action = ProposeClaim | ReadClaim | ProposeOutcome | AskOwner | Dispatch | Answer | Refuse
 
 
 @dataclass(frozen=True)
@@ -87,6 +99,11 @@
     claim: Claim
 
 
+@dataclass(frozen=True)
+class ClaimBlank:
+    """A majority holds no claim of the attempt."""
+
+
 @dataclass(frozen=True)
 class OutcomeDecided:
     """The outcome register holds this outcome for good."""
@@ -129,6 +146,7 @@
     CLAIMING = "claiming"
     DISPATCHING = "dispatching"
     RECORDING = "recording"
+    FOLLOWING = "following"
     ASKING = "asking"
     CLOSING = "closing"
     ENDED = "ended"
@@ -155,6 +173,8 @@
         Names the command across resends and entry hosts.
     minted
         Whether this process made the key, so that nobody else can know it.
+    last_attempt
+        The attempt that the caller numbered, from 1.
     digest
         Digest of the call, to tell a resend from another call of the same key.
     """
@@ -167,8 +187,10 @@
         nonce: str,
         digest: str,
         minted: bool,
+        last_attempt: int = 1,
     ) -> None:
         self.key = key
+        self.last_attempt = last_attempt
         self.attempt = 1
         self.state = CommandState.CLAIMING
         self.sent = False
@@ -182,8 +204,11 @@
         return self.state in (CommandState.DISPATCHING, CommandState.RECORDING)
 
     def start(self) -> Action:
-        """Begin with the first attempt's claim."""
-        return ProposeClaim(name_claim(self.key, self.attempt), self._claim)
+        """Begin with the first attempt: claim it, or close it where it is not the caller's."""
+        claim = self._claim
+        if self.attempt < self.last_attempt:
+            claim = Claim(NOBODY, "", "", self._claim.digest)
+        return ProposeClaim(name_claim(self.key, self.attempt), claim)
 
     def receive(self, event: Event) -> Action | None:
         """Take an event and return what to do next."""
@@ -192,6 +217,12 @@
                 return self._take_claim(claim)
             case (CommandState.CLAIMING, RegisterUnreachable()):
                 return self._give_up()
+            case (CommandState.FOLLOWING, ClaimDecided(claim)):
+                return self._follow_claim(claim)
+            case (CommandState.FOLLOWING, ClaimBlank()):
+                return self._refuse(ResultCode.COMMAND_NOT_RUN, Run.NO)
+            case (CommandState.FOLLOWING, RegisterUnreachable()):
+                return self._refuse(ResultCode.COMMAND_UNAVAILABLE, Run.UNKNOWN)
             case (CommandState.DISPATCHING, DispatchEnded(outcome)):
                 return self._record(outcome)
             case (CommandState.RECORDING, OutcomeDecided(_) | RegisterUnreachable()):
@@ -212,12 +243,29 @@
     def _take_claim(self, claim: Claim) -> Action:
         if claim.digest != self._claim.digest:
             return self._refuse(ResultCode.KEY_REUSED, Run.UNKNOWN)
+        if claim.owner == NOBODY:
+            return self._take_outcome(make_not_run(ResultCode.COMMAND_NOT_RUN))
         if claim == self._claim:
             self.state = CommandState.DISPATCHING
             self.sent = True
             return Dispatch(self.attempt)
+        return self._ask(claim)
+
+    def _follow_claim(self, claim: Claim) -> Action:
+        if claim.owner == NOBODY:
+            return self._follow_next()
+        return self._ask(claim)
+
+    def _follow_next(self) -> Action:
+        # A caller that began to count anew may have run a later attempt.
+        self.attempt += 1
+        self.state = CommandState.FOLLOWING
+        return ReadClaim(name_claim(self.key, self.attempt))
+
+    def _ask(self, claim: Claim) -> Action:
         self.state = CommandState.ASKING
-        return AskOwner(ProcessId(claim.owner), name_outcome(self.key, self.attempt), claim.nonce)
+        register = name_outcome(self.key, self.attempt)
+        return AskOwner(ProcessId(claim.owner), register, claim.nonce)
 
     def _give_up(self) -> Action:
         # The claim may yet be decided in our name; the nonce is never used
@@ -251,8 +299,8 @@
     def _take_outcome(self, outcome: Outcome) -> Action:
         if outcome.kind is not OutcomeKind.not_run:
             return self._finish(outcome)
-        if self.attempt >= MAX_ATTEMPTS:
-            return self._refuse(ResultCode.COMMAND_NOT_RUN, Run.NO)
+        if self.attempt >= self.last_attempt:
+            return self._follow_next()
         self.attempt += 1
         self.state = CommandState.CLAIMING
         return self.start()
--- a/troutstand/daemon/callers.py
+++ b/troutstand/daemon/callers.py
@@ -12,7 +12,7 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.daemon.engines import EngineRequests
 from troutstand.daemon.refusals import make_refusal
-from troutstand.daemon.requests import read_body, read_engine_request, read_key
+from troutstand.daemon.requests import read_attempt, read_body, read_engine_request, read_key
 from troutstand.daemon.services import ServiceCall, ServiceCalls
 from troutstand.generated.messages import ProcessState
 
@@ -134,6 +134,7 @@
             path="/" + request.match_info["path"],
             body=body,
             content_type=request.headers.get("Content-Type", _OCTETS),
+            attempt=1 if minted else read_attempt(request),
         )
         request["tier"] = caller.tier.name
         return await self._services.serve(call)
--- a/troutstand/daemon/commands.py
+++ b/troutstand/daemon/commands.py
@@ -11,8 +11,10 @@
 from troutstand.core.codec import decode_record, encode_record
 from troutstand.core.codes import ResultCode
 from troutstand.core.command import (
+    NOBODY,
     Answer,
     AskOwner,
+    ClaimBlank,
     ClaimDecided,
     Command,
     Dispatch,
@@ -23,6 +25,7 @@
     OwnerGone,
     ProposeClaim,
     ProposeOutcome,
+    ReadClaim,
     Refuse,
     RegisterUnreachable,
     make_not_run,
@@ -86,12 +89,20 @@
             return OutcomeReply(True)
 
     async def run(
-        self, key: CommandKey, digest: str, minted: bool, wait_s: float, send_once: SendOnce
+        self,
+        key: CommandKey,
+        digest: str,
+        minted: bool,
+        attempt: int,
+        wait_s: float,
+        send_once: SendOnce,
     ) -> Outcome:
         """Run a command at most once and return its outcome.
 
         Parameters
         ----------
+        attempt
+            The attempt that the caller numbered, from 1.
         wait_s
             How long to wait for an attempt that another process runs.
 
@@ -101,7 +112,9 @@
             With `run` told truly.
         """
         nonce = secrets.token_hex(_NONCE_BYTES)
-        command = Command(key, self._node.process, self._node.incarnation, nonce, digest, minted)
+        command = Command(
+            key, self._node.process, self._node.incarnation, nonce, digest, minted, attempt
+        )
         driver = _Driver(self, command, nonce, wait_s, send_once)
         self.running_count += 1
         try:
@@ -117,6 +130,14 @@
             return RegisterUnreachable()
         return ClaimDecided(decode_record(data, Claim))
 
+    async def read_claim(self, action: ReadClaim) -> Event:
+        """Read who claimed an attempt."""
+        try:
+            data = await self._registers.read(action.register)
+        except TroutstandError:
+            return RegisterUnreachable()
+        return ClaimBlank() if data is None else ClaimDecided(decode_record(data, Claim))
+
     async def propose_outcome(self, action: ProposeOutcome) -> Event:
         """Propose an outcome and tell what was decided."""
         try:
@@ -176,14 +197,16 @@
             action = following
 
     async def _carry_out(
-        self, action: ProposeClaim | ProposeOutcome | AskOwner | Dispatch
+        self, action: ProposeClaim | ReadClaim | ProposeOutcome | AskOwner | Dispatch
     ) -> Event:
         match action:
             case ProposeClaim():
                 register = name_outcome(self._command.key, self._command.attempt)
                 self._ended = self._commands.open_attempt(register, self._nonce)
-                fresh = self._command.is_minted and self._command.attempt == 1
+                fresh = self._command.is_minted and action.claim.owner != NOBODY
                 return await self._commands.propose_claim(action, fresh)
+            case ReadClaim():
+                return await self._commands.read_claim(action)
             case ProposeOutcome():
                 return await self._commands.propose_outcome(action)
             case AskOwner():
--- a/troutstand/daemon/requests.py
+++ b/troutstand/daemon/requests.py
@@ -20,6 +20,9 @@
     from troutstand.core.table import Table
 
 TIER_HEADER = "X-Tier"
+ATTEMPT_HEADER = "X-Attempt"
+MAX_ATTEMPTS = 100
+MAX_ATTEMPT_DIGITS = 4
 DEFAULT_ANSWER_TOKENS = 256
 MAX_KEY_CHARACTERS = 128
 _KEY_BYTES = 12
@@ -146,6 +149,25 @@
     return key, False
 
 
+def read_attempt(request: web.Request) -> int:
+    """Return which attempt at its key the caller numbers this sending as, from 1.
+
+    A caller never lowers the number; the retry counts of client libraries,
+    which begin anew with each call, are therefore no substitute.
+
+    Raises
+    ------
+    TroutstandError
+        FIELD_INVALID.
+    """
+    text = request.headers.get(ATTEMPT_HEADER, "1")
+    attempt = int(text) if text.isdecimal() and len(text) < MAX_ATTEMPT_DIGITS else 0
+    if not 1 <= attempt <= MAX_ATTEMPTS:
+        detail = f"{ATTEMPT_HEADER} {text[:16]!r}; 1 to {MAX_ATTEMPTS} are accepted"
+        raise TroutstandError(ResultCode.FIELD_INVALID, detail)
+    return attempt
+
+
 async def read_body(request: web.Request, limit_bytes: int) -> bytes:
     """Read a request's body.
 
--- a/troutstand/daemon/services.py
+++ b/troutstand/daemon/services.py
@@ -43,6 +43,7 @@
     path: str
     body: bytes
     content_type: str
+    attempt: int = 1
 
     @property
     def is_command(self) -> bool:
@@ -94,6 +95,7 @@
                 call.command_key,
                 call.digest(),
                 call.minted,
+                call.attempt,
                 call.service.timeout_s,
                 lambda: self._send_once(call, request),
             )
--- a/troutstand/testing/load.py
+++ b/troutstand/testing/load.py
@@ -184,6 +184,7 @@
             "Authorization": f"Bearer token-{drawn.workspace}",
             "Idempotency-Key": f"command-{drawn.nonce}",
             "Content-Type": "text/plain",
+            "X-Attempt": str(result.sends),
         }
         url = f"{self._next_url()}/services/{SERVICE}/valves/{drawn.nonce}/shut"
         async with session.post(url, data=drawn.nonce.encode(), headers=headers) as response:
--- a/troutstand/testing/models/command.py
+++ b/troutstand/testing/models/command.py
@@ -16,6 +16,7 @@
     Action,
     Answer,
     AskOwner,
+    ClaimBlank,
     ClaimDecided,
     Command,
     CommandState,
@@ -27,6 +28,7 @@
     OwnerGone,
     ProposeClaim,
     ProposeOutcome,
+    ReadClaim,
     Refuse,
     RegisterUnreachable,
     make_not_run,
@@ -70,9 +72,15 @@
 
 @dataclass(frozen=True)
 class CommandModel:
-    """Choose how often the caller sends, and which guard is taken out."""
+    """Choose how often the caller sends, and which guard is taken out.
 
-    sends: int = 3
+    Parameters
+    ----------
+    attempts
+        The attempt that the caller numbers each of its sendings with.
+    """
+
+    attempts: tuple[int, ...] = (1, 2, 3)
     processes: int = 2
     crashes: bool = True
     command_class: type[Command] = Command
@@ -92,7 +100,7 @@
 
     def _list_steps(self, world: World) -> list[Step[World]]:
         steps: list[Step[World]] = []
-        if len(world.sendings) < self.sends:
+        if len(world.sendings) < len(self.attempts):
             steps.append(self._send(world))
         for ghost in world.ghosts:
             steps.append(_write_ghost(world, ghost))
@@ -113,9 +121,7 @@
         command = self._load(sending)
         sending = _store(sending, command, command.start())
         sendings = (*world.sendings, sending)
-        return Step(
-            f"send {number}", replace(world, sendings=sendings, told_not_run=False)
-        )
+        return Step(f"send {number}", replace(world, sendings=sendings, told_not_run=False))
 
     def _load(self, sending: Sending) -> Command:
         command = self.command_class(
@@ -125,6 +131,7 @@
             str(sending.number),
             "digest",
             minted=False,
+            last_attempt=self.attempts[sending.number],
         )
         command.attempt, command.state = sending.attempt, sending.state
         command.sent, command._outcome = sending.sent, sending.outcome
@@ -134,6 +141,8 @@
         match sending.action:
             case ProposeClaim(register, claim):
                 return self._propose(world, sending, register, claim)
+            case ReadClaim(register):
+                return self._read(world, sending, register)
             case ProposeOutcome(register, outcome, _):
                 return self._propose(world, sending, register, outcome)
             case AskOwner(_, register, nonce):
@@ -157,6 +166,14 @@
         steps.append(self._take(late, sending, unreachable, f"{register} unreachable, accept late"))
         return steps
 
+    def _read(self, world: World, sending: Sending, register: str) -> list[Step[World]]:
+        claim = dict(world.registers).get(register)
+        event = ClaimDecided(claim) if isinstance(claim, Claim) else ClaimBlank()
+        return [
+            self._take(world, sending, event, f"{register} read"),
+            self._take(world, sending, RegisterUnreachable(), f"{register} unreachable"),
+        ]
+
     def _ask_owner(
         self, world: World, sending: Sending, register: str, nonce: str
     ) -> list[Step[World]]:
@@ -232,8 +249,7 @@
 
 def _crash(world: World, process: str) -> Step[World]:
     sendings = tuple(
-        replace(s, alive=False, action=None) if s.process == process else s
-        for s in world.sendings
+        replace(s, alive=False, action=None) if s.process == process else s for s in world.sendings
     )
     return Step(f"{process} crashes", replace(world, sendings=sendings))
 
@@ -255,7 +271,23 @@
 
 
 class TakeOver(Command):
-    """Go on to the next attempt without closing the silent owner's: the guard taken out."""
+    """Go on to the next attempt although the owner is only silent: the guard taken out."""
 
     def _close(self, outcome: Outcome) -> Action:
         return self._take_outcome(make_not_run(ResultCode.COMMAND_NOT_RUN))
+
+
+class OpenNextAttempt(Command):
+    """Open the next attempt unasked once one is closed as not run: the guard taken out."""
+
+    def _take_outcome(self, outcome: Outcome) -> Action:
+        if outcome.kind is OutcomeKind.not_run:
+            self.last_attempt = self.attempt + 1
+        return super()._take_outcome(outcome)
+
+
+class ForgetLaterAttempts(Command):
+    """Say "not run" without a look at later attempts: the guard taken out."""
+
+    def _follow_next(self) -> Action:
+        return self._refuse(ResultCode.COMMAND_NOT_RUN, Run.NO)
--- a/troutstand/testing/models/register.py
+++ b/troutstand/testing/models/register.py
@@ -95,9 +95,7 @@
         assert isinstance(step, Broadcast)
         return Step(f"start {bid.ballot.proposer}", _update(world, index, proposer, step))
 
-    def _handle(
-        self, world: World, message: Prepare | Accept, number: int
-    ) -> list[Step[World]]:
+    def _handle(self, world: World, message: Prepare | Accept, number: int) -> list[Step[World]]:
         state = world.keepers[number]
         match message:
             case Prepare():
@@ -147,7 +145,7 @@
     world = replace(world, bids=bids)
     match step:
         case Broadcast(message):
-            return replace(world, network=world.network | {message})
+            return replace(world, network=world.network.union([message]))
         case Decided(value):
             return replace(world, decided=world.decided | {value})
         case _:
