--- a/troutstand/core/command.py
+++ b/troutstand/core/command.py
@@ -136,7 +136,13 @@
 
 
 Event = (
-    ClaimDecided | OutcomeDecided | RegisterUnreachable | OwnerAnswered | OwnerGone | DispatchEnded
+    ClaimDecided
+    | ClaimBlank
+    | OutcomeDecided
+    | RegisterUnreachable
+    | OwnerAnswered
+    | OwnerGone
+    | DispatchEnded
 )
 
 
