Test callers, links, settings, files and answers

Found and mended: a body that breaks off held its call for good and now gets 2001 after body_s; an empty message list was run and is now refused (2003).

--- a/troutstand/daemon/callers.py
+++ b/troutstand/daemon/callers.py
@@ -103,7 +103,7 @@
 
     async def _serve_engine(self, request: web.Request) -> web.StreamResponse:
         caller = self._admit(request)
-        body = await read_body(request, self._entry.settings.limits.body_bytes)
+        body = await read_body(request, self._entry.settings.limits)
         checked = read_engine_request(request, body, caller, self._entry.directory)
         request["request_id"], request["tier"] = checked.request, caller.tier.name
         self._entry.events.emit(
@@ -123,7 +123,7 @@
         service = self._entry.directory.services.get(name)
         if service is None:
             raise TroutstandError(ResultCode.SERVICE_UNKNOWN, f"service {name[:64]!r}")
-        body = await read_body(request, self._entry.settings.limits.body_bytes)
+        body = await read_body(request, self._entry.settings.limits)
         key, minted = read_key(request)
         call = ServiceCall(
             key=key,
--- a/troutstand/daemon/requests.py
+++ b/troutstand/daemon/requests.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import secrets
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, TypeVar
 
 import msgspec
 from aiohttp import hdrs, web
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from troutstand.core.table import Table
+    from troutstand.generated.settings import Limits
 
 TIER_HEADER = "X-Tier"
 ATTEMPT_HEADER = "X-Attempt"
@@ -41,7 +43,7 @@
     """Carry what the scheduler reads of a chat completion."""
 
     model: str
-    messages: list[ChatMessage]
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
     stream: bool = False
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
@@ -168,22 +170,29 @@
     return attempt
 
 
-async def read_body(request: web.Request, limit_bytes: int) -> bytes:
+async def read_body(request: web.Request, limits: Limits) -> bytes:
     """Read a request's body.
 
     Raises
     ------
     TroutstandError
-        BODY_TOO_LARGE, or BODY_MALFORMED where it was cut off.
+        BODY_TOO_LARGE, or BODY_MALFORMED where it does not come whole in time.
     """
     length = request.content_length
-    if length is not None and length > limit_bytes:
-        raise TroutstandError(ResultCode.BODY_TOO_LARGE, f"{length} bytes; {limit_bytes} accepted")
+    if length is not None and length > limits.body_bytes:
+        detail = f"{length} bytes; {limits.body_bytes} are accepted"
+        raise TroutstandError(ResultCode.BODY_TOO_LARGE, detail)
     body = bytearray()
-    async for chunk in request.content.iter_any():
-        body.extend(chunk)
-        if len(body) > limit_bytes:
-            raise TroutstandError(ResultCode.BODY_TOO_LARGE, f"{limit_bytes} bytes are accepted")
+    try:
+        async with asyncio.timeout(limits.body_s):
+            async for chunk in request.content.iter_any():
+                body.extend(chunk)
+                if len(body) > limits.body_bytes:
+                    detail = f"{limits.body_bytes} bytes are accepted"
+                    raise TroutstandError(ResultCode.BODY_TOO_LARGE, detail)
+    except TimeoutError as error:
+        detail = f"{len(body)} of {length} bytes came in {limits.body_s} s"
+        raise TroutstandError(ResultCode.BODY_MALFORMED, detail) from error
     return bytes(body)
 
 
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -91,6 +91,7 @@
     deadline_s: float = 30.0
     service_run_s: float = 0.002
     is_relayed: bool = False
+    body_s: float = 30.0
 
 
 @dataclass
@@ -190,6 +191,7 @@
             lease_s=self.plan.lease_s,
             heartbeat_s=self.plan.heartbeat_s,
             drain_s=self.plan.drain_s,
+            body_s=self.plan.body_s,
         )
         settings = Settings(
             site="demo",
--- /dev/null
+++ b/troutstand/tests/answer.feature
@@ -0,0 +1,37 @@
+Feature: An answer is put together whole, in order, and its caller's own
+
+  Scenario Outline: Events that come <how> make the whole answer
+    Given an answer of 12 numbered events
+    When its events come <how>
+    Then the whole answer is given in order
+
+    Examples:
+      | how                        |
+      | in order                   |
+      | backwards                  |
+      | twice                      |
+      | shuffled with seed 7       |
+      | one byte at a time         |
+      | cut off and resumed        |
+      | resumed from too early     |
+
+  Scenario: An event of another answer is refused
+    Given an answer of 12 numbered events
+    When event 5 carries another id
+    Then it fails with 5004
+
+  Scenario Outline: An answer <how> is not whole
+    Given an answer of 12 numbered events
+    When it comes <how>
+    Then the answer is not whole
+
+    Examples:
+      | how                      |
+      | without its last mark    |
+      | without event 3          |
+      | without a finish reason  |
+
+  Scenario: An endless answer is cut off
+    Given an answer limit of 1000 bytes
+    When 12 events of 200 bytes come
+    Then it fails with 5006
--- a/troutstand/tests/environment.py
+++ b/troutstand/tests/environment.py
@@ -43,7 +43,8 @@
 def share_site(context: Context) -> Site:
     """Return the site that scenarios which break nothing share."""
     if context.shared.site is None:
-        site = Site(make_folder(context), SitePlan(entries=(2,), engine_speeds=(1.0, 2.0)))
+        plan = SitePlan(entries=(2,), engine_speeds=(1.0, 2.0), body_s=0.2)
+        site = Site(make_folder(context), plan)
         site.lay_out()
         context.shared.site = site
         site.start()
--- /dev/null
+++ b/troutstand/tests/links.feature
@@ -0,0 +1,22 @@
+Feature: Links between our processes are authenticated and bounded
+
+  Background:
+    Given the shared site
+
+  Scenario Outline: A link with <fault> is refused, logged and counted
+    When a link with <fault> is opened to "north-0.entry"
+    Then it is closed with code <code>
+    And "north-0.entry" logged "<event>" with that code
+
+    Examples:
+      | fault             | code | event          |
+      | a wrong key       | 7001 | link_refused   |
+      | an unknown host   | 7001 | link_refused   |
+      | another site      | 7001 | link_refused   |
+      | malformed CBOR    | 7002 | link_malformed |
+      | an unknown type   | 7002 | link_malformed |
+
+  Scenario: A message over the limit closes the link and the process lives
+    When a link sends a message over the limit to "north-0.entry"
+    Then it is closed
+    And the next good request is served
