--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -263,16 +263,20 @@
     # Shedding, the lowest tier first
 
     def _shed_lowest(self, waiting: Waiting, code: ResultCode, now_s: float) -> list[Send]:
-        """Give a request's place to no lower tier before shedding it."""
-        lower = self._find_lower_waiting(waiting)
-        sends = [self._drop(item, ResultCode.SHED_OVERLOAD, now_s) for item in lower]
+        """Cancel lower running work for a request; shed it only where there is none.
+
+        Lower waiting work gives way before it, the lowest first. None of it is
+        shed while still lower work runs, which would turn the order round.
+        """
         run = self._find_lower_running(waiting)
         if run:
-            return [*sends, self._preempt(run, now_s)]
+            return [self._preempt(run, now_s)]
+        lower = sorted(self._find_lower_waiting(waiting), key=lambda item: -item.rank)
         if code is ResultCode.QUEUE_FULL and lower:
-            return sends
+            return [self._drop(lower[0], ResultCode.SHED_OVERLOAD, now_s)]
         if self._has_lower_running(waiting):
             self.inversions += 1
+        sends = [self._drop(item, ResultCode.SHED_OVERLOAD, now_s) for item in lower]
         return [*sends, self._drop(waiting, code, now_s)]
 
     def _find_lower_waiting(self, waiting: Waiting) -> list[Waiting]:
