Test answers, stops and cuts on real sites, and remember keyed requests

Change: entry processes note a keyed request's target at every live peer of the domain before it goes out, and ask them first. Found by the new scenarios and mended: a draining host with the lowest id kept the others from taking the scheduler's role, so that requests waiting there were cut at the end of the drain; the admission estimate took work ahead for a wait although slots were free for all of it, and refused drafts at an idle site; a request that failed at every target was refused with 3008 in place of what the last target did.

--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -245,20 +245,20 @@
     def _estimate_wait_s(self, waiting: Waiting, now_s: float) -> float:
         """Estimate the wait behind everything of the same or a higher tier."""
         pool = self._list_usable(waiting.ask)
-        slots = sum(target.row.slots for target in pool)
-        ahead_s = -waiting.expected_s
-        for key, queue in self._queues.items():
-            if key.rank <= waiting.rank and key.serves == waiting.ask.serves:
-                ahead_s += queue.expected_s
+        ahead = [
+            queue
+            for key, queue in self._queues.items()
+            if key.rank <= waiting.rank and key.serves == waiting.ask.serves
+        ]
         free = sum(target.count_free(now_s) for target in pool)
-        if free > 0 and ahead_s <= 0:
+        if sum(len(queue) for queue in ahead) <= free:
             return 0.0
-        running = [run for target in pool for run in target.running.values()]
-        for run in running:
-            if run.rank <= waiting.rank:
-                ahead_s += max(0.0, run.granted_s + run.expected_s - now_s)
-        ahead_s += waiting.expected_s if free == 0 else 0.0
-        return max(0.0, ahead_s) / max(1, slots)
+        work_s = sum(queue.expected_s for queue in ahead)
+        for target in pool:
+            for run in target.running.values():
+                if run.rank <= waiting.rank:
+                    work_s += max(0.0, run.granted_s + run.expected_s - now_s)
+        return work_s / max(1, sum(target.row.slots for target in pool))
 
     # Shedding, the lowest tier first
 
--- a/troutstand/daemon/engines.py
+++ b/troutstand/daemon/engines.py
@@ -15,6 +15,7 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.daemon.refusals import KEY_HEADER, make_envelope
 from troutstand.daemon.relay import EngineRelay, assemble_answer
+from troutstand.daemon.tried import MAX_TARGETS
 from troutstand.generated.messages import Finished, Grant, PlacementAsk
 
 if TYPE_CHECKING:
@@ -35,7 +36,9 @@
     deadline_s: float
     task: asyncio.Task[None] | None
     tried: list[str] = field(default_factory=list)
+    excluded: list[str] = field(default_factory=list)
     dispatched: bool = False
+    last_error: TroutstandError | None = None
     preempted_retry_s: float | None = None
     response: web.StreamResponse | None = None
 
@@ -63,6 +66,8 @@
         tier = request.caller.tier
         deadline_s = time.monotonic() + tier.deadline_s
         attempt = _Try(request, deadline_s, asyncio.current_task())
+        if not request.minted:
+            self._exclude(attempt, await self._entry.tried.collect(request.tried_key))
         try:
             while True:
                 response = await self._try_once(http, attempt)
@@ -82,6 +87,8 @@
     async def _try_once(self, http: web.Request, attempt: _Try) -> web.StreamResponse | None:
         """Try one target; return None where another should be tried."""
         grant = await self._place(attempt)
+        if not await self._note_target(attempt, grant):
+            return None
         target = self._entry.directory.targets.get(grant.target)
         backend = self._entry.find_backend(grant.target)
         if target is None or not isinstance(backend, EngineBackend):
@@ -108,16 +115,33 @@
         self._finish(attempt, grant, relay, None)
         return response
 
+    async def _note_target(self, attempt: _Try, grant: Grant) -> bool:
+        """Note a keyed request's target; tell whether it never had it before."""
+        request = attempt.request
+        if request.minted:
+            return True
+        known = await self._entry.tried.note(request.tried_key, grant.target)
+        if grant.target not in known:
+            return True
+        self._entry.placement.finish(Finished(grant.request, grant.target, False))
+        self._exclude(attempt, known)
+        return False
+
+    def _exclude(self, attempt: _Try, known: set[str]) -> None:
+        attempt.excluded = sorted({*attempt.excluded, *known})[:MAX_TARGETS]
+        attempt.dispatched = attempt.dispatched or bool(known)
+
     async def _decide_again(
         self, attempt: _Try, error: TroutstandError
     ) -> web.StreamResponse | None:
         if error.code is not ResultCode.TARGET_UNREACHABLE:
             attempt.dispatched = True
+        error.run = Run.UNKNOWN if attempt.dispatched else Run.NO
+        attempt.last_error = error
         has_time = time.monotonic() < attempt.deadline_s
         may_again = attempt.response is None and error.code in _AGAIN
         if may_again and has_time and len(attempt.tried) < MAX_TRIES:
             return None
-        error.run = Run.UNKNOWN if attempt.dispatched else Run.NO
         return await self._fail(attempt, error)
 
     async def _place(self, attempt: _Try) -> Grant:
@@ -133,12 +157,15 @@
             block_tokens=request.prefixes.block_tokens,
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
-            exclude=attempt.tried,
+            exclude=sorted({*attempt.tried, *attempt.excluded})[:MAX_TARGETS],
         )
         try:
             return await self._entry.placement.place(ask, attempt.preempt)
         except TroutstandError as error:
             error.run = Run.UNKNOWN if attempt.dispatched else Run.NO
+            if attempt.last_error and error.code is ResultCode.NO_TARGET:
+                # What the last target did tells the caller more.
+                raise attempt.last_error from error
             raise
 
     async def _relay(
--- a/troutstand/daemon/entry.py
+++ b/troutstand/daemon/entry.py
@@ -20,6 +20,7 @@
 from troutstand.daemon.registers import RegisterClient
 from troutstand.daemon.requests import Directory
 from troutstand.daemon.scheduling import Scheduling
+from troutstand.daemon.tried import Tried
 from troutstand.generated.messages import (
     Acknowledged,
     Changes,
@@ -38,6 +39,7 @@
     RunningReport,
     Shed,
     Snapshot,
+    TriedAsk,
     Withdraw,
 )
 from troutstand.generated.table import Protocol
@@ -78,6 +80,7 @@
         )
         self.configuration.on_change = self._use_table
         self.commands = Commands(self.node, self.registers)
+        self.tried = Tried(self.node)
         self.placement = Placement(self.node.process, self.events, self._deliver)
         self.running_calls = 0
         self._backends: dict[str, Backend] = {}
@@ -149,6 +152,8 @@
                 return Acknowledged()
             case OutcomeAsk():
                 return self.commands.handle_ask(message)
+            case TriedAsk():
+                return self.tried.handle_ask(message)
             case ChangesAsk():
                 return self.follower.answer(message)
             case Changes() | Snapshot():
--- a/troutstand/daemon/requests.py
+++ b/troutstand/daemon/requests.py
@@ -84,6 +84,11 @@
     answer_tokens: int
     prefixes: Prefixes
 
+    @property
+    def tried_key(self) -> str:
+        """Return the key that names the request within its workspace."""
+        return f"{self.caller.workspace.name}/{self.key}"
+
 
 @dataclass
 class Directory:
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -19,6 +19,7 @@
     LeaseVote,
     PlacementAsk,
     Preempt,
+    ProcessState,
     RunningReport,
     Shed,
     Withdraw,
@@ -124,6 +125,7 @@
             for peer in peers.domain_entries
             if peer != self._node.process
             and peers.is_live(peer, now_s, self._lease_s)
+            and peers.heard[peer].heartbeat.state is ProcessState.serving
             and not peers.is_refused(peer)
         ]
         if any(peers.heard[peer].heartbeat.scheduling for peer in live):
--- a/troutstand/testing/relay.py
+++ b/troutstand/testing/relay.py
@@ -54,9 +54,16 @@
 
     def stop(self) -> None:
         """Stop relaying."""
+        asyncio.run_coroutine_threadsafe(self._cancel_all(), self._loop).result(_START_S)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    async def _cancel_all(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _heal(self) -> None:
         cut, self._cut = self._cut, set()
         for pair in cut:
