Write the log lines of one turn of the loop together

Cause: a profile of an entry process at 32 requests in flight gave a quarter of its time to events, most of it in the logging library's records (0.54 of 0.83 s for 4,152 lines). Change: the lines are joined before they reach the library.

--- a/troutstand/util/events.py
+++ b/troutstand/util/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging as std_logging
 import re
 from collections import deque
@@ -87,6 +88,7 @@
         self.process = process
         self.clock = clock
         self.kept: deque[Event] = deque(maxlen=KEPT_EVENTS)
+        self._lines: list[str] = []
         self._subject: Subject[Event] = Subject()
         self._subject.subscribe(self.kept.append)
 
@@ -99,7 +101,23 @@
 
     def write_log(self) -> None:
         """Write every event as a log line."""
-        self._subject.subscribe(lambda event: logging.info("%s", format_event(event)))
+        self._subject.subscribe(self._keep_line)
+
+    def _keep_line(self, event: Event) -> None:
+        """Keep a line until the turn of the loop ends; outside a loop, write it."""
+        self._lines.append(format_event(event))
+        if len(self._lines) > 1:
+            return
+        try:
+            asyncio.get_running_loop().call_soon(self._write_lines)
+        except RuntimeError:
+            self._write_lines()
+
+    def _write_lines(self) -> None:
+        # One call of the logging library for all lines of a turn: its records
+        # cost more than the lines do.
+        lines, self._lines = self._lines, []
+        logging.info("%s", "\n".join(lines))
 
     def send_metrics(self, address: Address) -> None:
         """Count events, and time those that carry `*_ms`, by statsd."""
