--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,11 @@
 	$(BIN)/ruff check .
 	$(BIN)/pyright --pythonpath $(BIN)/python
 	$(BIN)/python tools/generate.py --check
+	$(BIN)/python tools/codes.py --check
 
 generate: $(VENV)/ready
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/codes.py
 
 model: $(VENV)/ready
 	$(BIN)/python -m benchmarks.model
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what builds the repository, not the product."""
--- /dev/null
+++ b/troutstand/core/trace.py
@@ -0,0 +1,201 @@
+"""Record what goes into and comes out of a scheduler, and replay it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from troutstand.core.scheduler import Scheduler, Send
+from troutstand.core.table import Table
+from troutstand.generated.messages import (
+    Finished,
+    Grant,
+    PlacementAsk,
+    Preempt,
+    RunningReport,
+    Shed,
+    Withdraw,
+)
+
+SchedulerMessage = PlacementAsk | Withdraw | Finished | RunningReport
+
+
+class TracedSend(msgspec.Struct, frozen=True):
+    """Carry one message that the scheduler sent."""
+
+    process: str
+    message: Grant | Shed | Preempt
+
+
+class Began(msgspec.Struct, frozen=True, tag="began"):
+    """Tell how the scheduler was made."""
+
+    failure_domain: str
+    waiting_limit: int
+    seed: int
+    started_s: float
+
+
+class TableCame(msgspec.Struct, frozen=True, tag="table"):
+    """Carry the table that came into force."""
+
+    version: int
+    table: bytes
+
+
+class LeavingCame(msgspec.Struct, frozen=True, tag="leaving"):
+    """Carry the targets that the platform's list calls leaving."""
+
+    names: list[str]
+
+
+class MessageCame(msgspec.Struct, frozen=True, tag="message"):
+    """Carry a message of an entry process and what was sent for it."""
+
+    at_s: float
+    process: str
+    message: SchedulerMessage
+    sends: list[TracedSend]
+
+
+class Ticked(msgspec.Struct, frozen=True, tag="tick"):
+    """Carry what was sent because time passed."""
+
+    at_s: float
+    sends: list[TracedSend]
+
+
+class ProcessEnded(msgspec.Struct, frozen=True, tag="ended"):
+    """Tell that an entry process ended, and what was sent for it."""
+
+    at_s: float
+    process: str
+    sends: list[TracedSend]
+
+
+TraceStep = Began | TableCame | LeavingCame | MessageCame | Ticked | ProcessEnded
+Write = Callable[[bytes], object]
+
+
+def _trace_sends(sends: list[Send]) -> list[TracedSend]:
+    return [TracedSend(send.process, send.message) for send in sends]
+
+
+class TracedScheduler(Scheduler):
+    """Record every step; one JSON line each."""
+
+    def __init__(
+        self, failure_domain: str, waiting_limit: int, seed: int, started_s: float, write: Write
+    ) -> None:
+        super().__init__(failure_domain, waiting_limit, seed, started_s)
+        self._write = write
+        self._record(Began(failure_domain, waiting_limit, seed, started_s))
+
+    def _record(self, step: TraceStep) -> None:
+        self._write(msgspec.json.encode(step) + b"\n")
+
+    def update_table(self, table: Table) -> None:
+        """Take a newer version of the table."""
+        self._record(TableCame(table.version, table.pack()))
+        super().update_table(table)
+
+    def update_leaving(self, names: frozenset[str]) -> None:
+        """Take the targets that the platform's list calls leaving."""
+        self._record(LeavingCame(sorted(names)))
+        super().update_leaving(names)
+
+    def _record_message(
+        self, process: str, message: SchedulerMessage, now_s: float, sends: list[Send]
+    ) -> list[Send]:
+        self._record(MessageCame(now_s, process, message, _trace_sends(sends)))
+        return sends
+
+    def submit(self, process: str, ask: PlacementAsk, now_s: float) -> list[Send]:
+        """Take a request."""
+        return self._record_message(process, ask, now_s, super().submit(process, ask, now_s))
+
+    def withdraw(self, withdraw: Withdraw, now_s: float) -> list[Send]:
+        """Forget a waiting request."""
+        return self._record_message("", withdraw, now_s, super().withdraw(withdraw, now_s))
+
+    def finish(self, finished: Finished, now_s: float) -> list[Send]:
+        """Take the end of a granted request."""
+        return self._record_message("", finished, now_s, super().finish(finished, now_s))
+
+    def take_report(self, report: RunningReport, now_s: float) -> list[Send]:
+        """Take over what an entry process runs."""
+        return self._record_message("", report, now_s, super().take_report(report, now_s))
+
+    def drop_process(self, process: str, now_s: float) -> list[Send]:
+        """Forget the requests of an entry process."""
+        sends = super().drop_process(process, now_s)
+        self._record(ProcessEnded(now_s, process, _trace_sends(sends)))
+        return sends
+
+    def tick(self, now_s: float) -> list[Send]:
+        """Let time pass; a tick that changes nothing is not recorded."""
+        sends = super().tick(now_s)
+        if sends:
+            self._record(Ticked(now_s, _trace_sends(sends)))
+        return sends
+
+
+def _replay_message(scheduler: Scheduler, step: MessageCame) -> list[Send]:
+    match step.message:
+        case PlacementAsk():
+            return scheduler.submit(step.process, step.message, step.at_s)
+        case Withdraw():
+            return scheduler.withdraw(step.message, step.at_s)
+        case Finished():
+            return scheduler.finish(step.message, step.at_s)
+        case RunningReport():
+            return scheduler.take_report(step.message, step.at_s)
+
+
+def _load_table(step: TableCame) -> Table:
+    table = Table()
+    table.unpack(step.version, step.table)
+    return table
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """Tell where a replay sent something else than was recorded."""
+
+    line: int
+    recorded: list[TracedSend]
+    replayed: list[TracedSend]
+
+
+def replay_trace(lines: Iterable[bytes]) -> tuple[int, list[Difference]]:
+    """Replay a trace; return how many steps sent something, and the differences."""
+    scheduler: Scheduler | None = None
+    differences: list[Difference] = []
+    compared = 0
+    for number, line in enumerate(lines, start=1):
+        step: TraceStep = msgspec.json.decode(line, type=TraceStep)
+        sends: list[Send] = []
+        match step:
+            case Began():
+                scheduler = Scheduler(
+                    step.failure_domain, step.waiting_limit, step.seed, step.started_s
+                )
+                continue
+            case _ if scheduler is None:
+                raise ValueError(f"line {number}: the trace does not begin with a beginning")
+            case TableCame():
+                scheduler.update_table(_load_table(step))
+                continue
+            case LeavingCame(names):
+                scheduler.update_leaving(frozenset(names))
+                continue
+            case MessageCame():
+                sends = _replay_message(scheduler, step)
+            case Ticked(at_s):
+                sends = scheduler.tick(at_s)
+            case ProcessEnded(at_s, process):
+                sends = scheduler.drop_process(process, at_s)
+        compared += bool(step.sends)
+        if _trace_sends(sends) != step.sends:
+            differences.append(Difference(number, step.sends, _trace_sends(sends)))
+    return compared, differences
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from troutstand.backends.hostlist import read_host_list
@@ -11,6 +12,7 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.core.lease import LeaseHolder, LeaseVoter
 from troutstand.core.scheduler import Scheduler, Send
+from troutstand.core.trace import SchedulerMessage, TracedScheduler
 from troutstand.generated.messages import (
     Finished,
     Grant,
@@ -33,8 +35,6 @@
     from troutstand.daemon.node import Node
     from troutstand.daemon.placement import Placement
 
-SchedulerMessage = PlacementAsk | Withdraw | Finished | RunningReport
-
 _TICK_S = 0.05
 _HOST_LIST_S = 1.0
 _MILLISECONDS = 1000
@@ -184,11 +184,16 @@
         if self.scheduler is None:
             self._placement.follow(self._find_scheduler())
 
+    def _make_scheduler(self) -> Scheduler:
+        settings, seed, now_s = self._node.settings, self._node.seed, time.monotonic()
+        limit = settings.limits.waiting_requests
+        if settings.trace_file is None:
+            return Scheduler(self._domain, limit, seed, now_s)
+        trace = Path(settings.trace_file).open("ab", buffering=0)
+        return TracedScheduler(self._domain, limit, seed, now_s, trace.write)
+
     def _begin(self) -> None:
-        settings = self._node.settings
-        self.scheduler = Scheduler(
-            self._domain, settings.limits.waiting_requests, self._node.seed, time.monotonic()
-        )
+        self.scheduler = self._make_scheduler()
         self.scheduler.update_table(self._follower.table)
         self.scheduler.update_leaving(self._leaving)
         self._node.events.emit("scheduler_started", domain=self._domain)
--- a/troutstand/testing/relay.py
+++ b/troutstand/testing/relay.py
@@ -93,7 +93,7 @@
         except OSError:
             writer.transport.abort()
             return
-        self._writers[pair].append(far_writer)
+        self._writers.setdefault(pair, []).append(far_writer)
         await asyncio.gather(
             self._pump(pair, reader, far_writer), self._pump(pair, far_reader, writer)
         )
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -207,6 +207,7 @@
             peers=self._relay_peers(name),
             data_folder=str(self.folder / f"{name}.data") if is_keeper else None,
             log_file=str(self.folder / f"{name}.log"),
+            trace_file=None if is_keeper else str(self.folder / f"{name}.trace"),
         )
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(settings)))
--- /dev/null
+++ b/troutstand/tests/control.feature
@@ -0,0 +1,30 @@
+Feature: Operators' files, time line and codes
+
+  Scenario: A table goes out to files and comes back the same
+    Given the rows of a small site
+    When they are written as files and read back
+    Then the rows are the same
+
+  Scenario Outline: A file with <fault> is refused with the place
+    Given the rows of a small site
+    When they are written as files with <fault>
+    Then reading them fails with 6002 and "<place>"
+
+    Examples:
+      | fault                  | place                          |
+      | an unknown column      | workspaces.csv                 |
+      | a bad number           | tiers.csv line 4               |
+      | an unknown tier        | workspace counter              |
+      | two rows of one name   | stands twice                   |
+      | a missing file         | models.csv is missing          |
+
+  Scenario: Log lines of several processes merge in causal order
+    Given processes whose wall clocks differ by a minute
+    When one sends a message that the other answers
+    Then the merged lines stand in the order in which things happened
+
+  Scenario: Values with blanks, quotes and line breaks are read back
+    Then a line with the value 'a "b" = c' and a line break is read back
+
+  Scenario: The page of result codes is that of the code
+    Then docs/RESULT-CODES.md is what the enum makes
