Sum up the running work of a pool as it changes

Change: a sum and a count a tier and pool, kept at grant and end. A target that leaves the table now takes its requests out of these and out of its workspaces' counts; before, they stayed counted for good (new scenario). Conclusion: growth with the targets is left in the choice itself, which looks at each free one.

--- a/troutstand/core/estimate.py
+++ b/troutstand/core/estimate.py
@@ -41,6 +41,7 @@
     granted_s: float
     uncached_tokens: int
     expected_s: float
+    pools: tuple[str, ...] = ()
     preempted: bool = False
 
 
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -64,6 +64,18 @@
     serves: str
 
 
+@dataclass
+class PoolLoad:
+    """Sum up the granted requests of one tier on the targets of one pool."""
+
+    count: int = 0
+    ends_s: float = 0.0
+
+    def estimate_left_s(self, now_s: float) -> float:
+        """Return the run time that is left of all together."""
+        return max(0.0, self.ends_s - self.count * now_s)
+
+
 class Scheduler:
     """Hold the queue and the targets of one failure domain.
 
@@ -92,6 +104,7 @@
         self._workspaces: dict[str, WorkspaceUse] = {}
         self._pools: dict[str, list[TargetEstimate]] = {}
         self._queues: dict[PoolKey, FairQueue] = {}
+        self._loads: dict[PoolKey, PoolLoad] = {}
         self._waiting: dict[RequestId, Waiting] = {}
         self._waiting_limit = waiting_limit
         self._random = random.Random(seed)
@@ -138,7 +151,8 @@
             else:
                 known.row = row
         for name in set(self.targets) - set(own):
-            del self.targets[name]
+            for run in self.targets.pop(name).running.values():
+                self._note_run(run, -1)
         self._pools = {}
         for target in self.targets.values():
             for serves in target.row.serves:
@@ -172,7 +186,7 @@
         target = self.targets.get(finished.target)
         run = target.finish(finished, now_s) if target else None
         if run:
-            self._count_running(run.ask.workspace, -1)
+            self._note_run(run, -1)
         return self._place(now_s)
 
     def take_report(self, report: RunningReport, now_s: float) -> list[Send]:
@@ -183,7 +197,7 @@
                 continue
             run = self._make_running(item.ask, report.process, target, now_s, 0, 0.0)
             target.start(RequestId(item.ask.request), run, _get_prefixes(item.ask))
-            self._count_running(item.ask.workspace, 1)
+            self._note_run(run, 1)
         return self._place(now_s)
 
     def drop_process(self, process: str, now_s: float) -> list[Send]:
@@ -193,7 +207,7 @@
         for target in self.targets.values():
             lost = [key for key, run in target.running.items() if run.process == process]
             for key in lost:
-                self._count_running(target.running.pop(key).ask.workspace, -1)
+                self._note_run(target.running.pop(key), -1)
         return self._place(now_s)
 
     def tick(self, now_s: float) -> list[Send]:
@@ -224,7 +238,7 @@
 
     def _check_admission(self, waiting: Waiting, now_s: float) -> Send | None:
         ask = waiting.ask
-        if not self._list_usable(ask):
+        if not self._has_usable(ask):
             return self._shed(waiting, ResultCode.NO_TARGET, MIN_RETRY_S, "no live target")
         use = self._workspaces.get(ask.workspace)
         if use is None:
@@ -246,20 +260,20 @@
 
     def _estimate_wait_s(self, waiting: Waiting, now_s: float) -> float:
         """Estimate the wait behind everything of the same or a higher tier."""
-        pool = self._list_usable(waiting.ask)
+        serves = waiting.ask.serves
         ahead = [
             queue
             for key, queue in self._queues.items()
-            if key.rank <= waiting.rank and key.serves == waiting.ask.serves
+            if key.rank <= waiting.rank and key.serves == serves
         ]
+        pool = self._pools.get(serves, [])
         free = sum(target.count_free(now_s) for target in pool)
         if sum(len(queue) for queue in ahead) <= free:
             return 0.0
         work_s = sum(queue.expected_s for queue in ahead)
-        for target in pool:
-            for run in target.running.values():
-                if run.rank <= waiting.rank:
-                    work_s += max(0.0, run.granted_s + run.expected_s - now_s)
+        for key, load in self._loads.items():
+            if key.rank <= waiting.rank and key.serves == serves:
+                work_s += load.estimate_left_s(now_s)
         return work_s / max(1, sum(target.row.slots for target in pool))
 
     # Shedding, the lowest tier first
@@ -402,6 +416,10 @@
         excluded = ask.exclude
         return [t for t in pool if not t.is_leaving and t.row.name not in excluded]
 
+    def _has_usable(self, ask: PlacementAsk) -> bool:
+        pool = self._pools.get(ask.serves, [])
+        return any(not t.is_leaving and t.row.name not in ask.exclude for t in pool)
+
     def _grant(self, waiting: Waiting, choice: Choice, weight: float, now_s: float) -> Send:
         self._queues[PoolKey(waiting.rank, waiting.ask.serves)].charge(waiting, weight)
         self._dequeue(waiting)
@@ -411,7 +429,7 @@
             waiting.ask, waiting.process, target, now_s, choice.uncached_tokens, expected_s
         )
         target.start(waiting.request, run, waiting.prefixes)
-        self._count_running(waiting.ask.workspace, 1)
+        self._note_run(run, 1)
         cached = waiting.ask.prompt_tokens - choice.uncached_tokens
         reason = f"finish_s={choice.finish_s:.3f} first_token_s={choice.first_token_s:.3f}"
         waited_ms = _to_ms(now_s - waiting.submitted_s)
@@ -429,7 +447,16 @@
     ) -> Running:
         tier = self._tiers.get(ask.tier)
         rank = tier.rank if tier else 0
-        return Running(ask, process, target.row.name, rank, now_s, uncached, expected_s)
+        return Running(
+            ask,
+            process,
+            target.row.name,
+            rank,
+            now_s,
+            uncached,
+            expected_s,
+            tuple(target.row.serves),
+        )
 
     def _enqueue(self, waiting: Waiting) -> None:
         key = PoolKey(waiting.rank, waiting.ask.serves)
@@ -440,10 +467,15 @@
         self._queues[PoolKey(waiting.rank, waiting.ask.serves)].remove(waiting)
         del self._waiting[waiting.request]
 
-    def _count_running(self, workspace: str, change: int) -> None:
-        use = self._workspaces.get(workspace)
+    def _note_run(self, run: Running, change: int) -> None:
+        """Count a granted request for its workspace and for its target's pools."""
+        use = self._workspaces.get(run.ask.workspace)
         if use:
             use.running += change
+        for serves in run.pools:
+            load = self._loads.setdefault(PoolKey(run.rank, serves), PoolLoad())
+            load.count += change
+            load.ends_s += change * (run.granted_s + run.expected_s)
 
 
 def _get_prefixes(ask: PlacementAsk) -> Prefixes:
--- a/troutstand/tests/scheduler.feature
+++ b/troutstand/tests/scheduler.feature
@@ -51,6 +51,11 @@
     When it submits 50 requests of 100 tokens at once
     Then at most 6 are granted and the others refused with 3003
 
+  Scenario: A target that leaves the table takes its requests out of the count
+    Given a workspace limited to 1 running request
+    When a request runs on a target that is then deleted
+    Then the next request is granted
+
   Scenario Outline: No tier inversion under random load, seed <seed>
     When 3000 random events are fed, seed <seed>
     Then no request was shed while a lower one waited or ran on its targets
--- a/troutstand/tests/steps/scheduler.py
+++ b/troutstand/tests/steps/scheduler.py
@@ -314,6 +314,26 @@
     assert {shed.code for shed in driver.shed.values()} == {code}
 
 
+@given("a workspace limited to 1 running request")
+def make_single(context: Context) -> None:
+    context.driver.set_rows([Workspace("w", "0" * 64, "t0", running_requests=1)])
+
+
+@when("a request runs on a target that is then deleted")
+def delete_target(context: Context) -> None:
+    driver = context.driver
+    driver.submit("first", 0)
+    row = driver.table.select(Target)[driver.granted["first"]]
+    del driver.table.rows[name_row(row)]
+    driver.scheduler.update_table(driver.table)
+
+
+@then("the next request is granted")
+def assert_next_granted(context: Context) -> None:
+    context.driver.submit("second", 0)
+    assert "second" in context.driver.granted, context.driver.shed
+
+
 # Random load
 
 
