--- a/troutstand/tests/steps/control.py
+++ b/troutstand/tests/steps/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING
 
 from behave import given, then, when
@@ -20,8 +21,7 @@
 from troutstand.util.events import Event, EventBus, format_event
 
 if TYPE_CHECKING:
-    import socket
-from pathlib import Path
+    from pathlib import Path
 
     from behave.runner import Context
 
