--- a/troutstand/daemon/configuration.py
+++ b/troutstand/daemon/configuration.py
@@ -64,6 +64,7 @@
         self._persist = persist
         self._persist_table = persist_table
         self._lock = asyncio.Lock()
+        self._told: dict[ProcessId, int] = {}
 
     @property
     def version(self) -> Version:
@@ -91,12 +92,17 @@
             self._pass_on(before)
 
     def _pass_on(self, before: int) -> None:
-        """Send news to the peers whose heartbeat told an older version."""
-        behind = [
-            process
-            for process, heard in self._peers.heard.items()
-            if before <= heard.heartbeat.version < self.version
-        ]
+        """Send news to the peers that should know the version before it.
+
+        Heartbeats lag behind what was sent since; a peer that lost a message
+        hears of the newer version by the next heartbeat and asks.
+        """
+        behind = []
+        for process, heard in self._peers.heard.items():
+            known = max(heard.heartbeat.version, self._told.get(process, 0))
+            if before <= known < self.version:
+                behind.append(process)
+                self._told[process] = self.version
         if behind:
             self._peers.broadcast(self.follower.answer(ChangesAsk(before)), behind)
 
--- a/troutstand/testing/models/catalogue.py
+++ b/troutstand/testing/models/catalogue.py
@@ -9,6 +9,7 @@
 from troutstand.testing.models.edit import EditModel, Operator
 from troutstand.testing.models.lease import LeaseModel
 from troutstand.testing.models.register import RegisterModel, make_bid
+from troutstand.testing.models.replacement import ReplacementModel
 
 if TYPE_CHECKING:
     from troutstand.testing.models.check import ModelSpec
@@ -27,6 +28,7 @@
         "edit, equal versions": EditModel().make_spec(),
         "edit, later version": EditModel((Operator("a", 0), Operator("b", 1))).make_spec(),
         "lease, one keeper": LeaseModel(keepers=("k0",), end_s=4).make_spec(),
+        "replacement of a keeper": ReplacementModel().make_spec(),
     }
 
 
@@ -63,6 +65,8 @@
         "lease, a holder without its own vote": LeaseModel(
             keepers=("k0",), end_s=2, own_vote=False
         ).make_spec(),
+        "replacement, no copy": ReplacementModel(copies=False).make_spec(),
+        "replacement, copies from an older set": ReplacementModel(checks_epoch=False).make_spec(),
     }
 
 
--- a/troutstand/tests/models.feature
+++ b/troutstand/tests/models.feature
@@ -14,6 +14,7 @@
       | edit, equal versions               |
       | edit, later version                |
       | lease, one keeper                  |
+      | replacement of a keeper            |
 
   Scenario Outline: Without its guard <model> fails
     When the model "<model>" is searched to its end
