--- a/troutstand/daemon/node.py
+++ b/troutstand/daemon/node.py
@@ -97,7 +97,6 @@
         if self._server:
             await self._server.stop()
         self.events.emit("process_stopped")
-        self.events.flush()
 
     def send_heartbeats(self) -> None:
         """Tell every peer what this process is and knows."""
--- a/troutstand/util/events.py
+++ b/troutstand/util/events.py
@@ -27,9 +27,6 @@
 # Events that `troutstandctl explain` can look back on.
 KEPT_EVENTS = 20_000
 _PLAIN = re.compile(r"^[^\s\"=]+$")
-# Lines wait this long, so that writing them delays no request; a process that
-# is killed loses as much of its log.
-WRITE_DELAY_S = 0.005
 METRIC_PREFIX = "troutstand"
 
 
@@ -107,22 +104,19 @@
         self._subject.subscribe(self._keep_line)
 
     def _keep_line(self, event: Event) -> None:
-        """Keep a line for a moment; outside a loop, write it at once."""
+        """Keep a line until the turn of the loop ends; outside a loop, write it."""
         self._lines.append(format_event(event))
         if len(self._lines) > 1:
             return
         try:
-            asyncio.get_running_loop().call_later(WRITE_DELAY_S, self.flush)
+            asyncio.get_running_loop().call_soon(self._write_lines)
         except RuntimeError:
-            self.flush()
+            self._write_lines()
 
-    def flush(self) -> None:
-        """Write the kept lines."""
-        # One call of the logging library for all lines of a moment: its records
+    def _write_lines(self) -> None:
+        # One call of the logging library for all lines of a turn: its records
         # cost more than the lines do.
         lines, self._lines = self._lines, []
-        if not lines:
-            return
         logging.info("%s", "\n".join(lines))
 
     def send_metrics(self, address: Address) -> None:
