Take out what nothing uses

Change: removed; the model of accepts that do not keep promises, run before by hand, joins make model.

--- a/troutstand/core/ids.py
+++ b/troutstand/core/ids.py
@@ -4,16 +4,11 @@
 
 from typing import NewType
 
-HostId = NewType("HostId", str)
-FailureDomain = NewType("FailureDomain", str)
 ProcessId = NewType("ProcessId", str)
 Incarnation = NewType("Incarnation", str)
 RequestId = NewType("RequestId", str)
 CommandKey = NewType("CommandKey", str)
 RegisterName = NewType("RegisterName", str)
-TargetName = NewType("TargetName", str)
-WorkspaceName = NewType("WorkspaceName", str)
-TierName = NewType("TierName", str)
 Version = NewType("Version", int)
 
 
--- a/troutstand/core/prefix.py
+++ b/troutstand/core/prefix.py
@@ -15,7 +15,6 @@
 CHARACTERS_A_TOKEN = 4
 BLOCK_TOKENS = 64
 MAX_BLOCKS = 32
-_HASH_BYTES = 8
 
 
 @dataclass(frozen=True)
--- a/troutstand/testing/models/catalogue.py
+++ b/troutstand/testing/models/catalogue.py
@@ -53,6 +53,9 @@
     return {
         "register, a lost disk votes": RegisterModel(fresh, lost_disks=1).make_spec(),
         "register, promises hide what stands": forgetful.make_spec(),
+        "register, promises not kept": RegisterModel(
+            rivals, handle_accept=register.accept_always
+        ).make_spec(),
         "command, silence closed as not run": _break_command(command.CloseAsNotRun),
         "command, dispatched without a claim": _break_command(command.DispatchUnclaimed),
         "command, next attempt on silence": _break_command(command.TakeOver),
--- a/troutstand/testing/models/command.py
+++ b/troutstand/testing/models/command.py
@@ -284,10 +284,3 @@
         if outcome.kind is OutcomeKind.not_run:
             self.last_attempt = self.attempt + 1
         return super()._take_outcome(outcome)
-
-
-class ForgetLaterAttempts(Command):
-    """Say "not run" without a look at later attempts: the guard taken out."""
-
-    def _follow_next(self) -> Action:
-        return self._refuse(ResultCode.COMMAND_NOT_RUN, Run.NO)
