Pick test ports that no outgoing connection takes

Cause: found by reading: a port picked from the ephemeral range could be taken by any outgoing connection before its process opened it, and a scenario would fail for it now and then. Change: ports come from below that range, each once a run.

--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 import os
 import signal
 import socket
@@ -45,15 +46,25 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((IP, port))
+        except OSError:
+            return False
+    return True
+
+
+# Below the ports that outgoing connections take by themselves; a port from
+# among those could be gone before the process that it is for opens it.
+_PORTS = itertools.cycle(range(20_000, 32_000))
+for _ in range(os.getpid() * 137 % 12_000):
+    next(_PORTS)
+
+
 def pick_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((IP, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return ports that are free now, none of them twice."""
+    return list(itertools.islice(filter(_is_free, _PORTS), count))
 
 
 def wait_for(condition: Callable[[], T | None], what: str) -> T:
