--- a/tools/generate.py
+++ b/tools/generate.py
@@ -13,7 +13,14 @@
 HEADER = '"""Hold records generated from schema/{name}.json; run `make generate`."""'
 STRICT = "troutstand.core.record.StrictRecord"
 OPEN = "troutstand.core.record.Record"
-SCHEMAS = {"settings": STRICT, "control": STRICT, "table": STRICT, "messages": OPEN}
+SCHEMAS = {
+    "settings": STRICT,
+    "control": STRICT,
+    "table": STRICT,
+    "messages": OPEN,
+    "routing": STRICT,
+    "configuration": STRICT,
+}
 
 
 def _require_defaults(node: object) -> None:
--- a/troutstand/core/acceptor.py
+++ b/troutstand/core/acceptor.py
@@ -7,7 +7,7 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.follower import Follower
-from troutstand.core.ids import ProcessId
+from troutstand.core.ids import ProcessId, RegisterName
 from troutstand.core.register import handle_accept, handle_prepare, rank_ballot
 from troutstand.generated.messages import (
     Accept,
@@ -18,11 +18,13 @@
     KeepersReply,
     Member,
     MemberState,
+    Newest,
     Prepare,
     Promise,
     Refused,
     RegisterState,
     StoredChange,
+    StoredConfiguration,
     StoredIdentity,
     StoredKeepers,
     StoredRegister,
@@ -34,6 +36,7 @@
     from troutstand.core.stored import StoredRecord
 
 TABLE_PREFIX = "table/"
+CONFIGURATION_PREFIX = "configuration/"
 CLAIM_PREFIXES = ("claim/", "outcome/")
 # Registers of older table versions are closed; their changes live in the table.
 KEPT_TABLE_REGISTERS = 1000
@@ -61,6 +64,7 @@
         self.keepers: KeeperSet | None = None
         self.registers: dict[str, RegisterState] = {}
         self.follower = Follower()
+        self.configuration = StoredConfiguration(0, b"")
 
     @property
     def epoch(self) -> int:
@@ -95,6 +99,8 @@
                 self.follower.apply(version, change)
             case StoredTable(version, table):
                 self.follower.install(version, table)
+            case StoredConfiguration():
+                self.learn_configuration(record)
             case StoredIdentity() | StoredSequence():
                 pass
 
@@ -124,8 +130,43 @@
         oldest = self.follower.version - KEPT_TABLE_REGISTERS
         if version is not None and version <= oldest:
             return Refused(int(ResultCode.TABLE_STALE), f"version {version} is long decided")
+        number = parse_configuration_register(message.register)
+        if number is not None and number <= self.configuration.version:
+            held = self.configuration.version
+            return Refused(int(ResultCode.CONFIGURATION_STALE), f"version {held} is decided")
         return None
 
+    def learn_configuration(self, record: StoredConfiguration) -> list[StoredRecord]:
+        """Take a newer decided configuration and drop the registers it settles."""
+        if record.version <= self.configuration.version:
+            return []
+        self.configuration = record
+        self._drop_configuration_registers()
+        return [record]
+
+    def _drop_configuration_registers(self) -> None:
+        for name in list(self.registers):
+            number = parse_configuration_register(name)
+            if number is not None and number <= self.configuration.version:
+                del self.registers[name]
+
+    def describe_newest(self, epoch: int) -> Newest | Refused:
+        """Tell how far configurations have come here, as a vote."""
+        if not self.is_voting or epoch != self.epoch:
+            return Refused(int(ResultCode.KEEPER_EPOCH), "", self.keepers)
+        numbers = [
+            number
+            for name, state in self.registers.items()
+            if state.accepted is not None
+            and (number := parse_configuration_register(name)) is not None
+        ]
+        return Newest(self.configuration.version, max(numbers, default=0))
+
+    def reset(self, identity: StoredIdentity) -> None:
+        """Begin again as a new disk; what is decided for all stays."""
+        self.identity = identity
+        self.registers = {}
+
     def install_keepers(self, keepers: KeeperSet) -> list[StoredRecord]:
         """Take a newer keeper set; an older one is passed over."""
         if keepers.epoch <= self.epoch:
@@ -143,12 +184,16 @@
         if not ask.after:
             version = self.follower.version
             records.insert(0, StoredTable(version, self.follower.table.pack()))
+            records.insert(1, self.configuration)
         return CopyPage(records, len(page) == len(names), page[-1] if page else "")
 
     def merge_copy(self, record: StoredRecord) -> list[StoredRecord]:
         """Take a copied record where it is newer than what is held."""
         match record:
             case StoredRegister(state):
+                number = parse_configuration_register(state.register)
+                if number is not None and number <= self.configuration.version:
+                    return []
                 held = self.registers.get(state.register)
                 if held is not None and _is_newer(held, state):
                     return []
@@ -156,6 +201,8 @@
                 return [StoredRegister(self.registers[state.register])]
             case StoredTable(version, table):
                 return [record] if self.follower.install(version, table) else []
+            case StoredConfiguration():
+                return self.learn_configuration(record)
             case _:
                 return []
 
@@ -173,6 +220,8 @@
         if self.keepers:
             records.append(StoredKeepers(self.keepers))
         records.append(StoredTable(self.follower.version, self.follower.table.pack()))
+        if self.configuration.version:
+            records.append(self.configuration)
         records.extend(StoredRegister(state) for state in self.registers.values())
         return records
 
@@ -192,6 +241,18 @@
     return int(digits) if register.startswith(TABLE_PREFIX) and digits.isdigit() else None
 
 
+def name_configuration(version: int) -> RegisterName:
+    """Name the register that holds the configuration of a version."""
+    return RegisterName(f"{CONFIGURATION_PREFIX}{version}")
+
+
+def parse_configuration_register(register: str) -> int | None:
+    """Return the version whose register this is, or None for another register."""
+    digits = register.removeprefix(CONFIGURATION_PREFIX)
+    is_named = register.startswith(CONFIGURATION_PREFIX) and digits.isdigit()
+    return int(digits) if is_named else None
+
+
 def _is_expired(state: RegisterState, oldest_s: float, oldest_version: int) -> bool:
     if state.register.startswith(CLAIM_PREFIXES):
         return state.changed_at_s < oldest_s
--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -48,6 +48,7 @@
     NO_TARGET = 3008
     NO_SCHEDULER = 3009
     HISTORY_UNKNOWN = 3010
+    RETRY_BUDGET = 3011
 
     COMMAND_UNAVAILABLE = 4001
     COMMAND_OUTCOME_UNKNOWN = 4002
@@ -69,6 +70,9 @@
     USAGE = 6006
     PROCESS_UNREACHABLE = 6007
     KEEPER_CHANGE_REFUSED = 6008
+    CONFIGURATION_INVALID = 6009
+    CONFIGURATION_STALE = 6010
+    CONFIGURATION_UNKNOWN = 6011
 
     LINK_REFUSED = 7001
     LINK_MALFORMED = 7002
@@ -125,6 +129,7 @@
     ResultCode.NO_TARGET: Meaning(503, "no live target serves this", 31),
     ResultCode.NO_SCHEDULER: Meaning(503, "the failure domain has no reachable scheduler", 31),
     ResultCode.HISTORY_UNKNOWN: Meaning(503, "which targets had this request is not known", 31),
+    ResultCode.RETRY_BUDGET: Meaning(503, "too many requests were sent again lately", 31),
     ResultCode.COMMAND_UNAVAILABLE: Meaning(503, "no majority of keepers can be reached", 40),
     ResultCode.COMMAND_OUTCOME_UNKNOWN: Meaning(409, "the command may have run; it is final", 41),
     ResultCode.COMMAND_NOT_RUN: Meaning(503, "the command was not run; it may be sent again", 42),
@@ -143,6 +148,11 @@
     ResultCode.USAGE: Meaning(400, "the command line is wrong", 2),
     ResultCode.PROCESS_UNREACHABLE: Meaning(503, "the process does not answer", 65),
     ResultCode.KEEPER_CHANGE_REFUSED: Meaning(409, "the keeper set cannot be changed so", 66),
+    ResultCode.CONFIGURATION_INVALID: Meaning(400, "a configuration cannot be in force", 61),
+    ResultCode.CONFIGURATION_STALE: Meaning(200, "a higher version is in force already", 60),
+    ResultCode.CONFIGURATION_UNKNOWN: Meaning(
+        503, "the newest configuration cannot be told now", 62
+    ),
     ResultCode.LINK_REFUSED: Meaning(403, "a link's key, host or site is wrong", 70),
     ResultCode.LINK_MALFORMED: Meaning(400, "a message of a link cannot be read", 70),
     ResultCode.LINK_CLOSED: Meaning(503, "the link closed before the answer", 70),
--- /dev/null
+++ b/troutstand/core/dispatch.py
@@ -0,0 +1,350 @@
+"""Decide which target takes each request, which wait, and which are refused.
+
+One queue a service, over all targets that can be reached. It reads no clock
+and sends nothing: times are passed in, and decisions are handed out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from statistics import median
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.targetstate import Running, TargetState, measure_service
+from troutstand.generated.messages import Declined, Ending, ListedState, Placed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from troutstand.core.configuration import RouteTable
+    from troutstand.core.quota import Quotas
+    from troutstand.core.retries import RetryBudget
+    from troutstand.generated.messages import Ended, FirstByte, ListedTarget, RoutedWork
+
+# Guesses until something was measured, in seconds.
+_GUESS_PREFILL_S = 5e-5
+_GUESS_TOKEN_S = 8e-3
+_GUESS_SERVICE_S = 3e-2
+_HOLD_EWMA = 0.1
+# How long a request may wait, as a multiple of its objective.
+_PATIENCE = 1.5
+_MIN_PATIENCE_S = 0.15
+# A request declined before this share of its objective may still come in time.
+_EARLY = 0.25
+_OCCUPANCY_WEIGHT = 0.15
+_FAULT_PENALTY_S = 1.0
+_MIN_RETRY_AFTER_S = 0.1
+_MAX_RETRY_AFTER_S = 5.0
+_NO_TARGET_WAIT_S = 0.3
+_IDLE_FACTOR = 1.2
+
+
+@dataclass(frozen=True)
+class Decision:
+    """Tell a gateway what becomes of its request."""
+
+    owner: str
+    answer: Placed | Declined
+
+
+@dataclass
+class Waiting:
+    """Hold a request that has no target yet; times in seconds."""
+
+    work: RoutedWork
+    owner: str
+    arrived_s: float
+    deadline_s: float
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Return what sorts the queue: the tier, then who is due first."""
+        return (self.work.tier, self.arrived_s + self.work.objective_s)
+
+
+@dataclass
+class Pool:
+    """Hold the targets and the queue of one service."""
+
+    targets: dict[str, TargetState] = field(default_factory=dict)
+    waiting: dict[str, Waiting] = field(default_factory=dict)
+    hold_s: float | None = None
+
+    def learn_hold(self, sample_s: float) -> None:
+        """Learn how long a request keeps its slot."""
+        held = self.hold_s
+        self.hold_s = sample_s if held is None else held + _HOLD_EWMA * (sample_s - held)
+
+    def list_usable(self) -> list[TargetState]:
+        """Return the targets that take new work at all."""
+        return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
+
+    def estimate_wait(self, ahead: int) -> float:
+        """Return the seconds until a request with some ahead of it gets a slot."""
+        slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
+        hold_s = self.hold_s or _GUESS_SERVICE_S
+        return (ahead + 1) * hold_s / max(1, slots)
+
+
+class Dispatcher:
+    """Hold the queues and the targets of a whole site."""
+
+    def __init__(self, quotas: Quotas, retries: RetryBudget) -> None:
+        self.quotas = quotas
+        self.retries = retries
+        self.pools: dict[str, Pool] = {}
+        self._decisions: list[Decision] = []
+        self._memory_tokens: dict[str, int] = {}
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the decisions since the last call."""
+        taken, self._decisions = self._decisions, []
+        return taken
+
+    # What is known of the site
+
+    def use_table(self, table: RouteTable, now_s: float) -> None:
+        """Take a configuration."""
+        self.quotas.use_workspaces(table.configuration.workspaces, now_s)
+        self._memory_tokens = {
+            name: service.engine.memory_tokens
+            for name, service in table.services.items()
+            if service.engine is not None and service.engine.memory_tokens
+        }
+
+    def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
+        """Take a newer list of targets; what runs at those that are gone is forgotten."""
+        seen: set[tuple[str, str]] = set()
+        for entry in listed:
+            pool = self.pools.setdefault(entry.service, Pool())
+            seen.add((entry.service, entry.target))
+            held = pool.targets.get(entry.target)
+            if held is None:
+                pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
+            else:
+                held.listed = entry
+        for service, pool in self.pools.items():
+            for target in [t for t in pool.targets if (service, t) not in seen]:
+                del pool.targets[target]
+            self._serve_queue(pool, now_s)
+
+    def adopt(
+        self, work: RoutedWork, target: str, owner: str, elapsed_s: float, now_s: float
+    ) -> None:
+        """Count a request that another scheduler had placed."""
+        pool = self.pools.setdefault(work.service, Pool())
+        state = pool.targets.get(target)
+        if state is not None and work.request not in state.running:
+            run = Running(work, owner, now_s - elapsed_s, 0.0, elapsed_s, has_first=True)
+            state.running[work.request] = run
+
+    def drop_owner(self, owner: str, now_s: float) -> None:
+        """Forget all requests of a gateway that is gone or asks another scheduler."""
+        for pool in self.pools.values():
+            for request in [r for r, w in pool.waiting.items() if w.owner == owner]:
+                self._leave_queue(pool, request)
+            for state in pool.targets.values():
+                for request in [r for r, run in state.running.items() if run.owner == owner]:
+                    del state.running[request]
+            self._serve_queue(pool, now_s)
+
+    # Requests
+
+    def place(self, work: RoutedWork, owner: str, now_s: float) -> None:
+        """Take a request in: give it a target, let it wait, or refuse it."""
+        pool = self.pools.setdefault(work.service, Pool())
+        if work.attempt > 1:
+            if not self.retries.take(work.service, now_s):
+                self._decline(work, owner, ResultCode.RETRY_BUDGET, 1.0, "retry budget")
+                return
+        else:
+            self.retries.note_request(work.service, now_s)
+            missing_s = self.quotas.take(work.workspace, work.charge, now_s)
+            if missing_s > 0:
+                reason = f"workspace={work.workspace} charge={work.charge:g}"
+                self._decline(work, owner, ResultCode.WORKSPACE_LIMIT, missing_s, reason)
+                return
+        waiting = Waiting(work, owner, now_s, now_s + work.remaining_s)
+        pool.waiting[work.request] = waiting
+        self._serve_queue(pool, now_s)
+        if work.request in pool.waiting:
+            self._judge_arrival(pool, waiting, now_s)
+
+    def abandon(self, request: str, now_s: float) -> None:
+        """Forget a request wherever it is."""
+        for pool in self.pools.values():
+            self._leave_queue(pool, request)
+            for state in pool.targets.values():
+                if state.running.pop(request, None) is not None:
+                    self._serve_queue(pool, now_s)
+
+    def note_first(self, first: FirstByte, now_s: float) -> None:
+        """Learn that a target began to answer."""
+        for pool in self.pools.values():
+            state = pool.targets.get(first.target)
+            run = state.running.get(first.request) if state else None
+            if state is not None and run is not None and not run.has_first:
+                state.note_first(run, first.first_s, now_s)
+                state.remember(run.work.model, run.work.parts)
+
+    def end(self, ended: Ended, now_s: float) -> None:
+        """Free a request's slot and learn from how it ended."""
+        for pool in self.pools.values():
+            state = pool.targets.get(ended.target)
+            if state is None:
+                continue
+            run = state.running.pop(ended.request, None)
+            if run is not None:
+                self._learn_ending(pool, state, run, ended, now_s)
+            self._serve_queue(pool, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Do what time alone brings about."""
+        for pool in self.pools.values():
+            for state in pool.targets.values():
+                if now_s >= state.blocked_until_s and state.find_silence(now_s):
+                    state.note_lost(now_s)
+            self._serve_queue(pool, now_s)
+            self._judge_waiting(pool, now_s)
+
+    # Choosing
+
+    def _learn_ending(
+        self, pool: Pool, state: TargetState, run: Running, ended: Ended, now_s: float
+    ) -> None:
+        match ended.ending:
+            case Ending.whole:
+                state.note_whole(now_s)
+                pool.learn_hold(ended.total_s)
+                if run.work.prompt_tokens and ended.produced_tokens > 1:
+                    decode_s = ended.total_s - max(0.0, ended.first_s)
+                    state.token_s.learn(decode_s / ended.produced_tokens)
+                elif not run.work.prompt_tokens:
+                    state.service_s.learn(ended.total_s)
+            case Ending.failed:
+                state.note_fault(now_s)
+            case Ending.broken | Ending.silent | Ending.unsent:
+                state.note_lost(now_s)
+            case Ending.turned_away:
+                state.note_turned_away(now_s)
+            case Ending.left:
+                pass
+
+    def _estimate_first(self, pool: Pool, state: TargetState, work: RoutedWork) -> float:
+        """Return the seconds until a target's first byte for a request."""
+        if not work.prompt_tokens:
+            return self._know(pool, state, "service_s", _GUESS_SERVICE_S)
+        prefill_s = self._know(pool, state, "prefill_s", _GUESS_PREFILL_S)
+        return prefill_s * (state.count_uncached(work) + state.measure_backlog())
+
+    def _estimate_cost(self, pool: Pool, state: TargetState, work: RoutedWork) -> float:
+        first_s = self._estimate_first(pool, state, work)
+        busy = len(state.running) / max(1, state.listed.slots)
+        if work.prompt_tokens:
+            token_s = self._know(pool, state, "token_s", _GUESS_TOKEN_S)
+            held_s = token_s * max(1, work.output_tokens)
+        else:
+            held_s = first_s * busy
+        return first_s + _OCCUPANCY_WEIGHT * held_s + _FAULT_PENALTY_S * (1.0 - state.success)
+
+    def _know(self, pool: Pool, state: TargetState, name: str, guess: float) -> float:
+        """Return a target's learnt speed, or what its like show, or a guess."""
+        own = getattr(state, name).value
+        if own is not None:
+            return own
+        others = [v for t in pool.targets.values() if (v := getattr(t, name).value) is not None]
+        return median(others) if others else guess
+
+    def _has_memory(self, state: TargetState, work: RoutedWork) -> bool:
+        memory = self._memory_tokens.get(work.service)
+        if not memory or not state.running:
+            return True
+        needed = sum(r.work.prompt_tokens + r.work.output_tokens for r in state.running.values())
+        return needed + work.prompt_tokens + work.output_tokens <= memory
+
+    def _choose(self, pool: Pool, work: RoutedWork, now_s: float) -> TargetState | None:
+        usable = pool.list_usable()
+        fresh = [t for t in usable if t.listed.target not in work.excluded] or usable
+        open_ = [t for t in fresh if t.is_open(now_s) and self._has_memory(t, work)]
+        if not open_:
+            return None
+        return min(open_, key=lambda state: self._estimate_cost(pool, state, work))
+
+    def _serve_queue(self, pool: Pool, now_s: float) -> None:
+        """Give free slots to those who wait, in the queue's order."""
+        if not pool.waiting:
+            return
+        for waiting in sorted(pool.waiting.values(), key=lambda w: w.rank):
+            state = self._choose(pool, waiting.work, now_s)
+            if state is None:
+                if not any(t.is_open(now_s) for t in pool.list_usable()):
+                    return
+                continue
+            self._start(pool, state, waiting, now_s)
+
+    def _start(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> None:
+        work = waiting.work
+        del pool.waiting[work.request]
+        expected_s = self._estimate_first(pool, state, work)
+        uncached = state.count_uncached(work)
+        state.running[work.request] = Running(work, waiting.owner, now_s, uncached, expected_s)
+        placed = Placed(
+            work.request,
+            state.listed.target,
+            state.listed.address,
+            1000.0 * (now_s - waiting.arrived_s),
+        )
+        self._decisions.append(Decision(waiting.owner, placed))
+
+    # Refusing
+
+    def _leave_queue(self, pool: Pool, request: str) -> None:
+        waiting = pool.waiting.pop(request, None)
+        if waiting is not None and waiting.work.attempt == 1:
+            self.quotas.give_back(waiting.work.workspace, waiting.work.charge)
+
+    def _count_ahead(self, pool: Pool, waiting: Waiting) -> int:
+        return sum(1 for other in pool.waiting.values() if other.rank < waiting.rank)
+
+    def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
+        if not pool.list_usable():
+            return
+        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting))
+        if wait_s > _find_patience(waiting.work):
+            self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
+
+    def _judge_waiting(self, pool: Pool, now_s: float) -> None:
+        """Refuse who can no longer be served in time, the later ones first."""
+        has_targets = bool(pool.list_usable())
+        ordered = sorted(pool.waiting.values(), key=lambda w: w.rank)
+        for ahead, waiting in reversed(list(enumerate(ordered))):
+            waited_s = now_s - waiting.arrived_s
+            wait_s = pool.estimate_wait(ahead)
+            is_early = waited_s < _EARLY * waiting.work.objective_s
+            if now_s + measure_service(pool.hold_s or 0.0) * 0.5 > waiting.deadline_s:
+                self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
+            elif not has_targets and waited_s > _NO_TARGET_WAIT_S:
+                self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
+            elif is_early and waited_s + wait_s > _IDLE_FACTOR * _find_patience(waiting.work):
+                self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
+
+    def _refuse(
+        self, pool: Pool, waiting: Waiting, code: ResultCode, wait_s: float, now_s: float
+    ) -> None:
+        self._leave_queue(pool, waiting.work.request)
+        waited_s = now_s - waiting.arrived_s
+        reason = f"waited_s={waited_s:.3f} expected_s={wait_s:.3f} queue={len(pool.waiting)}"
+        self._decline(waiting.work, waiting.owner, code, wait_s, reason)
+
+    def _decline(
+        self, work: RoutedWork, owner: str, code: ResultCode, wait_s: float, reason: str
+    ) -> None:
+        retry_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
+        declined = Declined(work.request, int(code), retry_s, reason)
+        self._decisions.append(Decision(owner, declined))
+
+
+def _find_patience(work: RoutedWork) -> float:
+    wanted_s = max(_MIN_PATIENCE_S, _PATIENCE * work.objective_s)
+    return min(wanted_s, work.remaining_s * 0.5)
--- a/troutstand/core/stored.py
+++ b/troutstand/core/stored.py
@@ -4,6 +4,7 @@
 
 from troutstand.generated.messages import (
     StoredChange,
+    StoredConfiguration,
     StoredIdentity,
     StoredKeepers,
     StoredRegister,
@@ -12,5 +13,11 @@
 )
 
 StoredRecord = (
-    StoredIdentity | StoredRegister | StoredKeepers | StoredChange | StoredTable | StoredSequence
+    StoredIdentity
+    | StoredRegister
+    | StoredKeepers
+    | StoredChange
+    | StoredTable
+    | StoredSequence
+    | StoredConfiguration
 )
--- /dev/null
+++ b/troutstand/core/succession.py
@@ -0,0 +1,105 @@
+"""Decide when the keeper set takes in a new disk, and in whose place.
+
+A set holds `2 * losses + 1` members, so that as many disks may be lost at
+once. A member gives its place up when its process reports another disk, or
+when it was silent for `GONE_S` while a keeper without a place waits. A wrong
+guess costs a copy and no data: the member that comes back finds a newer
+epoch, votes on nothing, and waits for a place itself.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from troutstand.generated.messages import KeeperSet, Member, MemberState
+
+if TYPE_CHECKING:
+    from troutstand.core.contacts import ContactBook
+    from troutstand.generated.messages import Contact
+
+GONE_S = 2.5
+FRESH_S = 1.0
+FIRST_EPOCH = 1
+FIRST_DISK = "first"
+KEEPER_ROLE = "keeper"
+
+
+def form_first_set(processes: list[str]) -> KeeperSet:
+    """Make the set that all seeds agree on without a word at the first start."""
+    members = [Member(p, FIRST_DISK, MemberState.voting) for p in sorted(set(processes))]
+    return KeeperSet(FIRST_EPOCH, members)
+
+
+def count_needed(keepers: KeeperSet) -> int:
+    """Return how many voters a copying disk must read before it votes.
+
+    A majority of all members, itself counted as one that has nothing: whatever
+    was decided stands at one of them, also after as many disks were lost as
+    the set bears.
+    """
+    return len(keepers.members) // 2 + 1
+
+
+def plan_change(
+    keepers: KeeperSet, book: ContactBook, now_s: float, watching_since_s: float, size: int
+) -> KeeperSet | None:
+    """Return the set that should follow, or None while nothing should change.
+
+    Parameters
+    ----------
+    watching_since_s
+        Since when the asking process has heard others without a gap of its own.
+    size
+        How many members the set should have.
+    """
+    for member in keepers.members:
+        contact = _find_fresh(book, member.process, now_s)
+        if contact is not None and contact.disk_id not in ("", member.disk_id):
+            return _put_member(keepers, member.process, contact)
+    is_watching = now_s - watching_since_s > GONE_S
+    gone = [m for m in keepers.members if book.measure_age(m.process, now_s) > GONE_S]
+    copying = [m for m in keepers.members if m.state is MemberState.copying]
+    if any(member not in gone for member in copying):
+        return None
+    candidate = _find_candidate(keepers, book, now_s)
+    if candidate is None:
+        return None
+    if len(keepers.members) < size:
+        return _put_member(keepers, None, candidate)
+    if gone and is_watching:
+        # A member that was copying had no word yet, so it goes first.
+        leaving = copying[0] if copying else gone[0]
+        return _put_member(keepers, leaving.process, candidate)
+    return None
+
+
+def promote(keepers: KeeperSet, process: str) -> KeeperSet:
+    """Make the set in which a complete copy votes."""
+    members = [
+        Member(m.process, m.disk_id, MemberState.voting) if m.process == process else m
+        for m in keepers.members
+    ]
+    return KeeperSet(keepers.epoch + 1, members)
+
+
+def _find_fresh(book: ContactBook, process: str, now_s: float) -> Contact | None:
+    known = book.find(process)
+    if known is None or now_s - known.heard_s > FRESH_S:
+        return None
+    return known.contact
+
+
+def _find_candidate(keepers: KeeperSet, book: ContactBook, now_s: float) -> Contact | None:
+    held = {member.process for member in keepers.members}
+    for process in book.list_role(KEEPER_ROLE):
+        contact = _find_fresh(book, process, now_s)
+        if process not in held and contact is not None and contact.disk_id:
+            return contact
+    return None
+
+
+def _put_member(keepers: KeeperSet, leaving: str | None, contact: Contact) -> KeeperSet:
+    kept = [m for m in keepers.members if m.process != leaving]
+    joining = Member(contact.process, contact.disk_id, MemberState.copying)
+    members = sorted([*kept, joining], key=lambda member: member.process)
+    return KeeperSet(keepers.epoch + 1, members)
--- /dev/null
+++ b/troutstand/core/targetstate.py
@@ -0,0 +1,144 @@
+"""Keep what a scheduler knows of one target: its work, speed, cache and health."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from troutstand.generated.messages import ListedTarget, Part, RoutedWork
+
+_EWMA = 0.25
+_HEALTH_EWMA = 0.15
+_FIRST_BLOCK_S = 0.5
+_MAX_BLOCK_S = 4.0
+_TURNED_AWAY_BLOCK_S = 0.05
+_MIN_SILENT_S = 1.2
+_SILENT_FACTOR = 6.0
+_KEPT_PARTS = 4000
+_MIN_SERVICE_S = 1e-4
+
+
+@dataclass
+class Running:
+    """Follow one request at a target; times in seconds on the steady clock."""
+
+    work: RoutedWork
+    owner: str
+    started_s: float
+    uncached_tokens: float
+    expected_first_s: float
+    has_first: bool = False
+
+
+@dataclass
+class Speed:
+    """Hold a learnt speed; nothing learnt yet is None."""
+
+    value: float | None = None
+
+    def learn(self, sample: float) -> None:
+        """Move towards a sample."""
+        self.value = sample if self.value is None else self.value + _EWMA * (sample - self.value)
+
+
+@dataclass
+class TargetState:
+    """Follow one target."""
+
+    listed: ListedTarget
+    running: dict[str, Running] = field(default_factory=dict)
+    prefill_s: Speed = field(default_factory=Speed)
+    token_s: Speed = field(default_factory=Speed)
+    service_s: Speed = field(default_factory=Speed)
+    success: float = 1.0
+    strikes: int = 0
+    blocked_until_s: float = 0.0
+    last_sign_s: float = 0.0
+    parts: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
+
+    @property
+    def free_slots(self) -> int:
+        """Return how many more requests the target works on at once."""
+        # A target under suspicion gets one request at a time, as a probe.
+        slots = 1 if self.strikes else self.listed.slots
+        return max(0, slots - len(self.running))
+
+    def is_open(self, now_s: float) -> bool:
+        """Tell whether the target may be given work now."""
+        return self.free_slots > 0 and now_s >= self.blocked_until_s
+
+    def measure_backlog(self) -> float:
+        """Return the prompt tokens that are still to be read."""
+        return sum(run.uncached_tokens for run in self.running.values() if not run.has_first)
+
+    def count_uncached(self, work: RoutedWork) -> float:
+        """Return the prompt tokens of a request that the target does not hold."""
+        held = 0
+        for part in work.parts:
+            if (work.model, part.part) not in self.parts:
+                break
+            held += part.tokens
+        return max(0.0, work.prompt_tokens - held)
+
+    def remember(self, model: str, parts: Sequence[Part]) -> None:
+        """Note the prompt parts that the target has read."""
+        for part in parts:
+            self.parts[(model, part.part)] = part.tokens
+            self.parts.move_to_end((model, part.part))
+        while len(self.parts) > _KEPT_PARTS:
+            self.parts.popitem(last=False)
+
+    # Signs of life
+
+    def note_first(self, run: Running, first_s: float, now_s: float) -> None:
+        """Learn from the first byte of an answer."""
+        run.has_first = True
+        self.last_sign_s = now_s
+        if run.work.prompt_tokens and run.uncached_tokens > 0:
+            # The others' prompts were read before or beside this one.
+            others = self.measure_backlog()
+            self.prefill_s.learn(first_s / (run.uncached_tokens + 0.5 * others))
+
+    def note_whole(self, now_s: float) -> None:
+        """Take a whole answer as a sign of health."""
+        self.success += _HEALTH_EWMA * (1.0 - self.success)
+        self.strikes = 0
+        self.blocked_until_s = 0.0
+        self.last_sign_s = now_s
+
+    def note_fault(self, now_s: float) -> None:
+        """Take a fault of the target's own, which it answered with."""
+        self.success += _HEALTH_EWMA * (0.0 - self.success)
+        self.last_sign_s = now_s
+
+    def note_lost(self, now_s: float) -> None:
+        """Take an answer that broke off or never came, and hold the target off."""
+        self.success += _HEALTH_EWMA * (0.0 - self.success)
+        block_s = min(_MAX_BLOCK_S, _FIRST_BLOCK_S * 2.0**self.strikes)
+        self.strikes += 1
+        self.blocked_until_s = max(self.blocked_until_s, now_s + block_s)
+
+    def note_turned_away(self, now_s: float) -> None:
+        """Take a refusal for want of room."""
+        self.last_sign_s = now_s
+        self.blocked_until_s = max(self.blocked_until_s, now_s + _TURNED_AWAY_BLOCK_S)
+
+    def find_silence(self, now_s: float) -> bool:
+        """Tell whether the target owes a first byte for far longer than expected."""
+        for run in self.running.values():
+            if run.has_first:
+                continue
+            waited_s = now_s - run.started_s
+            limit_s = max(_MIN_SILENT_S, _SILENT_FACTOR * run.expected_first_s)
+            if waited_s > limit_s and now_s - self.last_sign_s > limit_s:
+                return True
+        return False
+
+
+def measure_service(total_s: float) -> float:
+    """Return a service time that may be divided by."""
+    return max(total_s, _MIN_SERVICE_S)
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -96,7 +96,7 @@
     def __init__(
         self,
         identity: Identity,
-        peers: frozenset[ProcessId],
+        peers: frozenset[ProcessId] | None,
         limits: Limits,
         events: EventBus,
         handler: Handler,
@@ -158,7 +158,8 @@
         proof = self._identity.prove(greeting.process, challenge, greeting.nonce)
         if not hmac.compare_digest(proof, greeting.proof) or greeting.site != self._identity.site:
             raise TroutstandError(ResultCode.LINK_REFUSED, f"wrong key from {greeting.process!r}")
-        if greeting.process not in self._peers:
+        # Without a list, whoever knows the site's key is a peer.
+        if self._peers is not None and greeting.process not in self._peers:
             raise TroutstandError(ResultCode.LINK_REFUSED, f"unknown host {greeting.process!r}")
         own = self._identity.process
         await socket.send(self._identity.prove(own, greeting.nonce, challenge))
@@ -243,10 +244,15 @@
     _sequence: int = 0
     _asks: dict[int, asyncio.Future[PeerMessage]] = field(default_factory=dict)
     _queue: asyncio.Queue[bytes] = field(init=False)
+    _up: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         self._queue = asyncio.Queue(self.limits.link_queue_messages)
 
+    async def wait_up(self) -> None:
+        """Return once the link is open."""
+        await self._up.wait()
+
     async def run(self) -> None:
         """Connect again and again until cancelled."""
         backoff_s = _FIRST_BACKOFF_S
@@ -272,10 +278,12 @@
             open_timeout=self.limits.lease_s,
             ping_interval=self.limits.lease_s,
             ping_timeout=self.limits.lease_s,
+            close_timeout=self.limits.lease_s,
             proxy=None,
         ) as socket:
             await asyncio.wait_for(self._greet(socket), self.limits.lease_s)
             self.is_up, self.is_refused = True, False
+            self._up.set()
             self._queue = asyncio.Queue(self.limits.link_queue_messages)
             writer = asyncio.create_task(_write_queue(socket, self._queue))
             self.events.emit("link_up", peer=self.peer)
@@ -283,6 +291,7 @@
                 await self._read(socket)
             finally:
                 self.is_up = False
+                self._up.clear()
                 writer.cancel()
                 self.events.emit("link_down", peer=self.peer)
 
--- a/troutstand/daemon/storage.py
+++ b/troutstand/daemon/storage.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import os
 import struct
@@ -22,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from io import FileIO
     from pathlib import Path
 
 _MARK = b"TsR1"
@@ -88,6 +90,12 @@
         os.close(descriptor)
 
 
+def _write_all(file: FileIO, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
+
+
 def _write_whole(path: Path, data: bytes) -> None:
     scratch = path.with_suffix(".new")
     with scratch.open("wb") as file:
@@ -113,6 +121,11 @@
     _write_whole(path, frame_record(identity))
 
 
+def replace_identity(folder: Path, identity: StoredIdentity) -> None:
+    """Make a folder another disk's, so that nothing it voted before counts."""
+    _write_whole(folder / _IDENTITY, frame_record(identity))
+
+
 def read_identity(folder: Path) -> StoredIdentity:
     """Read whose disk a folder is.
 
@@ -154,7 +167,9 @@
         self.log_records = len(log)
         counted = [r.sequence for r in snapshot if isinstance(r, StoredSequence)]
         self._snapshot_sequence = counted[0] if counted else 0
-        self._file = (folder / _LOG).open("ab")
+        # Unbuffered, so that a refused write leaves nothing behind to come later.
+        self._file = (folder / _LOG).open("ab", buffering=0)
+        self.log_bytes = good_bytes
         self._file.truncate(good_bytes)
         os.fsync(self._file.fileno())
         _sync_folder(folder)
@@ -173,15 +188,22 @@
             STORAGE_FAILED where the disk refuses; nothing may be acknowledged then.
         """
         frames = [frame_record(record) for record in records]
+        data = b"".join(frames)
         try:
-            self._file.write(b"".join(frames))
-            self._file.flush()
+            _write_all(self._file, data)
             os.fsync(self._file.fileno())
         except OSError as error:
+            self._cut_back()
             raise TroutstandError(ResultCode.STORAGE_FAILED, str(error)) from error
         self.log_records += len(frames)
+        self.log_bytes += len(data)
         self.syncs += 1
 
+    def _cut_back(self) -> None:
+        """Take a half-written record away, so that later ones can be read."""
+        with contextlib.suppress(OSError):
+            self._file.truncate(self.log_bytes)
+
     def replace(self, records: Iterable[StoredRecord]) -> None:
         """Write a snapshot of all state and empty the log."""
         sequence = StoredSequence(self.sequence)
@@ -190,6 +212,7 @@
         self._file.truncate(0)
         os.fsync(self._file.fileno())
         self._snapshot_sequence, self.log_records = sequence.sequence, 0
+        self.log_bytes = 0
 
     def close(self) -> None:
         """Close the files."""
--- /dev/null
+++ b/troutstand/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Run a routed site: gateways before targets, a scheduler, and keepers of its state."""
--- /dev/null
+++ b/troutstand/routing/calls.py
@@ -0,0 +1,202 @@
+"""Read a caller's request into what the scheduler and the targets need."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.configuration import RouteTable, pick_service
+from troutstand.core.errors import TroutstandError
+from troutstand.generated.configuration import Route, RoutedWorkspace, RouteKind
+from troutstand.generated.messages import Part, RoutedWork
+from troutstand.routing.relay import Outgoing, filter_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from troutstand.routing.dialect import HeaderNames
+    from troutstand.routing.exchange import Headers
+
+_MAX_PARTS = 64
+_MILLISECONDS = 1000.0
+
+
+@dataclass(frozen=True)
+class TokenCount:
+    """Tell a request's prompt tokens and the most that it may generate."""
+
+    prompt: int
+    output: int
+
+    @property
+    def total(self) -> int:
+        """Return both together."""
+        return self.prompt + self.output
+
+
+@dataclass(frozen=True)
+class Call:
+    """Hold one caller's request; times in seconds on the steady clock."""
+
+    request: str
+    route: Route
+    service: str
+    workspace: RoutedWorkspace | None
+    version: int
+    tokens: TokenCount | None
+    expected_output: int
+    model: str
+    parts: list[Part]
+    arrived_s: float
+    deadline_s: float
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        route = self.route
+        if route.kind is RouteKind.streaming:
+            return route.resumable
+        return route.kind is RouteKind.idempotent
+
+    @property
+    def tier(self) -> int:
+        """Return the tier: the workspace's own goes before the route's."""
+        if self.workspace is not None and self.workspace.tier is not None:
+            return self.workspace.tier
+        return self.route.tier
+
+    @property
+    def objective_s(self) -> float:
+        """Return the time within which an answer is in time."""
+        ms = self.route.objective_ms or self.route.timeout_ms
+        return ms / _MILLISECONDS
+
+    def count_charge(self) -> float:
+        """Return what the request takes of its workspace's limit."""
+        workspace = self.workspace
+        if workspace is None or not workspace.tokens_per_s:
+            return 0.0
+        if not workspace.counts_tokens:
+            return 1.0
+        return float(self.tokens.total) if self.tokens else workspace.uncounted_tokens
+
+    def describe_work(
+        self, now_s: float, attempt: int, excluded: list[str], is_charged: bool
+    ) -> RoutedWork:
+        """Describe the request to whoever decides."""
+        return RoutedWork(
+            request=self.request,
+            service=self.service,
+            workspace=self.workspace.name if self.workspace else "",
+            tier=self.tier,
+            is_repeatable=self.is_repeatable,
+            objective_s=self.objective_s,
+            remaining_s=max(0.0, self.deadline_s - now_s),
+            prompt_tokens=self.tokens.prompt if self.tokens else 0,
+            output_tokens=self.expected_output,
+            charge=self.count_charge() if is_charged else 0.0,
+            model=self.model,
+            parts=self.parts,
+            attempt=attempt,
+            excluded=excluded,
+            is_sticky=self.route.sticky,
+        )
+
+
+def read_tokens(text: str | None) -> TokenCount | None:
+    """Read a token count, PROMPT,OUTPUT."""
+    if text is None:
+        return None
+    prompt, _, output = text.partition(",")
+    try:
+        return TokenCount(max(0, int(prompt)), max(0, int(output or 0)))
+    except ValueError as error:
+        detail = f"token count {text!r}, PROMPT,OUTPUT is accepted"
+        raise TroutstandError(ResultCode.FIELD_INVALID, detail) from error
+
+
+def read_parts(text: str | None) -> list[Part]:
+    """Read prompt parts, ID:TOKENS,...; what cannot be read is left out."""
+    parts: list[Part] = []
+    for entry in (text or "").split(",")[:_MAX_PARTS]:
+        name, _, tokens = entry.strip().partition(":")
+        if name and tokens.isdigit():
+            parts.append(Part(name, int(tokens)))
+    return parts
+
+
+def _read_positive(text: str | None) -> float | None:
+    try:
+        number = float(text) if text is not None else 0.0
+    except ValueError:
+        return None
+    return number if number > 0 else None
+
+
+def read_call(table: RouteTable, names: HeaderNames, headers: Mapping[str, str], path: str) -> Call:
+    """Find a request's route and workspace and read its headers.
+
+    Raises
+    ------
+    TroutstandError
+        PATH_UNKNOWN, TOKEN_UNKNOWN or FIELD_INVALID.
+    """
+    now_s = time.monotonic()
+    host = headers.get("host", "")
+    route = table.find_route(host, path.partition("?")[0])
+    if route is None:
+        raise TroutstandError(ResultCode.PATH_UNKNOWN, f"no route at {host}{path}")
+    request = headers.get(names.request)
+    if not request:
+        raise TroutstandError(ResultCode.FIELD_INVALID, f"header {names.request} is missing")
+    workspace = None
+    if table.needs_keys and not route.anonymous:
+        workspace = table.find_workspace(headers.get(names.key, ""))
+        if workspace is None:
+            raise TroutstandError(ResultCode.TOKEN_UNKNOWN, f"route {route.name!r} needs a key")
+    tokens = read_tokens(headers.get(names.tokens))
+    limit_ms = min(route.timeout_ms, _read_positive(headers.get(names.deadline_ms)) or float("inf"))
+    hint = _read_positive(headers.get(names.length_hint))
+    most = tokens.output if tokens else 0
+    return Call(
+        request=request,
+        route=route,
+        service=pick_service(route, request),
+        workspace=workspace,
+        version=table.version,
+        tokens=tokens,
+        expected_output=min(most, int(hint)) if hint else most,
+        model=headers.get(names.model, ""),
+        parts=read_parts(headers.get(names.parts)),
+        arrived_s=now_s,
+        deadline_s=now_s + limit_ms / _MILLISECONDS,
+    )
+
+
+def make_outgoing(
+    call: Call, names: HeaderNames, method: str, path: str, headers: Headers, body: bytes
+) -> Outgoing:
+    """Write a caller's request as it goes to targets."""
+    replaced = frozenset({names.key, names.workspace, names.deadline_ms, names.expected_target})
+    passed = filter_headers(headers, replaced)
+    if call.workspace is not None:
+        passed.append((names.workspace, call.workspace.name))
+    return Outgoing(call.request, method, path, passed, body, call.is_repeatable)
+
+
+def resume_after(outgoing: Outgoing, names: HeaderNames, last_id: str) -> Outgoing:
+    """Return the request that goes on behind an event."""
+    if not last_id:
+        return outgoing
+    headers = [(k, v) for k, v in outgoing.headers if k.lower() != names.resume]
+    headers.append((names.resume, last_id))
+    return Outgoing(
+        outgoing.request,
+        outgoing.method,
+        outgoing.path,
+        headers,
+        outgoing.body,
+        outgoing.is_repeatable,
+    )
--- /dev/null
+++ b/troutstand/routing/control.py
@@ -0,0 +1,91 @@
+"""Take operators' configurations and tell them the newest."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from troutstand.core.codes import ResultCode, describe_code
+from troutstand.core.errors import TroutstandError, flatten_group
+from troutstand.generated.messages import StoredConfiguration
+from troutstand.routing.server import listen
+
+if TYPE_CHECKING:
+    from troutstand.generated.configuration import Configuration
+    from troutstand.generated.settings import Address
+    from troutstand.routing.dialect import Dialect
+    from troutstand.routing.line import ConfigurationLine
+    from troutstand.util.events import EventBus
+
+MAX_BODY_BYTES = 64 << 20
+_RETRY_AFTER_S = "0.2"
+
+
+def _make_refusal(errors: list[TroutstandError]) -> web.Response:
+    meaning = describe_code(errors[0].code)
+    body = {
+        "errors": [{"code": int(e.code), "name": e.code.name, "detail": e.detail} for e in errors]
+    }
+    response = web.json_response(body, status=meaning.http_status)
+    if meaning.http_status == 503:
+        response.headers["Retry-After"] = _RETRY_AFTER_S
+    return response
+
+
+class Control:
+    """Serve the operators' address of a keeper."""
+
+    def __init__(self, line: ConfigurationLine, dialect: Dialect, events: EventBus) -> None:
+        self._line = line
+        self._dialect = dialect
+        self._events = events
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: Address) -> None:
+        """Open the address."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_route(*self._dialect.configuration_write, self._write)
+        app.router.add_route(*self._dialect.configuration_read, self._read)
+        self._runner = await listen(app, address, "control")
+
+    async def stop(self) -> None:
+        """Close the address."""
+        if self._runner:
+            await self._runner.cleanup()
+
+    async def _write(self, request: web.Request) -> web.Response:
+        data = await request.read()
+        try:
+            configuration = self._dialect.decode_configuration(data)
+        except* TroutstandError as group:
+            errors = [e for e in flatten_group(group) if isinstance(e, TroutstandError)]
+            self._events.emit("configuration_refused", code=errors[0].code, detail=errors[0].detail)
+            response = _make_refusal(errors)
+        else:
+            response = await self._replace(configuration, data)
+        return response
+
+    async def _replace(self, configuration: Configuration, data: bytes) -> web.Response:
+        wanted = StoredConfiguration(configuration.version, data)
+        try:
+            held = await self._line.replace(wanted)
+        except TroutstandError as error:
+            self._events.emit(
+                "configuration_unclear", code=error.code, version=wanted.version, bytes=len(data)
+            )
+            return _make_refusal([error])
+        self._events.emit(
+            "configuration_acknowledged", version=wanted.version, in_force=held.version
+        )
+        return web.json_response({"version": held.version})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        try:
+            held = await self._line.read()
+        except TroutstandError as error:
+            self._events.emit("configuration_unread", code=error.code)
+            return _make_refusal([error])
+        if not held.version:
+            return _make_refusal([TroutstandError(ResultCode.CONFIGURATION_UNKNOWN, "none yet")])
+        return web.Response(body=held.content, content_type="application/json")
--- /dev/null
+++ b/troutstand/routing/follower.py
@@ -0,0 +1,131 @@
+"""Follow the configuration and the directory of processes from the keepers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.configuration import RouteTable
+from troutstand.core.errors import TroutstandError
+from troutstand.generated.messages import Contact, ContactAsk, ContactReply
+from troutstand.generated.routing import RoutingRole
+from troutstand.routing.node import RoutingNode, parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from troutstand.core.ids import ProcessId
+    from troutstand.routing.dialect import Dialect
+
+_PERIOD_S = 0.3
+_ASK_S = 0.4
+_LOST_AFTER_S = 1.5
+
+
+class Follower:
+    """Ask the keepers in turn, one a period.
+
+    Parameters
+    ----------
+    on_table
+        Is called with each newer configuration, in the order of versions.
+    """
+
+    def __init__(
+        self, node: RoutingNode, dialect: Dialect, on_table: Callable[[RouteTable], None]
+    ) -> None:
+        self.table: RouteTable | None = None
+        self._node = node
+        self._dialect = dialect
+        self._on_table = on_table
+        self._turn = node.random.randrange(1 << 16)
+        self._answered_s = time.monotonic()
+        self._is_lost = False
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here; 0 before there is one."""
+        return self.table.version if self.table else 0
+
+    async def run(self) -> None:
+        """Stay in touch until cancelled."""
+        while True:
+            self._node.forget_silent(time.monotonic())
+            answered = await self._ask_next()
+            self._note_touch(answered)
+            pause_s = _PERIOD_S * (0.75 + 0.5 * self._node.random.random())
+            await asyncio.sleep(pause_s if answered else pause_s / 6)
+
+    def _note_touch(self, answered: bool) -> None:
+        now_s = time.monotonic()
+        if answered:
+            self._answered_s = now_s
+            if self._is_lost:
+                self._node.events.emit("keepers_regained", version=self.version)
+            self._is_lost = False
+        elif not self._is_lost and now_s - self._answered_s > _LOST_AFTER_S:
+            self._is_lost = True
+            self._node.events.emit("keepers_lost", version=self.version)
+
+    def _list_keepers(self) -> list[ProcessId]:
+        role = RoutingRole.keeper
+        known = self._node.book.list_role(role.value)
+        if known:
+            return known
+        ips = {parse_address(seed).ip for seed in self._node.settings.seeds}
+        return sorted(self._node.name_peer(role, ip) for ip in ips)
+
+    async def _ask_next(self) -> bool:
+        keepers = self._list_keepers()
+        if not keepers:
+            return False
+        self._turn += 1
+        keeper = keepers[self._turn % len(keepers)]
+        ask = ContactAsk(self._node.describe(self.version))
+        try:
+            reply = await self._node.ask(keeper, ask, _ASK_S)
+        except TroutstandError:
+            # A process that only its silence is known of must not hide the seeds.
+            self._revive_seeds()
+            return False
+        if not isinstance(reply, ContactReply):
+            return False
+        self._hear(reply.contact, reply.known)
+        if reply.version > self.version:
+            self._use(reply.version, reply.content)
+        return True
+
+    def _revive_seeds(self) -> None:
+        now_s = time.monotonic()
+        for seed in self._node.settings.seeds:
+            process = self._node.name_peer(RoutingRole.keeper, parse_address(seed).ip)
+            if self._node.book.find(process) is None:
+                contact = Contact(
+                    process=process,
+                    host="",
+                    role=RoutingRole.keeper.value,
+                    failure_domain="",
+                    incarnation="",
+                    state=self._node.state,
+                    age_ms=0,
+                )
+                self._node.book.hear(contact, now_s)
+
+    def _hear(self, contact: Contact, known: list[Contact]) -> None:
+        now_s = time.monotonic()
+        for heard in (contact, *known):
+            if heard.process != self._node.process and self._node.book.hear(heard, now_s):
+                self._node.events.emit("contact_found", peer=heard.process, host=heard.host)
+
+    def _use(self, version: int, content: bytes) -> None:
+        try:
+            table = RouteTable(self._dialect.decode_configuration(content))
+        except* TroutstandError:
+            code = ResultCode.CONFIGURATION_INVALID
+            self._node.events.emit("configuration_unreadable", code=code, version=version)
+        else:
+            self._node.events.emit("configuration_in_force", version=version, before=self.version)
+            self.table = table
+            self._on_table(table)
--- /dev/null
+++ b/troutstand/routing/gateway.py
@@ -0,0 +1,218 @@
+"""Run a gateway: take callers' requests and bring each to one target and back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from troutstand.core.codes import ResultCode, describe_code
+from troutstand.core.errors import TroutstandError
+from troutstand.generated.messages import ProcessState
+from troutstand.routing.calls import make_outgoing, read_call
+from troutstand.routing.exchange import ConnectionPool
+from troutstand.routing.follower import Follower
+from troutstand.routing.handling import Handling
+from troutstand.routing.metrics import Metrics
+from troutstand.routing.node import RoutingNode, parse_address
+from troutstand.routing.placement import Placement
+from troutstand.routing.relay import Sender
+from troutstand.routing.server import MAX_HEADER_BYTES, listen
+from troutstand.routing.targetlist import TargetList
+
+if TYPE_CHECKING:
+    from troutstand.core.configuration import RouteTable
+    from troutstand.generated.routing import RoutingSettings
+    from troutstand.routing.dialect import Dialect
+
+_CONNECT_S = 0.3
+_LAG_S = 0.1
+_PRUNE_S = 1.0
+_MAX_BODY_BYTES = 256 << 20
+_BACKLOG = 1024
+_KEEP_ALIVE_S = 75.0
+_POLL_S = 0.02
+# After this share of the time to stop, no new request is expected any more.
+_QUIET_SHARE = 0.375
+# What is left at this share is cut, so that the process ends by itself.
+_END_SHARE = 0.94
+_STARTING_RETRY_S = 0.5
+
+
+def make_refusal(error: TroutstandError) -> web.Response:
+    """Write a refusal with its number, whether it ran, and when to come back."""
+    meaning = describe_code(error.code)
+    body = {"code": int(error.code), "error": error.detail, "run": error.run.value}
+    response = web.json_response(body, status=meaning.http_status)
+    if error.retry_after_s is not None:
+        response.headers["Retry-After"] = f"{error.retry_after_s:.3f}"
+    return response
+
+
+class Gateway:
+    """Serve callers of one host."""
+
+    def __init__(self, settings: RoutingSettings, dialect: Dialect) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.node = RoutingNode(settings)
+        self.metrics = Metrics()
+        self.follower = Follower(self.node, dialect, self._use_table)
+        self.targets = TargetList(settings.target_list, dialect)
+        self.placement = Placement(self.node, self.targets)
+        self.pool = ConnectionPool(_CONNECT_S)
+        self.sender = Sender(self.pool, dialect.headers)
+        self.open_requests = 0
+        self.is_stopping = False
+        self._runners: list[web.BaseRunner] = []
+        self._site: web.TCPSite | None = None
+
+    def _use_table(self, table: RouteTable) -> None:
+        self.metrics.version.set(table.version)
+        self.placement.use_table(table)
+
+    async def start(self) -> None:
+        """Open the addresses and find the others."""
+        self.node.open_events()
+        await self._listen_callers()
+        await self._listen_readiness()
+        self.node.state = ProcessState.serving
+        self.node.spawn(self.follower.run(), "follower")
+        self.placement.start()
+        self.node.spawn(self._run_upkeep(), "upkeep")
+        port = self.settings.metrics_port
+        if port:
+            address = parse_address(f"{self.settings.ip}:{port}")
+            self._runners.append(await self.metrics.serve(address))
+
+    async def _listen_callers(self) -> None:
+        server = web.Server(
+            self._handle,
+            request_factory=_make_request,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            keepalive_timeout=_KEEP_ALIVE_S,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.2)
+        await runner.setup()
+        address = parse_address(self.settings.callers)
+        self._site = web.TCPSite(runner, address.ip, address.port, backlog=_BACKLOG)
+        try:
+            await self._site.start()
+        except OSError as error:
+            detail = f"callers {self.settings.callers}: {error}"
+            raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
+        self._runners.append(runner)
+
+    async def _listen_readiness(self) -> None:
+        app = web.Application()
+        app.router.add_get(self.dialect.readiness_path, self._tell_readiness)
+        address = parse_address(self.settings.readiness)
+        self._runners.append(await listen(app, address, "readiness"))
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new callers should come here."""
+        knows = self.follower.table is not None and self.placement.is_served
+        return knows and not self.is_stopping
+
+    async def _tell_readiness(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self.is_ready else 503)
+
+    async def _run_upkeep(self) -> None:
+        pruned_s = time.monotonic()
+        while True:
+            before_s = time.monotonic()
+            await asyncio.sleep(_LAG_S)
+            now_s = time.monotonic()
+            self.metrics.loop_lag_s.observe(max(0.0, now_s - before_s - _LAG_S))
+            if now_s - pruned_s > _PRUNE_S:
+                pruned_s = now_s
+                self.pool.prune()
+
+    async def stop(self) -> None:
+        """Let others take new callers, finish what is open, then end."""
+        started_s = time.monotonic()
+        self.is_stopping = True
+        self.placement.leave()
+        self.node.state = ProcessState.draining
+        self.node.events.emit("stop_started", open=self.open_requests)
+        await asyncio.sleep(_QUIET_SHARE * self.settings.stop_s)
+        if self._site is not None:
+            await self._site.stop()
+        end_s = started_s + _END_SHARE * self.settings.stop_s
+        while self.open_requests and time.monotonic() < end_s:
+            await asyncio.sleep(_POLL_S)
+        self.node.events.emit("stop_ended", left=self.open_requests)
+        for runner in self._runners:
+            with contextlib.suppress(Exception):
+                await runner.cleanup()
+        self.pool.close()
+        self.targets.close()
+        await self.node.close()
+
+    # Requests
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.open_requests += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self.open_requests -= 1
+        if self.is_stopping and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        table = self.follower.table
+        if table is None:
+            detail = "no configuration is known yet"
+            return make_refusal(
+                TroutstandError(ResultCode.STARTING, detail, retry_after_s=_STARTING_RETRY_S)
+            )
+        names = self.dialect.headers
+        path = request.raw_path
+        limit = table.configuration.limits.body_bytes
+        try:
+            call = read_call(table, names, request.headers, path)
+            body = await _read_body(request, limit)
+        except TroutstandError as error:
+            key = request.headers.get(names.request, "")
+            self.node.events.emit(
+                "request_refused", key, code=error.code, detail=error.detail, version=table.version
+            )
+            return make_refusal(error)
+        headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
+        outgoing = make_outgoing(call, names, request.method, path, headers, body)
+        return await Handling(self, request, call, outgoing).run()
+
+
+def _make_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
+    """Make a request object that lets bodies up to our own bound through."""
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=_MAX_BODY_BYTES,
+    )
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
+    if (request.content_length or 0) > limit:
+        raise TroutstandError(ResultCode.BODY_TOO_LARGE, f"{limit} bytes are accepted")
+    if request.headers.get("expect", "").lower() == "100-continue" and request.transport:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    if not request.body_exists:
+        return b""
+    data = await request.read()
+    if len(data) > limit:
+        raise TroutstandError(ResultCode.BODY_TOO_LARGE, f"{limit} bytes are accepted")
+    return data
--- /dev/null
+++ b/troutstand/routing/handling.py
@@ -0,0 +1,339 @@
+"""Take one request from its arrival to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from troutstand.core.codes import ResultCode, Run
+from troutstand.core.errors import TroutstandError
+from troutstand.generated.configuration import RouteKind
+from troutstand.generated.messages import Declined, Ended, Ending, Placed
+from troutstand.routing.calls import resume_after
+from troutstand.routing.exchange import ExchangeError
+from troutstand.routing.relay import SendError, Sent, filter_headers
+from troutstand.routing.streams import EventSplitter
+
+if TYPE_CHECKING:
+    from troutstand.routing.calls import Call
+    from troutstand.routing.gateway import Gateway
+    from troutstand.routing.relay import Outgoing
+
+_EVENT_STREAM = "text/event-stream"
+_FIRST_SERVER_FAULT = 500
+_RETRY_SOON_S = 0.1
+_MAX_UNSENT = 4
+_MIN_SILENCE_S = 0.2
+_STREAM_SILENCE = 1.5
+_MIN_PAUSE_S = 0.5
+_PAUSE_FACTOR = 3.0
+_KEPT_BACK = frozenset({"date", "server"})
+
+
+class Handling:
+    """Hold one request's attempts and outcome."""
+
+    def __init__(
+        self, gateway: Gateway, request: web.BaseRequest, call: Call, outgoing: Outgoing
+    ) -> None:
+        self._gateway = gateway
+        self._request = request
+        self._call = call
+        self._outgoing = outgoing
+        self._arrivals = 0
+        self._unsent = 0
+        self._excluded: list[str] = []
+        self._has_placed = False
+        self._may_have_run = False
+        self._last_fault: web.Response | None = None
+        self._first_s = -1.0
+        self._splitter: EventSplitter | None = None
+        self._response: web.StreamResponse | None = None
+        self._produced = 0
+
+    @property
+    def _can_repeat(self) -> bool:
+        return self._call.is_repeatable and self._arrivals < self._call.route.attempts
+
+    async def run(self) -> web.StreamResponse:
+        """Return the answer, at the latest when the request's time is up."""
+        call = self._call
+        left_s = call.deadline_s - time.monotonic()
+        try:
+            async with asyncio.timeout(left_s):
+                response = await self._attempt_all()
+        except TimeoutError:
+            response = self._refuse_late()
+        except asyncio.CancelledError:
+            self._emit("request_left", ResultCode.OK, 0)
+            raise
+        return response
+
+    # Attempts
+
+    async def _attempt_all(self) -> web.StreamResponse:
+        while True:
+            placed = await self._place()
+            if isinstance(placed, Declined):
+                return self._refuse_declined(placed)
+            try:
+                return await self._attempt(placed)
+            except SendError as error:
+                self._note_failure(placed, error)
+                if not self._may_go_on(error):
+                    return self._refuse_failed(error)
+
+    async def _place(self) -> Placed | Declined:
+        work = self._call.describe_work(
+            time.monotonic(), self._arrivals + 1, self._excluded, not self._has_placed
+        )
+        answer = await self._gateway.placement.place(work)
+        if isinstance(answer, Placed):
+            self._has_placed = True
+            waited_s = answer.waited_ms / 1000.0
+            self._gateway.metrics.waited_s.labels(*self._labels()).observe(waited_s)
+        return answer
+
+    def _labels(self) -> tuple[str, str]:
+        return self._call.route.kind.value, str(self._call.tier)
+
+    async def _attempt(self, placed: Placed) -> web.StreamResponse:
+        started_s = time.monotonic()
+        ending = Ending.left
+        try:
+            response, ending = await self._exchange(placed)
+        except SendError as error:
+            ending = error.ending
+            raise
+        finally:
+            self._end(placed, ending, started_s)
+        return response
+
+    def _end(self, placed: Placed, ending: Ending, started_s: float) -> None:
+        total_s = time.monotonic() - started_s
+        ended = Ended(
+            self._call.request, placed.target, ending, self._first_s, total_s, self._produced
+        )
+        self._gateway.placement.end(ended)
+        self._gateway.metrics.endings.labels(ending.value).inc()
+
+    async def _exchange(self, placed: Placed) -> tuple[web.StreamResponse, Ending]:
+        sent = await self._send(placed)
+        content_type = sent.head.get("content-type") or ""
+        if sent.is_success and content_type.startswith(_EVENT_STREAM):
+            return await self._stream(sent)
+        self._note_first(sent, sent.first_s)
+        body = await self._gateway.sender.read_whole(sent)
+        response = self._make_whole(sent, body)
+        if sent.head.status >= _FIRST_SERVER_FAULT:
+            if self._can_repeat_fault():
+                self._last_fault = response
+                raise SendError(Ending.failed, f"status {sent.head.status}")
+            return self._finish(response, sent), Ending.failed
+        return self._finish(response, sent), Ending.whole
+
+    def _can_repeat_fault(self) -> bool:
+        return self._call.is_repeatable and self._arrivals + 1 < self._call.route.attempts
+
+    async def _send(self, placed: Placed) -> Sent:
+        outgoing = self._outgoing
+        if self._splitter is not None:
+            outgoing = resume_after(outgoing, self._gateway.dialect.headers, self._splitter.last_id)
+        sending = self._gateway.sender.send(outgoing, placed, self._call.deadline_s)
+        if not self._can_repeat_fault():
+            return await sending
+        try:
+            async with asyncio.timeout(self._measure_silence()):
+                return await sending
+        except TimeoutError as error:
+            raise SendError(Ending.silent, "no answer in time, another target may") from error
+
+    def _measure_silence(self) -> float:
+        """Return how long a target may be silent while another could be tried."""
+        objective_s = self._call.objective_s
+        if self._call.route.kind is RouteKind.streaming:
+            objective_s *= _STREAM_SILENCE
+        return max(_MIN_SILENCE_S, objective_s)
+
+    def _note_first(self, sent: Sent, first_s: float) -> None:
+        self._first_s = first_s
+        self._gateway.placement.note_first(self._call.request, first_s)
+
+    def _note_failure(self, placed: Placed, error: SendError) -> None:
+        if error.has_arrived:
+            self._arrivals += 1
+        else:
+            self._unsent += 1
+        self._may_have_run = self._may_have_run or error.may_have_run
+        self._excluded = [*self._excluded, placed.target][-16:]
+        self._gateway.node.events.emit(
+            "attempt_failed",
+            self._call.request,
+            target=placed.target,
+            address=placed.address,
+            ending=error.ending.value,
+            detail=error.detail,
+            arrivals=self._arrivals,
+        )
+
+    def _may_go_on(self, error: SendError) -> bool:
+        if self._response is not None and not self._can_repeat:
+            return False
+        if not error.has_arrived:
+            return self._unsent <= _MAX_UNSENT
+        if not error.may_have_run and not self._may_have_run:
+            return self._arrivals < self._call.route.attempts
+        return self._can_repeat
+
+    # Answers
+
+    def _make_headers(self, sent: Sent) -> CIMultiDict[str]:
+        kept = filter_headers(sent.head.headers, _KEPT_BACK)
+        return CIMultiDict(kept)
+
+    def _make_whole(self, sent: Sent, body: bytes) -> web.Response:
+        return web.Response(status=sent.head.status, headers=self._make_headers(sent), body=body)
+
+    def _finish(self, response: web.StreamResponse, sent: Sent) -> web.StreamResponse:
+        first_s = time.monotonic() - self._call.arrived_s
+        self._gateway.metrics.first_s.labels(*self._labels()).observe(first_s)
+        self._emit("request_answered", ResultCode.OK, sent.head.status, target=sent.placed.target)
+        return response
+
+    async def _stream(self, sent: Sent) -> tuple[web.StreamResponse, Ending]:
+        splitter = self._start_splitter()
+        began = False
+        chunks = sent.connection.receive_chunks()
+        try:
+            while True:
+                chunk = await self._next_chunk(chunks)
+                if chunk is None:
+                    break
+                if not began:
+                    began = True
+                    self._note_first(sent, time.monotonic() - sent.started_s)
+                self._produced += chunk.count(b"\n\n")
+                data = splitter.feed(chunk) if splitter else chunk
+                if data:
+                    await self._write(sent, data)
+            if splitter:
+                rest = splitter.take_rest()
+                if rest:
+                    await self._write(sent, rest)
+            response = await self._start_response(sent)
+            await response.write_eof()
+        except (ExchangeError, SendError) as error:
+            sent.connection.abort()
+            if splitter:
+                splitter.drop_partial()
+            ending = error.ending if isinstance(error, SendError) else Ending.broken
+            raise SendError(ending, str(error)) from error
+        except BaseException:
+            sent.connection.abort()
+            raise
+        self._gateway.sender.release(sent)
+        return self._finish(response, sent), Ending.whole
+
+    def _start_splitter(self) -> EventSplitter | None:
+        if not self._call.route.resumable:
+            return None
+        if self._splitter is None:
+            names = self._gateway.dialect.headers
+            self._splitter = EventSplitter(self._request.headers.get(names.resume, ""))
+        return self._splitter
+
+    async def _next_chunk(self, chunks) -> bytes | None:  # type: ignore[no-untyped-def]
+        pending = anext(chunks, None)
+        if not self._can_repeat_fault():
+            return await pending
+        pause_s = self._call.route.pause_ms / 1000.0
+        limit_s = max(_MIN_PAUSE_S, _PAUSE_FACTOR * pause_s)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await pending
+        except TimeoutError as error:
+            raise SendError(Ending.silent, "the stream stands still") from error
+
+    async def _start_response(self, sent: Sent) -> web.StreamResponse:
+        if self._response is None:
+            response = web.StreamResponse(status=sent.head.status, headers=self._make_headers(sent))
+            response.enable_chunked_encoding()
+            if self._gateway.is_stopping:
+                response.force_close()
+            await response.prepare(self._request)
+            self._response = response
+        return self._response
+
+    async def _write(self, sent: Sent, data: bytes) -> None:
+        response = await self._start_response(sent)
+        await response.write(data)
+
+    # Refusals
+
+    def _refuse_declined(self, declined: Declined) -> web.StreamResponse:
+        if self._response is not None:
+            return self._break_off(ResultCode(declined.code), declined.reason)
+        if self._last_fault is not None:
+            self._emit("request_answered", ResultCode.TARGET_FAULT, self._last_fault.status)
+            return self._last_fault
+        if self._may_have_run and not self._call.is_repeatable:
+            return self._refuse(ResultCode.TARGET_UNREACHABLE, declined.reason, None)
+        return self._refuse(ResultCode(declined.code), declined.reason, declined.retry_after_s)
+
+    def _refuse_failed(self, error: SendError) -> web.StreamResponse:
+        if self._response is not None:
+            return self._break_off(ResultCode.ANSWER_CUT, error.detail)
+        if self._last_fault is not None:
+            self._emit("request_answered", ResultCode.TARGET_FAULT, self._last_fault.status)
+            return self._last_fault
+        if not self._may_have_run:
+            return self._refuse(ResultCode.NO_TARGET, error.detail, _RETRY_SOON_S)
+        return self._refuse(ResultCode.ANSWER_CUT, error.detail, None)
+
+    def _refuse_late(self) -> web.StreamResponse:
+        if self._response is not None:
+            return self._break_off(ResultCode.TARGET_TIMEOUT, "the request's time is up")
+        if self._has_placed:
+            return self._refuse(ResultCode.TARGET_TIMEOUT, "the request's time is up", None)
+        return self._refuse(ResultCode.SHED_DEADLINE, "no target in time", _RETRY_SOON_S)
+
+    def _refuse(
+        self, code: ResultCode, detail: str, retry_after_s: float | None
+    ) -> web.StreamResponse:
+        from troutstand.routing.gateway import make_refusal
+
+        run = Run.UNKNOWN if self._may_have_run else Run.NO
+        response = make_refusal(TroutstandError(code, detail, run, retry_after_s))
+        self._emit("request_refused", code, response.status, detail=detail)
+        return response
+
+    def _break_off(self, code: ResultCode, detail: str) -> web.StreamResponse:
+        """End a stream that cannot be completed, so that the caller sees the break."""
+        assert self._response is not None
+        self._emit("stream_broken_off", code, self._response.status, detail=detail)
+        if self._request.transport is not None:
+            self._request.transport.close()
+        return self._response
+
+    def _emit(self, name: str, code: ResultCode, status: int, **fields: str) -> None:
+        call = self._call
+        now_s = time.monotonic()
+        self._gateway.metrics.answers.labels(*self._labels(), str(int(code))).inc()
+        self._gateway.node.events.emit(
+            name,
+            call.request,
+            code=code,
+            status=status,
+            tier=call.tier,
+            route=call.route.name,
+            version=call.version,
+            total_ms=(now_s - call.arrived_s) * 1000.0,
+            first_ms=self._first_s * 1000.0,
+            arrivals=self._arrivals,
+            decider=self._gateway.placement.decider,
+            **fields,
+        )
--- /dev/null
+++ b/troutstand/routing/keeper.py
@@ -0,0 +1,317 @@
+"""Run a keeper of a routed site: durable configuration, and the directory of processes."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Awaitable
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from troutstand.core.acceptor import Acceptor
+from troutstand.core.codes import ResultCode
+from troutstand.core.errors import TroutstandError
+from troutstand.core.succession import FIRST_DISK, form_first_set
+from troutstand.daemon.registers import RegisterClient
+from troutstand.daemon.storage import Storage, format_folder, read_identity, replace_identity
+from troutstand.generated.messages import (
+    Accept,
+    Acknowledged,
+    ConfigurationAsk,
+    Contact,
+    ContactAsk,
+    ContactReply,
+    CopyAsk,
+    KeepersAsk,
+    KeepersInstall,
+    Learned,
+    NewestAsk,
+    PeerMessage,
+    Prepare,
+    ProcessState,
+    Refused,
+    StoredConfiguration,
+    StoredIdentity,
+    StoredKeepers,
+)
+from troutstand.generated.routing import RoutingRole
+from troutstand.routing.control import Control
+from troutstand.routing.journal import Journal
+from troutstand.routing.line import ConfigurationLine
+from troutstand.routing.node import RoutingNode, name_routing_process, parse_address
+from troutstand.routing.replacement import Replacement
+
+if TYPE_CHECKING:
+    from troutstand.core.ids import ProcessId
+    from troutstand.core.stored import StoredRecord
+    from troutstand.generated.routing import RoutingSettings
+    from troutstand.routing.dialect import Dialect
+
+_CONTACT_S = 0.3
+_ASK_S = 0.6
+_REGISTER_S = 2.5
+_LINE_S = 2.5
+_HELD_UP_S = 1.0
+_SNAPSHOT_BYTES = 8 << 20
+_DISK_ID_BYTES = 12
+_SHARED_ROLES = (RoutingRole.keeper.value, RoutingRole.scheduler.value)
+
+
+def open_disk(settings: RoutingSettings, process: str) -> tuple[StoredIdentity, Storage]:
+    """Open the data folder; format it where it is empty.
+
+    Only at the site's first start do the seeds name the first set of voters;
+    any other empty disk begins without a vote.
+    """
+    folder = Path(settings.data_folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    storage = Storage(folder)
+    try:
+        return read_identity(folder), storage
+    except TroutstandError as error:
+        if error.code is not ResultCode.DATA_FOLDER_UNFORMATTED:
+            raise
+    seeds = [
+        name_routing_process(RoutingRole.keeper, parse_address(seed).ip, settings.first_port)
+        for seed in settings.seeds
+    ]
+    disk_id = secrets.token_hex(_DISK_ID_BYTES)
+    if settings.first_start and process in seeds:
+        disk_id = FIRST_DISK
+        first = StoredKeepers(form_first_set(list(seeds)))
+        storage.append([first])
+        storage.loaded.append(first)
+    identity = StoredIdentity(settings.site, process, disk_id)
+    format_folder(folder, identity)
+    return identity, storage
+
+
+class RoutingKeeper:
+    """Serve one keeper's durable state to a routed site."""
+
+    def __init__(self, settings: RoutingSettings, dialect: Dialect) -> None:
+        self.node = RoutingNode(settings)
+        self.dialect = dialect
+        identity, self.storage = open_disk(settings, self.node.process)
+        self.acceptor = Acceptor(identity)
+        for record in self.storage.loaded:
+            self.acceptor.load(record)
+        self.storage.loaded = []
+        self.journal = Journal(self.storage, self.node.events, self._collect_snapshot)
+        self.registers = RegisterClient(
+            self.ask_keeper,
+            self.node.process,
+            self.node.incarnation,
+            [],
+            _REGISTER_S,
+            self.node.random.getrandbits(32),
+        )
+        self.registers.learn_keepers(self.acceptor.keepers)
+        self.line = ConfigurationLine(
+            self.ask_keeper, self.registers, self.learn, self._get_configuration, _LINE_S
+        )
+        self.replacement = Replacement(self)
+        self._control = Control(self.line, dialect, self.node.events)
+
+    def _get_configuration(self) -> StoredConfiguration:
+        return self.acceptor.configuration
+
+    def _collect_snapshot(self) -> list[StoredRecord]:
+        return self.acceptor.collect_snapshot(time.time(), 0.0)
+
+    async def start(self) -> None:
+        """Open the links and the operators' address, and keep in touch."""
+        self.node.open_events()
+        member = self.acceptor.find_member()
+        self.node.events.emit(
+            "disk_opened",
+            disk=self.acceptor.identity.disk_id,
+            epoch=self.acceptor.epoch,
+            member=member.state.value if member else "none",
+            version=self.acceptor.configuration.version,
+        )
+        await self.node.listen(self.handle)
+        self.node.state = ProcessState.serving
+        self.node.spawn(self._run_contacts(), "contacts")
+        self.node.spawn(self._run_replacement(), "replacement")
+        if self.node.settings.control:
+            await self._control.start(parse_address(self.node.settings.control))
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._control.stop()
+        await self.node.close()
+        self.storage.close()
+
+    # Messages
+
+    async def ask_keeper(self, process: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
+        """Ask a keeper, which may be this one."""
+        if process != self.node.process:
+            return await self.node.ask(process, message, timeout_s)
+        result = self.handle(self.node.process, message)
+        if isinstance(result, Awaitable):
+            result = await result
+        if result is None:
+            raise TroutstandError(ResultCode.LINK_MALFORMED, "no answer to oneself")
+        return result
+
+    def handle(
+        self, peer: ProcessId, message: PeerMessage
+    ) -> PeerMessage | Awaitable[PeerMessage | None] | None:
+        """Answer a message of another process."""
+        match message:
+            case Prepare() | Accept():
+                return self._handle_register(message)
+            case NewestAsk(epoch):
+                return self._describe_newest(epoch)
+            case ContactAsk():
+                return self._handle_contact(message)
+            case ConfigurationAsk():
+                held = self.acceptor.configuration
+                return Learned(held.version, held.content)
+            case Learned(version, content):
+                return self._learn_and_acknowledge(StoredConfiguration(version, content))
+            case KeepersAsk():
+                return self.acceptor.describe_keepers()
+            case KeepersInstall(keepers):
+                return self._install(keepers)
+            case CopyAsk():
+                if self.journal.is_failed:
+                    return Refused(int(ResultCode.STORAGE_FAILED), "its disk refuses writes")
+                return self.acceptor.copy_page(message)
+            case _:
+                return Refused(int(ResultCode.LINK_MALFORMED), "not for a keeper")
+
+    def _handle_register(self, message: Prepare | Accept) -> PeerMessage | Awaitable[PeerMessage]:
+        if self.journal.is_failed:
+            return Refused(int(ResultCode.STORAGE_FAILED), "its disk refuses writes")
+        handled = self.acceptor.handle(message, 0.0)
+        if isinstance(handled.reply, Refused):
+            return handled.reply
+        return self._reply_synced(handled.reply, handled.records)
+
+    async def _reply_synced(self, reply: PeerMessage, records: list[StoredRecord]) -> PeerMessage:
+        # Also a reply without records of its own waits for those before it.
+        await self.journal.write(records)
+        return reply
+
+    def _describe_newest(self, epoch: int) -> PeerMessage:
+        if self.journal.is_failed:
+            return Refused(int(ResultCode.STORAGE_FAILED), "its disk refuses writes")
+        return self.acceptor.describe_newest(epoch)
+
+    async def _install(self, keepers: object) -> PeerMessage:
+        await self.replacement.install(keepers)  # type: ignore[arg-type]
+        return Acknowledged()
+
+    # Configuration
+
+    async def learn(self, record: StoredConfiguration) -> None:
+        """Keep a decided configuration and tell the other keepers."""
+        if not await self._keep(record):
+            return
+        for process in self.node.book.list_role(RoutingRole.keeper.value):
+            if process != self.node.process:
+                self.node.send(process, Learned(record.version, record.content))
+
+    async def _keep(self, record: StoredConfiguration) -> bool:
+        records = self.acceptor.learn_configuration(record)
+        if not records:
+            return False
+        self.node.events.emit("configuration_learned", version=record.version)
+        # A majority holds it already; this copy need not be waited for.
+        self.journal.write(records)
+        return True
+
+    async def _learn_and_acknowledge(self, record: StoredConfiguration) -> PeerMessage:
+        await self._keep(record)
+        return Acknowledged()
+
+    # Contacts
+
+    def _describe(self) -> Contact:
+        version = self.acceptor.configuration.version
+        return self.node.describe(version, self.acceptor.identity.disk_id, self.acceptor.epoch)
+
+    def _handle_contact(self, ask: ContactAsk) -> ContactReply:
+        self._hear(ask.contact, ask.known)
+        held = self.acceptor.configuration
+        is_behind = ask.contact.version < held.version
+        now_s = time.monotonic()
+        return ContactReply(
+            contact=self._describe(),
+            known=self.node.book.export(_SHARED_ROLES, now_s),
+            version=held.version if is_behind else 0,
+            content=held.content if is_behind else b"",
+        )
+
+    def _hear(self, contact: Contact, known: list[Contact]) -> None:
+        now_s = time.monotonic()
+        for heard in (contact, *known):
+            if heard.process != self.node.process and self.node.book.hear(heard, now_s):
+                self.node.events.emit("contact_found", peer=heard.process, host=heard.host)
+
+    async def _run_contacts(self) -> None:
+        last_s = time.monotonic()
+        while True:
+            now_s = time.monotonic()
+            if now_s - last_s > _HELD_UP_S:
+                self.replacement.restart_watch()
+            last_s = now_s
+            self.node.forget_silent(now_s)
+            for process in self._list_other_keepers():
+                self.node.spawn(self._contact(process), f"contact {process}")
+            await asyncio.sleep(_CONTACT_S * (0.75 + 0.5 * self.node.random.random()))
+
+    def _list_other_keepers(self) -> set[ProcessId]:
+        role = RoutingRole.keeper
+        seeds = {
+            self.node.name_peer(role, parse_address(seed).ip) for seed in self.node.settings.seeds
+        }
+        known = set(self.node.book.list_role(role.value))
+        return (seeds | known) - {self.node.process}
+
+    async def _contact(self, process: ProcessId) -> None:
+        now_s = time.monotonic()
+        ask = ContactAsk(self._describe(), self.node.book.export(_SHARED_ROLES, now_s))
+        try:
+            reply = await self.node.ask(process, ask, _ASK_S)
+        except TroutstandError:
+            return
+        if not isinstance(reply, ContactReply):
+            return
+        self._hear(reply.contact, reply.known)
+        if reply.version:
+            await self._keep(StoredConfiguration(reply.version, reply.content))
+        if reply.contact.epoch > self.acceptor.epoch:
+            await self.replacement.fetch(process)
+
+    # The keeper set
+
+    async def _run_replacement(self) -> None:
+        while True:
+            await asyncio.sleep(_CONTACT_S * (0.75 + 0.5 * self.node.random.random()))
+            try:
+                await self.journal.mend()
+                if not self.journal.is_failed:
+                    await self.replacement.run_once()
+                if self.storage.log_bytes > _SNAPSHOT_BYTES:
+                    self.journal.replace()
+            except OSError as error:
+                self.node.events.emit("disk_failed", detail=str(error))
+            except TroutstandError as error:
+                self.node.events.emit("keeper_set_waits", code=error.code, detail=error.detail)
+
+    async def become_spare(self) -> None:
+        """Begin again as a new disk, once the keeper set no longer names this one."""
+        if not self.acceptor.registers and self.acceptor.identity.disk_id != FIRST_DISK:
+            return
+        identity = StoredIdentity(
+            self.node.settings.site, self.node.process, secrets.token_hex(_DISK_ID_BYTES)
+        )
+        replace_identity(Path(self.node.settings.data_folder), identity)
+        self.acceptor.reset(identity)
+        self.journal.replace()
+        self.node.events.emit("disk_renewed", disk=identity.disk_id, epoch=self.acceptor.epoch)
--- /dev/null
+++ b/troutstand/routing/metrics.py
@@ -0,0 +1,68 @@
+"""Count and time what a process does, and serve it as text."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from troutstand.routing.server import listen
+
+if TYPE_CHECKING:
+    from troutstand.generated.settings import Address
+
+_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+class Metrics:
+    """Hold a process's counters and histograms."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter(
+            "troutstand_answers",
+            "Requests by route kind, tier and result code",
+            ["kind", "tier", "code"],
+            registry=self.registry,
+        )
+        self.first_s = Histogram(
+            "troutstand_first_byte_seconds",
+            "Seconds from a request's arrival to the first byte of its answer",
+            ["kind", "tier"],
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.waited_s = Histogram(
+            "troutstand_waited_seconds",
+            "Seconds that a request waited for a target",
+            ["kind", "tier"],
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.endings = Counter(
+            "troutstand_endings",
+            "Sent requests by how they ended at the target",
+            ["ending"],
+            registry=self.registry,
+        )
+        self.loop_lag_s = Histogram(
+            "troutstand_loop_lag_seconds",
+            "Seconds by which the loop woke late",
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.version = Gauge(
+            "troutstand_configuration_version",
+            "Version of the configuration in force",
+            registry=self.registry,
+        )
+
+    async def serve(self, address: Address) -> web.AppRunner:
+        """Serve the figures at an address."""
+        app = web.Application()
+        app.router.add_get("/metrics", self._answer)
+        return await listen(app, address, "metrics")
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        return web.Response(body=generate_latest(self.registry), content_type="text/plain")
--- /dev/null
+++ b/troutstand/routing/placement.py
@@ -0,0 +1,426 @@
+"""Get targets for a gateway's requests, whoever decides.
+
+The first live scheduler in a fixed order decides, so that all gateways that
+reach each other ask the same one. When it falls silent, those that wait ask
+the next one; without any, the gateway decides alone, over the targets it last
+knew and with its share of the limits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.dispatch import Dispatcher
+from troutstand.core.errors import TroutstandError
+from troutstand.core.ids import ProcessId
+from troutstand.core.quota import Quotas
+from troutstand.core.retries import RetryBudget
+from troutstand.generated.messages import (
+    Abandon,
+    AttachAsk,
+    Attached,
+    Declined,
+    Ended,
+    FirstByte,
+    Place,
+    Placed,
+    PlacedWork,
+    RoutedWork,
+)
+from troutstand.generated.routing import RoutingRole
+from troutstand.routing.targetlist import ListUnreadError
+
+if TYPE_CHECKING:
+    from troutstand.core.configuration import RouteTable
+    from troutstand.routing.node import RoutingNode
+    from troutstand.routing.targetlist import TargetList
+
+_FIRST_PERIOD_S = 0.1
+_STANDBY_PERIOD_S = 1.0
+_BEAT_S = 0.3
+_LIVE_SLACK_S = 0.15
+_RETURN_AFTER_S = 1.5
+_TICK_S = 0.05
+_ALONE_LIST_S = 1.0
+_FIRST_GATEWAYS = 8
+
+
+class _Alone(Enum):
+    """Stand for the gateway's own decisions in place of a scheduler's."""
+
+    ALONE = "alone"
+
+
+Decider = ProcessId | _Alone
+
+
+@dataclass
+class Watch:
+    """Follow one scheduler's heartbeat; times in seconds on the steady clock."""
+
+    heard_s: float = float("-inf")
+    live_since_s: float = float("inf")
+    period_s: float = _FIRST_PERIOD_S
+    incarnation: str = ""
+    is_ready: bool = False
+    is_attached: bool = False
+
+    def is_live(self, now_s: float) -> bool:
+        """Tell whether the scheduler answered lately."""
+        limit_s = max(self.period_s, _STANDBY_PERIOD_S if not self.is_attached else 0.0)
+        return self.is_ready and now_s - self.heard_s <= limit_s + _BEAT_S + _LIVE_SLACK_S
+
+
+@dataclass
+class Placing:
+    """Hold one request that waits for a decision."""
+
+    work: RoutedWork
+    since_s: float
+    answer: asyncio.Future[Placed | Declined]
+    asked: Decider | None = None
+    task: asyncio.Task[None] | None = None
+
+
+@dataclass
+class Held:
+    """Hold one request that has a target."""
+
+    work: RoutedWork
+    target: str
+    started_s: float
+    decider: Decider = field(default=_Alone.ALONE)
+
+
+class Placement:
+    """Ask for targets and tell how they did."""
+
+    def __init__(self, node: RoutingNode, targets: TargetList) -> None:
+        self._node = node
+        self._targets = targets
+        self._table: RouteTable | None = None
+        self._watches: dict[ProcessId, Watch] = {}
+        self._current: Decider = _Alone.ALONE
+        self._placing: dict[str, Placing] = {}
+        self._held: dict[str, Held] = {}
+        self._gateways = _FIRST_GATEWAYS
+        self._alone_since_s = time.monotonic()
+        self._is_leaving = False
+        self._local = self._make_local()
+
+    def _make_local(self) -> Dispatcher:
+        settings = self._node.settings
+        share = 1.0 / max(1, self._gateways)
+        quotas = Quotas(settings.quota_extra)
+        retries = RetryBudget(settings.retry_ratio, settings.retry_extra, settings.retry_window_s)
+        quotas.share = retries.share = share
+        local = Dispatcher(quotas, retries)
+        now_s = time.monotonic()
+        if self._table is not None:
+            local.use_table(self._table, now_s)
+        local.use_targets(self._targets.targets, now_s)
+        for held in self._held.values():
+            elapsed_s = now_s - held.started_s
+            local.adopt(held.work, held.target, self._node.process, elapsed_s, now_s)
+        return local
+
+    @property
+    def is_served(self) -> bool:
+        """Tell whether requests can get targets at all."""
+        return self._current is not _Alone.ALONE or bool(self._targets.targets)
+
+    @property
+    def decider(self) -> str:
+        """Name who decides now."""
+        return "alone" if isinstance(self._current, _Alone) else str(self._current)
+
+    def use_table(self, table: RouteTable) -> None:
+        """Take a configuration for decisions made alone."""
+        self._table = table
+        self._local.use_table(table, time.monotonic())
+
+    def start(self) -> None:
+        """Begin to watch the schedulers."""
+        self._node.spawn(self._run_watch(), "watch schedulers")
+        self._node.spawn(self._run_ticks(), "placement ticks")
+        self._node.spawn(self._run_list_alone(), "list alone")
+
+    def leave(self) -> None:
+        """Tell the schedulers that this gateway stops."""
+        self._is_leaving = True
+
+    # Requests
+
+    async def place(self, work: RoutedWork) -> Placed | Declined:
+        """Return a request's target, or its refusal."""
+        loop = asyncio.get_running_loop()
+        placing = Placing(work, time.monotonic(), loop.create_future())
+        self._placing[work.request] = placing
+        self._ask(placing)
+        try:
+            answer = await placing.answer
+        except asyncio.CancelledError:
+            self._withdraw(placing)
+            raise
+        finally:
+            self._placing.pop(work.request, None)
+            if placing.task is not None:
+                placing.task.cancel()
+        if isinstance(answer, Placed):
+            decider = placing.asked if placing.asked is not None else _Alone.ALONE
+            self._held[work.request] = Held(work, answer.target, time.monotonic(), decider)
+        return answer
+
+    def _ask(self, placing: Placing) -> None:
+        """Ask whoever decides now."""
+        if placing.task is not None:
+            placing.task.cancel()
+            placing.task = None
+        placing.asked = self._current
+        spent_s = time.monotonic() - placing.since_s
+        work = _shorten(placing.work, spent_s)
+        if isinstance(self._current, _Alone):
+            self._local.place(work, self._node.process, time.monotonic())
+            self._deliver_local()
+            return
+        placing.task = asyncio.create_task(self._ask_scheduler(placing, self._current, work))
+
+    async def _ask_scheduler(
+        self, placing: Placing, scheduler: ProcessId, work: RoutedWork
+    ) -> None:
+        try:
+            reply = await self._node.ask(scheduler, Place(work), max(0.05, work.remaining_s))
+        except TroutstandError:
+            # Whoever decides next is asked when the heartbeat is missed.
+            self._miss(scheduler)
+            return
+        if isinstance(reply, Placed | Declined) and not placing.answer.done():
+            placing.answer.set_result(reply)
+
+    def _withdraw(self, placing: Placing) -> None:
+        request = placing.work.request
+        if placing.asked is None or isinstance(placing.asked, _Alone):
+            self._local.abandon(request, time.monotonic())
+        else:
+            self._node.send(placing.asked, Abandon(request))
+
+    def note_first(self, request: str, first_s: float) -> None:
+        """Tell that a target began to answer."""
+        held = self._held.get(request)
+        if held is None:
+            return
+        first = FirstByte(request, held.target, first_s)
+        if isinstance(self._current, _Alone):
+            self._local.note_first(first, time.monotonic())
+        else:
+            self._node.send(self._current, first)
+
+    def end(self, ended: Ended) -> None:
+        """Tell how a request ended at its target."""
+        self._held.pop(ended.request, None)
+        if isinstance(self._current, _Alone):
+            self._local.end(ended, time.monotonic())
+            self._deliver_local()
+        else:
+            self._node.send(self._current, ended)
+
+    # Schedulers
+
+    async def _run_watch(self) -> None:
+        while True:
+            known = self._node.book.list_role(RoutingRole.scheduler.value)
+            for process in known:
+                if process not in self._watches:
+                    self._watches[process] = Watch()
+                    self._node.spawn(self._follow(process), f"watch {process}")
+            for process in set(self._watches) - set(known):
+                del self._watches[process]
+            self._choose()
+            await asyncio.sleep(_TICK_S)
+
+    async def _follow(self, process: ProcessId) -> None:
+        """Send heartbeats to one scheduler until it is forgotten."""
+        while True:
+            watch = self._watches.get(process)
+            if watch is None:
+                return
+            await self._beat(process, watch)
+            is_current = self._current == process
+            period_s = watch.period_s if is_current else _STANDBY_PERIOD_S
+            await asyncio.sleep(period_s * (0.9 + 0.2 * self._node.random.random()))
+
+    async def _beat(self, process: ProcessId, watch: Watch) -> None:
+        is_attached = self._current == process
+        is_first = is_attached and not watch.is_attached
+        now_s = time.monotonic()
+        ask = AttachAsk(
+            process=self._node.process,
+            incarnation=self._node.incarnation,
+            is_attached=is_attached,
+            targets_version=self._targets.version,
+            is_first=is_first,
+            running=self._list_running(now_s) if is_first else [],
+            is_leaving=self._is_leaving,
+        )
+        watch.is_attached = is_attached
+        try:
+            reply = await self._node.ask(process, ask, _BEAT_S)
+        except TroutstandError:
+            watch.live_since_s = float("inf")
+            if is_first:
+                watch.is_attached = False
+            return
+        if isinstance(reply, Attached):
+            self._hear(process, watch, reply)
+
+    def _list_running(self, now_s: float) -> list[PlacedWork]:
+        return [PlacedWork(h.work, h.target, now_s - h.started_s) for h in self._held.values()]
+
+    def _hear(self, process: ProcessId, watch: Watch, reply: Attached) -> None:
+        now_s = time.monotonic()
+        if watch.incarnation != reply.incarnation:
+            # A new process knows nothing of what runs.
+            watch.incarnation = reply.incarnation
+            watch.live_since_s = float("inf")
+            if watch.is_attached:
+                watch.is_attached = False
+                self._ask_again(process)
+        watch.heard_s = now_s
+        watch.period_s = reply.period_s
+        watch.is_ready = reply.is_ready
+        if reply.is_ready and watch.live_since_s == float("inf"):
+            watch.live_since_s = now_s
+        if not reply.is_ready:
+            watch.live_since_s = float("inf")
+        if reply.has_targets and (process == self._current or self._is_alone()):
+            self._targets.install(reply.targets, reply.targets_version)
+            self._local.use_targets(reply.targets, now_s)
+            self._deliver_local()
+        if process == self._current:
+            self._gateways = reply.gateways
+
+    def _is_alone(self) -> bool:
+        return isinstance(self._current, _Alone)
+
+    def _miss(self, process: ProcessId) -> None:
+        watch = self._watches.get(process)
+        if watch is not None:
+            watch.is_ready = False
+            watch.live_since_s = float("inf")
+
+    def _choose(self) -> None:
+        """Follow the first live scheduler; go back to an earlier one only once it is steady."""
+        now_s = time.monotonic()
+        live = sorted(p for p, watch in self._watches.items() if watch.is_live(now_s))
+        current = self._current
+        if not isinstance(current, _Alone) and current in live:
+            steady = [p for p in live if now_s - self._watches[p].live_since_s > _RETURN_AFTER_S]
+            better = [p for p in steady if p < current]
+            if better:
+                self._switch(better[0])
+            return
+        self._switch(live[0] if live else _Alone.ALONE)
+
+    def _switch(self, decider: Decider) -> None:
+        if decider == self._current:
+            return
+        before = self.decider
+        self._current = decider
+        now_s = time.monotonic()
+        if isinstance(decider, _Alone):
+            self._alone_since_s = now_s
+            self._local = self._make_local()
+        else:
+            watch = self._watches[decider]
+            watch.is_attached = False
+            self._node.spawn(self._beat(decider, watch), f"attach {decider}")
+        self._node.events.emit(
+            "scheduler_changed",
+            before=before,
+            now=self.decider,
+            waiting=len(self._placing),
+            running=len(self._held),
+        )
+        for placing in list(self._placing.values()):
+            self._move(placing)
+
+    def _move(self, placing: Placing) -> None:
+        if placing.answer.done():
+            return
+        if placing.asked is not None and not isinstance(placing.asked, _Alone):
+            self._node.send(placing.asked, Abandon(placing.work.request))
+        self._ask(placing)
+
+    def _ask_again(self, process: ProcessId) -> None:
+        """Repeat what a scheduler's earlier life was asked."""
+        for placing in list(self._placing.values()):
+            if placing.asked == process and not placing.answer.done():
+                self._ask(placing)
+
+    # Alone
+
+    def _deliver_local(self) -> None:
+        for decision in self._local.take_decisions():
+            answer = decision.answer
+            placing = self._placing.get(answer.request)
+            if placing is not None and not placing.answer.done():
+                placing.answer.set_result(answer)
+            elif isinstance(answer, Placed):
+                self._local.abandon(answer.request, time.monotonic())
+            if isinstance(answer, Declined):
+                self._node.events.emit(
+                    "request_declined",
+                    answer.request,
+                    code=ResultCode(answer.code),
+                    retry_after_s=answer.retry_after_s,
+                    reason=answer.reason,
+                    decider="alone",
+                )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            if self._is_alone():
+                self._local.tick(time.monotonic())
+                self._deliver_local()
+
+    async def _run_list_alone(self) -> None:
+        """Read the list of targets while no scheduler passes it on."""
+        while True:
+            await asyncio.sleep(_ALONE_LIST_S * (0.75 + 0.5 * self._node.random.random()))
+            if not self._is_alone() or self._table is None:
+                continue
+            try:
+                changed = await self._targets.read()
+            except ListUnreadError as error:
+                self._node.events.emit("targets_unread", detail=str(error))
+                continue
+            if changed and self._is_alone():
+                self._local.use_targets(self._targets.targets, time.monotonic())
+                self._deliver_local()
+
+
+def _shorten(work: RoutedWork, spent_s: float) -> RoutedWork:
+    """Return the work with the time left that it has now."""
+    return RoutedWork(
+        request=work.request,
+        service=work.service,
+        workspace=work.workspace,
+        tier=work.tier,
+        is_repeatable=work.is_repeatable,
+        objective_s=work.objective_s,
+        remaining_s=max(0.0, work.remaining_s - spent_s),
+        prompt_tokens=work.prompt_tokens,
+        output_tokens=work.output_tokens,
+        charge=work.charge,
+        model=work.model,
+        parts=work.parts,
+        attempt=work.attempt,
+        excluded=work.excluded,
+        is_sticky=work.is_sticky,
+    )
--- /dev/null
+++ b/troutstand/routing/relay.py
@@ -0,0 +1,224 @@
+"""Send one request to a target and bring back what the target answered.
+
+What comes back is judged here: only a whole answer of the target to this very
+request passes. Everything else is an `Ending` that says whether the request
+may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from troutstand.generated.messages import Ending
+from troutstand.routing.exchange import ExchangeError, write_head
+
+if TYPE_CHECKING:
+    from troutstand.generated.messages import Placed
+    from troutstand.routing.dialect import HeaderNames
+    from troutstand.routing.exchange import (
+        AnswerHead,
+        ConnectionPool,
+        Headers,
+        TargetConnection,
+    )
+
+MISDIRECTED = 421
+_FIRST_FAILURE = 300
+_FIRST_SUCCESS = 200
+# A target may have forgotten a kept connection; what may not be repeated goes
+# only on one that was used a moment ago, or on a new one.
+_UNREPEATABLE_IDLE_S = 0.5
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """Hold a caller's request as it goes to any target."""
+
+    request: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    is_repeatable: bool
+
+
+class SendError(Exception):
+    """Report that a target brought no answer that may be passed on.
+
+    Parameters
+    ----------
+    ending
+        What became of it at the target.
+    """
+
+    def __init__(self, ending: Ending, detail: str) -> None:
+        super().__init__(detail)
+        self.ending = ending
+        self.detail = detail
+
+    @property
+    def has_arrived(self) -> bool:
+        """Tell whether the target may have seen the request."""
+        return self.ending is not Ending.unsent
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the target may have worked on the request."""
+        return self.ending not in (Ending.unsent, Ending.turned_away)
+
+
+def filter_headers(headers: Headers, drop: frozenset[str]) -> Headers:
+    """Return the headers that are passed on; names are compared in lower case."""
+    listed = {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == "connection"
+        for name in value.split(",")
+    }
+    banned = CONNECTION_HEADERS | drop | listed
+    return [(key, value) for key, value in headers if key.lower() not in banned]
+
+
+@dataclass
+class Sent:
+    """Hold a request under way at one target; times in seconds on the steady clock."""
+
+    placed: Placed
+    connection: TargetConnection
+    head: AnswerHead
+    started_s: float
+    first_s: float
+    chunks: list[bytes] = field(default_factory=list)
+
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the target says that it did what was asked."""
+        return _FIRST_SUCCESS <= self.head.status < _FIRST_FAILURE
+
+
+class Sender:
+    """Send requests to targets."""
+
+    def __init__(self, pool: ConnectionPool, names: HeaderNames) -> None:
+        self._pool = pool
+        self._names = names
+
+    async def send(self, outgoing: Outgoing, placed: Placed, deadline_s: float) -> Sent:
+        """Send a request and return its answer's head.
+
+        Raises
+        ------
+        SendError
+            Where no head of an answer to this request came.
+        """
+        fresh = False
+        while True:
+            max_idle_s = None if outgoing.is_repeatable else _UNREPEATABLE_IDLE_S
+            if fresh:
+                max_idle_s = 0.0
+            try:
+                return await self._send_once(outgoing, placed, deadline_s, max_idle_s)
+            except ExchangeError as error:
+                if not error.was_written and not error.was_stale:
+                    raise SendError(Ending.unsent, str(error)) from error
+                repeats = outgoing.is_repeatable or not error.was_written
+                if not (error.was_stale and repeats and not fresh):
+                    raise SendError(Ending.broken, str(error)) from error
+                # The target had forgotten the connection; a new one tells more.
+                fresh = True
+
+    async def _send_once(
+        self, outgoing: Outgoing, placed: Placed, deadline_s: float, max_idle_s: float | None
+    ) -> Sent:
+        connection = await self._pool.acquire(placed.address, max_idle_s)
+        started_s = time.monotonic()
+        try:
+            head = self._write_head(outgoing, placed, deadline_s - started_s)
+            connection.send(head, outgoing.body, outgoing.method == "HEAD")
+            answer = await connection.receive_head()
+        except BaseException:
+            connection.abort()
+            raise
+        sent = Sent(placed, connection, answer, started_s, time.monotonic() - started_s)
+        try:
+            self._check_head(outgoing, answer)
+        except SendError as error:
+            await self._finish_refused(sent, error)
+            raise
+        return sent
+
+    def _write_head(self, outgoing: Outgoing, placed: Placed, left_s: float) -> bytes:
+        left_ms = max(1, int(left_s * 1000))
+        headers = [
+            *outgoing.headers,
+            (self._names.deadline_ms, str(left_ms)),
+            (self._names.expected_target, placed.target),
+        ]
+        if outgoing.body or outgoing.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            headers.append(("Content-Length", str(len(outgoing.body))))
+        return write_head(outgoing.method, outgoing.path, headers)
+
+    def _check_head(self, outgoing: Outgoing, head: AnswerHead) -> None:
+        echo = head.get(self._names.request)
+        if echo is not None and echo != outgoing.request:
+            raise SendError(Ending.broken, f"the answer is for request {echo!r}")
+        if head.status == MISDIRECTED or head.get(self._names.not_run) is not None:
+            raise SendError(Ending.turned_away, f"status {head.status}, not run")
+        if head.get(self._names.seal) is None or echo is None:
+            raise SendError(Ending.broken, f"status {head.status} without the target's seal")
+        if head.get("content-encoding") is not None:
+            raise SendError(Ending.broken, "the body is encoded")
+
+    async def _finish_refused(self, sent: Sent, error: SendError) -> None:
+        """Read a refusal to its end, so that its connection can be kept."""
+        if error.ending is not Ending.turned_away:
+            sent.connection.abort()
+            return
+        try:
+            async with asyncio.timeout(0.1):
+                await self.read_whole(sent)
+        except (SendError, TimeoutError):
+            sent.connection.abort()
+
+    async def read_whole(self, sent: Sent) -> bytes:
+        """Return an answer's whole body and keep its connection.
+
+        Raises
+        ------
+        SendError
+            Where it broke off.
+        """
+        chunks: list[bytes] = []
+        try:
+            async for chunk in sent.connection.receive_chunks():
+                chunks.append(chunk)
+        except ExchangeError as error:
+            sent.connection.abort()
+            raise SendError(Ending.broken, str(error)) from error
+        except BaseException:
+            sent.connection.abort()
+            raise
+        self._pool.release(sent.connection)
+        return b"".join(chunks)
+
+    def release(self, sent: Sent) -> None:
+        """Keep the connection of an answer that was read to its end."""
+        self._pool.release(sent.connection)
--- /dev/null
+++ b/troutstand/routing/replacement.py
@@ -0,0 +1,155 @@
+"""Keep the keeper set whole without an operator.
+
+`core/succession.py` says who takes whose place; the keepers' own registers
+decide each change, so that rivals and late words do no harm.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from troutstand.core.acceptor import list_voters
+from troutstand.core.codec import decode_record, encode_record
+from troutstand.core.errors import TroutstandError
+from troutstand.core.succession import count_needed, plan_change, promote
+from troutstand.daemon.membership import name_keepers
+from troutstand.generated.messages import (
+    CopyAsk,
+    CopyPage,
+    KeepersAsk,
+    KeeperSet,
+    KeepersInstall,
+    KeepersReply,
+    MemberState,
+    Refused,
+)
+
+if TYPE_CHECKING:
+    from troutstand.core.ids import ProcessId
+    from troutstand.routing.keeper import RoutingKeeper
+
+_ASK_S = 0.6
+_COPY_S = 2.0
+
+
+class Replacement:
+    """Follow and change the keeper set from one keeper."""
+
+    def __init__(self, keeper: RoutingKeeper) -> None:
+        self._keeper = keeper
+        self._watching_since_s = time.monotonic()
+
+    def restart_watch(self) -> None:
+        """Note that this process was held up, so that silence proves nothing yet."""
+        self._watching_since_s = time.monotonic()
+
+    async def run_once(self) -> None:
+        """Take the next step that the set needs, if it is this keeper's to take."""
+        acceptor = self._keeper.acceptor
+        if acceptor.keepers is None:
+            return
+        member = acceptor.find_member()
+        if member is None:
+            await self._keeper.become_spare()
+        elif member.state is MemberState.copying:
+            await self._copy_and_join(acceptor.keepers)
+        elif self._is_first_voter(acceptor.keepers):
+            await self._change(acceptor.keepers)
+
+    def _is_first_voter(self, keepers: KeeperSet) -> bool:
+        """Tell whether no live voter stands before this one; rivals are harmless but slow."""
+        now_s = time.monotonic()
+        book = self._keeper.node.book
+        for voter in sorted(list_voters(keepers)):
+            if voter == self._keeper.node.process:
+                return True
+            if book.measure_age(voter, now_s) < 1.0:
+                return False
+        return False
+
+    async def _change(self, keepers: KeeperSet) -> None:
+        size = 2 * self._keeper.node.settings.disks_lost + 1
+        now_s = time.monotonic()
+        book = self._keeper.node.book
+        following = plan_change(keepers, book, now_s, self._watching_since_s, size)
+        if following is not None:
+            await self._decide(following)
+
+    async def _decide(self, wanted: KeeperSet) -> None:
+        data = await self._keeper.registers.decide(
+            name_keepers(wanted.epoch), encode_record(wanted)
+        )
+        # Another's set may have won this epoch; whichever did is in force.
+        decided = decode_record(data, KeeperSet)
+        await self.install(decided)
+        members = ",".join(f"{m.process}/{m.state.value}" for m in decided.members)
+        is_own = decided == wanted
+        self._keeper.node.events.emit(
+            "keeper_set_decided", epoch=decided.epoch, members=members, own=is_own
+        )
+        names = {m.process for m in decided.members} - {self._keeper.node.process}
+        await asyncio.gather(*(self._tell(name, decided) for name in names))
+
+    async def _tell(self, process: str, keepers: KeeperSet) -> None:
+        try:
+            await self._keeper.node.ask(process, KeepersInstall(keepers), _ASK_S)
+        except TroutstandError:
+            # It hears of the epoch with the next contact.
+            return
+
+    async def install(self, keepers: KeeperSet) -> None:
+        """Make a decided keeper set durable here."""
+        records = self._keeper.acceptor.install_keepers(keepers)
+        self._keeper.registers.learn_keepers(keepers)
+        if records:
+            await self._keeper.journal.write(records)
+            self._keeper.node.events.emit("keeper_set_installed", epoch=keepers.epoch)
+
+    async def fetch(self, process: str) -> None:
+        """Take the newer keeper set that a keeper told of."""
+        try:
+            reply = await self._keeper.node.ask(process, KeepersAsk(), _ASK_S)
+        except TroutstandError:
+            return
+        if isinstance(reply, KeepersReply) and reply.keepers:
+            await self.install(reply.keepers)
+
+    async def _copy_and_join(self, keepers: KeeperSet) -> None:
+        needed = count_needed(keepers)
+        copies = [self._copy_from(v, keepers.epoch) for v in sorted(list_voters(keepers))]
+        done = sum(await asyncio.gather(*copies))
+        if done < needed or self._keeper.acceptor.epoch != keepers.epoch:
+            self._keeper.node.events.emit("keeper_copy_waits", have=done, needed=needed)
+            return
+        await self._decide(promote(keepers, self._keeper.node.process))
+
+    async def _copy_from(self, voter: ProcessId, epoch: int) -> bool:
+        """Copy all of a voter's state; tell whether it came whole and in this epoch."""
+        after = ""
+        while True:
+            try:
+                reply = await self._keeper.node.ask(voter, CopyAsk(epoch, after), _COPY_S)
+            except TroutstandError:
+                return False
+            if isinstance(reply, Refused):
+                await self._learn_refusal(voter, reply)
+            if not isinstance(reply, CopyPage):
+                return False
+            acceptor = self._keeper.acceptor
+            records = [out for record in reply.records for out in acceptor.merge_copy(record)]
+            if records:
+                await self._keeper.journal.write(records)
+            if reply.last:
+                return True
+            after = reply.next
+
+    async def _learn_refusal(self, voter: ProcessId, refusal: Refused) -> None:
+        """Bring whichever of the two is behind to the newer keeper set."""
+        own = self._keeper.acceptor.keepers
+        if refusal.keepers is not None and own is not None:
+            if refusal.keepers.epoch > own.epoch:
+                await self.install(refusal.keepers)
+            elif refusal.keepers.epoch < own.epoch:
+                await self._tell(voter, own)
--- /dev/null
+++ b/troutstand/routing/scheduler.py
@@ -0,0 +1,250 @@
+"""Run a scheduler: the queue of a whole site, for the gateways that ask it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.dispatch import Dispatcher
+from troutstand.core.quota import Quotas
+from troutstand.core.retries import RetryBudget
+from troutstand.generated.messages import (
+    Abandon,
+    AttachAsk,
+    Attached,
+    Declined,
+    Ended,
+    FirstByte,
+    PeerMessage,
+    Place,
+    Placed,
+    ProcessState,
+    Refused,
+)
+from troutstand.routing.follower import Follower
+from troutstand.routing.node import RoutingNode
+from troutstand.routing.targetlist import ListUnreadError, TargetList
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from troutstand.core.configuration import RouteTable
+    from troutstand.core.ids import ProcessId
+    from troutstand.generated.routing import RoutingSettings
+    from troutstand.routing.dialect import Dialect
+
+_TICK_S = 0.05
+_LIST_S = 0.5
+_STANDBY_LIST_S = 2.5
+_SILENT_S = 1.2
+_FORGET_GATEWAY_S = 30.0
+_MIN_PERIOD_S = 0.1
+_PERIOD_PER_GATEWAY_S = 0.0035
+_LEAVE_S = 1.0
+
+
+@dataclass
+class GatewaySeen:
+    """Keep when a gateway was last heard, and whether it asks this scheduler."""
+
+    incarnation: str
+    heard_s: float
+    is_attached: bool
+
+
+class RoutingScheduler:
+    """Serve the gateways that chose this process."""
+
+    def __init__(self, settings: RoutingSettings, dialect: Dialect) -> None:
+        self.node = RoutingNode(settings)
+        self.quotas = Quotas(settings.quota_extra)
+        self.retries = RetryBudget(
+            settings.retry_ratio, settings.retry_extra, settings.retry_window_s
+        )
+        self.dispatcher = Dispatcher(self.quotas, self.retries)
+        self.follower = Follower(self.node, dialect, self._use_table)
+        self.targets = TargetList(settings.target_list, dialect)
+        self._gateways: dict[ProcessId, GatewaySeen] = {}
+        self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
+        self._is_leaving = False
+        self._has_list = False
+
+    async def start(self) -> None:
+        """Open the links and begin to follow configuration and targets."""
+        self.node.open_events()
+        await self.node.listen(self.handle)
+        self.node.state = ProcessState.serving
+        self.node.spawn(self.follower.run(), "follower")
+        self.node.spawn(self._run_list(), "target list")
+        self.node.spawn(self._run_ticks(), "ticks")
+
+    async def stop(self) -> None:
+        """Send the gateways to another scheduler, then close."""
+        self._is_leaving = True
+        self.node.events.emit("stop_started", attached=self._count_attached())
+        await asyncio.sleep(_LEAVE_S)
+        self.targets.close()
+        await self.node.close()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether gateways may ask this scheduler."""
+        return self._has_list and self.follower.table is not None and not self._is_leaving
+
+    # Messages
+
+    def handle(
+        self, peer: ProcessId, message: PeerMessage
+    ) -> PeerMessage | Awaitable[PeerMessage | None] | None:
+        """Answer a gateway."""
+        now_s = time.monotonic()
+        match message:
+            case Place(work):
+                future: asyncio.Future[PeerMessage | None] = (
+                    asyncio.get_running_loop().create_future()
+                )
+                self._pending[(peer, work.request)] = future
+                self.dispatcher.place(work, peer, now_s)
+                self._deliver()
+                return future
+            case FirstByte():
+                self.dispatcher.note_first(message, now_s)
+            case Ended():
+                self.dispatcher.end(message, now_s)
+            case Abandon(request):
+                self.dispatcher.abandon(request, now_s)
+                self._settle(peer, request, None)
+            case AttachAsk():
+                return self._handle_attach(peer, message, now_s)
+            case _:
+                return Refused(int(ResultCode.LINK_MALFORMED), "not for a scheduler")
+        self._deliver()
+        return None
+
+    def _settle(self, owner: str, request: str, answer: PeerMessage | None) -> bool:
+        future = self._pending.pop((owner, request), None)
+        if future is None or future.done():
+            return False
+        future.set_result(answer)
+        return True
+
+    def _deliver(self) -> None:
+        now_s = time.monotonic()
+        for decision in self.dispatcher.take_decisions():
+            answer = decision.answer
+            settled = self._settle(decision.owner, answer.request, answer)
+            match answer:
+                case Placed(request, target, _, waited_ms):
+                    self.node.events.emit(
+                        "request_placed", request, target=target, waited_ms=waited_ms
+                    )
+                    if not settled:
+                        # Its gateway no longer waits; the slot is free again.
+                        self.dispatcher.abandon(request, now_s)
+                case Declined(request, code, retry_after_s, reason):
+                    self.node.events.emit(
+                        "request_declined",
+                        request,
+                        code=ResultCode(code),
+                        retry_after_s=retry_after_s,
+                        reason=reason,
+                        version=self.follower.version,
+                    )
+
+    # Gateways
+
+    def _handle_attach(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> Attached:
+        seen = self._gateways.get(peer)
+        if ask.is_leaving and not ask.is_attached:
+            self._gateways.pop(peer, None)
+        else:
+            if seen is not None and seen.incarnation != ask.incarnation:
+                self._drop(peer, "restarted", now_s)
+            if seen is not None and seen.is_attached and not ask.is_attached:
+                self._drop(peer, "asks another scheduler", now_s)
+            self._gateways[peer] = GatewaySeen(ask.incarnation, now_s, ask.is_attached)
+        if ask.is_first:
+            for run in ask.running:
+                self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
+            self.node.events.emit("gateway_attached", peer=peer, running=len(ask.running))
+        self._share()
+        has_news = ask.targets_version != self.targets.version
+        return Attached(
+            incarnation=self.node.incarnation,
+            period_s=max(_MIN_PERIOD_S, _PERIOD_PER_GATEWAY_S * len(self._gateways)),
+            version=self.follower.version,
+            gateways=max(1, len(self._gateways)),
+            targets_version=self.targets.version,
+            targets=self.targets.targets if has_news else [],
+            has_targets=has_news and self._has_list,
+            is_ready=self.is_ready,
+        )
+
+    def _drop(self, gateway: ProcessId, reason: str, now_s: float) -> None:
+        self.node.events.emit("gateway_detached", peer=gateway, reason=reason)
+        self.dispatcher.drop_owner(gateway, now_s)
+        for owner, request in [key for key in self._pending if key[0] == gateway]:
+            self._settle(owner, request, None)
+
+    def _count_attached(self) -> int:
+        return sum(1 for seen in self._gateways.values() if seen.is_attached)
+
+    def _share(self) -> None:
+        """Hold the share of limits that belongs to the gateways served here."""
+        share = max(1, self._count_attached()) / max(1, len(self._gateways))
+        self.quotas.share = share
+        self.retries.share = share
+
+    def _drop_silent(self, now_s: float) -> None:
+        for gateway, seen in list(self._gateways.items()):
+            silent_s = now_s - seen.heard_s
+            if seen.is_attached and silent_s > _SILENT_S:
+                seen.is_attached = False
+                self._drop(gateway, f"silent for {silent_s:.1f} s", now_s)
+                self._share()
+            if silent_s > _FORGET_GATEWAY_S:
+                del self._gateways[gateway]
+                self._share()
+
+    # What is known of the site
+
+    def _use_table(self, table: RouteTable) -> None:
+        self.dispatcher.use_table(table, time.monotonic())
+
+    async def _run_list(self) -> None:
+        while True:
+            try:
+                if await self.targets.read():
+                    self.node.events.emit(
+                        "targets_changed",
+                        count=len(self.targets.targets),
+                        version=self.targets.version,
+                    )
+                    self.dispatcher.use_targets(self.targets.targets, time.monotonic())
+                    self._deliver()
+                self._has_list = True
+            except ListUnreadError as error:
+                self.node.events.emit("targets_unread", detail=str(error))
+            is_busy = self._count_attached() > 0 or not self._has_list
+            period_s = _LIST_S if is_busy else _STANDBY_LIST_S
+            await asyncio.sleep(period_s * (0.9 + 0.2 * self.node.random.random()))
+
+    async def _run_ticks(self) -> None:
+        last_s = time.monotonic()
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now_s = time.monotonic()
+            if now_s - last_s > _SILENT_S:
+                # This process stood still, so that the gateways' silence is its own.
+                self._forgive_silence(now_s)
+            last_s = now_s
+            self._drop_silent(now_s)
+            self.dispatcher.tick(now_s)
+            self._deliver()
+
+    def _forgive_silence(self, now_s: float) -> None:
+        for seen in self._gateways.values():
+            seen.heard_s = now_s
--- /dev/null
+++ b/troutstand/routing/targetlist.py
@@ -0,0 +1,97 @@
+"""Read the list of targets, which lags and takes few calls."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from troutstand.core.errors import TroutstandError
+from troutstand.routing.exchange import ConnectionPool, ExchangeError, write_head
+
+if TYPE_CHECKING:
+    from troutstand.generated.messages import ListedTarget
+    from troutstand.routing.dialect import Dialect
+
+_TIMEOUT_S = 1.0
+_CONNECT_S = 0.5
+_STATUS_OK = 200
+_MAX_PAGES = 1000
+
+
+class ListUnreadError(Exception):
+    """Report that the list could not be read."""
+
+
+class TargetList:
+    """Hold the newest list that was read, with a digest that tells lists apart."""
+
+    def __init__(self, address: str, dialect: Dialect) -> None:
+        self.targets: list[ListedTarget] = []
+        self.version = ""
+        self._address = address
+        self._dialect = dialect
+        self._pool = ConnectionPool(_CONNECT_S)
+
+    def install(self, targets: list[ListedTarget], version: str) -> None:
+        """Take a list that another process has read."""
+        self.targets, self.version = targets, version
+
+    async def read(self) -> bool:
+        """Read the whole list; tell whether it changed.
+
+        Raises
+        ------
+        ListUnreadError
+            The held list stays as it is.
+        """
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                targets = await self._read_pages()
+        except (TimeoutError, ExchangeError, TroutstandError) as error:
+            raise ListUnreadError(str(error) or type(error).__name__) from error
+        targets.sort(key=lambda entry: entry.target)
+        version = _digest(targets)
+        changed = version != self.version
+        self.install(targets, version)
+        return changed
+
+    async def _read_pages(self) -> list[ListedTarget]:
+        targets: list[ListedTarget] = []
+        token: str | None = None
+        for _ in range(_MAX_PAGES):
+            page = self._dialect.decode_targets(await self._get(token))
+            targets.extend(page.targets)
+            token = page.next_token
+            if token is None:
+                return targets
+        raise ListUnreadError(f"more than {_MAX_PAGES} pages")
+
+    async def _get(self, token: str | None) -> bytes:
+        connection = await self._pool.acquire(self._address)
+        try:
+            head = write_head(
+                "GET", self._dialect.name_targets_path(token), [("Host", self._address)]
+            )
+            connection.send(head, b"", False)
+            answer = await connection.receive_head()
+            data = b"".join([chunk async for chunk in connection.receive_chunks()])
+        except BaseException:
+            connection.abort()
+            raise
+        self._pool.release(connection)
+        if answer.status != _STATUS_OK:
+            raise ListUnreadError(f"status {answer.status}")
+        return data
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+
+def _digest(targets: list[ListedTarget]) -> str:
+    text = "\n".join(
+        f"{t.target} {t.service} {t.address} {t.slots} {t.state.value}" for t in targets
+    )
+    return xxhash.xxh3_64_hexdigest(text.encode())
--- a/troutstand/util/events.py
+++ b/troutstand/util/events.py
@@ -16,6 +16,7 @@
 from reactivex.subject import Subject
 
 from troutstand.core.codes import ResultCode
+from troutstand.util.lines import LineWriter
 
 if TYPE_CHECKING:
     from troutstand.core.clock import HybridClock, Stamp
@@ -26,6 +27,7 @@
 
 # Events that `troutstandctl explain` can look back on.
 KEPT_EVENTS = 20_000
+_STANDARD_OUTPUT = 1
 _PLAIN = re.compile(r"^[^\s\"=]+$")
 METRIC_PREFIX = "troutstand"
 
@@ -70,6 +72,16 @@
     return " ".join(parts)
 
 
+def open_standard_output() -> LineWriter:
+    """Send absl's log lines to standard output without ever waiting for it."""
+    logger = logging.get_absl_logger()
+    logging.set_verbosity(logging.INFO)
+    writer = LineWriter(_STANDARD_OUTPUT)
+    logger.handlers = [writer]
+    logger.propagate = False
+    return writer
+
+
 def open_log(path: str | None) -> None:
     """Send absl's log lines to a file, which an operator's tools may rotate."""
     logger = logging.get_absl_logger()
