Stay with a scheduler that answers, and hand limits over exactly

Limits: a new scheduler began half full.

Ruled out: lost heartbeats (no link failed in the log).

Change: a switch wakes the heartbeat; gateways report what workspaces took within the window when they attach, and a bucket's capacity follows the bounds the settings give. Contacts travel only when their set changed.

--- a/troutstand/core/contacts.py
+++ b/troutstand/core/contacts.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from troutstand.core.ids import ProcessId
 from troutstand.generated.messages import Contact
 
@@ -63,6 +65,23 @@
         """Return the known processes of a role, in a fixed order."""
         return sorted(p for p, known in self._known.items() if known.contact.role == role)
 
+    def digest(self, roles: Iterable[str]) -> str:
+        """Return what tells sets of processes of some roles apart."""
+        wanted = set(roles)
+        named = sorted(
+            f"{p} {known.contact.incarnation}"
+            for p, known in self._known.items()
+            if known.contact.role in wanted
+        )
+        return xxhash.xxh3_64_hexdigest("\n".join(named).encode())
+
+    def refresh(self, processes: Iterable[str], now_s: float) -> None:
+        """Count processes as heard now, since somebody who hears them still lists them."""
+        for process in processes:
+            known = self.find(process)
+            if known is not None:
+                self._known[ProcessId(process)] = Known(known.contact, now_s)
+
     def export(self, roles: Iterable[str], now_s: float) -> list[Contact]:
         """Return the contacts of some roles with their present age."""
         wanted = set(roles)
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -34,6 +34,8 @@
 _EARLY = 0.25
 _OCCUPANCY_WEIGHT = 0.15
 _FAULT_PENALTY_S = 1.0
+# What the way to another failure domain and its bytes are worth.
+_FAR_S = 0.008
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
 _NO_TARGET_WAIT_S = 0.3
@@ -246,7 +248,10 @@
             held_s = token_s * max(1, work.output_tokens)
         else:
             held_s = first_s * busy
-        return first_s + _OCCUPANCY_WEIGHT * held_s + _FAULT_PENALTY_S * (1.0 - state.success)
+        far_s = _FAR_S if state.listed.failure_domain != work.failure_domain else 0.0
+        return (
+            first_s + far_s + _OCCUPANCY_WEIGHT * held_s + _FAULT_PENALTY_S * (1.0 - state.success)
+        )
 
     def _know(self, pool: Pool, state: TargetState, name: str, guess: float) -> float:
         """Return a target's learnt speed, or what its like show, or a guess."""
--- a/troutstand/core/quota.py
+++ b/troutstand/core/quota.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,10 +16,55 @@
 
     from troutstand.generated.configuration import RoutedWorkspace
 
-# A new holder does not know what was taken before it, so it begins half full.
-_FIRST_FILL = 0.5
 # Of the allowed excess, so much is used, to refuse nothing that is owed.
-_EXTRA_USED = 0.3
+_EXTRA_USED = 0.7
+
+
+@dataclass(frozen=True)
+class QuotaBounds:
+    """Tell how a limit is judged: over which window, with which excess.
+
+    Parameters
+    ----------
+    window_s
+        Length of every window that is looked at, in seconds.
+    excess
+        Share beyond the limit that does no harm.
+    extra
+        Tokens beyond the limit and its share that do no harm.
+    """
+
+    window_s: float = 8.0
+    excess: float = 0.0
+    extra: float = 0.0
+
+    def find_capacity(self, rate_per_s: float, burst: float) -> float:
+        """Return how much may be taken at once: the burst and part of the excess."""
+        limit = rate_per_s * self.window_s + burst
+        return burst + _EXTRA_USED * (self.excess * limit + self.extra)
+
+
+class RecentCharges:
+    """Remember what went through one gateway, for a scheduler that begins anew."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._taken: deque[tuple[float, str, float]] = deque()
+
+    def note(self, workspace: str, amount: float, now_s: float) -> None:
+        """Count a request that got a target."""
+        if amount > 0:
+            self._taken.append((now_s, workspace, amount))
+        while self._taken and self._taken[0][0] < now_s - self._window_s:
+            self._taken.popleft()
+
+    def sum_up(self, now_s: float) -> dict[str, float]:
+        """Return what each workspace took within the window."""
+        sums: dict[str, float] = {}
+        for taken_s, workspace, amount in self._taken:
+            if taken_s >= now_s - self._window_s:
+                sums[workspace] = sums.get(workspace, 0.0) + amount
+        return sums
 
 
 @dataclass
@@ -38,16 +84,10 @@
 
 
 class Quotas:
-    """Admit requests within the limits of their workspaces.
+    """Admit requests within the limits of their workspaces."""
 
-    Parameters
-    ----------
-    extra
-        Tokens beyond the burst that a workspace may take without harm.
-    """
-
-    def __init__(self, extra: float) -> None:
-        self._extra = extra
+    def __init__(self, bounds: QuotaBounds) -> None:
+        self._bounds = bounds
         self._buckets: dict[str, Bucket] = {}
         self.share = 1.0
 
@@ -57,10 +97,10 @@
         for name in set(self._buckets) - set(limited):
             del self._buckets[name]
         for name, workspace in limited.items():
-            burst = workspace.burst_tokens + self._extra * _EXTRA_USED
+            burst = self._bounds.find_capacity(workspace.tokens_per_s, workspace.burst_tokens)
             held = self._buckets.get(name)
             if held is None:
-                level = burst * _FIRST_FILL * self.share
+                level = burst * self.share
                 self._buckets[name] = Bucket(workspace.tokens_per_s, burst, level, now_s)
                 continue
             held.fill(now_s, self.share)
@@ -81,6 +121,13 @@
         rate = max(bucket.rate_per_s * self.share, 1e-9)
         return (enough - bucket.level) / rate
 
+    def inherit(self, workspace: str, amount: float, now_s: float) -> None:
+        """Count what a gateway took within the last window under another scheduler."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.fill(now_s, self.share)
+            bucket.level -= amount
+
     def give_back(self, workspace: str, amount: float) -> None:
         """Return the tokens of a request that was not run."""
         bucket = self._buckets.get(workspace)
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -83,7 +83,12 @@
         return float(self.tokens.total) if self.tokens else workspace.uncounted_tokens
 
     def describe_work(
-        self, now_s: float, attempt: int, excluded: list[str], is_charged: bool
+        self,
+        now_s: float,
+        attempt: int,
+        excluded: list[str],
+        is_charged: bool,
+        failure_domain: str,
     ) -> RoutedWork:
         """Describe the request to whoever decides."""
         return RoutedWork(
@@ -102,6 +107,7 @@
             attempt=attempt,
             excluded=excluded,
             is_sticky=self.route.sticky,
+            failure_domain=failure_domain,
         )
 
 
--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -43,6 +43,8 @@
         self._turn = node.random.randrange(1 << 16)
         self._answered_s = time.monotonic()
         self._is_lost = False
+        self._digest = ""
+        self._listed: list[str] = []
 
     @property
     def version(self) -> int:
@@ -83,7 +85,7 @@
             return False
         self._turn += 1
         keeper = keepers[self._turn % len(keepers)]
-        ask = ContactAsk(self._node.describe(self.version))
+        ask = ContactAsk(self._node.describe(self.version), known_digest=self._digest)
         try:
             reply = await self._node.ask(keeper, ask, _ASK_S)
         except TroutstandError:
@@ -93,6 +95,10 @@
         if not isinstance(reply, ContactReply):
             return False
         self._hear(reply.contact, reply.known)
+        if reply.known_digest != self._digest:
+            self._digest = reply.known_digest
+            self._listed = [contact.process for contact in reply.known]
+        self._node.book.refresh(self._listed, time.monotonic())
         if reply.version > self.version:
             self._use(reply.version, reply.content)
         return True
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -89,7 +89,11 @@
 
     async def _place(self) -> Placed | Declined:
         work = self._call.describe_work(
-            time.monotonic(), self._arrivals + 1, self._excluded, not self._has_placed
+            time.monotonic(),
+            self._arrivals + 1,
+            self._excluded,
+            not self._has_placed,
+            self._gateway.settings.failure_domain,
         )
         answer = await self._gateway.placement.place(work)
         if isinstance(answer, Placed):
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -240,9 +240,13 @@
         held = self.acceptor.configuration
         is_behind = ask.contact.version < held.version
         now_s = time.monotonic()
+        digest = self.node.book.digest(_SHARED_ROLES)
+        # Other keepers need the ages; the rest only whom there is.
+        is_known = digest == ask.known_digest
         return ContactReply(
             contact=self._describe(),
-            known=self.node.book.export(_SHARED_ROLES, now_s),
+            known=[] if is_known else self.node.book.export(_SHARED_ROLES, now_s),
+            known_digest=digest,
             version=held.version if is_behind else 0,
             content=held.content if is_behind else b"",
         )
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from dataclasses import dataclass, field
 from enum import Enum
@@ -18,12 +19,13 @@
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId
-from troutstand.core.quota import Quotas
+from troutstand.core.quota import QuotaBounds, Quotas, RecentCharges
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
     Attached,
+    Charge,
     Declined,
     Ended,
     FirstByte,
@@ -69,6 +71,7 @@
     incarnation: str = ""
     is_ready: bool = False
     is_attached: bool = False
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def is_live(self, now_s: float) -> bool:
         """Tell whether the scheduler answered lately."""
@@ -111,18 +114,23 @@
         self._gateways = _FIRST_GATEWAYS
         self._alone_since_s = time.monotonic()
         self._is_leaving = False
+        self._charges = RecentCharges(node.settings.quota_window_s)
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
         settings = self._node.settings
         share = 1.0 / max(1, self._gateways)
-        quotas = Quotas(settings.quota_extra)
+        quotas = Quotas(
+            QuotaBounds(settings.quota_window_s, settings.quota_excess, settings.quota_extra)
+        )
         retries = RetryBudget(settings.retry_ratio, settings.retry_extra, settings.retry_window_s)
         quotas.share = retries.share = share
         local = Dispatcher(quotas, retries)
         now_s = time.monotonic()
         if self._table is not None:
             local.use_table(self._table, now_s)
+        for workspace, amount in self._charges.sum_up(now_s).items():
+            quotas.inherit(workspace, amount, now_s)
         local.use_targets(self._targets.targets, now_s)
         for held in self._held.values():
             elapsed_s = now_s - held.started_s
@@ -173,7 +181,9 @@
                 placing.task.cancel()
         if isinstance(answer, Placed):
             decider = placing.asked if placing.asked is not None else _Alone.ALONE
-            self._held[work.request] = Held(work, answer.target, time.monotonic(), decider)
+            now_s = time.monotonic()
+            self._held[work.request] = Held(work, answer.target, now_s, decider)
+            self._charges.note(work.workspace, work.charge, now_s)
         return answer
 
     def _ask(self, placing: Placing) -> None:
@@ -252,7 +262,10 @@
             await self._beat(process, watch)
             is_current = self._current == process
             period_s = watch.period_s if is_current else _STANDBY_PERIOD_S
-            await asyncio.sleep(period_s * (0.9 + 0.2 * self._node.random.random()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s * (0.9 + 0.2 * self._node.random.random())):
+                    await watch.wake.wait()
+            watch.wake.clear()
 
     async def _beat(self, process: ProcessId, watch: Watch) -> None:
         is_attached = self._current == process
@@ -266,6 +279,7 @@
             is_first=is_first,
             running=self._list_running(now_s) if is_first else [],
             is_leaving=self._is_leaving,
+            charges=self._list_charges(now_s) if is_first else [],
         )
         watch.is_attached = is_attached
         try:
@@ -281,6 +295,9 @@
     def _list_running(self, now_s: float) -> list[PlacedWork]:
         return [PlacedWork(h.work, h.target, now_s - h.started_s) for h in self._held.values()]
 
+    def _list_charges(self, now_s: float) -> list[Charge]:
+        return [Charge(name, amount) for name, amount in self._charges.sum_up(now_s).items()]
+
     def _hear(self, process: ProcessId, watch: Watch, reply: Attached) -> None:
         now_s = time.monotonic()
         if watch.incarnation != reply.incarnation:
@@ -338,7 +355,7 @@
         else:
             watch = self._watches[decider]
             watch.is_attached = False
-            self._node.spawn(self._beat(decider, watch), f"attach {decider}")
+            watch.wake.set()
         self._node.events.emit(
             "scheduler_changed",
             before=before,
@@ -423,4 +440,5 @@
         attempt=work.attempt,
         excluded=work.excluded,
         is_sticky=work.is_sticky,
+        failure_domain=work.failure_domain,
     )
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -9,7 +9,7 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.quota import Quotas
+from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
@@ -37,8 +37,8 @@
     from troutstand.routing.dialect import Dialect
 
 _TICK_S = 0.05
-_LIST_S = 0.5
-_STANDBY_LIST_S = 2.5
+_LIST_S = 0.9
+_STANDBY_LIST_S = 5.0
 _SILENT_S = 1.2
 _FORGET_GATEWAY_S = 30.0
 _MIN_PERIOD_S = 0.1
@@ -60,7 +60,9 @@
 
     def __init__(self, settings: RoutingSettings, dialect: Dialect) -> None:
         self.node = RoutingNode(settings)
-        self.quotas = Quotas(settings.quota_extra)
+        self.quotas = Quotas(
+            QuotaBounds(settings.quota_window_s, settings.quota_excess, settings.quota_extra)
+        )
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s
         )
@@ -169,6 +171,8 @@
         if ask.is_first:
             for run in ask.running:
                 self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
+            for charge in ask.charges:
+                self.quotas.inherit(charge.workspace, charge.amount, now_s)
             self.node.events.emit("gateway_attached", peer=peer, running=len(ask.running))
         self._share()
         has_news = ask.targets_version != self.targets.version
