--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -310,7 +310,8 @@
             self.quotas.give_back(waiting.work.workspace, waiting.work.charge)
 
     def _count_ahead(self, pool: Pool, waiting: Waiting) -> int:
-        return sum(1 for other in pool.waiting.values() if other.rank < waiting.rank)
+        rank = waiting.rank
+        return sum(1 for w in pool.waiting.values() if w is not waiting and w.rank <= rank)
 
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
--- a/troutstand/core/quota.py
+++ b/troutstand/core/quota.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -44,29 +43,6 @@
         return burst + _EXTRA_USED * (self.excess * limit + self.extra)
 
 
-class RecentCharges:
-    """Remember what went through one gateway, for a scheduler that begins anew."""
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._taken: deque[tuple[float, str, float]] = deque()
-
-    def note(self, workspace: str, amount: float, now_s: float) -> None:
-        """Count a request that got a target."""
-        if amount > 0:
-            self._taken.append((now_s, workspace, amount))
-        while self._taken and self._taken[0][0] < now_s - self._window_s:
-            self._taken.popleft()
-
-    def sum_up(self, now_s: float) -> dict[str, float]:
-        """Return what each workspace took within the window."""
-        sums: dict[str, float] = {}
-        for taken_s, workspace, amount in self._taken:
-            if taken_s >= now_s - self._window_s:
-                sums[workspace] = sums.get(workspace, 0.0) + amount
-        return sums
-
-
 @dataclass
 class Bucket:
     """Hold a workspace's tokens, filled at its rate up to its burst."""
@@ -121,12 +97,22 @@
         rate = max(bucket.rate_per_s * self.share, 1e-9)
         return (enough - bucket.level) / rate
 
-    def inherit(self, workspace: str, amount: float, now_s: float) -> None:
-        """Count what a gateway took within the last window under another scheduler."""
+    def list_levels(self, now_s: float) -> dict[str, float]:
+        """Return how full the limits are that are not full, as shares."""
+        levels: dict[str, float] = {}
+        for name, bucket in self._buckets.items():
+            bucket.fill(now_s, self.share)
+            full = bucket.burst * self.share
+            if bucket.level < full:
+                levels[name] = bucket.level / full
+        return levels
+
+    def inherit(self, workspace: str, level: float, now_s: float) -> None:
+        """Take over how full a limit was under another holder; the lower level counts."""
         bucket = self._buckets.get(workspace)
         if bucket is not None:
             bucket.fill(now_s, self.share)
-            bucket.level -= amount
+            bucket.level = min(bucket.level, level * bucket.burst * self.share)
 
     def give_back(self, workspace: str, amount: float) -> None:
         """Return the tokens of a request that was not run."""
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -19,16 +19,16 @@
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId
-from troutstand.core.quota import QuotaBounds, Quotas, RecentCharges
+from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
     Attached,
-    Charge,
     Declined,
     Ended,
     FirstByte,
+    Level,
     Place,
     Placed,
     PlacedWork,
@@ -114,7 +114,7 @@
         self._gateways = _FIRST_GATEWAYS
         self._alone_since_s = time.monotonic()
         self._is_leaving = False
-        self._charges = RecentCharges(node.settings.quota_window_s)
+        self._levels: list[Level] = []
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
@@ -129,8 +129,8 @@
         now_s = time.monotonic()
         if self._table is not None:
             local.use_table(self._table, now_s)
-        for workspace, amount in self._charges.sum_up(now_s).items():
-            quotas.inherit(workspace, amount, now_s)
+        for level in self._levels:
+            quotas.inherit(level.workspace, level.share, now_s)
         local.use_targets(self._targets.targets, now_s)
         for held in self._held.values():
             elapsed_s = now_s - held.started_s
@@ -183,7 +183,6 @@
             decider = placing.asked if placing.asked is not None else _Alone.ALONE
             now_s = time.monotonic()
             self._held[work.request] = Held(work, answer.target, now_s, decider)
-            self._charges.note(work.workspace, work.charge, now_s)
         return answer
 
     def _ask(self, placing: Placing) -> None:
@@ -279,7 +278,7 @@
             is_first=is_first,
             running=self._list_running(now_s) if is_first else [],
             is_leaving=self._is_leaving,
-            charges=self._list_charges(now_s) if is_first else [],
+            levels=self._levels if is_first else [],
         )
         watch.is_attached = is_attached
         try:
@@ -295,9 +294,6 @@
     def _list_running(self, now_s: float) -> list[PlacedWork]:
         return [PlacedWork(h.work, h.target, now_s - h.started_s) for h in self._held.values()]
 
-    def _list_charges(self, now_s: float) -> list[Charge]:
-        return [Charge(name, amount) for name, amount in self._charges.sum_up(now_s).items()]
-
     def _hear(self, process: ProcessId, watch: Watch, reply: Attached) -> None:
         now_s = time.monotonic()
         if watch.incarnation != reply.incarnation:
@@ -320,6 +316,7 @@
             self._deliver_local()
         if process == self._current:
             self._gateways = reply.gateways
+            self._levels = reply.levels
 
     def _is_alone(self) -> bool:
         return isinstance(self._current, _Alone)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -18,6 +18,7 @@
     Declined,
     Ended,
     FirstByte,
+    Level,
     PeerMessage,
     Place,
     Placed,
@@ -171,8 +172,8 @@
         if ask.is_first:
             for run in ask.running:
                 self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
-            for charge in ask.charges:
-                self.quotas.inherit(charge.workspace, charge.amount, now_s)
+            for level in ask.levels:
+                self.quotas.inherit(level.workspace, level.share, now_s)
             self.node.events.emit("gateway_attached", peer=peer, running=len(ask.running))
         self._share()
         has_news = ask.targets_version != self.targets.version
@@ -185,8 +186,12 @@
             targets=self.targets.targets if has_news else [],
             has_targets=has_news and self._has_list,
             is_ready=self.is_ready,
+            levels=self._list_levels(now_s) if ask.is_attached else [],
         )
 
+    def _list_levels(self, now_s: float) -> list[Level]:
+        return [Level(name, share) for name, share in self.quotas.list_levels(now_s).items()]
+
     def _drop(self, gateway: ProcessId, reason: str, now_s: float) -> None:
         self.node.events.emit("gateway_detached", peer=gateway, reason=reason)
         self.dispatcher.drop_owner(gateway, now_s)
--- /dev/null
+++ b/troutstand/tests/dispatch.feature
@@ -0,0 +1,53 @@
+Feature: One queue a service decides who is served, who waits and who is refused
+
+  Background:
+    Given a service with 2 targets of 2 slots
+
+  Scenario: Requests spread over the targets
+    When 4 requests of tier 1 arrive
+    Then each target has 2 requests
+
+  Scenario: A higher tier goes first when a slot gets free
+    Given every slot is taken
+    When a request of tier 2 arrives, then one of tier 0
+    And a slot gets free
+    Then the request of tier 0 has a target and that of tier 2 waits
+
+  Scenario: Who cannot be served in time is refused at once, with a time to come back
+    Given every slot is taken by requests that hold it for 2 s
+    When 40 requests of tier 1 with an objective of 0.5 s arrive
+    Then some of them are refused at once with 3001 and a time to come back
+    And nobody is refused while a slot is free
+
+  Scenario: A leaving target gets nothing new
+    Given the list says that the first target is draining
+    When 3 requests of tier 1 arrive
+    Then the first target has 0 requests
+    And the second target has 2 requests
+
+  Scenario: A target that breaks answers is held off, then tried gently
+    When the first target breaks 2 answers
+    Then the first target gets nothing for 0.3 s
+    And after 5 s the first target gets one request at a time
+
+  Scenario: A target that owes its first byte for long is held off
+    When a request went to each target and the second answers
+    And 2 s pass
+    Then the first target gets nothing for 0.1 s
+
+  Scenario: A request goes where its prompt is kept
+    Given the second target has read the prompt parts p1 and p2
+    When a request with the prompt parts p1 and p2 arrives
+    Then the second target has 1 requests
+
+  Scenario: A gateway that is gone frees its slots
+    Given every slot is taken
+    When a request of tier 1 arrives from another gateway
+    And the first gateway is gone
+    Then the request of the other gateway has a target
+
+  Scenario: An abandoned request gives its tokens back
+    Given the workspace may take 100 tokens at once
+    And every slot is taken by others
+    When a request of 80 tokens waits and is abandoned
+    Then another of 80 tokens is not refused for its limit
--- /dev/null
+++ b/troutstand/tests/limits.feature
@@ -0,0 +1,22 @@
+Feature: Limits hold over all gateways together
+
+  Scenario: A limit is never passed in any window, also over a change of scheduler
+    Given a limit of 1000 tokens a second and a burst of 500, judged over 8 s with 10 in 100 and 2000 excess
+    When a workspace asks for four times as much for 30 s and the scheduler changes every 5 s
+    Then no window of 8 s holds more than 11350 tokens
+    And the workspace got at least 30000 tokens
+
+  Scenario: Two schedulers that split the gateways do not double a limit
+    Given a limit of 1000 tokens a second and a burst of 500, judged over 8 s with 10 in 100 and 2000 excess
+    When a workspace asks two schedulers of 4 and 2 gateways for four times as much for 30 s
+    Then no window of 8 s holds more than 11350 tokens
+
+  Scenario: A request larger than the burst passes a full bucket
+    Given a limit of 10 tokens a second and a burst of 50, judged over 8 s with 0 in 100 and 0 excess
+    Then a request of 80 tokens passes, and the next must wait 8 s or more
+
+  Scenario: Repeats are bounded by the requests of the window
+    Given a retry budget of 0.2 a request and 10 more in 10 s
+    When 100 requests and 100 repeats come within 5 s
+    Then at most 30 repeats are allowed and at least 15
+    And after 20 s at least 5 more repeats are allowed
--- /dev/null
+++ b/troutstand/tests/steps/dispatch.py
@@ -0,0 +1,275 @@
+"""Drive the dispatcher on a clock of its own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.configuration import RouteTable
+from troutstand.core.dispatch import Dispatcher
+from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.retries import RetryBudget
+from troutstand.generated.configuration import RoutedWorkspace
+from troutstand.generated.messages import (
+    Declined,
+    Ended,
+    Ending,
+    FirstByte,
+    ListedState,
+    ListedTarget,
+    Part,
+    Placed,
+    RoutedWork,
+)
+from troutstand.tests.steps.configuration import make_configuration, make_route
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_GATEWAY = "gateway-1"
+_OTHER_GATEWAY = "gateway-2"
+
+
+class Desk:
+    """Hold a dispatcher, its clock and what it decided."""
+
+    def __init__(self, targets: int, slots: int) -> None:
+        self.quotas = Quotas(QuotaBounds())
+        self.dispatcher = Dispatcher(self.quotas, RetryBudget(0.2, 50, 10.0))
+        self.now_s = 100.0
+        self.placed: dict[str, str] = {}
+        self.declined: dict[str, Declined] = {}
+        self.listed = [
+            ListedTarget(
+                f"t{n + 1}", "work", f"127.0.0.1:{n + 1}", "north", slots, ListedState.ready
+            )
+            for n in range(targets)
+        ]
+        self.dispatcher.use_targets(self.listed, self.now_s)
+        self._count = 0
+
+    def arrive(self, owner: str = _GATEWAY, **fields: object) -> str:
+        """Place a request and return its id."""
+        self._count += 1
+        name = f"r{self._count}"
+        known: dict[str, object] = {"objective_s": 1.0, "remaining_s": 8.0, "tier": 1}
+        work = RoutedWork(request=name, service="work", **(known | fields))  # type: ignore[arg-type]
+        self.dispatcher.place(work, owner, self.now_s)
+        self.collect()
+        return name
+
+    def collect(self) -> None:
+        """Take the decisions."""
+        for decision in self.dispatcher.take_decisions():
+            match decision.answer:
+                case Placed(request, target):
+                    self.placed[request] = target
+                case Declined(request):
+                    self.declined[request] = decision.answer
+
+    def end(self, request: str, ending: Ending = Ending.whole, total_s: float = 0.1) -> None:
+        """End a placed request."""
+        target = self.placed.pop(request)
+        self.dispatcher.end(Ended(request, target, ending, 0.05, total_s, 1), self.now_s)
+        self.collect()
+
+    def pass_time(self, length_s: float) -> None:
+        """Let time pass in small steps."""
+        end_s = self.now_s + length_s
+        while self.now_s < end_s:
+            self.now_s += 0.05
+            self.dispatcher.tick(self.now_s)
+            self.collect()
+
+    def count(self, target: str) -> int:
+        """Return how many requests a target has."""
+        return sum(1 for placed in self.placed.values() if placed == target)
+
+
+@given("a service with {targets:d} targets of {slots:d} slots")
+def use_desk(context: Context, targets: int, slots: int) -> None:
+    context.desk = Desk(targets, slots)
+
+
+@given("every slot is taken")
+def take_slots(context: Context) -> None:
+    context.first = [context.desk.arrive() for _ in range(4)]
+    assert len(context.desk.placed) == 4
+
+
+@given("every slot is taken by others")
+def take_slots_by_others(context: Context) -> None:
+    take_slots(context)
+
+
+@given("every slot is taken by requests that hold it for {hold_s:d} s")
+def take_slots_long(context: Context, hold_s: int) -> None:
+    for _ in range(20):
+        context.desk.end(context.desk.arrive(), total_s=float(hold_s))
+    take_slots(context)
+
+
+@given("the list says that the first target is draining")
+def drain_first(context: Context) -> None:
+    desk = context.desk
+    first = desk.listed[0]
+    leaving = ListedTarget(
+        first.target,
+        first.service,
+        first.address,
+        first.failure_domain,
+        first.slots,
+        ListedState.draining,
+    )
+    desk.dispatcher.use_targets([leaving, *desk.listed[1:]], desk.now_s)
+
+
+@given("the second target has read the prompt parts {first} and {second}")
+def remember_parts(context: Context, first: str, second: str) -> None:
+    state = context.desk.dispatcher.pools["work"].targets["t2"]
+    state.remember("m", [Part(first, 500), Part(second, 500)])
+
+
+@given("the workspace may take {tokens:d} tokens at once")
+def limit_workspace(context: Context, tokens: int) -> None:
+    workspace = RoutedWorkspace("w", tokens_per_s=1.0, burst_tokens=tokens)
+    table = RouteTable(make_configuration([make_route("r", "/")], [workspace]))
+    context.desk.dispatcher.use_table(table, context.desk.now_s)
+
+
+@when("{count:d} requests of tier {tier:d} arrive")
+def arrive_many(context: Context, count: int, tier: int) -> None:
+    context.later = [context.desk.arrive(tier=tier) for _ in range(count)]
+
+
+@when("{count:d} requests of tier {tier:d} with an objective of {objective_s:g} s arrive")
+def arrive_urgent(context: Context, count: int, tier: int, objective_s: float) -> None:
+    context.later = [context.desk.arrive(tier=tier, objective_s=objective_s) for _ in range(count)]
+
+
+@when("a request of tier {low:d} arrives, then one of tier {high:d}")
+def arrive_two(context: Context, low: int, high: int) -> None:
+    context.low = context.desk.arrive(tier=low)
+    context.high = context.desk.arrive(tier=high)
+
+
+@when("a slot gets free")
+def free_slot(context: Context) -> None:
+    context.desk.end(context.first[0])
+
+
+@when("the first target breaks {count:d} answers")
+def break_answers(context: Context, count: int) -> None:
+    desk = context.desk
+    while count:
+        request = desk.arrive()
+        if desk.placed[request] == "t1":
+            desk.end(request, Ending.broken)
+            count -= 1
+            desk.pass_time(0.6)
+
+
+@when("a request went to each target and the second answers")
+def answer_second(context: Context) -> None:
+    desk = context.desk
+    for _ in range(2):
+        desk.arrive()
+    assert desk.count("t1") == desk.count("t2") == 1
+    request = next(r for r, target in desk.placed.items() if target == "t2")
+    desk.dispatcher.note_first(FirstByte(request, "t2", 0.05), desk.now_s)
+
+
+@when("{length_s:d} s pass")
+def pass_seconds(context: Context, length_s: int) -> None:
+    context.desk.pass_time(length_s)
+
+
+@when("a request with the prompt parts {first} and {second} arrives")
+def arrive_with_parts(context: Context, first: str, second: str) -> None:
+    parts = [Part(first, 500), Part(second, 500)]
+    context.desk.arrive(prompt_tokens=1000, output_tokens=10, model="m", parts=parts)
+
+
+@when("a request of tier {tier:d} arrives from another gateway")
+def arrive_elsewhere(context: Context, tier: int) -> None:
+    context.later = [context.desk.arrive(_OTHER_GATEWAY, tier=tier)]
+
+
+@when("the first gateway is gone")
+def lose_gateway(context: Context) -> None:
+    context.desk.dispatcher.drop_owner(_GATEWAY, context.desk.now_s)
+    context.desk.collect()
+
+
+@when("a request of {tokens:d} tokens waits and is abandoned")
+def abandon(context: Context, tokens: int) -> None:
+    request = context.desk.arrive(workspace="w", charge=float(tokens))
+    assert request not in context.desk.declined
+    context.desk.dispatcher.abandon(request, context.desk.now_s)
+
+
+@then("each target has {count:d} requests")
+def check_each(context: Context, count: int) -> None:
+    assert [context.desk.count(t.target) for t in context.desk.listed] == [count, count]
+
+
+@then("the {place} target has {count:d} requests")
+def check_target(context: Context, place: str, count: int) -> None:
+    target = "t1" if place == "first" else "t2"
+    assert context.desk.count(target) == count, context.desk.placed
+
+
+@then("the request of tier {high:d} has a target and that of tier {low:d} waits")
+def check_order(context: Context, high: int, low: int) -> None:
+    desk = context.desk
+    assert context.high in desk.placed
+    assert context.low not in desk.placed
+    assert context.low not in desk.declined
+
+
+@then("some of them are refused at once with {code:d} and a time to come back")
+def check_refused(context: Context, code: int) -> None:
+    refused = [context.desk.declined[r] for r in context.later if r in context.desk.declined]
+    assert refused
+    assert all(r.code == code and r.retry_after_s > 0 for r in refused)
+
+
+@then("nobody is refused while a slot is free")
+def check_busy(context: Context) -> None:
+    assert len(context.desk.placed) == 4
+
+
+@then("the first target gets nothing for {length_s:g} s")
+def check_held_off(context: Context, length_s: float) -> None:
+    desk = context.desk
+    before = desk.count("t1")
+    end_s = desk.now_s + length_s
+    while desk.now_s < end_s:
+        request = desk.arrive()
+        if desk.placed.get(request) == "t2":
+            desk.end(request)
+        desk.pass_time(0.05)
+    assert desk.count("t1") <= before
+
+
+@then("after {length_s:d} s the first target gets one request at a time")
+def check_probe(context: Context, length_s: int) -> None:
+    desk = context.desk
+    desk.pass_time(length_s)
+    for _ in range(4):
+        desk.arrive()
+    assert desk.count("t1") == 1, desk.placed
+
+
+@then("the request of the other gateway has a target")
+def check_freed(context: Context) -> None:
+    assert context.later[0] in context.desk.placed
+
+
+@then("another of {tokens:d} tokens is not refused for its limit")
+def check_given_back(context: Context, tokens: int) -> None:
+    request = context.desk.arrive(workspace="w", charge=float(tokens))
+    declined = context.desk.declined.get(request)
+    assert declined is None or declined.code != ResultCode.WORKSPACE_LIMIT, declined
--- /dev/null
+++ b/troutstand/tests/steps/limits.py
@@ -0,0 +1,113 @@
+"""Drive limits and the retry budget on a clock of their own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.retries import RetryBudget
+from troutstand.generated.configuration import RoutedWorkspace
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_STEP_S = 0.05
+_REQUEST_TOKENS = 200.0
+_EPSILON = 1e-6
+
+
+@given(
+    "a limit of {rate:d} tokens a second and a burst of {burst:d}, "
+    "judged over {window_s:d} s with {percent:d} in 100 and {extra:d} excess"
+)
+def use_limit(
+    context: Context, rate: int, burst: int, window_s: int, percent: int, extra: int
+) -> None:
+    context.bounds = QuotaBounds(window_s, percent / 100, extra)
+    context.workspace = RoutedWorkspace("w", tokens_per_s=rate, burst_tokens=burst)
+    context.taken = []
+
+
+def _make_quotas(context: Context, now_s: float, share: float = 1.0) -> Quotas:
+    quotas = Quotas(context.bounds)
+    quotas.share = share
+    quotas.use_workspaces([context.workspace], now_s)
+    return quotas
+
+
+@when(
+    "a workspace asks for four times as much for {length_s:d} s "
+    "and the scheduler changes every {period_s:d} s"
+)
+def ask_over_changes(context: Context, length_s: int, period_s: int) -> None:
+    now_s, changed_s = 0.0, 0.0
+    quotas = _make_quotas(context, now_s)
+    while now_s < length_s:
+        if now_s - changed_s >= period_s:
+            changed_s = now_s
+            levels = quotas.list_levels(now_s)
+            quotas = _make_quotas(context, now_s)
+            for workspace, level in levels.items():
+                quotas.inherit(workspace, level, now_s)
+        if quotas.take("w", _REQUEST_TOKENS, now_s) == 0:
+            context.taken.append((now_s, _REQUEST_TOKENS))
+        now_s += _STEP_S
+
+
+@when(
+    "a workspace asks two schedulers of {first:d} and {second:d} gateways "
+    "for four times as much for {length_s:d} s"
+)
+def ask_two(context: Context, first: int, second: int, length_s: int) -> None:
+    total = first + second
+    both = [_make_quotas(context, 0.0, count / total) for count in (first, second)]
+    now_s = 0.0
+    while now_s < length_s:
+        for quotas in both:
+            if quotas.take("w", _REQUEST_TOKENS, now_s) == 0:
+                context.taken.append((now_s, _REQUEST_TOKENS))
+        now_s += _STEP_S
+
+
+@then("no window of {window_s:d} s holds more than {most:d} tokens")
+def check_windows(context: Context, window_s: int, most: int) -> None:
+    for start_s, _ in context.taken:
+        held = sum(a for t, a in context.taken if start_s <= t <= start_s + window_s)
+        assert held <= most, f"{held} tokens from {start_s:.2f} s on"
+
+
+@then("the workspace got at least {least:d} tokens")
+def check_least(context: Context, least: int) -> None:
+    assert sum(a for _, a in context.taken) >= least, sum(a for _, a in context.taken)
+
+
+@then("a request of {tokens:d} tokens passes, and the next must wait {wait_s:d} s or more")
+def check_large(context: Context, tokens: int, wait_s: int) -> None:
+    quotas = _make_quotas(context, 0.0)
+    assert quotas.take("w", tokens, 0.0) == 0
+    assert quotas.take("w", tokens, 0.0) >= wait_s - _EPSILON
+
+
+@given("a retry budget of {ratio:g} a request and {extra:d} more in {window_s:d} s")
+def use_budget(context: Context, ratio: float, extra: int, window_s: int) -> None:
+    context.budget = RetryBudget(ratio, extra, window_s)
+
+
+@when("{requests:d} requests and {repeats:d} repeats come within {length_s:d} s")
+def ask_repeats(context: Context, requests: int, repeats: int, length_s: int) -> None:
+    for number in range(requests):
+        context.budget.note_request("work", length_s * number / requests)
+    context.allowed = sum(context.budget.take("work", length_s) for _ in range(repeats))
+
+
+@then("at most {most:d} repeats are allowed and at least {least:d}")
+def check_repeats(context: Context, most: int, least: int) -> None:
+    assert least <= context.allowed <= most, context.allowed
+
+
+@then("after {length_s:d} s at least {least:d} more repeats are allowed")
+def check_later(context: Context, length_s: int, least: int) -> None:
+    allowed = sum(context.budget.take("work", float(length_s)) for _ in range(100))
+    assert allowed >= least, allowed
--- /dev/null
+++ b/troutstand/tests/succession.feature
@@ -0,0 +1,43 @@
+Feature: The keeper set mends itself, and only when it should
+
+  Scenario Outline: Who takes whose place
+    Given a set of keepers a, b and c for the loss of <losses> disks
+    When <event>
+    Then the next set <outcome>
+
+    Examples:
+      | losses | event                                  | outcome                      |
+      | 1      | all are heard                          | is not due                   |
+      | 1      | c is silent for 9 s                    | is not due                   |
+      | 1      | c is silent for 9 s and d waits        | has d copying in c's place   |
+      | 1      | c is silent for 1 s and d waits        | is not due                   |
+      | 1      | c returns with another disk            | has c copying in c's place   |
+      | 1      | d waits                                | is not due                   |
+      | 2      | d waits                                | has d copying beside c       |
+      | 1      | all but a were silent since a stood still and d waits | is not due    |
+
+  Scenario: One disk copies at a time
+    Given a set of keepers a, b and c for the loss of 2 disks
+    When d waits
+    And the next set is in force and e waits
+    Then the next set is not due
+
+  Scenario: A copying disk that falls silent gives its place to another
+    Given a set of keepers a, b and c for the loss of 1 disks
+    When c is silent for 9 s and d waits
+    And the next set is in force, d is silent for 9 s and e waits
+    Then the next set has e copying in d's place
+
+  Scenario Outline: A copying disk reads a majority of all members
+    Given a set of <size> keepers
+    Then a copying disk reads <needed> voters
+
+    Examples:
+      | size | needed |
+      | 3    | 2      |
+      | 5    | 3      |
+
+  Scenario: Word of a dead process fades although others pass it on
+    Given a contact heard 3 s ago
+    When the same word is passed on with its age for 25 s
+    Then the contact is forgotten
