Rank by the workspace's tier, then the route's, and refuse who cannot be in time

Change: rank is (workspace tier, route tier, late, due); patience is what the objective leaves after the expected first byte.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -26,10 +26,14 @@
 _GUESS_PREFILL_S = 5e-5
 _GUESS_TOKEN_S = 8e-3
 _GUESS_SERVICE_S = 3e-2
+_GUESS_HOLD_S = 0.3
 _HOLD_EWMA = 0.1
-# How long a request may wait, as a multiple of its objective.
-_PATIENCE = 1.5
-_MIN_PATIENCE_S = 0.15
+# The share of its objective that a request's wait and first byte may take
+# together; the rest is for the way and for what was estimated wrongly.
+_IN_TIME_SHARE = 0.85
+# How long a request that comes too late may wait, as a multiple of its objective.
+_LATE_PATIENCE = 0.0
+_MAX_WAIT_SHARE = 0.4
 # A request declined before this share of its objective may still come in time.
 _EARLY = 0.25
 _OCCUPANCY_WEIGHT = 0.15
@@ -39,7 +43,7 @@
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
 _NO_TARGET_WAIT_S = 0.3
-_IDLE_FACTOR = 1.2
+_OVERTAKEN = 1.2
 
 
 @dataclass(frozen=True)
@@ -58,11 +62,17 @@
     owner: str
     arrived_s: float
     deadline_s: float
+    is_late: bool = False
 
     @property
-    def rank(self) -> tuple[int, float]:
-        """Return what sorts the queue: the tier, then who is due first."""
-        return (self.work.tier, self.arrived_s + self.work.objective_s)
+    def due_s(self) -> float:
+        """Return until when the first byte is in time."""
+        return self.arrived_s + self.work.objective_s
+
+    @property
+    def rank(self) -> tuple[int, bool, float]:
+        """Return what sorts the queue: the tier, who can be in time, who is due first."""
+        return (self.work.tier, self.is_late, self.due_s)
 
 
 @dataclass
@@ -85,7 +95,7 @@
     def estimate_wait(self, ahead: int) -> float:
         """Return the seconds until a request with some ahead of it gets a slot."""
         slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
-        hold_s = self.hold_s or _GUESS_SERVICE_S
+        hold_s = self.hold_s or _GUESS_HOLD_S
         return (ahead + 1) * hold_s / max(1, slots)
 
 
@@ -317,9 +327,23 @@
         if not pool.list_usable():
             return
         wait_s = pool.estimate_wait(self._count_ahead(pool, waiting))
-        if wait_s > _find_patience(waiting.work):
+        if wait_s <= self._find_patience(pool, waiting.work):
+            return
+        # Too late for its objective, so that it goes behind those that can make theirs.
+        waiting.is_late = True
+        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting))
+        most_s = min(
+            _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
+        )
+        if wait_s > most_s:
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
 
+    def _find_patience(self, pool: Pool, work: RoutedWork) -> float:
+        """Return how long a request may wait and still be in time."""
+        firsts = [self._estimate_first(pool, t, work) for t in pool.list_usable() if not t.strikes]
+        first_s = min(firsts, default=0.0)
+        return max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
+
     def _judge_waiting(self, pool: Pool, now_s: float) -> None:
         """Refuse who can no longer be served in time, the later ones first."""
         has_targets = bool(pool.list_usable())
@@ -330,10 +354,19 @@
             is_early = waited_s < _EARLY * waiting.work.objective_s
             if now_s + measure_service(pool.hold_s or 0.0) * 0.5 > waiting.deadline_s:
                 self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
-            elif not has_targets and waited_s > _NO_TARGET_WAIT_S:
-                self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
-            elif is_early and waited_s + wait_s > _IDLE_FACTOR * _find_patience(waiting.work):
-                self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
+            elif not has_targets:
+                if waited_s > _NO_TARGET_WAIT_S:
+                    self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
+            elif is_early and not waiting.is_late:
+                self._judge_early(pool, waiting, waited_s + wait_s, now_s)
+            elif now_s > waiting.due_s:
+                waiting.is_late = True
+
+    def _judge_early(self, pool: Pool, waiting: Waiting, total_s: float, now_s: float) -> None:
+        """Refuse who was overtaken, while coming back may still be in time."""
+        patience_s = _OVERTAKEN * self._find_patience(pool, waiting.work)
+        if total_s > max(patience_s, _LATE_PATIENCE * waiting.work.objective_s):
+            self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, total_s, now_s)
 
     def _refuse(
         self, pool: Pool, waiting: Waiting, code: ResultCode, wait_s: float, now_s: float
@@ -349,8 +382,3 @@
         retry_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
         declined = Declined(work.request, int(code), retry_s, reason)
         self._decisions.append(Decision(owner, declined))
-
-
-def _find_patience(work: RoutedWork) -> float:
-    wanted_s = max(_MIN_PATIENCE_S, _PATIENCE * work.objective_s)
-    return min(wanted_s, work.remaining_s * 0.5)
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -20,6 +20,7 @@
     from troutstand.routing.exchange import Headers
 
 _MAX_PARTS = 64
+_TIER_SPAN = 1000
 _MILLISECONDS = 1000.0
 
 
@@ -62,10 +63,9 @@
 
     @property
     def tier(self) -> int:
-        """Return the tier: the workspace's own goes before the route's."""
-        if self.workspace is not None and self.workspace.tier is not None:
-            return self.workspace.tier
-        return self.route.tier
+        """Return the tier: the workspace's goes first, then the route's."""
+        own = self.workspace.tier if self.workspace is not None else None
+        return (own or 0) * _TIER_SPAN + min(self.route.tier, _TIER_SPAN - 1)
 
     @property
     def objective_s(self) -> float:
--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -132,6 +132,12 @@
             code = ResultCode.CONFIGURATION_INVALID
             self._node.events.emit("configuration_unreadable", code=code, version=version)
         else:
-            self._node.events.emit("configuration_in_force", version=version, before=self.version)
+            self._node.events.emit(
+                "configuration_in_force",
+                version=version,
+                before=self.version,
+                routes=len(table.configuration.routes),
+                workspaces=len(table.configuration.workspaces),
+            )
             self.table = table
             self._on_table(table)
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -103,7 +103,7 @@
         return answer
 
     def _labels(self) -> tuple[str, str]:
-        return self._call.route.kind.value, str(self._call.tier)
+        return self._call.route.kind.value, str(self._call.route.tier)
 
     async def _attempt(self, placed: Placed) -> web.StreamResponse:
         started_s = time.monotonic()
