Replace lost keepers: skip disks that were renewed, and never judge oneself gone

Ruled out: lost contacts (each log shows the spare found within 0.1 s). Change: a voter counts as live only with the disk that the set names; the asking process is never among the gone or the candidates. Before: a wiped disk never voted again.

--- a/troutstand/core/succession.py
+++ b/troutstand/core/succession.py
@@ -41,12 +41,19 @@
 
 
 def plan_change(
-    keepers: KeeperSet, book: ContactBook, now_s: float, watching_since_s: float, size: int
+    keepers: KeeperSet,
+    own: str,
+    book: ContactBook,
+    now_s: float,
+    watching_since_s: float,
+    size: int,
 ) -> KeeperSet | None:
     """Return the set that should follow, or None while nothing should change.
 
     Parameters
     ----------
+    own
+        The asking process, which its own book does not hold.
     watching_since_s
         Since when the asking process has heard others without a gap of its own.
     size
@@ -57,11 +64,12 @@
         if contact is not None and contact.disk_id not in ("", member.disk_id):
             return _put_member(keepers, member.process, contact)
     is_watching = now_s - watching_since_s > GONE_S
-    gone = [m for m in keepers.members if book.measure_age(m.process, now_s) > GONE_S]
+    others = [m for m in keepers.members if m.process != own]
+    gone = [m for m in others if book.measure_age(m.process, now_s) > GONE_S]
     copying = [m for m in keepers.members if m.state is MemberState.copying]
     if any(member not in gone for member in copying):
         return None
-    candidate = _find_candidate(keepers, book, now_s)
+    candidate = _find_candidate(keepers, own, book, now_s)
     if candidate is None:
         return None
     if len(keepers.members) < size:
@@ -89,8 +97,10 @@
     return known.contact
 
 
-def _find_candidate(keepers: KeeperSet, book: ContactBook, now_s: float) -> Contact | None:
-    held = {member.process for member in keepers.members}
+def _find_candidate(
+    keepers: KeeperSet, own: str, book: ContactBook, now_s: float
+) -> Contact | None:
+    held = {own, *(member.process for member in keepers.members)}
     for process in book.list_role(KEEPER_ROLE):
         contact = _find_fresh(book, process, now_s)
         if process not in held and contact is not None and contact.disk_id:
--- a/troutstand/routing/replacement.py
+++ b/troutstand/routing/replacement.py
@@ -13,7 +13,7 @@
 from troutstand.core.acceptor import list_voters
 from troutstand.core.codec import decode_record, encode_record
 from troutstand.core.errors import TroutstandError
-from troutstand.core.succession import count_needed, plan_change, promote
+from troutstand.core.succession import FRESH_S, count_needed, plan_change, promote
 from troutstand.daemon.membership import name_keepers
 from troutstand.generated.messages import (
     CopyAsk,
@@ -22,6 +22,7 @@
     KeeperSet,
     KeepersInstall,
     KeepersReply,
+    Member,
     MemberState,
     Refused,
 )
@@ -61,19 +62,27 @@
     def _is_first_voter(self, keepers: KeeperSet) -> bool:
         """Tell whether no live voter stands before this one; rivals are harmless but slow."""
         now_s = time.monotonic()
-        book = self._keeper.node.book
-        for voter in sorted(list_voters(keepers)):
-            if voter == self._keeper.node.process:
+        for member in sorted(keepers.members, key=lambda member: member.process):
+            if member.process == self._keeper.node.process:
                 return True
-            if book.measure_age(voter, now_s) < 1.0:
+            if member.state is MemberState.voting and self._is_live(member, now_s):
                 return False
         return False
 
+    def _is_live(self, member: Member, now_s: float) -> bool:
+        """Tell whether a member was heard lately with the disk that the set names."""
+        known = self._keeper.node.book.find(member.process)
+        if known is None or now_s - known.heard_s > FRESH_S:
+            return False
+        return known.contact.disk_id == member.disk_id
+
     async def _change(self, keepers: KeeperSet) -> None:
         size = 2 * self._keeper.node.settings.disks_lost + 1
         now_s = time.monotonic()
         book = self._keeper.node.book
-        following = plan_change(keepers, book, now_s, self._watching_since_s, size)
+        following = plan_change(
+            keepers, self._keeper.node.process, book, now_s, self._watching_since_s, size
+        )
         if following is not None:
             await self._decide(following)
 
--- a/troutstand/tests/steps/succession.py
+++ b/troutstand/tests/steps/succession.py
@@ -16,6 +16,7 @@
 
 _NOW_S = 1000.0
 _FIRST_DISK = "first"
+_OWN = "a"
 
 
 def make_contact(process: str, disk_id: str, age_s: float = 0.0) -> Contact:
@@ -76,6 +77,13 @@
     _hear(context, "c", "empty")
 
 
+@when("a hears all but itself and d waits")
+def wait_without_own(context: Context) -> None:
+    _hear(context, "b")
+    _hear(context, "c")
+    _hear(context, "d", "spare")
+
+
 @when("d waits")
 def wait_d(context: Context) -> None:
     hear_all(context)
@@ -93,7 +101,7 @@
 
 def _plan(context: Context) -> None:
     context.following = plan_change(
-        context.keepers, context.book, context.now_s, context.watching_since_s, context.size
+        context.keepers, _OWN, context.book, context.now_s, context.watching_since_s, context.size
     )
 
 
--- a/troutstand/tests/succession.feature
+++ b/troutstand/tests/succession.feature
@@ -13,6 +13,7 @@
       | 1      | c is silent for 1 s and d waits        | is not due                   |
       | 1      | c returns with another disk            | has c copying in c's place   |
       | 1      | d waits                                | is not due                   |
+      | 1      | a hears all but itself and d waits     | is not due                   |
       | 2      | d waits                                | has d copying beside c       |
       | 1      | all but a were silent since a stood still and d waits | is not due    |
 
