Test the relay and a routed site of real processes, and end a stop quietly

Change: the stop waits until nothing was open for 0.6 s. Initial guesses of holding times differ by kind of work, so that a new scheduler does not refuse short work (routed.feature, 'The scheduler dies').

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -92,10 +92,11 @@
         """Return the targets that take new work at all."""
         return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
 
-    def estimate_wait(self, ahead: int) -> float:
+    def estimate_wait(self, ahead: int, work: RoutedWork) -> float:
         """Return the seconds until a request with some ahead of it gets a slot."""
         slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
-        hold_s = self.hold_s or _GUESS_HOLD_S
+        guess_s = _GUESS_HOLD_S if work.prompt_tokens else _GUESS_SERVICE_S
+        hold_s = self.hold_s or guess_s
         return (ahead + 1) * hold_s / max(1, slots)
 
 
@@ -326,12 +327,12 @@
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
             return
-        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting))
+        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting), waiting.work)
         if wait_s <= self._find_patience(pool, waiting.work):
             return
         # Too late for its objective, so that it goes behind those that can make theirs.
         waiting.is_late = True
-        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting))
+        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting), waiting.work)
         most_s = min(
             _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
         )
@@ -350,7 +351,7 @@
         ordered = sorted(pool.waiting.values(), key=lambda w: w.rank)
         for ahead, waiting in reversed(list(enumerate(ordered))):
             waited_s = now_s - waiting.arrived_s
-            wait_s = pool.estimate_wait(ahead)
+            wait_s = pool.estimate_wait(ahead, waiting.work)
             is_early = waited_s < _EARLY * waiting.work.objective_s
             if now_s + measure_service(pool.hold_s or 0.0) * 0.5 > waiting.deadline_s:
                 self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -241,6 +241,7 @@
     traffic: Traffic
     is_up: bool = False
     is_refused: bool = False
+    from_ip: str = ""
     _sequence: int = 0
     _asks: dict[int, asyncio.Future[PeerMessage]] = field(default_factory=dict)
     _queue: asyncio.Queue[bytes] = field(init=False)
@@ -280,6 +281,7 @@
             ping_timeout=self.limits.lease_s,
             close_timeout=self.limits.lease_s,
             proxy=None,
+            local_addr=(self.from_ip, 0) if self.from_ip else None,
         ) as socket:
             await asyncio.wait_for(self._greet(socket), self.limits.lease_s)
             self.is_up, self.is_refused = True, False
--- a/troutstand/daemon/main.py
+++ b/troutstand/daemon/main.py
@@ -97,8 +97,25 @@
     return describe_code(errors[0].code).exit_code
 
 
+def start_routed(settings: Path, check: bool) -> None:
+    """Run, or only check the settings of, a process of a routed site."""
+    from troutstand.routing.dialect import Dialect
+    from troutstand.routing.main import load_routing_settings, run_process
+
+    if not check:
+        run_process(settings, Dialect())
+        return
+    try:
+        load_routing_settings(settings)
+    except TroutstandError as error:
+        sys.exit(_report(error))
+    print(f"{settings.name}: in order")
+
+
 @app.default
-def start(settings: Path, *, check: bool = False, format: bool = False) -> None:
+def start(
+    settings: Path, *, check: bool = False, format: bool = False, routed: bool = False
+) -> None:
     """Run the process that a settings file describes.
 
     Parameters
@@ -109,7 +126,13 @@
         Only check the settings and the data folder.
     format
         Only make the data folder of a new disk.
+    routed
+        The settings are those of a routed site's process; its keepers make their
+        folders themselves.
     """
+    if routed:
+        start_routed(settings, check)
+        return
     exit_code = 0
     try:
         loaded = load_settings(settings)
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -35,6 +35,8 @@
 _BACKLOG = 1024
 _KEEP_ALIVE_S = 75.0
 _POLL_S = 0.02
+_QUIET_S = 0.6
+_SHUTDOWN_S = 0.4
 # After this share of the time to stop, no new request is expected any more.
 _QUIET_SHARE = 0.375
 # What is left at this share is cut, so that the process ends by itself.
@@ -98,7 +100,7 @@
             max_field_size=MAX_HEADER_BYTES,
             keepalive_timeout=_KEEP_ALIVE_S,
         )
-        runner = web.ServerRunner(server, shutdown_timeout=0.2)
+        runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
         await runner.setup()
         address = parse_address(self.settings.callers)
         self._site = web.TCPSite(runner, address.ip, address.port, backlog=_BACKLOG)
@@ -145,9 +147,7 @@
         await asyncio.sleep(_QUIET_SHARE * self.settings.stop_s)
         if self._site is not None:
             await self._site.stop()
-        end_s = started_s + _END_SHARE * self.settings.stop_s
-        while self.open_requests and time.monotonic() < end_s:
-            await asyncio.sleep(_POLL_S)
+        await self._wait_quiet(started_s + _END_SHARE * self.settings.stop_s)
         self.node.events.emit("stop_ended", left=self.open_requests)
         for runner in self._runners:
             with contextlib.suppress(Exception):
@@ -156,6 +156,17 @@
         self.targets.close()
         await self.node.close()
 
+    async def _wait_quiet(self, end_s: float) -> None:
+        """Wait until no request was open for a while: one may be on its way here."""
+        busy_s = time.monotonic()
+        while time.monotonic() < end_s:
+            now_s = time.monotonic()
+            if self.open_requests:
+                busy_s = now_s
+            elif now_s - busy_s > _QUIET_S:
+                return
+            await asyncio.sleep(_POLL_S)
+
     # Requests
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -96,11 +96,15 @@
         """Take links from the other processes."""
         self._server = LinkServer(self.identity, None, _LINK_LIMITS, self.events, handler)
         try:
-            await self._server.start(parse_address(self.process))
+            await self._server.start(self._find_own_address())
         except OSError as error:
             detail = f"link {self.process}: {error}"
             raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
 
+    def _find_own_address(self) -> Address:
+        address = parse_address(self.process)
+        return Address(self.settings.bind_ip or address.ip, address.port)
+
     async def close(self) -> None:
         """Cancel what runs and close the links."""
         self.state = ProcessState.stopped
@@ -131,7 +135,15 @@
         if held is not None:
             return held[0]
         address = parse_address(process)
-        link = Link(self.identity, process, address, _LINK_LIMITS, self.events, self.traffic)
+        link = Link(
+            self.identity,
+            process,
+            address,
+            _LINK_LIMITS,
+            self.events,
+            self.traffic,
+            from_ip=self.settings.bind_ip,
+        )
         task = asyncio.create_task(link.run(), name=f"link {process}")
         self._links[process] = (link, task)
         return link
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -178,11 +178,11 @@
 
     def _check_head(self, outgoing: Outgoing, head: AnswerHead) -> None:
         echo = head.get(self._names.request)
-        if echo is not None and echo != outgoing.request:
+        if echo and echo != outgoing.request:
             raise SendError(Ending.broken, f"the answer is for request {echo!r}")
         if head.status == MISDIRECTED or head.get(self._names.not_run) is not None:
             raise SendError(Ending.turned_away, f"status {head.status}, not run")
-        if head.get(self._names.seal) is None or echo is None:
+        if head.get(self._names.seal) is None or not echo:
             raise SendError(Ending.broken, f"status {head.status} without the target's seal")
         if head.get("content-encoding") is not None:
             raise SendError(Ending.broken, "the body is encoded")
--- /dev/null
+++ b/troutstand/testing/routedcaller.py
@@ -0,0 +1,99 @@
+"""Call a routed site as its callers do, and keep what came of each call."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from troutstand.testing.routedsite import HOST, KEY
+
+if TYPE_CHECKING:
+    from troutstand.testing.routedsite import HostProcess
+
+_GRACE_S = 1.0
+
+
+@dataclass(frozen=True)
+class CallResult:
+    """Tell how a call ended; status 0 stands for a broken or missing answer."""
+
+    request: str
+    route: str
+    gateway: str
+    status: int
+    body: bytes
+    retry_after: str
+    began_s: float
+    ended_s: float
+    detail: str = ""
+
+    @property
+    def took_s(self) -> float:
+        """Return how long the call took."""
+        return self.ended_s - self.began_s
+
+
+class RoutedCaller:
+    """Send requests with ids of their own."""
+
+    def __init__(self, session: aiohttp.ClientSession, prefix: str = "call") -> None:
+        self.results: list[CallResult] = []
+        self._session = session
+        self._prefix = prefix
+        self._numbers = itertools.count(1)
+
+    async def call(
+        self,
+        gateway: HostProcess,
+        route: str,
+        body: bytes = b"",
+        key: str = KEY,
+        tokens: str = "",
+        deadline_s: float = 3.0,
+    ) -> CallResult:
+        """Send one request and wait for its answer."""
+        request = f"{self._prefix}-{next(self._numbers)}"
+        method = "GET" if route.startswith("/get") else "POST"
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request,
+            "X-Workspace-Key": key,
+            "X-Deadline-Ms": str(int(deadline_s * 1000)),
+        }
+        if tokens or route.startswith("/stream"):
+            headers["X-Token-Count"] = tokens or "10,10"
+        url = f"http://{gateway.settings.callers}{route}x"
+        began_s = time.monotonic()
+        status, data, retry_after, detail = 0, b"", "", ""
+        limit = aiohttp.ClientTimeout(total=deadline_s + _GRACE_S)
+        try:
+            async with self._session.request(
+                method, url, headers=headers, data=body or None, timeout=limit
+            ) as response:
+                data = await response.read()
+                status = response.status
+                retry_after = response.headers.get("Retry-After", "")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = f"{type(error).__name__}: {error}"
+        except asyncio.CancelledError:
+            detail = "left"
+            raise
+        finally:
+            result = CallResult(
+                request,
+                route,
+                gateway.name,
+                status,
+                data,
+                retry_after,
+                began_s,
+                time.monotonic(),
+                detail,
+            )
+            self.results.append(result)
+        return result
--- /dev/null
+++ b/troutstand/testing/routedsite.py
@@ -0,0 +1,298 @@
+"""Start a routed site's real processes on loopback, each host at its own IP number."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from troutstand.generated.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RoutedService,
+    RoutedWorkspace,
+    RouteKind,
+    WeightedService,
+)
+from troutstand.generated.routing import RoutingRole, RoutingSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from troutstand.testing.standins import StandInList
+
+LINK_KEY_HEX = "00112233445566778899aabbccddeeff"
+_FIRST_PORT = 7600
+_CALLERS_PORT = 7700
+_READINESS_PORT = 7701
+_CONTROL_PORT = 7702
+_POLL_S = 0.02
+_WAIT_S = 30.0
+KEY = "key-one"
+HOST = "one.example"
+
+
+@dataclass
+class HostProcess:
+    """Hold one process of the site and how it is started."""
+
+    name: str
+    settings: RoutingSettings
+    path: Path
+    log: Path
+    child: subprocess.Popen[bytes] | None = None
+    starts: int = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.child is not None and self.child.poll() is None
+
+
+@dataclass
+class RoutedPlan:
+    """Say what a site consists of.
+
+    Parameters
+    ----------
+    subnet
+        The second and third number of the hosts' addresses, so that sites beside
+        each other do not meet.
+    """
+
+    gateways: int = 2
+    keepers: int = 3
+    schedulers: int = 2
+    disks_lost: int = 1
+    subnet: str = "77.1"
+    stop_s: float = 2.0
+    quota_extra: float = 0.0
+    domains: tuple[str, ...] = ("north", "south", "east")
+
+
+class RoutedSite:
+    """Run a routed site and talk to it as callers and operators do."""
+
+    def __init__(self, folder: Path, plan: RoutedPlan, targets: StandInList) -> None:
+        self.folder = folder
+        self.plan = plan
+        self.targets = targets
+        self.processes: dict[str, HostProcess] = {}
+        self._hosts = 0
+        self._is_first = True
+
+    def _next_ip(self) -> str:
+        self._hosts += 1
+        return f"127.{self.plan.subnet}.{self._hosts}"
+
+    def lay_out(self) -> None:
+        """Write the settings of every process; the target list must listen already."""
+        ips = [self._next_ip() for _ in range(self.plan.keepers)]
+        self.seeds = [f"{ip}:{_CONTROL_PORT}" for ip in ips[:3]]
+        for number, ip in enumerate(ips):
+            self.add(RoutingRole.keeper, f"keeper-{number + 1}", ip)
+        for number in range(self.plan.schedulers):
+            self.add(RoutingRole.scheduler, f"scheduler-{number + 1}", ips[number])
+        for number in range(self.plan.gateways):
+            self.add(RoutingRole.gateway, f"gateway-{number + 1}", self._next_ip())
+
+    def add(self, role: RoutingRole, name: str, ip: str | None = None) -> HostProcess:
+        """Add a process, at a new address unless one is given."""
+        ip = ip or self._next_ip()
+        domain = self.plan.domains[len(self.processes) % len(self.plan.domains)]
+        settings = RoutingSettings(
+            site="test",
+            host=name,
+            failure_domain=domain,
+            role=role,
+            ip=ip,
+            bind_ip=ip,
+            first_port=_FIRST_PORT,
+            link_key_hex=LINK_KEY_HEX,
+            seeds=self.seeds,
+            first_start=self._is_first,
+            callers=f"{ip}:{_CALLERS_PORT}" if role is RoutingRole.gateway else "",
+            readiness=f"{ip}:{_READINESS_PORT}" if role is RoutingRole.gateway else "",
+            control=f"{ip}:{_CONTROL_PORT}" if role is RoutingRole.keeper else "",
+            data_folder=str(self.folder / name) if role is RoutingRole.keeper else "",
+            target_list=self.targets.address,
+            disks_lost=self.plan.disks_lost,
+            stop_s=self.plan.stop_s,
+            quota_extra=self.plan.quota_extra,
+        )
+        process = HostProcess(
+            name, settings, self.folder / f"{name}.json", self.folder / f"{name}.log"
+        )
+        self.processes[name] = process
+        return process
+
+    def start(self, name: str) -> None:
+        """Start one process."""
+        process = self.processes[name]
+        process.path.write_bytes(msgspec.json.encode(process.settings))
+        command = [sys.executable, "-m", "troutstand.daemon.main", str(process.path), "--routed"]
+        with process.log.open("ab") as log:
+            process.child = subprocess.Popen(command, stdout=log, stderr=log)
+        process.starts += 1
+
+    def start_all(self) -> None:
+        """Start every process; later starts are no longer first ones."""
+        for name in list(self.processes):
+            self.start(name)
+        self._is_first = False
+        for process in self.processes.values():
+            process.settings = msgspec.structs.replace(process.settings, first_start=False)
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Signal a process that this site started."""
+        child = self.processes[name].child
+        if child is not None and child.poll() is None:
+            child.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait until it is gone."""
+        child = self.processes[name].child
+        if child is not None and child.poll() is None:
+            child.send_signal(signal.SIGCONT)
+            child.kill()
+            child.wait()
+
+    def stop(self) -> None:
+        """Kill whatever still runs."""
+        for name in self.processes:
+            self.kill(name)
+
+    def list_role(self, role: RoutingRole) -> list[HostProcess]:
+        """Return the processes of a role."""
+        return [p for p in self.processes.values() if p.settings.role is role]
+
+    def read_logs(self) -> str:
+        """Return what all processes wrote."""
+        return "".join(p.log.read_text() for p in self.processes.values() if p.log.exists())
+
+    # As operators and callers do
+
+    async def write(self, session: aiohttp.ClientSession, name: str, body: bytes) -> int:
+        """Send a configuration to one keeper; 0 stands for no clear answer."""
+        url = f"http://{self.processes[name].settings.control}/configuration"
+        try:
+            async with session.put(url, data=body, timeout=_limit(3.0)) as response:
+                await response.read()
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def write_anywhere(self, session: aiohttp.ClientSession, body: bytes) -> None:
+        """Send a configuration until it is acknowledged."""
+        names = [p.name for p in self.list_role(RoutingRole.keeper)]
+
+        async def is_taken() -> bool:
+            for name in names:
+                if await self.write(session, name, body) == 200:
+                    return True
+            return False
+
+        await wait_until(is_taken, "a configuration is acknowledged")
+
+    async def read(self, session: aiohttp.ClientSession, name: str) -> bytes | None:
+        """Read the configuration at one keeper, or None where it cannot tell."""
+        url = f"http://{self.processes[name].settings.control}/configuration"
+        try:
+            async with session.get(url, timeout=_limit(3.0)) as response:
+                data = await response.read()
+                return data if response.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    async def is_ready(self, session: aiohttp.ClientSession, name: str) -> bool:
+        """Tell whether a gateway calls itself ready."""
+        url = f"http://{self.processes[name].settings.readiness}/ready"
+        try:
+            async with session.get(url, timeout=_limit(1.0)) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
+        """Wait until every gateway that runs is ready."""
+        for process in self.list_role(RoutingRole.gateway):
+            if process.is_running:
+                name = process.name
+                await wait_until(lambda n=name: self.is_ready(session, n), f"{name} is ready")
+
+
+def _limit(total_s: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=total_s)
+
+
+async def wait_until(condition: Callable, what: str, limit_s: float = _WAIT_S) -> None:
+    """Wait for a condition, polling, up to a bound."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        if await condition():
+            return
+        await asyncio.sleep(_POLL_S)
+    raise AssertionError(f"not within {limit_s} s: {what}")
+
+
+@dataclass
+class ConfigurationPlan:
+    """Say what a test's configuration holds."""
+
+    version: int = 1
+    routes: list[Route] = field(default_factory=list)
+    workspaces: list[RoutedWorkspace] = field(default_factory=list)
+    services: tuple[str, ...] = ("work", "engine")
+
+    def encode(self) -> bytes:
+        """Write the configuration in the product's own form."""
+        configuration = Configuration(
+            version=self.version,
+            limits=CallerLimits(),
+            routes=self.routes or make_routes(),
+            services=[RoutedService(name) for name in self.services],
+            workspaces=self.workspaces or [RoutedWorkspace("one", keys=[KEY])],
+        )
+        return json.dumps(msgspec.to_builtins(configuration)).encode()
+
+
+def make_routes() -> list[Route]:
+    """Make one route of each kind."""
+    return [
+        make_route("get", "/get/", RouteKind.idempotent, attempts=2),
+        make_route("do", "/do/", RouteKind.non_idempotent),
+        make_route("stream", "/stream/", RouteKind.streaming, "engine"),
+        make_route("resume", "/stream/resume/", RouteKind.streaming, "engine", 3, True),
+    ]
+
+
+def make_route(
+    name: str,
+    prefix: str,
+    kind: RouteKind,
+    service: str = "work",
+    attempts: int = 1,
+    resumable: bool = False,
+) -> Route:
+    """Make a route of the tests' host name."""
+    return Route(
+        name=name,
+        host=HOST,
+        prefix=prefix,
+        kind=kind,
+        timeout_ms=4000,
+        split=[WeightedService(service, 1.0)],
+        objective_ms=400,
+        attempts=attempts,
+        resumable=resumable,
+    )
--- /dev/null
+++ b/troutstand/testing/scripted.py
@@ -0,0 +1,118 @@
+"""Stand in for a target that answers byte for byte as a test says."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_LINGER_RESET = struct.pack("ii", 1, 0)
+_HEAD_END = b"\r\n\r\n"
+
+
+class Close(Enum):
+    """Say what the target does behind an answer's bytes."""
+
+    KEEP = "keep"
+    END = "end"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Hold the bytes of one answer and what follows them."""
+
+    data: bytes
+    close: Close = Close.KEEP
+    is_early: bool = False
+
+
+@dataclass
+class Received:
+    """Hold one request as it came."""
+
+    head: bytes
+    body: bytes
+    connection: int
+
+    def find_header(self, name: str) -> str:
+        """Return a header's value, or nothing."""
+        for line in self.head.decode("latin-1").split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.strip().lower() == name:
+                return value.strip()
+        return ""
+
+
+@dataclass
+class ScriptedTarget:
+    """Answer the requests in their order with the replies given; the last one repeats."""
+
+    replies: Sequence[Reply]
+    received: list[Received] = field(default_factory=list)
+    address: str = ""
+    _connections: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the listening socket."""
+        if self._server:
+            self._server.close()
+
+    def _next_reply(self) -> Reply:
+        return self.replies[min(len(self.received), len(self.replies)) - 1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections += 1
+        connection = self._connections
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await self._serve_one(reader, writer, connection):
+                pass
+        writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: int
+    ) -> bool:
+        head = (await reader.readuntil(_HEAD_END))[: -len(_HEAD_END)]
+        request = Received(head, b"", connection)
+        length = int(request.find_header("content-length") or 0)
+        self.received.append(request)
+        reply = self._next_reply()
+        if reply.is_early:
+            writer.write(reply.data)
+            await writer.drain()
+        request.body = await reader.readexactly(length)
+        if not reply.is_early:
+            writer.write(reply.data)
+            await writer.drain()
+        match reply.close:
+            case Close.KEEP:
+                return True
+            case Close.SILENT:
+                await reader.read()
+            case Close.RESET:
+                reset_connection(writer)
+            case Close.END:
+                pass
+        return False
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its peer sees a reset."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    writer.transport.abort()
--- a/troutstand/tests/environment.py
+++ b/troutstand/tests/environment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +19,7 @@
     """Keep what outlives a scenario; attributes of the context itself do not."""
 
     site: Site | None = None
+    subnets: int = 0
 
 
 def before_all(context: Context) -> None:
@@ -31,6 +33,12 @@
     return Path(tempfile.mkdtemp(dir=context.scratch.name))
 
 
+def next_subnet(context: Context) -> str:
+    """Return loopback numbers that no other site of this or another run uses now."""
+    context.shared.subnets += 1
+    return f"{os.getpid() % 200 + 20}.{context.shared.subnets % 250}"
+
+
 def start_site(context: Context, plan: SitePlan) -> Site:
     """Start a site for one scenario."""
     site = Site(make_folder(context), plan)
--- /dev/null
+++ b/troutstand/tests/relay.feature
@@ -0,0 +1,63 @@
+Feature: Only a target's whole answer to the very request passes
+
+  Scenario Outline: What a target sends and what is made of it
+    Given a target that answers <answer>
+    When a <kind> request is sent
+    Then the outcome is <outcome>
+
+    Examples:
+      | answer                                        | kind          | outcome     |
+      | in full                                       | repeatable    | whole       |
+      | in chunks                                     | repeatable    | whole       |
+      | without a length and ends                     | repeatable    | whole       |
+      | without a length and resets                   | repeatable    | broken      |
+      | short of its length and ends                  | repeatable    | broken      |
+      | with a chunk cut off                          | repeatable    | broken      |
+      | for another request                           | repeatable    | broken      |
+      | without the seal                              | repeatable    | broken      |
+      | with an encoded body                          | repeatable    | broken      |
+      | with bytes that are no answer                 | repeatable    | broken      |
+      | that it is full                               | unrepeatable  | turned_away |
+      | that it is somebody else                      | unrepeatable  | turned_away |
+      | with 100 first                                | repeatable    | whole       |
+      | nothing and resets                            | unrepeatable  | broken      |
+
+  Scenario: Nothing was sent where no connection came up
+    Given an address where nothing listens
+    When an unrepeatable request is sent
+    Then the outcome is unsent
+
+  Scenario: A second answer behind the first belongs to no request
+    Given a target that answers twice, then in full
+    When two repeatable requests are sent one after the other
+    Then both outcomes are whole and came on 2 connections
+
+  Scenario: A connection is kept
+    Given a target that answers in full
+    When two repeatable requests are sent one after the other
+    Then both outcomes are whole and came on 1 connections
+
+  Scenario: A kept connection that the target has forgotten costs a repeatable request nothing
+    Given a target that answers in full, resets at the next request, then answers in full
+    When two repeatable requests are sent one after the other
+    Then both outcomes are whole and came on 2 connections
+
+  Scenario: An unrepeatable request is not sent twice on a forgotten connection
+    Given a target that answers in full, resets at the next request, then answers in full
+    When two unrepeatable requests are sent one after the other
+    Then the second outcome is broken and the target saw 2 requests
+
+  Scenario: A long body is written to its end though the answer comes early
+    Given a target that answers before it reads the body
+    When a request with a body of 3000000 bytes is sent, then another
+    Then both outcomes are whole and the target read both bodies
+
+  Scenario: The request goes on unaltered but for what concerns this side
+    Given a target that answers in full
+    When a repeatable request is sent
+    Then the target got its path, its own headers, the time left and the expected target
+    And the target got neither the key nor the headers of the caller's connection
+
+  Scenario: Events are passed on whole and the last one is remembered
+    When a stream breaks within its third event
+    Then two events were passed on and the stream resumes behind the second
--- /dev/null
+++ b/troutstand/tests/routed.feature
@@ -0,0 +1,56 @@
+Feature: A routed site of separate processes keeps its promises
+
+  Scenario: Every kind of request is served, and what is not allowed is refused
+    Given a routed site
+    Then a call of /get/ through each gateway gets 200
+    And a call of /do/ through each gateway gets 200
+    And a call of /stream/ through each gateway gets 200
+    And a call of /nowhere/ through each gateway gets 404
+    And a call of /do/ with an unknown key gets 401
+    And the targets saw the workspace and no key
+
+  Scenario: The scheduler dies or stands still and the calls go on
+    Given a routed site
+    When calls of /do/ run while the first scheduler is frozen, then killed
+    Then no call took longer than 2 s and at most 2 were not answered with 200
+
+  Scenario: A planned stop of a gateway cuts no call
+    Given a routed site
+    When calls on open connections run while a gateway is told to stop
+    Then every call that it took was answered whole
+    And the gateway ended by itself with 0
+
+  Scenario: A configuration is in force everywhere, and two contents never share a number
+    Given a routed site
+    When two operators send different contents under version 7 at once
+    Then every keeper tells one and the same content under version 7
+    And it is in force at each gateway within 2 s
+    And an older version sent again is acknowledged and changes nothing
+    And an invalid one is refused with 400 and the content stays
+
+  Scenario: A keeper's disk is lost and another fails right after the repair
+    Given a routed site
+    And version 3 is in force
+    When keeper-1 loses its disk and is back as a voter
+    And keeper-2 is killed
+    Then version 4 can be acknowledged
+    When keeper-2 starts again and all keepers are killed and start again
+    Then every keeper tells version 4
+
+  Scenario: A keeper is replaced by an empty one at another address
+    Given a routed site
+    And version 3 is in force
+    When keeper-3 is gone for good and a new keeper starts with an empty disk
+    Then the new keeper becomes a voter
+    When keeper-1 is killed
+    Then version 4 can be acknowledged
+
+  Scenario: A keeper that reaches no majority does not tell a configuration
+    Given a routed site
+    When keeper-2 and keeper-3 are frozen
+    Then a read at keeper-1 is refused with 503 within 4 s
+
+  Scenario: A stream goes on at another target behind the last whole event
+    Given a routed site whose engines break streams
+    Then calls of /stream/resume/ get every event once
+    And calls of /stream/ that are cut do not look complete
--- /dev/null
+++ b/troutstand/tests/steps/relay.py
@@ -0,0 +1,197 @@
+"""Send requests to scripted targets over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.generated.messages import Placed
+from troutstand.routing.dialect import HeaderNames
+from troutstand.routing.exchange import ConnectionPool
+from troutstand.routing.relay import Outgoing, Sender, SendError, filter_headers
+from troutstand.routing.streams import EventSplitter
+from troutstand.testing.scripted import Close, Received, Reply, ScriptedTarget
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_REQUEST = "request-1"
+_LIMIT_S = 5.0
+_PATH = "/a/b?c=%2Fd"
+
+
+def make_answer(
+    status: str = "200 OK",
+    body: bytes = b"hello",
+    request: str = _REQUEST,
+    extra: str = "",
+    seal: str = "X-Answer-Seal: s\r\n",
+    framing: str | None = None,
+) -> bytes:
+    """Write an answer's bytes."""
+    length = f"Content-Length: {len(body)}\r\n" if framing is None else framing
+    head = f"HTTP/1.1 {status}\r\nX-Request-Id: {request}\r\n{seal}{extra}{length}\r\n"
+    return head.encode() + body
+
+
+_FULL = Reply(make_answer())
+_CHUNKED = "Transfer-Encoding: chunked\r\n"
+_REPLIES: dict[str, list[Reply]] = {
+    "in full": [_FULL],
+    "in chunks": [Reply(make_answer(body=b"5\r\nhello\r\n0\r\n\r\n", framing=_CHUNKED))],
+    "without a length and ends": [Reply(make_answer(framing=""), Close.END)],
+    "without a length and resets": [Reply(make_answer(framing=""), Close.RESET)],
+    "short of its length and ends": [Reply(make_answer()[:-2], Close.END)],
+    "with a chunk cut off": [
+        Reply(make_answer(body=b"5\r\nhello\r\n", framing=_CHUNKED), Close.END)
+    ],
+    "for another request": [Reply(make_answer(request="request-0"))],
+    "without the seal": [Reply(make_answer(seal=""))],
+    "with an encoded body": [Reply(make_answer(extra="Content-Encoding: gzip\r\n"))],
+    "with bytes that are no answer": [Reply(b"\x00\x01rubbish\r\n\r\n", Close.END)],
+    "that it is full": [Reply(make_answer("503 Full", seal="X-Not-Run: 1\r\n", request=""))],
+    "that it is somebody else": [Reply(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")],
+    "with 100 first": [Reply(b"HTTP/1.1 100 Continue\r\n\r\n" + make_answer())],
+    "nothing and resets": [Reply(b"", Close.RESET)],
+    "twice, then in full": [Reply(make_answer() + make_answer(body=b"ghost")), _FULL],
+    "in full, resets at the next request, then answers in full": [
+        _FULL,
+        Reply(b"", Close.RESET),
+        _FULL,
+    ],
+    "before it reads the body": [Reply(make_answer(), is_early=True)],
+}
+
+
+def _make_outgoing(is_repeatable: bool, body: bytes = b"") -> Outgoing:
+    names = HeaderNames()
+    headers = [
+        ("X-Request-Id", _REQUEST),
+        ("X-Custom", "kept"),
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "dropped"),
+        ("X-Workspace-Key", "secret"),
+    ]
+    passed = filter_headers(headers, frozenset({names.key}))
+    return Outgoing(_REQUEST, "POST", _PATH, passed, body, is_repeatable)
+
+
+async def _send_all(context: Context, outgoings: list[Outgoing]) -> None:
+    target = context.target
+    if target is not None:
+        await target.start()
+        context.address = target.address
+    pool = ConnectionPool(1.0)
+    sender = Sender(pool, HeaderNames())
+    context.outcomes = []
+    for outgoing in outgoings:
+        placed = Placed(_REQUEST, "t1", context.address)
+        try:
+            sent = await sender.send(outgoing, placed, time.monotonic() + _LIMIT_S)
+            body = await sender.read_whole(sent)
+            assert body == b"hello", body
+            context.outcomes.append("whole")
+        except SendError as error:
+            context.outcomes.append(error.ending.value)
+    if target is not None:
+        await _wait_bodies(target.received, [len(outgoing.body) for outgoing in outgoings])
+        await target.stop()
+    pool.close()
+
+
+async def _wait_bodies(received: list[Received], lengths: list[int]) -> None:
+    if len(received) != len(lengths):
+        return
+    async with asyncio.timeout(_LIMIT_S):
+        while [len(request.body) for request in received] != lengths:
+            await asyncio.sleep(0)
+
+
+@given("an address where nothing listens")
+def use_nothing(context: Context) -> None:
+    context.target = None
+    context.address = "127.0.0.1:9"
+
+
+@given("a target that answers {answer}")
+def use_target(context: Context, answer: str) -> None:
+    context.target = ScriptedTarget(_REPLIES[answer])
+
+
+@when("two {kind} requests are sent one after the other")
+def send_two(context: Context, kind: str) -> None:
+    outgoing = _make_outgoing(kind == "repeatable")
+    asyncio.run(_send_all(context, [outgoing, outgoing]))
+
+
+@when("a request with a body of {length:d} bytes is sent, then another")
+def send_long(context: Context, length: int) -> None:
+    both = [_make_outgoing(True, b"x" * length), _make_outgoing(True, b"y" * 10)]
+    asyncio.run(_send_all(context, both))
+
+
+@when("a {kind} request is sent")
+@when("an {kind} request is sent")
+def send_one(context: Context, kind: str) -> None:
+    asyncio.run(_send_all(context, [_make_outgoing(kind == "repeatable")]))
+
+
+@then("the outcome is {outcome}")
+def check_outcome(context: Context, outcome: str) -> None:
+    assert context.outcomes == [outcome], context.outcomes
+
+
+@then("both outcomes are whole and came on {count:d} connections")
+def check_connections(context: Context, count: int) -> None:
+    assert context.outcomes == ["whole", "whole"], context.outcomes
+    used = {request.connection for request in context.target.received}
+    assert len(used) == count, used
+
+
+@then("the second outcome is {outcome} and the target saw {count:d} requests")
+def check_second(context: Context, outcome: str, count: int) -> None:
+    assert context.outcomes == ["whole", outcome], context.outcomes
+    assert len(context.target.received) == count
+
+
+@then("both outcomes are whole and the target read both bodies")
+def check_bodies(context: Context) -> None:
+    assert context.outcomes == ["whole", "whole"], context.outcomes
+    first, second = context.target.received
+    assert set(first.body) == {ord("x")}
+    assert second.body == b"y" * 10
+
+
+@then("the target got its path, its own headers, the time left and the expected target")
+def check_head(context: Context) -> None:
+    request = context.target.received[0]
+    assert request.head.startswith(f"POST {_PATH} HTTP/1.1".encode()), request.head
+    assert request.find_header("x-custom") == "kept"
+    assert request.find_header("x-request-id") == _REQUEST
+    assert request.find_header("x-expected-target") == "t1"
+    assert 0 < int(request.find_header("x-deadline-ms")) <= _LIMIT_S * 1000
+
+
+@then("the target got neither the key nor the headers of the caller's connection")
+def check_dropped(context: Context) -> None:
+    request = context.target.received[0]
+    for name in ("x-workspace-key", "x-hop", "connection"):
+        assert not request.find_header(name), name
+
+
+@when("a stream breaks within its third event")
+def break_stream(context: Context) -> None:
+    context.splitter = EventSplitter()
+    pieces = [b"id: 4\ndata: a\n\nid: 7\nda", b"ta: b\n\nid: 9\ndata", b": c"]
+    context.passed = b"".join(context.splitter.feed(piece) for piece in pieces)
+    context.splitter.drop_partial()
+
+
+@then("two events were passed on and the stream resumes behind the second")
+def check_events(context: Context) -> None:
+    assert context.passed == b"id: 4\ndata: a\n\nid: 7\ndata: b\n\n", context.passed
+    assert context.splitter.last_id == "7"
+    assert context.splitter.feed(b"id: 9\ndata: c\n\n") == b"id: 9\ndata: c\n\n"
