--- a/troutstand/control/main.py
+++ b/troutstand/control/main.py
@@ -14,6 +14,7 @@
 from troutstand.control.client import Operator, RefusedCall
 from troutstand.control.tablefiles import read_table, read_version, write_table
 from troutstand.control.timeline import Line, make_trace, merge_logs, read_logs
+from troutstand.control.walk import explain_request
 from troutstand.core.codes import ResultCode, describe_code
 from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.core.reports import DrainReport, EventReport, KeepersReport, StatusReport
@@ -155,8 +156,25 @@
 
 
 @app.command
-def explain(request: str, *, settings: SettingsFile, json: AsJson = False) -> None:
-    """Show why a request got its target, waited or was refused."""
+def explain(
+    request: str,
+    *,
+    settings: SettingsFile | None = None,
+    logs: list[Path] | None = None,
+    json: AsJson = False,
+) -> None:
+    """Show why a request got its target, waited or was refused.
+
+    Parameters
+    ----------
+    logs
+        Collected logs of a routed site's processes, instead of asking processes.
+    """
+    if logs:
+        _explain_logs(request, logs, json)
+        return
+    if settings is None:
+        raise TroutstandError(ResultCode.USAGE, "--settings or --logs is needed")
     operator = _make_operator(settings)
     texts: list[str] = []
     for process in operator.admins:
@@ -172,6 +190,14 @@
     _print_lines(lines, json)
 
 
+def _explain_logs(request: str, logs: list[Path], json: bool) -> None:
+    walk = explain_request(read_logs(logs), request)
+    if walk is None:
+        raise TroutstandError(ResultCode.NOT_FOUND, f"no line names {request!r}")
+    _print_lines([*walk.beliefs, *walk.steps], json)
+    print(f"cause: {walk.cause}")
+
+
 @app.command
 def timeline(
     *logs: Path,
--- /dev/null
+++ b/troutstand/control/walk.py
@@ -0,0 +1,138 @@
+"""Walk from a request's id to its cause through the collected logs of a routed site."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from troutstand.control.timeline import Line
+
+# What a process believed when it decided: the newest of each before the request.
+_BELIEFS = (
+    "process_started",
+    "stop_started",
+    "configuration_in_force",
+    "scheduler_changed",
+    "targets_changed",
+    "keepers_lost",
+    "keepers_regained",
+)
+_ENDS = ("request_answered", "request_refused", "stream_broken_off", "request_left")
+_OVERLOAD = "3001"
+_LATE_CODES = ("3002", "5005")
+_LIMIT = "3003"
+
+
+@dataclass(frozen=True)
+class Walk:
+    """Hold what the logs tell of one request.
+
+    Parameters
+    ----------
+    beliefs
+        The newest line of each belief at the processes that took part.
+    steps
+        The request's own lines, in causal order.
+    cause
+        One sentence that names the cause, or says what is missing.
+    """
+
+    beliefs: list[Line]
+    steps: list[Line]
+    cause: str
+
+
+def explain_request(lines: list[Line], request: str) -> Walk | None:
+    """Return the walk of a request, or None where no line names it."""
+    steps = [line for line in lines if line.request == request]
+    if not steps:
+        return None
+    beliefs = _find_beliefs(lines, steps)
+    return Walk(beliefs, steps, _name_cause(lines, beliefs, steps))
+
+
+def _find_beliefs(lines: list[Line], steps: list[Line]) -> list[Line]:
+    processes = {step.process for step in steps}
+    last = steps[-1].stamp
+    newest: dict[tuple[str, str], Line] = {}
+    for line in lines:
+        if line.process in processes and line.event in _BELIEFS and line.stamp <= last:
+            newest[(line.process, line.event)] = line
+    return sorted(newest.values(), key=lambda line: (line.stamp, line.process))
+
+
+def _name_cause(lines: list[Line], beliefs: list[Line], steps: list[Line]) -> str:
+    ends = [step for step in steps if step.event in _ENDS]
+    if not ends:
+        return "no end was logged: its gateway died, or its log is not among these"
+    end = ends[-1]
+    match end.event:
+        case "request_refused":
+            return _explain_refusal(steps, end)
+        case "stream_broken_off":
+            return _explain_break(lines, steps, end)
+        case "request_left":
+            return "the caller closed its connection before the answer was whole"
+        case _:
+            return _explain_answer(beliefs, steps, end)
+
+
+def _explain_refusal(steps: list[Line], end: Line) -> str:
+    declined = next((s for s in steps if s.event == "request_declined"), None)
+    code = end.fields.get("code", "")
+    if declined is not None and code == _OVERLOAD:
+        return f"overload: {declined.process} expected it too late ({declined.fields['reason']})"
+    if declined is not None and code == _LIMIT:
+        return f"its workspace was at its limit ({declined.fields['reason']})"
+    failed = _list_failures(steps)
+    if failed:
+        return f"code {code} after failed attempts: {failed}"
+    if code in _LATE_CODES:
+        return f"code {code}: its time was up while it waited or its target was silent"
+    return f"code {code}: {end.fields.get('detail', '')}"
+
+
+def _explain_break(lines: list[Line], steps: list[Line], end: Line) -> str:
+    failed = _list_failures(steps)
+    targets = {s.fields.get("target") for s in steps if s.event == "attempt_failed"}
+    others = [
+        line
+        for line in lines
+        if line.event == "attempt_failed"
+        and line.request != end.request
+        and line.fields.get("target") in targets
+    ]
+    return (
+        f"its stream broke at the target and could not go on elsewhere: "
+        f"{failed or end.fields.get('detail', '')}; "
+        f"{len(others)} other attempts failed at the same target"
+    )
+
+
+def _explain_answer(beliefs: list[Line], steps: list[Line], end: Line) -> str:
+    placed = [s for s in steps if s.event == "request_placed"]
+    waited = placed[-1].fields.get("waited_ms", "?") if placed else "?"
+    expected = placed[-1].fields.get("expected_ms", "?") if placed else "?"
+    versions = [b for b in beliefs if b.event == "configuration_in_force"]
+    held = f", {versions[-1].fields.get('version')} in force" if versions else ""
+    return (
+        f"answered with {end.fields.get('status')} after {end.fields.get('total_ms')} ms: "
+        f"waited {waited} ms for a target, first byte expected in {expected} ms and "
+        f"come in {end.fields.get('first_ms')} ms, "
+        f"under version {end.fields.get('version')}{held}"
+        f"{_describe_failures(steps)}"
+    )
+
+
+def _list_failures(steps: list[Line]) -> str:
+    return "; ".join(
+        f"{s.fields.get('target')} {s.fields.get('ending')} ({s.fields.get('detail', '')})"
+        for s in steps
+        if s.event == "attempt_failed"
+    )
+
+
+def _describe_failures(steps: list[Line]) -> str:
+    failed = _list_failures(steps)
+    return f", after failed attempts: {failed}" if failed else ""
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -52,6 +52,30 @@
 
     owner: str
     answer: Placed | Declined
+    inputs: PlacedInputs | None = None
+
+
+@dataclass(frozen=True)
+class PlacedInputs:
+    """Tell what a placement rested on, for the log.
+
+    Parameters
+    ----------
+    expected_first_s
+        Seconds that the target's first byte should take.
+    running
+        Requests that the target had already.
+    uncached
+        Prompt tokens that the target does not hold.
+    last_sign_s
+        Age of the target's last answer, in seconds.
+    """
+
+    expected_first_s: float
+    running: int
+    uncached: float
+    last_sign_s: float
+    open_targets: int
 
 
 @dataclass
@@ -304,6 +328,13 @@
         del pool.waiting[work.request]
         expected_s = self._estimate_first(pool, state, work)
         uncached = state.count_uncached(work)
+        inputs = PlacedInputs(
+            expected_first_s=expected_s,
+            running=len(state.running),
+            uncached=uncached,
+            last_sign_s=now_s - state.last_sign_s,
+            open_targets=sum(1 for t in pool.targets.values() if t.is_open(now_s)),
+        )
         state.running[work.request] = Running(work, waiting.owner, now_s, uncached, expected_s)
         placed = Placed(
             work.request,
@@ -311,7 +342,7 @@
             state.listed.address,
             1000.0 * (now_s - waiting.arrived_s),
         )
-        self._decisions.append(Decision(waiting.owner, placed))
+        self._decisions.append(Decision(waiting.owner, placed, inputs))
 
     # Refusing
 
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -16,7 +16,7 @@
 from troutstand.routing.exchange import ConnectionPool
 from troutstand.routing.follower import Follower
 from troutstand.routing.handling import Handling
-from troutstand.routing.metrics import Metrics
+from troutstand.routing.metrics import GatewayMetrics
 from troutstand.routing.node import RoutingNode, parse_address
 from troutstand.routing.placement import Placement
 from troutstand.routing.relay import Sender
@@ -29,7 +29,6 @@
     from troutstand.routing.dialect import Dialect
 
 _CONNECT_S = 0.3
-_LAG_S = 0.1
 _PRUNE_S = 1.0
 _MAX_BODY_BYTES = 256 << 20
 _BACKLOG = 1024
@@ -61,7 +60,8 @@
         self.settings = settings
         self.dialect = dialect
         self.node = RoutingNode(settings)
-        self.metrics = Metrics()
+        self.metrics = GatewayMetrics(self.node.events)
+        self.node.metrics = self.metrics
         self.follower = Follower(self.node, dialect, self._use_table)
         self.targets = TargetList(settings.target_list, dialect)
         self.placement = Placement(self.node, self.targets)
@@ -85,10 +85,7 @@
         self.node.spawn(self.follower.run(), "follower")
         self.placement.start()
         self.node.spawn(self._run_upkeep(), "upkeep")
-        port = self.settings.metrics_port
-        if port:
-            address = parse_address(f"{self.settings.ip}:{port}")
-            self._runners.append(await self.metrics.serve(address))
+        await self.node.open_metrics()
 
     async def _listen_callers(self) -> None:
         server = web.Server(
@@ -127,15 +124,9 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _run_upkeep(self) -> None:
-        pruned_s = time.monotonic()
         while True:
-            before_s = time.monotonic()
-            await asyncio.sleep(_LAG_S)
-            now_s = time.monotonic()
-            self.metrics.loop_lag_s.observe(max(0.0, now_s - before_s - _LAG_S))
-            if now_s - pruned_s > _PRUNE_S:
-                pruned_s = now_s
-                self.pool.prune()
+            await asyncio.sleep(_PRUNE_S)
+            self.pool.prune()
 
     async def stop(self) -> None:
         """Let others take new callers, finish what is open, then end."""
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -132,6 +132,7 @@
             version=self.acceptor.configuration.version,
         )
         await self.node.listen(self.handle)
+        await self.node.open_metrics()
         self.node.state = ProcessState.serving
         self.node.spawn(self._run_contacts(), "contacts")
         self.node.spawn(self._run_replacement(), "replacement")
--- a/troutstand/routing/metrics.py
+++ b/troutstand/routing/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -11,15 +13,61 @@
 
 if TYPE_CHECKING:
     from troutstand.generated.settings import Address
+    from troutstand.util.events import Event, EventBus
 
+_LAG_S = 0.1
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
 
-class Metrics:
-    """Hold a process's counters and histograms."""
+class NodeMetrics:
+    """Hold what every process counts: its events, its loop's lag, its configuration."""
 
-    def __init__(self) -> None:
+    def __init__(self, events: EventBus) -> None:
         self.registry = CollectorRegistry()
+        self.counted = Counter(
+            "troutstand_events",
+            "Events by name and result code",
+            ["event", "code"],
+            registry=self.registry,
+        )
+        self.loop_lag_s = Histogram(
+            "troutstand_loop_lag_seconds",
+            "Seconds by which the loop woke late",
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.version = Gauge(
+            "troutstand_configuration_version",
+            "Version of the configuration in force",
+            registry=self.registry,
+        )
+        events.subscribe(self._count)
+
+    def _count(self, event: Event) -> None:
+        self.counted.labels(event.name, str(int(event.code))).inc()
+
+    async def watch_loop(self) -> None:
+        """Measure by how much the loop wakes late, until cancelled."""
+        while True:
+            before_s = time.monotonic()
+            await asyncio.sleep(_LAG_S)
+            self.loop_lag_s.observe(max(0.0, time.monotonic() - before_s - _LAG_S))
+
+    async def serve(self, address: Address) -> web.AppRunner:
+        """Serve the figures at an address."""
+        app = web.Application()
+        app.router.add_get("/metrics", self._answer)
+        return await listen(app, address, "metrics_port")
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        return web.Response(body=generate_latest(self.registry), content_type="text/plain")
+
+
+class GatewayMetrics(NodeMetrics):
+    """Hold what a gateway counts beside."""
+
+    def __init__(self, events: EventBus) -> None:
+        super().__init__(events)
         self.answers = Counter(
             "troutstand_answers",
             "Requests by route kind, tier and result code",
@@ -46,23 +94,3 @@
             ["ending"],
             registry=self.registry,
         )
-        self.loop_lag_s = Histogram(
-            "troutstand_loop_lag_seconds",
-            "Seconds by which the loop woke late",
-            buckets=_SECONDS,
-            registry=self.registry,
-        )
-        self.version = Gauge(
-            "troutstand_configuration_version",
-            "Version of the configuration in force",
-            registry=self.registry,
-        )
-
-    async def serve(self, address: Address) -> web.AppRunner:
-        """Serve the figures at an address."""
-        app = web.Application()
-        app.router.add_get("/metrics", self._answer)
-        return await listen(app, address, "metrics")
-
-    async def _answer(self, request: web.Request) -> web.Response:
-        return web.Response(body=generate_latest(self.registry), content_type="text/plain")
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -18,11 +18,14 @@
 from troutstand.generated.messages import Contact, PeerMessage, ProcessState, Refused
 from troutstand.generated.routing import RoutingRole
 from troutstand.generated.settings import Address, Limits
+from troutstand.routing.metrics import NodeMetrics
 from troutstand.util.events import EventBus, open_standard_output
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from aiohttp import web
+
     from troutstand.daemon.links import Handler
     from troutstand.generated.routing import RoutingSettings
 
@@ -62,6 +65,8 @@
         self.events = EventBus(name, HybridClock(time.time))
         self.identity = Identity(settings.site, self.process, bytes.fromhex(settings.link_key_hex))
         self.traffic = Traffic()
+        self.metrics = NodeMetrics(self.events)
+        self._metrics_runner: web.AppRunner | None = None
         self._links: dict[ProcessId, tuple[Link, asyncio.Task[None]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: LinkServer | None = None
@@ -92,6 +97,14 @@
         self.events.write_log()
         self.events.emit("process_started", incarnation=self.incarnation, address=self.process)
 
+    async def open_metrics(self) -> None:
+        """Serve metrics, where the settings name a port."""
+        self.spawn(self.metrics.watch_loop(), "loop lag")
+        port = self.settings.metrics_port
+        if port:
+            address = Address(self.settings.bind_ip or self.settings.ip, port)
+            self._metrics_runner = await self.metrics.serve(address)
+
     async def listen(self, handler: Handler) -> None:
         """Take links from the other processes."""
         self._server = LinkServer(self.identity, None, _LINK_LIMITS, self.events, handler)
@@ -112,6 +125,8 @@
             task.cancel()
         if self._server:
             await self._server.stop()
+        if self._metrics_runner:
+            await self._metrics_runner.cleanup()
         self.events.emit("process_stopped")
 
     def spawn(self, coroutine: Coroutine[None, None, None], name: str) -> asyncio.Task[None]:
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -30,7 +30,7 @@
 _FIRST_SUCCESS = 200
 # A target may have forgotten a kept connection; what may not be repeated goes
 # only on one that was used a moment ago, or on a new one.
-_UNREPEATABLE_IDLE_S = 0.5
+_UNREPEATABLE_IDLE_S = 2.0
 CONNECTION_HEADERS = frozenset(
     {
         "connection",
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.dispatch import Dispatcher
+from troutstand.core.dispatch import Dispatcher, PlacedInputs
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
@@ -79,6 +79,7 @@
         """Open the links and begin to follow configuration and targets."""
         self.node.open_events()
         await self.node.listen(self.handle)
+        await self.node.open_metrics()
         self.node.state = ProcessState.serving
         self.node.spawn(self.follower.run(), "follower")
         self.node.spawn(self._run_list(), "target list")
@@ -140,10 +141,8 @@
             answer = decision.answer
             settled = self._settle(decision.owner, answer.request, answer)
             match answer:
-                case Placed(request, target, _, waited_ms):
-                    self.node.events.emit(
-                        "request_placed", request, target=target, waited_ms=waited_ms
-                    )
+                case Placed(request):
+                    self._tell_placed(answer, decision.inputs)
                     if not settled:
                         # Its gateway no longer waits; the slot is free again.
                         self.dispatcher.abandon(request, now_s)
@@ -157,6 +156,23 @@
                         version=self.follower.version,
                     )
 
+    def _tell_placed(self, placed: Placed, inputs: PlacedInputs | None) -> None:
+        if inputs is None:
+            return
+        self.node.events.emit(
+            "request_placed",
+            placed.request,
+            target=placed.target,
+            waited_ms=placed.waited_ms,
+            expected_ms=1000.0 * inputs.expected_first_s,
+            running=inputs.running,
+            uncached=inputs.uncached,
+            sign_age_s=inputs.last_sign_s,
+            open=inputs.open_targets,
+            list=self.targets.version[:8],
+            version=self.follower.version,
+        )
+
     # Gateways
 
     def _handle_attach(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> Attached:
@@ -221,6 +237,7 @@
     # What is known of the site
 
     def _use_table(self, table: RouteTable) -> None:
+        self.node.metrics.version.set(table.version)
         self.dispatcher.use_table(table, time.monotonic())
 
     async def _run_list(self) -> None:
--- /dev/null
+++ b/troutstand/tests/platform.feature
@@ -0,0 +1,32 @@
+Feature: Only the platform folder knows the platform, and it hides nothing
+
+  Scenario: The standard library's platform module stays reachable
+    Then the program that the deploy file names imports the standard library's platform
+    And so does a program that runs from the root
+
+  Scenario: No module elsewhere knows a name of the platform
+    Then no source outside platform/ and deploy/ holds a name that the translation knows
+
+  Scenario: A configuration comes over whole
+    Given the platform's example configuration
+    Then its routes, services, workspaces and limits are the product's
+
+  Scenario Outline: An invalid configuration is refused
+    Given the platform's example configuration
+    When it gets <fault>
+    Then decoding it fails with 6009
+
+    Examples:
+      | fault              |
+      | cut short          |
+      | an unknown service |
+      | the same place     |
+      | no weight          |
+      | no time            |
+      | a shared key       |
+
+  Scenario: A page of the list comes over whole
+    Then a page of the platform's list becomes targets and a token
+
+  Scenario: The settings template fills to valid settings
+    Then the filled template is valid for each role
--- /dev/null
+++ b/troutstand/tests/walk.feature
@@ -0,0 +1,20 @@
+Feature: Collected logs lead from a request's id to its cause
+
+  Scenario Outline: The cause of <kind>
+    Given the logs of a gateway and a scheduler with <kind>
+    When request r1 is explained
+    Then the cause holds <cause>
+    And the beliefs hold <belief> and none of other processes
+
+    Examples:
+      | kind                   | cause                                | belief                       |
+      | a refusal under load   | overload: core-1.scheduler expected  | event=targets_changed        |
+      | a broken stream        | 2 other attempts failed at the same  | event=configuration_in_force |
+      | a late answer          | under version 6, 7 in force          | version=7                    |
+      | a limit that is reached| its workspace was at its limit       | event=scheduler_changed      |
+      | no end                 | no end was logged                    | event=configuration_in_force |
+
+  Scenario: An id that no line names
+    Given the logs of a gateway and a scheduler with a broken stream
+    When request r9 is explained
+    Then nothing is told
--- a/troutstand/util/events.py
+++ b/troutstand/util/events.py
@@ -19,6 +19,8 @@
 from troutstand.util.lines import LineWriter
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from troutstand.core.clock import HybridClock, Stamp
     from troutstand.core.ids import ProcessId
     from troutstand.generated.settings import Address
@@ -111,6 +113,10 @@
         stamp = self.clock.tick()
         self._subject.on_next(Event(name, stamp, self.process, request, code, fields))
 
+    def subscribe(self, reader: Callable[[Event], None]) -> None:
+        """Hand every event to a reader."""
+        self._subject.subscribe(reader)
+
     def write_log(self) -> None:
         """Write every event as a log line."""
         self._subject.subscribe(self._keep_line)
