Serve what is beyond a limit from spare room, wait for a fast target, end a stop's kept connections

(3) requests went to a slow target with a free slot (expected 909 ms) while fast ones free a slot every 50 ms; they wait if that brings them in time (scenario failed first).

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
+from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.targetstate import Running, TargetState, measure_service
 from troutstand.generated.messages import Declined, Ending, ListedState, Placed
 
@@ -39,10 +40,12 @@
 _OCCUPANCY_WEIGHT = 0.15
 _FAULT_PENALTY_S = 1.0
 # What the way to another failure domain and its bytes are worth.
-_FAR_S = 0.008
+_FAR_S = 0.02
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
 _NO_TARGET_WAIT_S = 0.3
+# Requests beyond what their workspace is owed leave so many slots free.
+_SPARE_SHARE = 0.25
 _OVERTAKEN = 1.2
 
 
@@ -86,6 +89,7 @@
     owner: str
     arrived_s: float
     deadline_s: float
+    verdict: Verdict
     is_late: bool = False
 
     @property
@@ -180,7 +184,7 @@
         """Forget all requests of a gateway that is gone or asks another scheduler."""
         for pool in self.pools.values():
             for request in [r for r, w in pool.waiting.items() if w.owner == owner]:
-                self._leave_queue(pool, request)
+                self._leave_queue(pool, request, now_s)
             for state in pool.targets.values():
                 for request in [r for r, run in state.running.items() if run.owner == owner]:
                     del state.running[request]
@@ -191,27 +195,41 @@
     def place(self, work: RoutedWork, owner: str, now_s: float) -> None:
         """Take a request in: give it a target, let it wait, or refuse it."""
         pool = self.pools.setdefault(work.service, Pool())
+        verdict = Verdict.OWED
         if work.attempt > 1:
             if not self.retries.take(work.service, now_s):
                 self._decline(work, owner, ResultCode.RETRY_BUDGET, 1.0, "retry budget")
                 return
         else:
             self.retries.note_request(work.service, now_s)
-            missing_s = self.quotas.take(work.workspace, work.charge, now_s)
-            if missing_s > 0:
-                reason = f"workspace={work.workspace} charge={work.charge:g}"
-                self._decline(work, owner, ResultCode.WORKSPACE_LIMIT, missing_s, reason)
+            judgement = self.quotas.take(work.workspace, work.charge, now_s)
+            if judgement.verdict is Verdict.SPARE and not self._has_spare(pool, now_s):
+                self.quotas.give_back(work.workspace, work.charge, Verdict.SPARE, now_s)
+                judgement = Judgement(Verdict.REFUSED, judgement.wait_s)
+            if judgement.verdict is Verdict.REFUSED:
+                level = self.quotas.read_level(work.workspace)
+                reason = f"workspace={work.workspace} charge={work.charge:g} level={level:g}"
+                self._decline(work, owner, ResultCode.WORKSPACE_LIMIT, judgement.wait_s, reason)
                 return
-        waiting = Waiting(work, owner, now_s, now_s + work.remaining_s)
+            verdict = judgement.verdict
+        waiting = Waiting(work, owner, now_s, now_s + work.remaining_s, verdict)
         pool.waiting[work.request] = waiting
         self._serve_queue(pool, now_s)
         if work.request in pool.waiting:
             self._judge_arrival(pool, waiting, now_s)
 
+    def _has_spare(self, pool: Pool, now_s: float) -> bool:
+        """Tell whether room is free that nobody who is owed it waits for."""
+        if pool.waiting:
+            return False
+        slots = sum(t.listed.slots for t in pool.list_usable())
+        free = sum(t.free_slots for t in pool.list_usable() if t.is_open(now_s))
+        return free > _SPARE_SHARE * slots
+
     def abandon(self, request: str, now_s: float) -> None:
         """Forget a request wherever it is."""
         for pool in self.pools.values():
-            self._leave_queue(pool, request)
+            self._leave_queue(pool, request, now_s)
             for state in pool.targets.values():
                 if state.running.pop(request, None) is not None:
                     self._serve_queue(pool, now_s)
@@ -311,12 +329,35 @@
             return None
         return min(open_, key=lambda state: self._estimate_cost(pool, state, work))
 
+    def _should_wait(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> bool:
+        """Tell whether a busy target will bring the first byte in time, and a free one not."""
+        left_s = waiting.due_s - now_s
+        first_s = self._estimate_first(pool, state, waiting.work)
+        if first_s <= left_s or waiting.is_late:
+            return False
+        busy = [t for t in pool.list_usable() if not t.strikes and not t.free_slots]
+        if not busy:
+            return False
+        best_s = min(self._estimate_alone(pool, t, waiting.work) for t in busy)
+        hold_s = pool.hold_s or _GUESS_HOLD_S
+        slots = sum(t.listed.slots for t in busy)
+        return hold_s / slots + best_s < min(left_s, first_s)
+
+    def _estimate_alone(self, pool: Pool, state: TargetState, work: RoutedWork) -> float:
+        """Return the seconds until a first byte once the prompts before it are read."""
+        if not work.prompt_tokens:
+            return self._know(pool, state, "service_s", _GUESS_SERVICE_S)
+        prefill_s = self._know(pool, state, "prefill_s", _GUESS_PREFILL_S)
+        return prefill_s * state.count_uncached(work)
+
     def _serve_queue(self, pool: Pool, now_s: float) -> None:
         """Give free slots to those who wait, in the queue's order."""
         if not pool.waiting:
             return
         for waiting in sorted(pool.waiting.values(), key=lambda w: w.rank):
             state = self._choose(pool, waiting.work, now_s)
+            if state is not None and self._should_wait(pool, state, waiting, now_s):
+                state = None
             if state is None:
                 if not any(t.is_open(now_s) for t in pool.list_usable()):
                     return
@@ -346,10 +387,11 @@
 
     # Refusing
 
-    def _leave_queue(self, pool: Pool, request: str) -> None:
+    def _leave_queue(self, pool: Pool, request: str, now_s: float) -> None:
         waiting = pool.waiting.pop(request, None)
         if waiting is not None and waiting.work.attempt == 1:
-            self.quotas.give_back(waiting.work.workspace, waiting.work.charge)
+            work = waiting.work
+            self.quotas.give_back(work.workspace, work.charge, waiting.verdict, now_s)
 
     def _count_ahead(self, pool: Pool, waiting: Waiting) -> int:
         rank = waiting.rank
@@ -403,7 +445,7 @@
     def _refuse(
         self, pool: Pool, waiting: Waiting, code: ResultCode, wait_s: float, now_s: float
     ) -> None:
-        self._leave_queue(pool, waiting.work.request)
+        self._leave_queue(pool, waiting.work.request, now_s)
         waited_s = now_s - waiting.arrived_s
         reason = f"waited_s={waited_s:.3f} expected_s={wait_s:.3f} queue={len(pool.waiting)}"
         self._decline(waiting.work, waiting.owner, code, wait_s, reason)
--- a/troutstand/core/policy.py
+++ b/troutstand/core/policy.py
@@ -32,7 +32,7 @@
     ROUND_ROBIN = "round-robin"
     LEAST_LOADED = "least-loaded"
     TWO_CHOICES = "two-choices"
-    PREFIX_HASH = "prefix-hash"
+    PREFIX_HASH = "hash of the prefix"
 
 
 @dataclass(frozen=True)
--- a/troutstand/core/quota.py
+++ b/troutstand/core/quota.py
@@ -1,13 +1,18 @@
 """Limit what each workspace takes, over all gateways together.
 
-One scheduler sees all admissions and holds the whole limit. Where gateways
-are split between schedulers, each holds the share of the gateways it serves,
-so that the shares add up to the limit.
+A bucket says what a workspace is owed: its rate, and its burst at once. What
+goes beyond may still be served where room is free, as long as all of it within
+a window of the settings' length stays in the excess that does no harm. One
+scheduler sees all admissions and holds the whole limit; where gateways are
+split between schedulers, each holds the share of the gateways it serves, so
+that the shares add up to the limit.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -15,8 +20,12 @@
 
     from troutstand.generated.configuration import RoutedWorkspace
 
-# Of the allowed excess, so much is used, to refuse nothing that is owed.
-_EXTRA_USED = 0.7
+# Of the excess that does no harm, so much counts as owed, and so much may be
+# spare; the rest is kept, since what was taken may arrive a little bunched.
+_OWED_EXCESS = 0.3
+_SPARE_EXCESS = 0.5
+_WINDOW_MARGIN_S = 0.5
+_MIN_RATE = 1e-9
 
 
 @dataclass(frozen=True)
@@ -37,26 +46,63 @@
     excess: float = 0.0
     extra: float = 0.0
 
-    def find_capacity(self, rate_per_s: float, burst: float) -> float:
-        """Return how much may be taken at once: the burst and part of the excess."""
-        limit = rate_per_s * self.window_s + burst
-        return burst + _EXTRA_USED * (self.excess * limit + self.extra)
+    def find_limit(self, rate_per_s: float, burst: float) -> float:
+        """Return what a window may hold without any excess."""
+        return rate_per_s * self.window_s + burst
+
+    def find_excess(self, rate_per_s: float, burst: float) -> float:
+        """Return what a window may hold beyond the limit."""
+        return self.excess * self.find_limit(rate_per_s, burst) + self.extra
+
+
+class Verdict(Enum):
+    """Say whether a request may be served."""
+
+    OWED = "owed"
+    SPARE = "spare"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True)
+class Judgement:
+    """Carry a verdict, and for how long a refused request should wait, in seconds."""
+
+    verdict: Verdict
+    wait_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class LimitLevel:
+    """Tell how full a bucket is, and how much of what may be spare is taken, as shares."""
+
+    level: float
+    spare: float
 
 
 @dataclass
 class Bucket:
-    """Hold a workspace's tokens, filled at its rate up to its burst."""
+    """Hold a workspace's tokens, and what it took beyond them within the window."""
 
     rate_per_s: float
-    burst: float
+    capacity: float
+    spare_most: float
     level: float
     filled_s: float
+    spare: float = 0.0
+    taken: deque[tuple[float, float]] = field(default_factory=deque)
 
-    def fill(self, now_s: float, share: float) -> None:
-        """Add what came since the last call."""
+    def advance(self, now_s: float, share: float, window_s: float) -> None:
+        """Add what came since the last call, and drop what left the window."""
         passed_s = max(0.0, now_s - self.filled_s)
         self.filled_s = now_s
-        self.level = min(self.burst * share, self.level + passed_s * self.rate_per_s * share)
+        self.level = min(self.capacity * share, self.level + passed_s * self.rate_per_s * share)
+        while self.taken and self.taken[0][0] <= now_s - window_s:
+            self.spare -= self.taken.popleft()[1]
+
+    def note(self, amount: float, now_s: float) -> None:
+        """Count a spare amount in the window; a negative one takes it back."""
+        self.taken.append((now_s, amount))
+        self.spare += amount
 
 
 class Quotas:
@@ -64,58 +110,86 @@
 
     def __init__(self, bounds: QuotaBounds) -> None:
         self._bounds = bounds
+        self._window_s = bounds.window_s + _WINDOW_MARGIN_S
         self._buckets: dict[str, Bucket] = {}
         self.share = 1.0
 
+    def _advance(self, workspace: str, now_s: float) -> Bucket | None:
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.advance(now_s, self.share, self._window_s)
+        return bucket
+
     def use_workspaces(self, workspaces: Iterable[RoutedWorkspace], now_s: float) -> None:
         """Take new limits; what was taken before still counts."""
         limited = {w.name: w for w in workspaces if w.tokens_per_s > 0}
         for name in set(self._buckets) - set(limited):
             del self._buckets[name]
         for name, workspace in limited.items():
-            burst = self._bounds.find_capacity(workspace.tokens_per_s, workspace.burst_tokens)
-            held = self._buckets.get(name)
-            if held is None:
-                level = burst * self.share
-                self._buckets[name] = Bucket(workspace.tokens_per_s, burst, level, now_s)
-                continue
-            held.fill(now_s, self.share)
-            held.rate_per_s, held.burst = workspace.tokens_per_s, burst
-            held.level = min(held.level, burst * self.share)
-
-    def take(self, workspace: str, amount: float, now_s: float) -> float:
-        """Take tokens and return 0, or the seconds until there are enough."""
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
-            return 0.0
-        bucket.fill(now_s, self.share)
+            self._use_limit(name, workspace.tokens_per_s, workspace.burst_tokens, now_s)
+
+    def _use_limit(self, name: str, rate_per_s: float, burst: float, now_s: float) -> None:
+        excess = self._bounds.find_excess(rate_per_s, burst)
+        capacity = burst + _OWED_EXCESS * excess
+        spare_most = _SPARE_EXCESS * excess
+        held = self._advance(name, now_s)
+        if held is None:
+            level = capacity * self.share
+            self._buckets[name] = Bucket(rate_per_s, capacity, spare_most, level, now_s)
+            return
+        held.rate_per_s, held.capacity, held.spare_most = rate_per_s, capacity, spare_most
+        held.level = min(held.level, capacity * self.share)
+
+    def take(self, workspace: str, amount: float, now_s: float) -> Judgement:
+        """Take tokens where the limit allows it."""
+        bucket = self._advance(workspace, now_s)
+        if bucket is None or amount <= 0:
+            return Judgement(Verdict.OWED)
         # One request may be larger than the burst: a full bucket lets it pass.
-        enough = min(amount, bucket.burst * self.share)
+        enough = min(amount, bucket.capacity * self.share)
         if bucket.level >= enough:
             bucket.level -= amount
-            return 0.0
-        rate = max(bucket.rate_per_s * self.share, 1e-9)
-        return (enough - bucket.level) / rate
+            return Judgement(Verdict.OWED)
+        missing_s = (enough - bucket.level) / max(bucket.rate_per_s * self.share, _MIN_RATE)
+        if bucket.spare + amount > bucket.spare_most * self.share:
+            return Judgement(Verdict.REFUSED, missing_s)
+        bucket.note(amount, now_s)
+        return Judgement(Verdict.SPARE, missing_s)
+
+    def give_back(self, workspace: str, amount: float, verdict: Verdict, now_s: float) -> None:
+        """Return the tokens of a request that was not run."""
+        bucket = self._advance(workspace, now_s)
+        if bucket is None or amount <= 0:
+            return
+        if verdict is Verdict.OWED:
+            bucket.level = min(bucket.capacity * self.share, bucket.level + amount)
+        else:
+            bucket.note(-amount, now_s)
+
+    # Handing over
+
+    def read_level(self, workspace: str) -> float:
+        """Return the tokens that a workspace could take as of the last call."""
+        bucket = self._buckets.get(workspace)
+        return bucket.level if bucket is not None else float("inf")
 
-    def list_levels(self, now_s: float) -> dict[str, float]:
-        """Return how full the limits are that are not full, as shares."""
-        levels: dict[str, float] = {}
+    def list_levels(self, now_s: float) -> dict[str, LimitLevel]:
+        """Return how full the limits are of which something is taken."""
+        levels: dict[str, LimitLevel] = {}
         for name, bucket in self._buckets.items():
-            bucket.fill(now_s, self.share)
-            full = bucket.burst * self.share
-            if bucket.level < full:
-                levels[name] = bucket.level / full
+            bucket.advance(now_s, self.share, self._window_s)
+            full = bucket.capacity * self.share
+            if bucket.level < full or bucket.spare > 0:
+                spare = bucket.spare / max(bucket.spare_most * self.share, _MIN_RATE)
+                levels[name] = LimitLevel(bucket.level / full, spare)
         return levels
 
-    def inherit(self, workspace: str, level: float, now_s: float) -> None:
-        """Take over how full a limit was under another holder; the lower level counts."""
-        bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.fill(now_s, self.share)
-            bucket.level = min(bucket.level, level * bucket.burst * self.share)
-
-    def give_back(self, workspace: str, amount: float) -> None:
-        """Return the tokens of a request that was not run."""
-        bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.level = min(bucket.burst * self.share, bucket.level + amount)
+    def inherit(self, workspace: str, held: LimitLevel, now_s: float) -> None:
+        """Take over how full a limit was under another holder; the stricter word counts."""
+        bucket = self._advance(workspace, now_s)
+        if bucket is None:
+            return
+        bucket.level = min(bucket.level, held.level * bucket.capacity * self.share)
+        missing = held.spare * bucket.spare_most * self.share - bucket.spare
+        if missing > 0:
+            bucket.note(missing, now_s)
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -71,6 +71,7 @@
         self.is_stopping = False
         self._runners: list[web.BaseRunner] = []
         self._site: web.TCPSite | None = None
+        self._server: web.Server | None = None
 
     def _use_table(self, table: RouteTable) -> None:
         self.metrics.version.set(table.version)
@@ -97,6 +98,7 @@
             max_field_size=MAX_HEADER_BYTES,
             keepalive_timeout=_KEEP_ALIVE_S,
         )
+        self._server = server
         runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
         await runner.setup()
         address = parse_address(self.settings.callers)
@@ -136,8 +138,10 @@
         self.node.state = ProcessState.draining
         self.node.events.emit("stop_started", open=self.open_requests)
         await asyncio.sleep(_QUIET_SHARE * self.settings.stop_s)
-        if self._site is not None:
+        if self._site is not None and self._server is not None:
             await self._site.stop()
+            # Kept connections at rest end too; a busy one ends behind its answer.
+            self._server.pre_shutdown()
         await self._wait_quiet(started_s + _END_SHARE * self.settings.stop_s)
         self.node.events.emit("stop_ended", left=self.open_requests)
         for runner in self._runners:
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -19,7 +19,7 @@
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId
-from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.quota import LimitLevel, QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
@@ -130,7 +130,7 @@
         if self._table is not None:
             local.use_table(self._table, now_s)
         for level in self._levels:
-            quotas.inherit(level.workspace, level.share, now_s)
+            quotas.inherit(level.workspace, LimitLevel(level.share, level.spare), now_s)
         local.use_targets(self._targets.targets, now_s)
         for held in self._held.values():
             elapsed_s = now_s - held.started_s
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -9,7 +9,7 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher, PlacedInputs
-from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.quota import LimitLevel, QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
@@ -72,6 +72,7 @@
         self.targets = TargetList(settings.target_list, dialect)
         self._gateways: dict[ProcessId, GatewaySeen] = {}
         self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
+        self._limits: dict[str, tuple[float, float]] = {}
         self._is_leaving = False
         self._has_list = False
 
@@ -189,7 +190,7 @@
             for run in ask.running:
                 self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
             for level in ask.levels:
-                self.quotas.inherit(level.workspace, level.share, now_s)
+                self.quotas.inherit(level.workspace, LimitLevel(level.share, level.spare), now_s)
             self.node.events.emit("gateway_attached", peer=peer, running=len(ask.running))
         self._share()
         has_news = ask.targets_version != self.targets.version
@@ -206,7 +207,8 @@
         )
 
     def _list_levels(self, now_s: float) -> list[Level]:
-        return [Level(name, share) for name, share in self.quotas.list_levels(now_s).items()]
+        levels = self.quotas.list_levels(now_s)
+        return [Level(name, held.level, held.spare) for name, held in levels.items()]
 
     def _drop(self, gateway: ProcessId, reason: str, now_s: float) -> None:
         self.node.events.emit("gateway_detached", peer=gateway, reason=reason)
@@ -238,6 +240,17 @@
 
     def _use_table(self, table: RouteTable) -> None:
         self.node.metrics.version.set(table.version)
+        for workspace in table.configuration.workspaces:
+            limit = (workspace.tokens_per_s, workspace.burst_tokens)
+            if self._limits.get(workspace.name) != limit:
+                self._limits[workspace.name] = limit
+                self.node.events.emit(
+                    "limit_in_force",
+                    workspace=workspace.name,
+                    tokens_per_s=limit[0],
+                    burst_tokens=limit[1],
+                    version=table.version,
+                )
         self.dispatcher.use_table(table, time.monotonic())
 
     async def _run_list(self) -> None:
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -51,3 +51,9 @@
     And every slot is taken by others
     When a request of 80 tokens waits and is abandoned
     Then another of 80 tokens is not refused for its limit
+
+  Scenario: A request waits for a busy fast target rather than come late at a free slow one
+    Given the first target reads 20000 tokens a second and the second 200000
+    And the second target is full and ends a request every 0.05 s
+    When a request of 20000 tokens with an objective of 0.5 s arrives
+    Then it waits, and gets the second target when a slot is free there
--- a/troutstand/tests/limits.feature
+++ b/troutstand/tests/limits.feature
@@ -20,3 +20,7 @@
     When 100 requests and 100 repeats come within 5 s
     Then at most 30 repeats are allowed and at least 15
     And after 20 s at least 5 more repeats are allowed
+
+  Scenario: What is beyond a limit but harmless is marked as spare
+    Given a limit of 1000 tokens a second and a burst of 500, judged over 8 s with 10 in 100 and 2000 excess
+    Then of 40 requests at once some are owed, then some spare, then the rest refused
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -273,3 +273,37 @@
     request = context.desk.arrive(workspace="w", charge=float(tokens))
     declined = context.desk.declined.get(request)
     assert declined is None or declined.code != ResultCode.WORKSPACE_LIMIT, declined
+
+
+@given("the first target reads {slow:d} tokens a second and the second {fast:d}")
+def set_speeds(context: Context, slow: int, fast: int) -> None:
+    targets = context.desk.dispatcher.pools["work"].targets
+    targets["t1"].prefill_s.learn(1.0 / slow)
+    targets["t2"].prefill_s.learn(1.0 / fast)
+
+
+@given("the second target is full and ends a request every {gap_s:g} s")
+def fill_second(context: Context, gap_s: float) -> None:
+    desk = context.desk
+    desk.dispatcher.pools["work"].hold_s = 2 * gap_s
+    context.first = []
+    while desk.count("t2") < 2:
+        request = desk.arrive(prompt_tokens=10, output_tokens=1)
+        context.first.append(request)
+    context.first = [r for r in context.first if desk.placed[r] == "t2"]
+
+
+@when("a request of {tokens:d} tokens with an objective of {objective_s:g} s arrives")
+def arrive_large(context: Context, tokens: int, objective_s: float) -> None:
+    fields = {"prompt_tokens": tokens, "output_tokens": 1, "objective_s": objective_s}
+    context.later = [context.desk.arrive(**fields)]
+
+
+@then("it waits, and gets the second target when a slot is free there")
+def check_waits(context: Context) -> None:
+    desk, request = context.desk, context.later[0]
+    assert request not in desk.placed, desk.placed
+    assert request not in desk.declined, desk.declined
+    desk.pass_time(0.05)
+    desk.end(context.first[0])
+    assert desk.placed.get(request) == "t2", desk.placed
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.quota import QuotaBounds, Quotas, Verdict
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.configuration import RoutedWorkspace
 
@@ -51,7 +51,7 @@
             quotas = _make_quotas(context, now_s)
             for workspace, level in levels.items():
                 quotas.inherit(workspace, level, now_s)
-        if quotas.take("w", _REQUEST_TOKENS, now_s) == 0:
+        if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
             context.taken.append((now_s, _REQUEST_TOKENS))
         now_s += _STEP_S
 
@@ -66,7 +66,7 @@
     now_s = 0.0
     while now_s < length_s:
         for quotas in both:
-            if quotas.take("w", _REQUEST_TOKENS, now_s) == 0:
+            if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
                 context.taken.append((now_s, _REQUEST_TOKENS))
         now_s += _STEP_S
 
@@ -86,8 +86,10 @@
 @then("a request of {tokens:d} tokens passes, and the next must wait {wait_s:d} s or more")
 def check_large(context: Context, tokens: int, wait_s: int) -> None:
     quotas = _make_quotas(context, 0.0)
-    assert quotas.take("w", tokens, 0.0) == 0
-    assert quotas.take("w", tokens, 0.0) >= wait_s - _EPSILON
+    assert quotas.take("w", tokens, 0.0).verdict is Verdict.OWED
+    following = quotas.take("w", tokens, 0.0)
+    assert following.verdict is Verdict.REFUSED
+    assert following.wait_s >= wait_s - _EPSILON
 
 
 @given("a retry budget of {ratio:g} a request and {extra:d} more in {window_s:d} s")
@@ -111,3 +113,12 @@
 def check_later(context: Context, length_s: int, least: int) -> None:
     allowed = sum(context.budget.take("work", float(length_s)) for _ in range(100))
     assert allowed >= least, allowed
+
+
+@then("of {count:d} requests at once some are owed, then some spare, then the rest refused")
+def check_order(context: Context, count: int) -> None:
+    quotas = _make_quotas(context, 0.0)
+    verdicts = [quotas.take("w", 2 * _REQUEST_TOKENS, 0.0).verdict for _ in range(count)]
+    order = [Verdict.OWED, Verdict.SPARE, Verdict.REFUSED]
+    assert verdicts == sorted(verdicts, key=order.index), verdicts
+    assert set(verdicts) == set(order), verdicts
--- a/troutstand/tests/steps/platform.py
+++ b/troutstand/tests/steps/platform.py
@@ -251,7 +251,8 @@
     """Fill the kinds of gap that the template uses, as the platform's page says."""
 
     def fill_section(match: re.Match[str]) -> str:
-        is_wanted = bool(fields.get(match.group(2))) == (match.group(1) == "#")
+        is_given = any(k.startswith(match.group(2)) for k in fields if fields[k])
+        is_wanted = is_given == (match.group(1) == "#")
         return match.group(3) if is_wanted else ""
 
     section = re.compile(r"\{\{([#^])([\w.]+)\}\}((?:(?!\{\{[#^]).)*?)\{\{/\2\}\}", re.DOTALL)
