--- /dev/null
+++ b/benchmarks/days.py
@@ -0,0 +1,73 @@
+"""Play every day of our own on the users' bench and print a table of broken rules.
+
+The bench is no part of this repository; its path is an argument.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+DAYS = Path(__file__).resolve().parent / "days"
+ROOT = DAYS.parent.parent
+_LIMIT_S = 900
+
+
+@dataclass(frozen=True)
+class Played:
+    """Hold what the bench said of one day."""
+
+    day: str
+    site: str
+    line: str
+    detail: str
+
+    @property
+    def is_kept(self) -> bool:
+        """Tell whether the day was played and broke no rule."""
+        return bool(self.line) and "BROKEN" not in self.line
+
+
+def play_day(bench: Path, site: Path, day: Path, extra: list[str]) -> Played:
+    """Play one day and return its line of the bench's table."""
+    why = f"own day {day.stem}"
+    command = [str(bench), "run", str(site), str(day), "--why", why, *extra]
+    done = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=_LIMIT_S, check=False
+    )
+    text = done.stdout + done.stderr
+    lines = [line for line in text.splitlines() if re.match(rf"{re.escape(day.stem)}\s", line)]
+    first = [line for line in text.splitlines() if "the first that is wrong" in line]
+    return Played(day.stem, site.stem, lines[0] if lines else "", "".join(first) or text[-300:])
+
+
+def main() -> int:
+    """Play all days on the sites named and return an exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench", type=Path)
+    parser.add_argument("sites", type=Path, nargs="+")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--no-cpu", action="store_true")
+    arguments = parser.parse_args()
+    extra = ["--no-cpu"] if arguments.no_cpu else []
+    pairs = [(site, day) for site in arguments.sites for day in sorted(DAYS.glob("*.toml"))]
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        played = list(
+            pool.map(lambda pair: play_day(arguments.bench, pair[0], pair[1], extra), pairs)
+        )
+    for day in played:
+        print(f"{day.site:20} {day.line or day.day + ': not played'}")
+        if not day.is_kept:
+            print(f"    {day.detail}")
+    broken = sum(not day.is_kept for day in played)
+    print(f"{len(played) - broken} days kept every rule, {broken} did not")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -67,7 +67,7 @@
         self.placement = Placement(self.node, self.targets)
         self.pool = ConnectionPool(_CONNECT_S)
         self.sender = Sender(self.pool, dialect.headers)
-        self.open_requests = 0
+        self._busy: set[web.RequestHandler] = set()
         self.is_stopping = False
         self._runners: list[web.BaseRunner] = []
         self._site: web.TCPSite | None = None
@@ -138,10 +138,8 @@
         self.node.state = ProcessState.draining
         self.node.events.emit("stop_started", open=self.open_requests)
         await asyncio.sleep(_QUIET_SHARE * self.settings.stop_s)
-        if self._site is not None and self._server is not None:
+        if self._site is not None:
             await self._site.stop()
-            # Kept connections at rest end too; a busy one ends behind its answer.
-            self._server.pre_shutdown()
         await self._wait_quiet(started_s + _END_SHARE * self.settings.stop_s)
         self.node.events.emit("stop_ended", left=self.open_requests)
         for runner in self._runners:
@@ -156,6 +154,7 @@
         busy_s = time.monotonic()
         while time.monotonic() < end_s:
             now_s = time.monotonic()
+            self._close_idle()
             if self.open_requests:
                 busy_s = now_s
             elif now_s - busy_s > _QUIET_S:
@@ -165,15 +164,38 @@
     # Requests
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.open_requests += 1
+        protocol = request.protocol
+        self._busy.add(protocol)
         try:
             response = await self._answer(request)
+            await self._send(request, response)
         finally:
-            self.open_requests -= 1
-        if self.is_stopping and not response.prepared:
-            response.force_close()
+            self._busy.discard(protocol)
         return response
 
+    async def _send(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Write an answer while its connection still counts as busy."""
+        if response.prepared:
+            return
+        if self.is_stopping:
+            response.force_close()
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
+            await response.write_eof()
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are being answered."""
+        return len(self._busy)
+
+    def _close_idle(self) -> None:
+        """Close connections at rest; a busy one ends behind its answer."""
+        if self._server is None:
+            return
+        for connection in self._server.connections:
+            if connection not in self._busy and connection.transport is not None:
+                connection.transport.close()
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         table = self.follower.table
         if table is None:
--- a/troutstand/tests/routed.feature
+++ b/troutstand/tests/routed.feature
@@ -54,3 +54,8 @@
     Given a routed site whose engines break streams
     Then calls of /stream/resume/ get every event once
     And calls of /stream/ that are cut do not look complete
+
+  Scenario: A stopping gateway closes connections at rest at once, and takes nothing on them
+    Given a routed site
+    When a gateway with 5 connections at rest is told to stop
+    Then each of them is closed within 1.5 s, before the gateway has ended
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -389,3 +389,42 @@
     assert any(r.status == 0 for r in results), results
     for result in results:
         assert result.status != 200 or result.body == _join_events(result), result
+
+
+# Connections at rest
+
+
+async def _rest(scene: Scene, count: int) -> list[float]:
+    """Open connections, stop the gateway, and return how long each stayed open."""
+    gateway = scene.site.processes["gateway-1"]
+    host, _, port = gateway.settings.callers.rpartition(":")
+    opened = [await asyncio.open_connection(host, int(port)) for _ in range(count)]
+    began_s = time.monotonic()
+    # One call keeps the gateway from ending before the connections are looked at.
+    for target in scene.targets:
+        target.work_s = 1.7
+    call = asyncio.create_task(scene.caller.call(gateway, "/do/", b"x"))
+    await asyncio.sleep(0.1)
+    scene.site.send_signal("gateway-1", signal.SIGTERM)
+
+    async def wait_closed(reader: asyncio.StreamReader) -> float:
+        assert await reader.read() == b""
+        assert gateway.is_running
+        return time.monotonic() - began_s
+
+    times = await asyncio.gather(*(wait_closed(reader) for reader, _ in opened))
+    result = await call
+    assert result.status == 200, result
+    for _, writer in opened:
+        writer.close()
+    return list(times)
+
+
+@when("a gateway with {count:d} connections at rest is told to stop")
+def rest(context: Context, count: int) -> None:
+    context.times = context.scene.background.run(_rest(context.scene, count))
+
+
+@then("each of them is closed within {limit_s:g} s, before the gateway has ended")
+def check_rest(context: Context, limit_s: float) -> None:
+    assert max(context.times) < limit_s, context.times
