--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -5,7 +5,12 @@
 import sys
 
 from benchmarks.report import report
-from troutstand.testing.models.catalogue import list_broken_models, list_large_models, list_models
+from troutstand.testing.models.catalogue import (
+    list_broken_models,
+    list_large_broken_models,
+    list_large_models,
+    list_models,
+)
 from troutstand.testing.models.check import check_model
 
 
@@ -16,7 +21,7 @@
         verdict = check_model(spec)
         failed += not verdict.holds
         report("model", name, verdict.states, "states", holds=str(verdict.holds))
-    for name, spec in list_broken_models().items():
+    for name, spec in {**list_broken_models(), **list_large_broken_models()}.items():
         verdict = check_model(spec)
         failed += verdict.holds
         steps = min((len(trace) for trace in verdict.violations.values()), default=0)
--- a/troutstand/testing/models/catalogue.py
+++ b/troutstand/testing/models/catalogue.py
@@ -10,6 +10,7 @@
 from troutstand.testing.models.lease import LeaseModel
 from troutstand.testing.models.register import RegisterModel, make_bid
 from troutstand.testing.models.replacement import ReplacementModel
+from troutstand.testing.models.succession import SuccessionModel
 
 if TYPE_CHECKING:
     from troutstand.testing.models.check import ModelSpec
@@ -42,9 +43,15 @@
         "command, sent three times and numbered": CommandModel((1, 2, 3)).make_spec(),
         "edit, three operators": EditModel(operators).make_spec(),
         "lease, one keeper, longer": LeaseModel(keepers=("k0",), end_s=5).make_spec(),
+        "succession, two rivals": SuccessionModel().make_spec(),
     }
 
 
+def list_large_broken_models() -> dict[str, ModelSpec[Any]]:
+    """Return the models with a guard taken out that `make model` only searches."""
+    return {"succession, one voter is copied": SuccessionModel(needed=1).make_spec()}
+
+
 def list_broken_models() -> dict[str, ModelSpec[Any]]:
     """Return the models with a guard taken out; each must fail."""
     rivals = (make_bid("a", 1), make_bid("b", 2))
