--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint generate model bench plots clean
+.PHONY: demo test lint generate model bench plots soak clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -38,3 +38,6 @@
 
 clean:
 	rm -rf $(VENV) .demo
+
+soak: $(VENV)/ready
+	$(BIN)/python -m benchmarks.soak
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -75,6 +76,7 @@
         self._limits: dict[str, tuple[float, float]] = {}
         self._is_leaving = False
         self._has_list = False
+        self._list_wanted = asyncio.Event()
 
     async def start(self) -> None:
         """Open the links and begin to follow configuration and targets."""
@@ -187,6 +189,9 @@
                 self._drop(peer, "asks another scheduler", now_s)
             self._gateways[peer] = GatewaySeen(ask.incarnation, now_s, ask.is_attached)
         if ask.is_first:
+            if self._count_attached() <= 1:
+                # A standby's list is old; the first gateway to come needs a new one.
+                self._list_wanted.set()
             for run in ask.running:
                 self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
             for level in ask.levels:
@@ -269,7 +274,10 @@
                 self.node.events.emit("targets_unread", detail=str(error))
             is_busy = self._count_attached() > 0 or not self._has_list
             period_s = _LIST_S if is_busy else _STANDBY_LIST_S
-            await asyncio.sleep(period_s * (0.9 + 0.2 * self.node.random.random()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s * (0.9 + 0.2 * self.node.random.random())):
+                    await self._list_wanted.wait()
+            self._list_wanted.clear()
 
     async def _run_ticks(self) -> None:
         last_s = time.monotonic()
--- a/troutstand/testing/routedcaller.py
+++ b/troutstand/testing/routedcaller.py
@@ -78,7 +78,7 @@
                 data = await response.read()
                 status = response.status
                 retry_after = response.headers.get("Retry-After", "")
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError) as error:
             detail = f"{type(error).__name__}: {error}"
         except asyncio.CancelledError:
             detail = "left"
--- a/troutstand/testing/scripted.py
+++ b/troutstand/testing/scripted.py
@@ -114,5 +114,7 @@
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that its peer sees a reset."""
     raw = writer.get_extra_info("socket")
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    # A connection that is closed already needs no reset.
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
     writer.transport.abort()
--- a/troutstand/tests/routed.feature
+++ b/troutstand/tests/routed.feature
@@ -59,3 +59,8 @@
     Given a routed site
     When a gateway with 5 connections at rest is told to stop
     Then each of them is closed within 1.5 s, before the gateway has ended
+
+  Scenario: A scheduler that takes over reads the list of targets at once
+    Given a routed site
+    When a target is listed as draining and the first scheduler is killed at once
+    Then 2 s later no call goes to that target
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -428,3 +428,45 @@
 @then("each of them is closed within {limit_s:g} s, before the gateway has ended")
 def check_rest(context: Context, limit_s: float) -> None:
     assert max(context.times) < limit_s, context.times
+
+
+# Taking over
+
+
+async def _drain_and_kill(scene: Scene) -> None:
+    # The standby scheduler has just read the list, so that its next read is far off.
+    name = _find_deciding(scene)
+    standby = next(p.name for p in scene.site.list_role(RoutingRole.scheduler) if p.name != name)
+    scene.site.kill(standby)
+    log = scene.site.processes[standby].log
+    before = len(log.read_text())
+    scene.site.start(standby)
+
+    async def has_read() -> bool:
+        return "event=targets_changed" in log.read_text()[before:]
+
+    await wait_until(has_read, "the standby scheduler has read the list")
+    scene.targets[0].is_draining = True
+    scene.site.kill(name)
+
+
+@when("a target is listed as draining and the first scheduler is killed at once")
+def drain_and_kill(context: Context) -> None:
+    context.scene.background.run(_drain_and_kill(context.scene))
+
+
+@then("{wait_s:d} s later no call goes to that target")
+def check_taken_over(context: Context, wait_s: int) -> None:
+    scene = context.scene
+
+    async def call() -> None:
+        await asyncio.sleep(wait_s)
+        began_s = time.monotonic()
+        gateways = scene.site.list_role(RoutingRole.gateway)
+        calls = [scene.caller.call(g, "/do/", b"x") for g in gateways for _ in range(10)]
+        results = await asyncio.gather(*calls)
+        assert any(result.status == 200 for result in results), results
+        late = [run for run in scene.targets[0].runs if run.started_s > began_s]
+        assert not late, late
+
+    scene.background.run(call())
