--- a/tools/features.py
+++ b/tools/features.py
@@ -17,7 +17,7 @@
 )
 _UNDEFINED = re.compile(r"([1-9]\d*) undefined")
 # The longest first, so that none of them begins last.
-_LONGEST = ("failure", "routed", "models", "serving", "callers")
+_LONGEST = ("failure", "soak", "routed", "models", "serving", "callers")
 _DEFAULT_JOBS = 4
 
 
--- /dev/null
+++ b/troutstand/tests/soak.feature
@@ -0,0 +1,39 @@
+Feature: The fault soak finds broken promises, and a short one finds none
+
+  Scenario: A record without a fault passes
+    Given the record of a sound soak
+    Then the checker finds nothing
+
+  Scenario Outline: The checker catches <fault>
+    Given the record of a sound soak
+    When it is doctored with <fault>
+    Then the checker names <words>
+
+    Examples:
+      | fault                              | words               |
+      | a second run of a command          | ran 2 times         |
+      | a run that nobody sent             | nobody sent it      |
+      | a refusal of what ran              | was refused with    |
+      | an answer to another request       | got another answer  |
+      | a stream without its last event    | got another answer  |
+      | a stream with an event twice       | got another answer  |
+      | a run at a leaving target          | after the list      |
+      | a limit that is passed             | in a window         |
+      | a configuration that went back     | was taken           |
+      | a content that nobody sent         | nobody sent         |
+      | calls that fail after the faults   | calls were served   |
+      | no calls after the faults          | no call was sent    |
+      | a process that ended by itself     | ended by itself     |
+
+  Scenario: A plan is the same for the same seed, and others differ
+    Then seed 7 draws one plan twice and seed 8 another
+
+  Scenario Outline: A short soak of real processes keeps every promise
+    When seed <seed> is soaked for 8 s
+    Then the checker finds nothing
+    And most calls were served
+
+    Examples:
+      | seed       |
+      | 7          |
+      | 477523074  |
--- /dev/null
+++ b/troutstand/tests/steps/soak.py
@@ -0,0 +1,135 @@
+"""Doctor records of soaks, and play short ones."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.testing.routedcaller import CallResult
+from troutstand.testing.soak.check import (
+    Drained,
+    LimitBound,
+    Read,
+    Sent,
+    SoakRecord,
+    check_record,
+)
+from troutstand.testing.soak.plan import draw_plan
+from troutstand.testing.soak.run import Soak, SoakPlan
+from troutstand.testing.standins import RunRecord, make_body, make_event
+from troutstand.tests.environment import make_folder, next_subnet
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+
+def make_call(request: str, route: str, status: int, body: bytes, began_s: float) -> CallResult:
+    """Make a call's result."""
+    return CallResult(request, route, "gateway-1", status, body, "", began_s, began_s + 0.1)
+
+
+def make_run(request: str, target: str, started_s: float, tokens: int = 0) -> RunRecord:
+    """Make a run's record."""
+    return RunRecord(request, target, "work", "w", "/do/x", tokens, started_s, False, 0, 0)
+
+
+def _make_stream(request: str, numbers: range) -> bytes:
+    return b"".join(make_event(request, number) for number in numbers)
+
+
+@given("the record of a sound soak")
+def make_record(context: Context) -> None:
+    contents = [b"one", b"two"]
+    context.record = SoakRecord(
+        calls=[
+            make_call("c1", "/do/", 200, make_body("c1", b"x"), 1.0),
+            make_call("c2", "/do/", 503, b"", 2.0),
+            make_call("c3", "/stream/", 200, _make_stream("c3", range(1, 5)), 3.0),
+            make_call("c4", "/get/", 503, b"", 4.0),
+            make_call("c5", "/do/", 200, make_body("c5", b"x"), 50.0),
+        ],
+        runs=[
+            make_run("c1", "t1", 1.0, 10),
+            make_run("c3", "t1", 3.0, 10),
+            # What may be repeated may run twice, and be refused after that.
+            make_run("c4", "t1", 4.0),
+            make_run("c4", "t2", 4.1),
+            make_run("c5", "t1", 50.0),
+        ],
+        sent=[Sent(1, contents[0], 0.0, 0.1, 200), Sent(2, contents[1], 5.0, 5.1, 200)],
+        reads=[Read("k1", 4.0, contents[0]), Read("k2", 20.0, contents[1]), Read("k3", 21.0, None)],
+        drained=[Drained("t2", 3.0, 30.0)],
+        limits=[LimitBound("w", 8.0, 100.0)],
+        calm_from_s=45.0,
+    )
+
+
+@when("it is doctored with {fault}")
+def doctor(context: Context, fault: str) -> None:
+    record = context.record
+    match fault:
+        case "a second run of a command":
+            record.runs.append(make_run("c1", "t2", 1.2))
+        case "a run that nobody sent":
+            record.runs.append(make_run("ghost", "t1", 1.2))
+        case "a refusal of what ran":
+            record.runs.append(make_run("c2", "t1", 2.5))
+        case "an answer to another request":
+            record.calls[0] = replace(record.calls[0], body=make_body("c9", b"x"))
+        case "a stream without its last event":
+            record.calls[2] = replace(record.calls[2], body=_make_stream("c3", range(1, 4)))
+        case "a stream with an event twice":
+            twice = make_event("c3", 1) + _make_stream("c3", range(1, 5))
+            record.calls[2] = replace(record.calls[2], body=twice)
+        case "a run at a leaving target":
+            record.calls.append(make_call("c6", "/get/", 200, make_body("c6", b"x"), 9.0))
+            record.runs.append(make_run("c6", "t2", 9.0))
+        case "a limit that is passed":
+            record.runs = [replace(run, tokens=60) for run in record.runs]
+        case "a configuration that went back":
+            record.reads.append(Read("k1", 30.0, b"one"))
+        case "a content that nobody sent":
+            record.reads.append(Read("k1", 30.0, b"three"))
+        case "calls that fail after the faults":
+            record.calls[4] = replace(record.calls[4], status=502, body=b"")
+        case "no calls after the faults":
+            del record.calls[4], record.runs[4]
+        case "a process that ended by itself":
+            record.exits.append("gateway-1 with 1")
+        case _:
+            raise AssertionError(fault)
+
+
+@then("the checker names {words}")
+def check_caught(context: Context, words: str) -> None:
+    found = check_record(context.record)
+    assert any(words in line for line in found), found
+
+
+@then("the checker finds nothing")
+def check_sound(context: Context) -> None:
+    found = check_record(context.record)
+    assert not found, found[:5]
+
+
+@then("seed {seed:d} draws one plan twice and seed {other:d} another")
+def check_plan(context: Context, seed: int, other: int) -> None:
+    assert draw_plan(seed, 30.0, 1.0) == draw_plan(seed, 30.0, 1.0)
+    assert draw_plan(seed, 30.0, 1.0) != draw_plan(other, 30.0, 1.0)
+
+
+@when("seed {seed:d} is soaked for {length_s:d} s")
+def soak(context: Context, seed: int, length_s: int) -> None:
+    plan = SoakPlan(seed, float(length_s), gateways=2, subnet=next_subnet(context))
+    context.record = asyncio.run(Soak(plan, make_folder(context)).run())
+
+
+@then("most calls were served")
+def check_served(context: Context) -> None:
+    calls = context.record.calls
+    assert len(calls) > 100, len(calls)
+    served = sum(call.status == 200 for call in calls)
+    assert served > 0.5 * len(calls), f"{served} of {len(calls)}"
