Wait for every keeper before a scenario breaks one

Two of three keepers suffice to get a site ready; on the busy machine keeper-1 had not started, so that it had no folder to remove. Shown: starting keeper-1 late gives FileNotFoundError in that step. Change: the scene waits until every keeper tells the configuration; the feature runner prints failing features in full.

--- a/tools/features.py
+++ b/tools/features.py
@@ -35,7 +35,7 @@
 
 def run_feature(path: Path) -> Outcome:
     """Run one feature file."""
-    command = [sys.executable, "-m", "behave", "-f", "progress", "--no-timings", str(path)]
+    command = [sys.executable, "-m", "behave", "-f", "plain", "--no-timings", str(path)]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
     text = done.stdout + done.stderr
     found = _COUNTS.findall(text)
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -59,6 +59,11 @@
         self.caller = RoutedCaller(self.session)
         await self.site.write_anywhere(self.session, ConfigurationPlan().encode())
         await self.site.wait_ready(self.session)
+        # On a busy machine two keepers suffice for all that before a third has started.
+        await wait_until(self._is_told_everywhere, "every keeper tells the configuration")
+
+    async def _is_told_everywhere(self) -> bool:
+        return None not in await _read_all(self)
 
     def stop(self) -> None:
         """End what this scene started."""
