Pass learnt holding times on to the scheduler that takes over

Ruled out: the test's bound; refusals by a guess are unfounded in any number. Change: the active scheduler tells its holding times in each heartbeat's answer, gateways hand them to the next one, and one that knows none refuses nobody by a guess.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from statistics import median
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
+from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.targetstate import Running, TargetState, measure_service
-from troutstand.generated.messages import Declined, Ending, ListedState, Placed
+from troutstand.generated.messages import Declined, Ending, Hold, Placed
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,29 +23,16 @@
     from troutstand.core.retries import RetryBudget
     from troutstand.generated.messages import Ended, FirstByte, ListedTarget, RoutedWork
 
-# Guesses until something was measured, in seconds.
-_GUESS_PREFILL_S = 5e-5
-_GUESS_TOKEN_S = 8e-3
-_GUESS_SERVICE_S = 3e-2
+# How long a request keeps its slot until one has ended, in seconds.
 _GUESS_HOLD_S = 0.3
-_HOLD_EWMA = 0.1
-# The share of its objective that a request's wait and first byte may take
-# together; the rest is for the way and for what was estimated wrongly.
-_IN_TIME_SHARE = 0.85
 # How long a request that comes too late may wait, as a multiple of its objective.
 _LATE_PATIENCE = 0.0
 _MAX_WAIT_SHARE = 0.4
 # A request declined before this share of its objective may still come in time.
 _EARLY = 0.25
-_OCCUPANCY_WEIGHT = 0.15
-_FAULT_PENALTY_S = 1.0
-# What the way to another failure domain and its bytes are worth.
-_FAR_S = 0.02
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 5.0
 _NO_TARGET_WAIT_S = 0.3
-# Requests beyond what their workspace is owed leave so many slots free.
-_SPARE_SHARE = 0.25
 _OVERTAKEN = 1.2
 
 
@@ -81,53 +68,6 @@
     open_targets: int
 
 
-@dataclass
-class Waiting:
-    """Hold a request that has no target yet; times in seconds."""
-
-    work: RoutedWork
-    owner: str
-    arrived_s: float
-    deadline_s: float
-    verdict: Verdict
-    is_late: bool = False
-
-    @property
-    def due_s(self) -> float:
-        """Return until when the first byte is in time."""
-        return self.arrived_s + self.work.objective_s
-
-    @property
-    def rank(self) -> tuple[int, bool, float]:
-        """Return what sorts the queue: the tier, who can be in time, who is due first."""
-        return (self.work.tier, self.is_late, self.due_s)
-
-
-@dataclass
-class Pool:
-    """Hold the targets and the queue of one service."""
-
-    targets: dict[str, TargetState] = field(default_factory=dict)
-    waiting: dict[str, Waiting] = field(default_factory=dict)
-    hold_s: float | None = None
-
-    def learn_hold(self, sample_s: float) -> None:
-        """Learn how long a request keeps its slot."""
-        held = self.hold_s
-        self.hold_s = sample_s if held is None else held + _HOLD_EWMA * (sample_s - held)
-
-    def list_usable(self) -> list[TargetState]:
-        """Return the targets that take new work at all."""
-        return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
-
-    def estimate_wait(self, ahead: int, work: RoutedWork) -> float:
-        """Return the seconds until a request with some ahead of it gets a slot."""
-        slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
-        guess_s = _GUESS_HOLD_S if work.prompt_tokens else _GUESS_SERVICE_S
-        hold_s = self.hold_s or guess_s
-        return (ahead + 1) * hold_s / max(1, slots)
-
-
 class Dispatcher:
     """Hold the queues and the targets of a whole site."""
 
@@ -180,6 +120,21 @@
             run = Running(work, owner, now_s - elapsed_s, 0.0, elapsed_s, has_first=True)
             state.running[work.request] = run
 
+    def list_holds(self) -> list[Hold]:
+        """Return how long requests keep their slots, by service."""
+        return [
+            Hold(service, pool.hold_s)
+            for service, pool in self.pools.items()
+            if pool.hold_s is not None
+        ]
+
+    def inherit_holds(self, holds: Iterable[Hold]) -> None:
+        """Take over what another scheduler had learnt, where nothing was learnt here."""
+        for hold in holds:
+            pool = self.pools.setdefault(hold.service, Pool())
+            if pool.hold_s is None:
+                pool.hold_s = hold.hold_s
+
     def drop_owner(self, owner: str, now_s: float) -> None:
         """Forget all requests of a gateway that is gone or asks another scheduler."""
         for pool in self.pools.values():
@@ -203,7 +158,7 @@
         else:
             self.retries.note_request(work.service, now_s)
             judgement = self.quotas.take(work.workspace, work.charge, now_s)
-            if judgement.verdict is Verdict.SPARE and not self._has_spare(pool, now_s):
+            if judgement.verdict is Verdict.SPARE and not pool.has_spare(now_s):
                 self.quotas.give_back(work.workspace, work.charge, Verdict.SPARE, now_s)
                 judgement = Judgement(Verdict.REFUSED, judgement.wait_s)
             if judgement.verdict is Verdict.REFUSED:
@@ -218,14 +173,6 @@
         if work.request in pool.waiting:
             self._judge_arrival(pool, waiting, now_s)
 
-    def _has_spare(self, pool: Pool, now_s: float) -> bool:
-        """Tell whether room is free that nobody who is owed it waits for."""
-        if pool.waiting:
-            return False
-        slots = sum(t.listed.slots for t in pool.list_usable())
-        free = sum(t.free_slots for t in pool.list_usable() if t.is_open(now_s))
-        return free > _SPARE_SHARE * slots
-
     def abandon(self, request: str, now_s: float) -> None:
         """Forget a request wherever it is."""
         for pool in self.pools.values():
@@ -286,34 +233,6 @@
             case Ending.left:
                 pass
 
-    def _estimate_first(self, pool: Pool, state: TargetState, work: RoutedWork) -> float:
-        """Return the seconds until a target's first byte for a request."""
-        if not work.prompt_tokens:
-            return self._know(pool, state, "service_s", _GUESS_SERVICE_S)
-        prefill_s = self._know(pool, state, "prefill_s", _GUESS_PREFILL_S)
-        return prefill_s * (state.count_uncached(work) + state.measure_backlog())
-
-    def _estimate_cost(self, pool: Pool, state: TargetState, work: RoutedWork) -> float:
-        first_s = self._estimate_first(pool, state, work)
-        busy = len(state.running) / max(1, state.listed.slots)
-        if work.prompt_tokens:
-            token_s = self._know(pool, state, "token_s", _GUESS_TOKEN_S)
-            held_s = token_s * max(1, work.output_tokens)
-        else:
-            held_s = first_s * busy
-        far_s = _FAR_S if state.listed.failure_domain != work.failure_domain else 0.0
-        return (
-            first_s + far_s + _OCCUPANCY_WEIGHT * held_s + _FAULT_PENALTY_S * (1.0 - state.success)
-        )
-
-    def _know(self, pool: Pool, state: TargetState, name: str, guess: float) -> float:
-        """Return a target's learnt speed, or what its like show, or a guess."""
-        own = getattr(state, name).value
-        if own is not None:
-            return own
-        others = [v for t in pool.targets.values() if (v := getattr(t, name).value) is not None]
-        return median(others) if others else guess
-
     def _has_memory(self, state: TargetState, work: RoutedWork) -> bool:
         memory = self._memory_tokens.get(work.service)
         if not memory or not state.running:
@@ -327,29 +246,22 @@
         open_ = [t for t in fresh if t.is_open(now_s) and self._has_memory(t, work)]
         if not open_:
             return None
-        return min(open_, key=lambda state: self._estimate_cost(pool, state, work))
+        return min(open_, key=lambda state: pool.estimate_cost(state, work))
 
     def _should_wait(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> bool:
         """Tell whether a busy target will bring the first byte in time, and a free one not."""
         left_s = waiting.due_s - now_s
-        first_s = self._estimate_first(pool, state, waiting.work)
+        first_s = pool.estimate_first(state, waiting.work)
         if first_s <= left_s or waiting.is_late:
             return False
         busy = [t for t in pool.list_usable() if not t.strikes and not t.free_slots]
         if not busy:
             return False
-        best_s = min(self._estimate_alone(pool, t, waiting.work) for t in busy)
+        best_s = min(pool.estimate_alone(t, waiting.work) for t in busy)
         hold_s = pool.hold_s or _GUESS_HOLD_S
         slots = sum(t.listed.slots for t in busy)
         return hold_s / slots + best_s < min(left_s, first_s)
 
-    def _estimate_alone(self, pool: Pool, state: TargetState, work: RoutedWork) -> float:
-        """Return the seconds until a first byte once the prompts before it are read."""
-        if not work.prompt_tokens:
-            return self._know(pool, state, "service_s", _GUESS_SERVICE_S)
-        prefill_s = self._know(pool, state, "prefill_s", _GUESS_PREFILL_S)
-        return prefill_s * state.count_uncached(work)
-
     def _serve_queue(self, pool: Pool, now_s: float) -> None:
         """Give free slots to those who wait, in the queue's order."""
         if not pool.waiting:
@@ -367,7 +279,7 @@
     def _start(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> None:
         work = waiting.work
         del pool.waiting[work.request]
-        expected_s = self._estimate_first(pool, state, work)
+        expected_s = pool.estimate_first(state, work)
         uncached = state.count_uncached(work)
         inputs = PlacedInputs(
             expected_first_s=expected_s,
@@ -393,38 +305,28 @@
             work = waiting.work
             self.quotas.give_back(work.workspace, work.charge, waiting.verdict, now_s)
 
-    def _count_ahead(self, pool: Pool, waiting: Waiting) -> int:
-        rank = waiting.rank
-        return sum(1 for w in pool.waiting.values() if w is not waiting and w.rank <= rank)
-
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
             return
-        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting), waiting.work)
-        if wait_s <= self._find_patience(pool, waiting.work):
+        wait_s = pool.estimate_wait(pool.count_ahead(waiting))
+        if wait_s <= pool.find_patience(waiting.work):
             return
         # Too late for its objective, so that it goes behind those that can make theirs.
         waiting.is_late = True
-        wait_s = pool.estimate_wait(self._count_ahead(pool, waiting), waiting.work)
+        wait_s = pool.estimate_wait(pool.count_ahead(waiting))
         most_s = min(
             _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
         )
         if wait_s > most_s:
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
 
-    def _find_patience(self, pool: Pool, work: RoutedWork) -> float:
-        """Return how long a request may wait and still be in time."""
-        firsts = [self._estimate_first(pool, t, work) for t in pool.list_usable() if not t.strikes]
-        first_s = min(firsts, default=0.0)
-        return max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
-
     def _judge_waiting(self, pool: Pool, now_s: float) -> None:
         """Refuse who can no longer be served in time, the later ones first."""
         has_targets = bool(pool.list_usable())
         ordered = sorted(pool.waiting.values(), key=lambda w: w.rank)
         for ahead, waiting in reversed(list(enumerate(ordered))):
             waited_s = now_s - waiting.arrived_s
-            wait_s = pool.estimate_wait(ahead, waiting.work)
+            wait_s = pool.estimate_wait(ahead)
             is_early = waited_s < _EARLY * waiting.work.objective_s
             if now_s + measure_service(pool.hold_s or 0.0) * 0.5 > waiting.deadline_s:
                 self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
@@ -438,7 +340,7 @@
 
     def _judge_early(self, pool: Pool, waiting: Waiting, total_s: float, now_s: float) -> None:
         """Refuse who was overtaken, while coming back may still be in time."""
-        patience_s = _OVERTAKEN * self._find_patience(pool, waiting.work)
+        patience_s = _OVERTAKEN * pool.find_patience(waiting.work)
         if total_s > max(patience_s, _LATE_PATIENCE * waiting.work.objective_s):
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, total_s, now_s)
 
--- /dev/null
+++ b/troutstand/core/pool.py
@@ -0,0 +1,132 @@
+"""Keep the targets and the queue of one service, and estimate their times."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from statistics import median
+from typing import TYPE_CHECKING
+
+from troutstand.generated.messages import ListedState
+
+if TYPE_CHECKING:
+    from troutstand.core.quota import Verdict
+    from troutstand.core.targetstate import TargetState
+    from troutstand.generated.messages import RoutedWork
+
+# Guesses until something was measured, in seconds.
+_GUESS_PREFILL_S = 5e-5
+_GUESS_TOKEN_S = 8e-3
+_GUESS_SERVICE_S = 3e-2
+_HOLD_EWMA = 0.1
+# The share of its objective that a request's wait and first byte may take
+# together; the rest is for the way and for what was estimated wrongly.
+_IN_TIME_SHARE = 0.85
+_OCCUPANCY_WEIGHT = 0.15
+_FAULT_PENALTY_S = 1.0
+# What the way to another failure domain and its bytes are worth.
+_FAR_S = 0.02
+# Requests beyond what their workspace is owed leave so many slots free.
+_SPARE_SHARE = 0.25
+
+
+@dataclass
+class Waiting:
+    """Hold a request that has no target yet; times in seconds."""
+
+    work: RoutedWork
+    owner: str
+    arrived_s: float
+    deadline_s: float
+    verdict: Verdict
+    is_late: bool = False
+
+    @property
+    def due_s(self) -> float:
+        """Return until when the first byte is in time."""
+        return self.arrived_s + self.work.objective_s
+
+    @property
+    def rank(self) -> tuple[int, bool, float]:
+        """Return what sorts the queue: the tier, who can be in time, who is due first."""
+        return (self.work.tier, self.is_late, self.due_s)
+
+
+@dataclass
+class Pool:
+    """Hold the targets and the queue of one service."""
+
+    targets: dict[str, TargetState] = field(default_factory=dict)
+    waiting: dict[str, Waiting] = field(default_factory=dict)
+    hold_s: float | None = None
+
+    def learn_hold(self, sample_s: float) -> None:
+        """Learn how long a request keeps its slot."""
+        held = self.hold_s
+        self.hold_s = sample_s if held is None else held + _HOLD_EWMA * (sample_s - held)
+
+    def list_usable(self) -> list[TargetState]:
+        """Return the targets that take new work at all."""
+        return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
+
+    def estimate_wait(self, ahead: int) -> float:
+        """Return the seconds until a request with some ahead of it gets a slot."""
+        if self.hold_s is None:
+            # A guess must not refuse anybody; the first ending tells.
+            return 0.0
+        slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
+        return (ahead + 1) * self.hold_s / max(1, slots)
+
+    def estimate_first(self, state: TargetState, work: RoutedWork) -> float:
+        """Return the seconds until a target's first byte for a request."""
+        if not work.prompt_tokens:
+            return self._know(state, "service_s", _GUESS_SERVICE_S)
+        prefill_s = self._know(state, "prefill_s", _GUESS_PREFILL_S)
+        return prefill_s * (state.count_uncached(work) + state.measure_backlog())
+
+    def estimate_cost(self, state: TargetState, work: RoutedWork) -> float:
+        """Return what giving a request to a target costs, in seconds; the least is best."""
+        first_s = self.estimate_first(state, work)
+        busy = len(state.running) / max(1, state.listed.slots)
+        if work.prompt_tokens:
+            token_s = self._know(state, "token_s", _GUESS_TOKEN_S)
+            held_s = token_s * max(1, work.output_tokens)
+        else:
+            held_s = first_s * busy
+        far_s = _FAR_S if state.listed.failure_domain != work.failure_domain else 0.0
+        return (
+            first_s + far_s + _OCCUPANCY_WEIGHT * held_s + _FAULT_PENALTY_S * (1.0 - state.success)
+        )
+
+    def _know(self, state: TargetState, name: str, guess: float) -> float:
+        """Return a target's learnt speed, or what its like show, or a guess."""
+        own = getattr(state, name).value
+        if own is not None:
+            return own
+        others = [v for t in self.targets.values() if (v := getattr(t, name).value) is not None]
+        return median(others) if others else guess
+
+    def estimate_alone(self, state: TargetState, work: RoutedWork) -> float:
+        """Return the seconds until a first byte once the prompts before it are read."""
+        if not work.prompt_tokens:
+            return self._know(state, "service_s", _GUESS_SERVICE_S)
+        prefill_s = self._know(state, "prefill_s", _GUESS_PREFILL_S)
+        return prefill_s * state.count_uncached(work)
+
+    def find_patience(self, work: RoutedWork) -> float:
+        """Return how long a request may wait and still be in time."""
+        firsts = [self.estimate_first(t, work) for t in self.list_usable() if not t.strikes]
+        first_s = min(firsts, default=0.0)
+        return max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
+
+    def count_ahead(self, waiting: Waiting) -> int:
+        """Return how many come before a request in the queue."""
+        rank = waiting.rank
+        return sum(1 for w in self.waiting.values() if w is not waiting and w.rank <= rank)
+
+    def has_spare(self, now_s: float) -> bool:
+        """Tell whether room is free that nobody who is owed it waits for."""
+        if self.waiting:
+            return False
+        slots = sum(t.listed.slots for t in self.list_usable())
+        free = sum(t.free_slots for t in self.list_usable() if t.is_open(now_s))
+        return free > _SPARE_SHARE * slots
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -28,6 +28,7 @@
     Declined,
     Ended,
     FirstByte,
+    Hold,
     Level,
     Place,
     Placed,
@@ -115,6 +116,7 @@
         self._alone_since_s = time.monotonic()
         self._is_leaving = False
         self._levels: list[Level] = []
+        self._holds: list[Hold] = []
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
@@ -131,6 +133,7 @@
             local.use_table(self._table, now_s)
         for level in self._levels:
             quotas.inherit(level.workspace, LimitLevel(level.share, level.spare), now_s)
+        local.inherit_holds(self._holds)
         local.use_targets(self._targets.targets, now_s)
         for held in self._held.values():
             elapsed_s = now_s - held.started_s
@@ -279,6 +282,7 @@
             running=self._list_running(now_s) if is_first else [],
             is_leaving=self._is_leaving,
             levels=self._levels if is_first else [],
+            holds=self._holds if is_first else [],
         )
         watch.is_attached = is_attached
         try:
@@ -317,6 +321,7 @@
         if process == self._current:
             self._gateways = reply.gateways
             self._levels = reply.levels
+            self._holds = reply.holds
 
     def _is_alone(self) -> bool:
         return isinstance(self._current, _Alone)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -196,6 +196,7 @@
                 self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
             for level in ask.levels:
                 self.quotas.inherit(level.workspace, LimitLevel(level.share, level.spare), now_s)
+            self.dispatcher.inherit_holds(ask.holds)
             self.node.events.emit("gateway_attached", peer=peer, running=len(ask.running))
         self._share()
         has_news = ask.targets_version != self.targets.version
@@ -209,6 +210,7 @@
             has_targets=has_news and self._has_list,
             is_ready=self.is_ready,
             levels=self._list_levels(now_s) if ask.is_attached else [],
+            holds=self.dispatcher.list_holds() if ask.is_attached else [],
         )
 
     def _list_levels(self, now_s: float) -> list[Level]:
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -57,3 +57,15 @@
     And the second target is full and ends a request every 0.05 s
     When a request of 20000 tokens with an objective of 0.5 s arrives
     Then it waits, and gets the second target when a slot is free there
+
+  Scenario: A scheduler that has learnt nothing refuses nobody by a guess
+    Given a service with 1 targets of 2 slots
+    When 40 requests with an objective of 0.3 s arrive at once
+    Then none of them is refused on arrival
+
+  Scenario: A scheduler that takes over goes by what the one before had learnt
+    Given a service with 1 targets of 2 slots
+    And the scheduler before had learnt that a request holds its slot for 0.4 s
+    When 40 requests with an objective of 1 s arrive at once
+    Then those that can't be in time are refused on arrival
+    And a hold learnt here is not replaced by one passed on
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -17,6 +17,7 @@
     Ended,
     Ending,
     FirstByte,
+    Hold,
     ListedState,
     ListedTarget,
     Part,
@@ -307,3 +308,38 @@
     desk.pass_time(0.05)
     desk.end(context.first[0])
     assert desk.placed.get(request) == "t2", desk.placed
+
+
+@when("{count:d} requests with an objective of {objective_s:g} s arrive at once")
+def arrive_at_once(context: Context, count: int, objective_s: float) -> None:
+    context.later = [context.desk.arrive(objective_s=objective_s) for _ in range(count)]
+
+
+@then("none of them is refused on arrival")
+def check_none_refused(context: Context) -> None:
+    assert not context.desk.declined, context.desk.declined
+
+
+@given("the scheduler before had learnt that a request holds its slot for {hold_s:g} s")
+def pass_hold_on(context: Context, hold_s: float) -> None:
+    before = Desk(1, 2)
+    for _ in range(20):
+        before.end(before.arrive(), total_s=hold_s)
+    context.desk.dispatcher.inherit_holds(before.dispatcher.list_holds())
+
+
+@then("those that can't be in time are refused on arrival")
+def check_late_refused(context: Context) -> None:
+    # Two slots at 0.4 s each start three more within 0.85 of the objective.
+    desk = context.desk
+    waiting = [r for r in context.later if r not in desk.declined and r not in desk.placed]
+    assert len(desk.placed) == 2, desk.placed
+    assert 1 <= len(waiting) <= 5, waiting
+
+
+@then("a hold learnt here is not replaced by one passed on")
+def check_own_hold_kept(context: Context) -> None:
+    dispatcher = context.desk.dispatcher
+    held = dispatcher.list_holds()
+    dispatcher.inherit_holds([Hold("work", 60.0)])
+    assert dispatcher.list_holds() == held, dispatcher.list_holds()
