Say plainly that no byte came, and write refusals in a module of their own

Cause: lines of requests without a first byte said first_ms=-1000, and handling.py imported make_refusal inside a function because of a cycle with gateway.py. Change: fields that are None are left out of a line, the walk says 'never come from this try', make_refusal lives in routing/refusals.py. Shown: walk.feature (a case more), relay.feature.

--- a/troutstand/control/walk.py
+++ b/troutstand/control/walk.py
@@ -119,12 +119,17 @@
     return (
         f"answered with {end.fields.get('status')} after {end.fields.get('total_ms')} ms: "
         f"waited {waited} ms for a target, first byte expected in {expected} ms and "
-        f"come in {end.fields.get('first_ms')} ms, "
+        f"{_describe_first(end)}, "
         f"under version {end.fields.get('version')}{held}"
         f"{_describe_failures(steps)}"
     )
 
 
+def _describe_first(end: Line) -> str:
+    first_ms = end.fields.get("first_ms")
+    return f"come in {first_ms} ms" if first_ms else "never come from this try"
+
+
 def _list_failures(steps: list[Line]) -> str:
     return "; ".join(
         f"{s.fields.get('target')} {s.fields.get('ending')} ({s.fields.get('detail', '')})"
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from troutstand.core.codes import ResultCode, describe_code
+from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import ProcessState
 from troutstand.routing.calls import make_outgoing, read_call
@@ -19,6 +19,7 @@
 from troutstand.routing.metrics import GatewayMetrics
 from troutstand.routing.node import RoutingNode, parse_address
 from troutstand.routing.placement import Placement
+from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import Sender
 from troutstand.routing.server import MAX_HEADER_BYTES, listen
 from troutstand.routing.targetlist import TargetList
@@ -43,16 +44,6 @@
 _STARTING_RETRY_S = 0.5
 
 
-def make_refusal(error: TroutstandError) -> web.Response:
-    """Write a refusal with its number, whether it ran, and when to come back."""
-    meaning = describe_code(error.code)
-    body = {"code": int(error.code), "error": error.detail, "run": error.run.value}
-    response = web.json_response(body, status=meaning.http_status)
-    if error.retry_after_s is not None:
-        response.headers["Retry-After"] = f"{error.retry_after_s:.3f}"
-    return response
-
-
 class Gateway:
     """Serve callers of one host."""
 
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -15,6 +15,7 @@
 from troutstand.generated.messages import Declined, Ended, Ending, Placed
 from troutstand.routing.calls import resume_after
 from troutstand.routing.exchange import ExchangeError
+from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import SendError, Sent, filter_headers
 from troutstand.routing.streams import EventSplitter
 
@@ -308,8 +309,6 @@
     def _refuse(
         self, code: ResultCode, detail: str, retry_after_s: float | None
     ) -> web.StreamResponse:
-        from troutstand.routing.gateway import make_refusal
-
         run = Run.UNKNOWN if self._may_have_run else Run.NO
         response = make_refusal(TroutstandError(code, detail, run, retry_after_s))
         self._emit("request_refused", code, response.status, detail=detail)
@@ -336,7 +335,7 @@
             route=call.route.name,
             version=call.version,
             total_ms=(now_s - call.arrived_s) * 1000.0,
-            first_ms=self._first_s * 1000.0,
+            first_ms=self._first_s * 1000.0 if self._first_s >= 0 else None,
             arrivals=self._arrivals,
             decider=self._gateway.placement.decider,
             **fields,
--- /dev/null
+++ b/troutstand/routing/refusals.py
@@ -0,0 +1,22 @@
+"""Write refusals as answers to callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from troutstand.core.codes import describe_code
+
+if TYPE_CHECKING:
+    from troutstand.core.errors import TroutstandError
+
+
+def make_refusal(error: TroutstandError) -> web.Response:
+    """Write a refusal with its number, whether it ran, and when to come back."""
+    meaning = describe_code(error.code)
+    body = {"code": int(error.code), "error": error.detail, "run": error.run.value}
+    response = web.json_response(body, status=meaning.http_status)
+    if error.retry_after_s is not None:
+        response.headers["Retry-After"] = f"{error.retry_after_s:.3f}"
+    return response
--- a/troutstand/tests/walk.feature
+++ b/troutstand/tests/walk.feature
@@ -12,6 +12,7 @@
       | a broken stream        | 2 other attempts failed at the same  | event=configuration_in_force |
       | a late answer          | under version 6, 7 in force          | version=7                    |
       | a limit that is reached| its workspace was at its limit       | event=scheduler_changed      |
+      | an answer without a byte| never come from this try            | event=configuration_in_force |
       | no end                 | no end was logged                    | event=configuration_in_force |
 
   Scenario: An id that no line names
--- a/troutstand/util/events.py
+++ b/troutstand/util/events.py
@@ -58,7 +58,7 @@
 
 
 def format_event(event: Event) -> str:
-    """Write an event as one line of key=value pairs."""
+    """Write an event as one line of key=value pairs, without the fields that are None."""
     host = event.process.partition(".")[0]
     parts = [
         f"at={event.stamp.wall_ms}.{event.stamp.counter}",
@@ -70,7 +70,8 @@
         parts.append(f"request={event.request}")
     if event.code is not ResultCode.OK:
         parts.append(f"code={event.code.value}")
-    parts.extend(f"{key}={format_value(value)}" for key, value in event.fields.items())
+    known = {key: value for key, value in event.fields.items() if value is not None}
+    parts.extend(f"{key}={format_value(value)}" for key, value in known.items())
     return " ".join(parts)
 
 
