Split the routed steps by subject

The scene moves to testing/routedscene.py, configurations and keepers to steps/routedcontrol.py; no step is changed.

--- /dev/null
+++ b/troutstand/testing/routedscene.py
@@ -0,0 +1,74 @@
+"""Hold a routed site of real processes with its stand-ins and its caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from troutstand.generated.routing import RoutingRole
+from troutstand.testing.background import BackgroundLoop
+from troutstand.testing.routedcaller import CallResult, RoutedCaller
+from troutstand.testing.routedsite import KEY, ConfigurationPlan, RoutedPlan, RoutedSite, wait_until
+from troutstand.testing.standins import StandInList, StandInTarget
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@dataclass
+class Scene:
+    """Hold a routed site, its stand-ins and its caller, on a loop in a thread."""
+
+    folder: Path
+    background: BackgroundLoop = field(default_factory=BackgroundLoop)
+    targets: list[StandInTarget] = field(default_factory=list)
+
+    def open(self, subnet: str) -> None:
+        """Start everything and wait until the gateways are ready."""
+        self.background.run(self._open(subnet))
+
+    async def _open(self, subnet: str) -> None:
+        for number in range(2):
+            self.targets.append(StandInTarget(f"plain-{number}", "work"))
+            self.targets.append(StandInTarget(f"engine-{number}", "engine", seed=number))
+        for target in self.targets:
+            await target.start()
+        self.list = StandInList(self.targets)
+        await self.list.start()
+        self.site = RoutedSite(self.folder, RoutedPlan(subnet=subnet), self.list)
+        self.site.lay_out()
+        self.site.start_all()
+        self.session = aiohttp.ClientSession()
+        self.caller = RoutedCaller(self.session)
+        await self.site.write_anywhere(self.session, ConfigurationPlan().encode())
+        await self.site.wait_ready(self.session)
+        # On a busy machine two keepers suffice for all that before a third has started.
+        await wait_until(self._is_told_everywhere, "every keeper tells the configuration")
+
+    async def _is_told_everywhere(self) -> bool:
+        return None not in await read_all(self)
+
+    def stop(self) -> None:
+        """End what this scene started."""
+        self.site.stop()
+        self.background.run(self._close())
+        self.background.close()
+
+    async def _close(self) -> None:
+        await self.session.close()
+        for target in self.targets:
+            await target.crash()
+        await self.list.stop()
+
+    def call_gateways(self, route: str, key: str = KEY) -> list[CallResult]:
+        """Send one request through each gateway."""
+        gateways = self.site.list_role(RoutingRole.gateway)
+        return [self.background.run(self.caller.call(g, route, b"x", key)) for g in gateways]
+
+
+async def read_all(scene: Scene) -> list[bytes | None]:
+    """Return the configuration that each keeper tells."""
+    keepers = [p for p in scene.site.list_role(RoutingRole.keeper) if p.is_running]
+    return [await scene.site.read(scene.session, keeper.name) for keeper in keepers]
