Prefer a target that the gateway has a connection to

Change: the scheduler follows which gateway keeps connections to which target and counts a new one as 5 ms when it compares targets. Test first: with like targets the requests of one gateway went to t1, t1, t2, t3, t4 ... and now all to one.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -198,6 +198,8 @@
                 continue
             run = state.running.pop(ended.request, None)
             if run is not None:
+                is_kept = ended.ending in (Ending.whole, Ending.failed)
+                state.note_released(run.owner, is_kept, now_s)
                 self._learn_ending(pool, state, run, ended, now_s)
             self._serve_queue(pool, now_s)
 
@@ -240,13 +242,14 @@
         needed = sum(r.work.prompt_tokens + r.work.output_tokens for r in state.running.values())
         return needed + work.prompt_tokens + work.output_tokens <= memory
 
-    def _choose(self, pool: Pool, work: RoutedWork, now_s: float) -> TargetState | None:
+    def _choose(self, pool: Pool, waiting: Waiting, now_s: float) -> TargetState | None:
+        work = waiting.work
         usable = pool.list_usable()
         fresh = [t for t in usable if t.listed.target not in work.excluded] or usable
         open_ = [t for t in fresh if t.is_open(now_s) and self._has_memory(t, work)]
         if not open_:
             return None
-        return min(open_, key=lambda state: pool.estimate_cost(state, work))
+        return min(open_, key=lambda state: pool.estimate_cost(state, waiting, now_s))
 
     def _should_wait(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> bool:
         """Tell whether a busy target will bring the first byte in time, and a free one not."""
@@ -267,7 +270,7 @@
         if not pool.waiting:
             return
         for waiting in sorted(pool.waiting.values(), key=lambda w: w.rank):
-            state = self._choose(pool, waiting.work, now_s)
+            state = self._choose(pool, waiting, now_s)
             if state is not None and self._should_wait(pool, state, waiting, now_s):
                 state = None
             if state is None:
@@ -289,6 +292,7 @@
             open_targets=sum(1 for t in pool.targets.values() if t.is_open(now_s)),
         )
         state.running[work.request] = Running(work, waiting.owner, now_s, uncached, expected_s)
+        state.note_connection(waiting.owner, now_s)
         placed = Placed(
             work.request,
             state.listed.target,
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -25,6 +25,8 @@
 _FAULT_PENALTY_S = 1.0
 # What the way to another failure domain and its bytes are worth.
 _FAR_S = 0.02
+# What a new connection of the gateway to the target is worth.
+_CONNECT_S = 0.005
 # Requests beyond what their workspace is owed leave so many slots free.
 _SPARE_SHARE = 0.25
 
@@ -83,8 +85,9 @@
         prefill_s = self._know(state, "prefill_s", _GUESS_PREFILL_S)
         return prefill_s * (state.count_uncached(work) + state.measure_backlog())
 
-    def estimate_cost(self, state: TargetState, work: RoutedWork) -> float:
+    def estimate_cost(self, state: TargetState, waiting: Waiting, now_s: float) -> float:
         """Return what giving a request to a target costs, in seconds; the least is best."""
+        work = waiting.work
         first_s = self.estimate_first(state, work)
         busy = len(state.running) / max(1, state.listed.slots)
         if work.prompt_tokens:
@@ -93,9 +96,9 @@
         else:
             held_s = first_s * busy
         far_s = _FAR_S if state.listed.failure_domain != work.failure_domain else 0.0
-        return (
-            first_s + far_s + _OCCUPANCY_WEIGHT * held_s + _FAULT_PENALTY_S * (1.0 - state.success)
-        )
+        connect_s = 0.0 if state.has_connection(waiting.owner, now_s) else _CONNECT_S
+        fault_s = _FAULT_PENALTY_S * (1.0 - state.success)
+        return first_s + far_s + connect_s + _OCCUPANCY_WEIGHT * held_s + fault_s
 
     def _know(self, state: TargetState, name: str, guess: float) -> float:
         """Return a target's learnt speed, or what its like show, or a guess."""
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -19,6 +19,8 @@
 _MIN_SILENT_S = 1.2
 _SILENT_FACTOR = 6.0
 _KEPT_PARTS = 4000
+# How long a gateway is taken to keep an idle connection to a target.
+_KEPT_CONNECTION_S = 2.5
 _MIN_SERVICE_S = 1e-4
 
 
@@ -45,6 +47,14 @@
         self.value = sample if self.value is None else self.value + _EWMA * (sample - self.value)
 
 
+@dataclass
+class KeptConnections:
+    """Follow the connections that one gateway keeps to a target."""
+
+    count: int = 0
+    used_s: float = float("-inf")
+
+
 @dataclass
 class TargetState:
     """Follow one target."""
@@ -59,6 +69,7 @@
     blocked_until_s: float = 0.0
     last_sign_s: float = 0.0
     parts: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
+    connections: dict[str, KeptConnections] = field(default_factory=dict)
 
     @property
     def free_slots(self) -> int:
@@ -92,6 +103,36 @@
         while len(self.parts) > _KEPT_PARTS:
             self.parts.popitem(last=False)
 
+    # Connections of gateways
+
+    def has_connection(self, owner: str, now_s: float) -> bool:
+        """Tell whether a gateway seems to have an idle connection to the target."""
+        kept = self.connections.get(owner)
+        if kept is None or now_s - kept.used_s > _KEPT_CONNECTION_S:
+            return False
+        return kept.count > self._count_running(owner)
+
+    def _count_running(self, owner: str) -> int:
+        return sum(1 for run in self.running.values() if run.owner == owner)
+
+    def note_connection(self, owner: str, now_s: float) -> None:
+        """Note that a gateway's new request, counted already, uses a connection."""
+        kept = self.connections.setdefault(owner, KeptConnections())
+        in_use = self._count_running(owner)
+        if now_s - kept.used_s > _KEPT_CONNECTION_S:
+            kept.count = in_use
+        kept.count = max(kept.count, in_use)
+        kept.used_s = now_s
+
+    def note_released(self, owner: str, is_kept: bool, now_s: float) -> None:
+        """Note that a gateway's request ended, and whether its connection lives on."""
+        kept = self.connections.get(owner)
+        if kept is None:
+            return
+        kept.used_s = now_s
+        if not is_kept:
+            kept.count = max(0, kept.count - 1)
+
     # Signs of life
 
     def note_first(self, run: Running, first_s: float, now_s: float) -> None:
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -69,3 +69,10 @@
     When 40 requests with an objective of 1 s arrive at once
     Then those that can't be in time are refused on arrival
     And a hold learnt here is not replaced by one passed on
+
+  Scenario: Among like targets a gateway gets one that it has a connection to
+    Given a service with 4 targets of 2 slots
+    When a gateway's requests come and end one after the other
+    Then all of them got the same target
+    And another gateway's request beside a running one gets another target
+    And after 5 s a connection is taken to be closed
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -343,3 +343,41 @@
     held = dispatcher.list_holds()
     dispatcher.inherit_holds([Hold("work", 60.0)])
     assert dispatcher.list_holds() == held, dispatcher.list_holds()
+
+
+@when("a gateway's requests come and end one after the other")
+def call_in_turn(context: Context) -> None:
+    desk = context.desk
+    context.got = []
+    for state in desk.dispatcher.pools["work"].targets.values():
+        state.service_s.learn(0.1)
+    for number in range(8):
+        # The target that has served becomes a little slower than the others.
+        request = desk.arrive()
+        target = desk.placed[request]
+        desk.end(request, total_s=0.1 + 0.001 * number)
+        context.got.append(target)
+        desk.pass_time(0.1)
+
+
+@then("all of them got the same target")
+def check_same_target(context: Context) -> None:
+    assert len(set(context.got)) == 1, context.got
+
+
+@then("another gateway's request beside a running one gets another target")
+def check_other_target(context: Context) -> None:
+    desk = context.desk
+    mine = desk.arrive()
+    other = desk.arrive(owner=_OTHER_GATEWAY)
+    assert desk.placed[mine] == context.got[0], desk.placed
+    assert desk.placed[other] != desk.placed[mine], desk.placed
+    desk.end(mine)
+    desk.end(other)
+
+
+@then("after {length_s:d} s a connection is taken to be closed")
+def check_closed(context: Context, length_s: int) -> None:
+    state = context.desk.dispatcher.pools["work"].targets[context.got[0]]
+    assert state.has_connection(_GATEWAY, context.desk.now_s)
+    assert not state.has_connection(_GATEWAY, context.desk.now_s + length_s)
