Probe links at rest less often where there are many, and start without gc

An idle gateway with six keepers and six schedulers woke 62 times a second, half of it for probes of its twelve links every 0.8 s; 202 starts. Change: where two or more hosts may be lost at once, links at rest are probed every 3.2 s; nothing changes where one may be. No search for cycles while a process loads its modules.

--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -230,7 +230,8 @@
     """Keep one outgoing link open and ask the peer things.
 
     `is_refused` tells that nothing listens at the peer's address, so that its
-    process has ended; silence alone tells nothing.
+    process has ended; silence alone tells nothing. A link that is at rest is
+    probed every `probe_s` seconds, by default once a lease.
     """
 
     identity: Identity
@@ -242,6 +243,7 @@
     is_up: bool = False
     is_refused: bool = False
     from_ip: str = ""
+    probe_s: float | None = None
     _sequence: int = 0
     _asks: dict[int, asyncio.Future[PeerMessage]] = field(default_factory=dict)
     _queue: asyncio.Queue[bytes] = field(init=False)
@@ -279,7 +281,7 @@
             max_size=self.limits.message_bytes,
             compression=None,
             open_timeout=self.limits.lease_s,
-            ping_interval=self.limits.lease_s,
+            ping_interval=self.probe_s or self.limits.lease_s,
             ping_timeout=self.limits.lease_s,
             close_timeout=self.limits.lease_s,
             proxy=None,
--- a/troutstand/routing/main.py
+++ b/troutstand/routing/main.py
@@ -112,9 +112,12 @@
 
 def run_process(path: Path, dialect: Dialect) -> None:
     """Run the process that a settings file describes, and exit."""
+    # What is loaded at the start stays, so that looking for cycles in it is in vain.
+    gc.disable()
     try:
         settings = load_routing_settings(path)
         process = make_process(settings, dialect)
+        gc.enable()
         asyncio.run(_run(process, path))
     except* TroutstandError as group:
         errors = [e for e in flatten_group(group) if isinstance(e, TroutstandError)]
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -32,6 +32,11 @@
 _INCARNATION_BYTES = 8
 _LINK_S = 0.8
 _LINK_LIMITS = Limits(lease_s=_LINK_S, link_queue_messages=4000, message_bytes=16 << 20)
+# Where several keepers and schedulers may be lost at once there are more of them
+# to turn to, and each process has more links: probes of links at rest were half of
+# an idle gateway's wake-ups.
+_MANY_LOST = 2
+_MANY_LINKS_PROBE_S = 4 * _LINK_S
 _CONNECT_S = 0.25
 _PORT_OFFSETS = {RoutingRole.keeper: 0, RoutingRole.scheduler: 1, RoutingRole.gateway: 2}
 
@@ -158,6 +163,7 @@
             self.events,
             self.traffic,
             from_ip=self.settings.bind_ip,
+            probe_s=_MANY_LINKS_PROBE_S if self.settings.disks_lost >= _MANY_LOST else None,
         )
         task = asyncio.create_task(link.run(), name=f"link {process}")
         self._links[process] = (link, task)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -370,7 +370,6 @@
             return
         before = self.decider
         self._current = decider
-        now_s = time.monotonic()
         if isinstance(decider, _Alone):
             self._local = self._make_local()
             self._went_alone.set()
