Test that nothing is denied before a configuration and that callers may leave

Two rows of the table of rules had no test of their own. Shown to bite: with the cancelling of handlers switched off the second scenario fails; both pass on the product as it is.

--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -25,11 +25,11 @@
     background: BackgroundLoop = field(default_factory=BackgroundLoop)
     targets: list[StandInTarget] = field(default_factory=list)
 
-    def open(self, subnet: str) -> None:
-        """Start everything and wait until the gateways are ready."""
-        self.background.run(self._open(subnet))
+    def open(self, subnet: str, is_configured: bool = True) -> None:
+        """Start everything; wait until the gateways are ready where they have what to serve."""
+        self.background.run(self._open(subnet, is_configured))
 
-    async def _open(self, subnet: str) -> None:
+    async def _open(self, subnet: str, is_configured: bool) -> None:
         for number in range(2):
             self.targets.append(StandInTarget(f"plain-{number}", "work"))
             self.targets.append(StandInTarget(f"engine-{number}", "engine", seed=number))
@@ -42,6 +42,11 @@
         self.site.start_all()
         self.session = aiohttp.ClientSession()
         self.caller = RoutedCaller(self.session)
+        if is_configured:
+            await self.configure()
+
+    async def configure(self) -> None:
+        """Put the first configuration in force and wait until the gateways are ready."""
         await self.site.write_anywhere(self.session, ConfigurationPlan().encode())
         await self.site.wait_ready(self.session)
         # On a busy machine two keepers suffice for all that before a third has started.
--- a/troutstand/tests/routed.feature
+++ b/troutstand/tests/routed.feature
@@ -9,6 +9,20 @@
     And a call of /do/ with an unknown key gets 401
     And the targets saw the workspace and no key
 
+  Scenario: Before any configuration is known nothing is denied
+    Given a routed site without a configuration
+    Then a call of /do/ through each gateway that listens gets 503
+    And a call of /unknown/ through each gateway that listens gets 503
+    When the first configuration is in force
+    Then a call of /do/ through each gateway gets 200
+    And a call of /unknown/ through each gateway gets 404
+
+  Scenario: Callers that leave free the targets and the queue
+    Given a routed site whose targets work for 5 s
+    When 8 calls that run and 4 that wait are given up by their callers
+    Then the targets' work on the 8 ends within 0.5 s
+    And the 4 never run
+
   Scenario: The scheduler dies or stands still and the calls go on
     Given a routed site
     When calls of /do/ run while the first scheduler is frozen, then killed
