Take tokens back at the time they were taken

Cause, found by reading: a request that was given back was subtracted from the window at the time of giving back. When the taken amount fell out of the window the subtraction still stood in it and made room a second time. Test first: a workspace that takes all, gives it back after 3 s and asks on got 12,800 tokens in a window of 8 s where 7,070 are allowed; now no window is over. Change: the subtraction is filed at the time of taking and leaves with it.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -159,7 +159,7 @@
             self.retries.note_request(work.service, now_s)
             judgement = self.quotas.take(work.workspace, work.charge, now_s)
             if judgement.verdict is Verdict.SPARE and not pool.has_spare(now_s):
-                self.quotas.give_back(work.workspace, work.charge, Verdict.SPARE, now_s)
+                self.quotas.give_back(work.workspace, work.charge, Verdict.SPARE, now_s, now_s)
                 judgement = Judgement(Verdict.REFUSED, judgement.wait_s)
             if judgement.verdict is Verdict.REFUSED:
                 level = self.quotas.read_level(work.workspace)
@@ -307,7 +307,9 @@
         waiting = pool.waiting.pop(request, None)
         if waiting is not None and waiting.work.attempt == 1:
             work = waiting.work
-            self.quotas.give_back(work.workspace, work.charge, waiting.verdict, now_s)
+            self.quotas.give_back(
+                work.workspace, work.charge, waiting.verdict, waiting.arrived_s, now_s
+            )
 
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
--- a/troutstand/core/quota.py
+++ b/troutstand/core/quota.py
@@ -155,12 +155,14 @@
         missing_s = (enough - bucket.level) / max(bucket.rate_per_s * self.share, _MIN_RATE)
         return Judgement(Verdict.SPARE, missing_s)
 
-    def give_back(self, workspace: str, amount: float, verdict: Verdict, now_s: float) -> None:
-        """Return the tokens of a request that was not run."""
+    def give_back(
+        self, workspace: str, amount: float, verdict: Verdict, taken_s: float, now_s: float
+    ) -> None:
+        """Return the tokens of a request that was not run, taken at an earlier time."""
         bucket = self._advance(workspace, now_s)
         if bucket is None or amount <= 0:
             return
-        bucket.window.note(-amount, now_s)
+        bucket.window.take_back(amount, taken_s)
         if verdict is Verdict.OWED:
             bucket.level = min(bucket.capacity * self.share, bucket.level + amount)
 
--- a/troutstand/core/window.py
+++ b/troutstand/core/window.py
@@ -29,10 +29,24 @@
             self.total -= self._taken.popleft()[1]
 
     def note(self, amount: float, now_s: float) -> None:
-        """Add an amount; a negative one takes it back."""
+        """Add an amount."""
         self._taken.append((now_s, amount))
         self.total += amount
 
+    def take_back(self, amount: float, taken_s: float) -> None:
+        """Remove an amount that was noted at an earlier time.
+
+        It leaves the window together with what it cancels; counted later it
+        would still make room when that has long gone.
+        """
+        if not self._taken or self._taken[0][0] > taken_s:
+            return
+        index = len(self._taken)
+        while self._taken[index - 1][0] > taken_s:
+            index -= 1
+        self._taken.insert(index, (taken_s, -amount))
+        self.total -= amount
+
     def find_room(self, amount: float, most: float, now_s: float) -> float:
         """Return the seconds until an amount fits beside what is held."""
         excess = self.total + amount - most
--- a/troutstand/tests/limits.feature
+++ b/troutstand/tests/limits.feature
@@ -36,3 +36,8 @@
     When a workspace asks for four times as much for 60 s and the scheduler changes every 3 s
     Then no window of 8 s holds more than 7070 tokens
     And the workspace got at least 35000 tokens
+
+  Scenario: What is given back later makes no room twice
+    Given a limit of 400 tokens a second and a burst of 1500, judged over 8 s with 10 in 100 and 1900 excess
+    When a workspace takes all it can at once, gives it back after 3 s, and asks for four times as much for 20 s
+    Then no window of 8 s holds more than 7070 tokens
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -71,6 +71,24 @@
         now_s += _STEP_S
 
 
+@when(
+    "a workspace takes all it can at once, gives it back after {after_s:d} s, "
+    "and asks for four times as much for {length_s:d} s"
+)
+def ask_and_give_back(context: Context, after_s: int, length_s: int) -> None:
+    quotas = _make_quotas(context, 0.0)
+    lent: list[Verdict] = []
+    while (verdict := quotas.take("w", _REQUEST_TOKENS, 0.0).verdict) is not Verdict.REFUSED:
+        lent.append(verdict)
+    now_s = float(after_s)
+    for verdict in lent:
+        quotas.give_back("w", _REQUEST_TOKENS, verdict, 0.0, now_s)
+    while now_s < after_s + length_s:
+        if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
+            context.taken.append((now_s, _REQUEST_TOKENS))
+        now_s += _STEP_S
+
+
 @then("no window of {window_s:d} s holds more than {most:d} tokens")
 def check_windows(context: Context, window_s: int, most: int) -> None:
     for start_s, _ in context.taken:
