Share the disks' part of the two models of replacement

replacement.py and succession.py had five runs of the same lines: disks, acceptors, proposers, copying and the network. They stand in models/disks.py now.

--- a/troutstand/testing/models/succession.py
+++ b/troutstand/testing/models/succession.py
@@ -11,26 +11,19 @@
 
 from dataclasses import dataclass, replace
 
-from troutstand.core.acceptor import Acceptor, list_voters
+from troutstand.core.acceptor import list_voters
 from troutstand.core.contacts import ContactBook
-from troutstand.core.ids import ProcessId, RegisterName
-from troutstand.core.register import Broadcast, Decided, Proposer
+from troutstand.core.ids import RegisterName
 from troutstand.core.succession import count_needed, form_first_set, plan_change, promote
 from troutstand.generated.messages import (
-    Accept,
     Contact,
-    CopyAsk,
-    CopyPage,
     KeeperSet,
-    Prepare,
     ProcessState,
-    Promise,
     RegisterState,
-    StoredIdentity,
 )
-from troutstand.generated.messages import Accepted as AcceptedReply
 from troutstand.testing.models.check import ModelSpec, Step
-from troutstand.testing.models.register import Bid, freeze_bid, make_bid
+from troutstand.testing.models.disks import Disk, DiskModel, DiskWorld, Proposal, put_disk
+from troutstand.testing.models.register import make_bid
 
 _REGISTER = RegisterName("configuration/7")
 _NAMES = ("k0", "k1", "k2", "k3")
@@ -72,34 +65,17 @@
 
 
 @dataclass(frozen=True)
-class Disk:
-    """Keep what one keeper's disk holds."""
+class World(DiskWorld):
+    """Hold which of the rivals won beside what every world of disks has."""
 
-    disk_id: str
-    epoch: int
-    state: RegisterState
-
-
-@dataclass(frozen=True)
-class Proposal:
-    """Keep one ballot and the epoch it was begun in."""
+    chain: int = 0
 
-    bid: Bid
-    epoch: int = 0
 
+def _find_set(world: World, epoch: int) -> KeeperSet:
+    return _CHAINS[world.chain][epoch - 1]
 
-@dataclass(frozen=True)
-class World:
-    """Hold the disks, which rival won, the ballots and the network."""
 
-    disks: tuple[Disk, ...]
-    proposals: tuple[Proposal, ...]
-    chain: int = 0
-    decided_epoch: int = 1
-    copied_from: frozenset[str] = frozenset()
-    network: frozenset[Prepare | Accept] = frozenset()
-    decided: frozenset[bytes] = frozenset()
-    is_second_lost: bool = False
+_MODEL = DiskModel(_NAMES, _REGISTER, _find_set)
 
 
 @dataclass(frozen=True)
@@ -132,11 +108,8 @@
         for index, proposal in enumerate(world.proposals):
             if not proposal.bid.started:
                 epochs = (1,) if index == 0 else range(2, world.decided_epoch + 1)
-                steps += [_start(world, index, epoch) for epoch in epochs]
-        for message in world.network:
-            for number in range(len(_NAMES)):
-                steps += _handle(world, message, number)
-        return steps + self._list_changes(world)
+                steps += [_MODEL.start(world, index, epoch) for epoch in epochs]
+        return steps + _MODEL.list_deliveries(world) + self._list_changes(world)
 
     def _list_changes(self, world: World) -> list[Step[World]]:
         if world.decided_epoch == 1:
@@ -148,12 +121,12 @@
         for number, disk in enumerate(world.disks):
             if disk.epoch < world.decided_epoch and disk.disk_id in (_FIRST_DISK, _SPARE_DISK):
                 later = replace(disk, epoch=world.decided_epoch)
-                steps.append(Step(f"k{number} learns the set", _put(world, number, later)))
+                steps.append(Step(f"k{number} learns the set", put_disk(world, number, later)))
         steps += self._list_copies(world)
         if world.decided_epoch == 3 and not world.is_second_lost:
             # k0 is in every set; its disk is lost right after the repair.
             gone = Disk("lost", 0, RegisterState(_REGISTER))
-            after = replace(_put(world, 0, gone), is_second_lost=True)
+            after = replace(put_disk(world, 0, gone), is_second_lost=True)
             steps.append(Step("k0 loses its disk", after))
         return steps
 
@@ -166,89 +139,9 @@
         steps = [
             step
             for number in range(_SPARE)
-            if _NAMES[number] in list_voters(second) and (step := _copy(world, number)) is not None
+            if _NAMES[number] in list_voters(second)
+            and (step := _MODEL.copy(world, _SPARE, number, 2)) is not None
         ]
         if len(world.copied_from) >= needed:
             steps.append(Step("the new disk votes", replace(world, decided_epoch=3)))
         return steps
-
-
-def _copy(world: World, number: int) -> Step[World] | None:
-    page = _load(world, number).copy_page(CopyAsk(2))
-    if not isinstance(page, CopyPage):
-        return None
-    copier = _load(world, _SPARE)
-    for record in page.records:
-        copier.merge_copy(record)
-    after = _put(world, _SPARE, _save(world.disks[_SPARE], copier))
-    name = _NAMES[number]
-    return Step(f"k3 copies {name}", replace(after, copied_from=after.copied_from | {name}))
-
-
-def _load(world: World, number: int) -> Acceptor:
-    disk = world.disks[number]
-    acceptor = Acceptor(StoredIdentity("model", _NAMES[number], disk.disk_id))
-    acceptor.keepers = _CHAINS[world.chain][disk.epoch - 1] if disk.epoch else None
-    if disk.state.promised is not None:
-        acceptor.registers[_REGISTER] = disk.state
-    return acceptor
-
-
-def _save(disk: Disk, acceptor: Acceptor) -> Disk:
-    return replace(disk, state=acceptor.registers.get(_REGISTER, RegisterState(_REGISTER)))
-
-
-def _put(world: World, number: int, disk: Disk) -> World:
-    disks = (*world.disks[:number], disk, *world.disks[number + 1 :])
-    return replace(world, disks=disks)
-
-
-def _make_proposer(world: World, proposal: Proposal) -> Proposer:
-    bid = proposal.bid
-    return Proposer(
-        _REGISTER,
-        bid.value,
-        bid.ballot,
-        proposal.epoch,
-        list_voters(_CHAINS[world.chain][proposal.epoch - 1]),
-        dict(bid.promises),
-        set(bid.accepted),
-        bid.accepting,
-    )
-
-
-def _start(world: World, index: int, epoch: int) -> Step[World]:
-    proposal = replace(world.proposals[index], epoch=epoch)
-    proposer = _make_proposer(world, proposal)
-    after = _update(world, index, proposal, proposer, proposer.start())
-    return Step(f"{proposal.bid.ballot.proposer} starts in epoch {epoch}", after)
-
-
-def _handle(world: World, message: Prepare | Accept, number: int) -> list[Step[World]]:
-    acceptor = _load(world, number)
-    reply = acceptor.handle(message, 0.0).reply
-    if not isinstance(reply, Promise | AcceptedReply):
-        return []
-    handled = _put(world, number, _save(world.disks[number], acceptor))
-    label = f"k{number} takes {type(message).__name__} of {message.ballot.proposer}"
-    index = next(i for i, p in enumerate(world.proposals) if p.bid.ballot == message.ballot)
-    proposal = world.proposals[index]
-    proposer = _make_proposer(world, proposal)
-    step = proposer.receive(ProcessId(_NAMES[number]), reply)
-    answered = _update(handled, index, proposal, proposer, step)
-    return [Step(f"{label}, reply lost", handled), Step(label, answered)]
-
-
-def _update(
-    world: World, index: int, proposal: Proposal, proposer: Proposer, step: object
-) -> World:
-    kept = replace(proposal, bid=freeze_bid(proposal.bid, proposer))
-    proposals = (*world.proposals[:index], kept, *world.proposals[index + 1 :])
-    world = replace(world, proposals=proposals)
-    match step:
-        case Broadcast(message):
-            return replace(world, network=world.network.union([message]))
-        case Decided(value):
-            return replace(world, decided=world.decided | {value})
-        case _:
-            return world
