Keep the cost of a decision from growing with the queue

At every ending each waiting request looked at every target, at every tick each at every target's estimate again. Change: open targets are listed once a pass, a pass ends after eight requests that nothing open suits (ticks look at all), what busy targets would bring is described once, patience is estimated on arrival, ranks are kept. Test first: 410 looks at targets with 10 waiting, 12,710 with 310; now at most twice as many.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
@@ -23,8 +24,8 @@
     from troutstand.core.retries import RetryBudget
     from troutstand.generated.messages import Ended, FirstByte, ListedTarget, RoutedWork
 
-# How long a request keeps its slot until one has ended, in seconds.
-_GUESS_HOLD_S = 0.3
+# How many waiting requests an event may look at in vain.
+_MAX_PASSED = 8
 # How long a request that comes too late may wait, as a multiple of its objective.
 _LATE_PATIENCE = 0.0
 _MAX_WAIT_SHARE = 0.4
@@ -36,6 +37,9 @@
 _OVERTAKEN = 1.2
 
 
+_get_rank = attrgetter("rank")
+
+
 @dataclass(frozen=True)
 class Decision:
     """Tell a gateway what becomes of its request."""
@@ -209,7 +213,7 @@
             for state in pool.targets.values():
                 if now_s >= state.blocked_until_s and state.find_silence(now_s):
                     state.note_lost(now_s)
-            self._serve_queue(pool, now_s)
+            self._serve_queue(pool, now_s, most_passed=len(pool.waiting) + 1)
             self._judge_waiting(pool, now_s)
 
     # Choosing
@@ -242,42 +246,49 @@
         needed = sum(r.work.prompt_tokens + r.work.output_tokens for r in state.running.values())
         return needed + work.prompt_tokens + work.output_tokens <= memory
 
-    def _choose(self, pool: Pool, waiting: Waiting, now_s: float) -> TargetState | None:
+    def _choose(
+        self, pool: Pool, waiting: Waiting, open_: list[TargetState], now_s: float
+    ) -> TargetState | None:
+        """Return the best of the open targets for a request."""
         work = waiting.work
-        usable = pool.list_usable()
-        fresh = [t for t in usable if t.listed.target not in work.excluded] or usable
-        open_ = [t for t in fresh if t.is_open(now_s) and self._has_memory(t, work)]
-        if not open_:
+        fitting = [t for t in open_ if self._has_memory(t, work)]
+        if work.excluded:
+            tried = work.excluded
+            untried = [t for t in pool.list_usable() if t.listed.target not in tried]
+            if untried:
+                fitting = [t for t in fitting if t.listed.target not in tried]
+        if not fitting:
             return None
-        return min(open_, key=lambda state: pool.estimate_cost(state, waiting, now_s))
-
-    def _should_wait(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> bool:
-        """Tell whether a busy target will bring the first byte in time, and a free one not."""
-        left_s = waiting.due_s - now_s
-        first_s = pool.estimate_first(state, waiting.work)
-        if first_s <= left_s or waiting.is_late:
-            return False
-        busy = [t for t in pool.list_usable() if not t.strikes and not t.free_slots]
-        if not busy:
-            return False
-        best_s = min(pool.estimate_alone(t, waiting.work) for t in busy)
-        hold_s = pool.hold_s or _GUESS_HOLD_S
-        slots = sum(t.listed.slots for t in busy)
-        return hold_s / slots + best_s < min(left_s, first_s)
-
-    def _serve_queue(self, pool: Pool, now_s: float) -> None:
-        """Give free slots to those who wait, in the queue's order."""
+        return min(fitting, key=lambda state: pool.estimate_cost(state, waiting, now_s))
+
+    def _serve_queue(self, pool: Pool, now_s: float, most_passed: int = _MAX_PASSED) -> None:
+        """Give free slots to those who wait, in the queue's order.
+
+        Parameters
+        ----------
+        most_passed
+            After so many that no open target suits, the others wait for the next tick.
+        """
         if not pool.waiting:
             return
-        for waiting in sorted(pool.waiting.values(), key=lambda w: w.rank):
-            state = self._choose(pool, waiting, now_s)
-            if state is not None and self._should_wait(pool, state, waiting, now_s):
-                state = None
-            if state is None:
-                if not any(t.is_open(now_s) for t in pool.list_usable()):
+        # Under load there is mostly nothing open, and every ending comes here.
+        open_ = pool.list_open(now_s)
+        if not open_:
+            return
+        outlook = pool.describe_busy()
+        passed = 0
+        for waiting in sorted(pool.waiting.values(), key=_get_rank):
+            state = self._choose(pool, waiting, open_, now_s)
+            if state is None or pool.should_wait(state, waiting, outlook, now_s):
+                passed += 1
+                if passed >= most_passed:
                     return
                 continue
             self._start(pool, state, waiting, now_s)
+            if not state.is_open(now_s):
+                open_.remove(state)
+            if not open_:
+                return
 
     def _start(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> None:
         work = waiting.work
@@ -314,11 +325,12 @@
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
             return
+        waiting.patience_s = pool.find_patience(waiting.work)
         wait_s = pool.estimate_wait(pool.count_ahead(waiting))
-        if wait_s <= pool.find_patience(waiting.work):
+        if wait_s <= waiting.patience_s:
             return
         # Too late for its objective, so that it goes behind those that can make theirs.
-        waiting.is_late = True
+        waiting.mark_late()
         wait_s = pool.estimate_wait(pool.count_ahead(waiting))
         most_s = min(
             _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
@@ -329,10 +341,11 @@
     def _judge_waiting(self, pool: Pool, now_s: float) -> None:
         """Refuse who can no longer be served in time, the later ones first."""
         has_targets = bool(pool.list_usable())
-        ordered = sorted(pool.waiting.values(), key=lambda w: w.rank)
+        ordered = sorted(pool.waiting.values(), key=_get_rank)
+        turn_s = pool.measure_turn()
         for ahead, waiting in reversed(list(enumerate(ordered))):
             waited_s = now_s - waiting.arrived_s
-            wait_s = pool.estimate_wait(ahead)
+            wait_s = (ahead + 1) * turn_s
             is_early = waited_s < _EARLY * waiting.work.objective_s
             if now_s + measure_service(pool.hold_s or 0.0) * 0.5 > waiting.deadline_s:
                 self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
@@ -341,12 +354,12 @@
                     self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
             elif is_early and not waiting.is_late:
                 self._judge_early(pool, waiting, waited_s + wait_s, now_s)
-            elif now_s > waiting.due_s:
-                waiting.is_late = True
+            elif now_s > waiting.due_s and not waiting.is_late:
+                waiting.mark_late()
 
     def _judge_early(self, pool: Pool, waiting: Waiting, total_s: float, now_s: float) -> None:
         """Refuse who was overtaken, while coming back may still be in time."""
-        patience_s = _OVERTAKEN * pool.find_patience(waiting.work)
+        patience_s = _OVERTAKEN * waiting.patience_s
         if total_s > max(patience_s, _LATE_PATIENCE * waiting.work.objective_s):
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, total_s, now_s)
 
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -17,6 +17,7 @@
 _GUESS_PREFILL_S = 5e-5
 _GUESS_TOKEN_S = 8e-3
 _GUESS_SERVICE_S = 3e-2
+_GUESS_HOLD_S = 0.3
 _HOLD_EWMA = 0.1
 # The share of its objective that a request's wait and first byte may take
 # together; the rest is for the way and for what was estimated wrongly.
@@ -41,16 +42,34 @@
     deadline_s: float
     verdict: Verdict
     is_late: bool = False
+    # How long it may wait and still be in time, as estimated when it arrived.
+    patience_s: float = 0.0
+
+    # What sorts the queue: the tier, who can be in time, who is due first. It is kept,
+    # since a long queue is sorted at every event.
+    rank: tuple[int, bool, float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.rank = (self.work.tier, self.is_late, self.due_s)
 
     @property
     def due_s(self) -> float:
         """Return until when the first byte is in time."""
         return self.arrived_s + self.work.objective_s
 
-    @property
-    def rank(self) -> tuple[int, bool, float]:
-        """Return what sorts the queue: the tier, who can be in time, who is due first."""
-        return (self.work.tier, self.is_late, self.due_s)
+    def mark_late(self) -> None:
+        """Put the request behind those of its tier that can be in time."""
+        self.is_late = True
+        self.rank = (self.work.tier, True, self.due_s)
+
+
+@dataclass(frozen=True)
+class BusyTargets:
+    """Tell what waiting for a busy target would bring; in seconds, and seconds a token."""
+
+    turn_s: float
+    prefill_s: float
+    service_s: float
 
 
 @dataclass
@@ -70,13 +89,21 @@
         """Return the targets that take new work at all."""
         return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
 
-    def estimate_wait(self, ahead: int) -> float:
-        """Return the seconds until a request with some ahead of it gets a slot."""
+    def list_open(self, now_s: float) -> list[TargetState]:
+        """Return the targets that may be given work now."""
+        return [target for target in self.list_usable() if target.is_open(now_s)]
+
+    def measure_turn(self) -> float:
+        """Return the seconds between two slots that become free."""
         if self.hold_s is None:
             # A guess must not refuse anybody; the first ending tells.
             return 0.0
         slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
-        return (ahead + 1) * self.hold_s / max(1, slots)
+        return self.hold_s / max(1, slots)
+
+    def estimate_wait(self, ahead: int) -> float:
+        """Return the seconds until a request with some ahead of it gets a slot."""
+        return (ahead + 1) * self.measure_turn()
 
     def estimate_first(self, state: TargetState, work: RoutedWork) -> float:
         """Return the seconds until a target's first byte for a request."""
@@ -108,12 +135,35 @@
         others = [v for t in self.targets.values() if (v := getattr(t, name).value) is not None]
         return median(others) if others else guess
 
-    def estimate_alone(self, state: TargetState, work: RoutedWork) -> float:
-        """Return the seconds until a first byte once the prompts before it are read."""
-        if not work.prompt_tokens:
-            return self._know(state, "service_s", _GUESS_SERVICE_S)
-        prefill_s = self._know(state, "prefill_s", _GUESS_PREFILL_S)
-        return prefill_s * state.count_uncached(work)
+    def describe_busy(self) -> BusyTargets:
+        """Describe the targets that have no free slot, as whoever waits for one sees them."""
+        busy = [t for t in self.list_usable() if not t.strikes and not t.free_slots]
+        slots = sum(t.listed.slots for t in busy)
+        hold_s = self.hold_s or _GUESS_HOLD_S
+        return BusyTargets(
+            turn_s=hold_s / slots if slots else float("inf"),
+            prefill_s=min(
+                (self._know(t, "prefill_s", _GUESS_PREFILL_S) for t in busy), default=0.0
+            ),
+            service_s=min(
+                (self._know(t, "service_s", _GUESS_SERVICE_S) for t in busy), default=0.0
+            ),
+        )
+
+    def _find_least(self, targets: list[TargetState], name: str, guess: float) -> float:
+        return min((self._know(target, name, guess) for target in targets), default=guess)
+
+    def should_wait(
+        self, state: TargetState, waiting: Waiting, busy: BusyTargets, now_s: float
+    ) -> bool:
+        """Tell whether a busy target will bring the first byte in time, and a free one not."""
+        work = waiting.work
+        left_s = waiting.due_s - now_s
+        first_s = self.estimate_first(state, work)
+        if first_s <= left_s or waiting.is_late:
+            return False
+        alone_s = busy.prefill_s * work.prompt_tokens if work.prompt_tokens else busy.service_s
+        return busy.turn_s + alone_s < min(left_s, first_s)
 
     def find_patience(self, work: RoutedWork) -> float:
         """Return how long a request may wait and still be in time."""
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -76,3 +76,9 @@
     Then all of them got the same target
     And another gateway's request beside a running one gets another target
     And after 5 s a connection is taken to be closed
+
+  Scenario: What an ending costs does not grow with the queue
+    Given a service with 40 targets of 2 slots
+    And every slot is taken and 10 requests wait that no open target suits
+    When a slot is free, then the same with 300 more that wait
+    Then about as many targets were looked at both times
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -11,6 +11,7 @@
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
+from troutstand.core.targetstate import TargetState
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.messages import (
     Declined,
@@ -381,3 +382,55 @@
     state = context.desk.dispatcher.pools["work"].targets[context.got[0]]
     assert state.has_connection(_GATEWAY, context.desk.now_s)
     assert not state.has_connection(_GATEWAY, context.desk.now_s + length_s)
+
+
+def _make_unfit(desk: Desk, count: int) -> None:
+    """Let requests wait that a slow open target would bring too late."""
+    for _ in range(count):
+        desk.arrive(prompt_tokens=10_000, output_tokens=1, objective_s=0.4)
+
+
+@given("every slot is taken and {count:d} requests wait that no open target suits")
+def fill_unfit(context: Context, count: int) -> None:
+    desk = context.desk
+    targets = desk.dispatcher.pools["work"].targets
+    for name, state in targets.items():
+        state.prefill_s.learn(1e-3 if name == "t1" else 1e-6)
+    context.first = [desk.arrive(prompt_tokens=10, output_tokens=1) for _ in range(80)]
+    assert len(desk.placed) == 80
+    _make_unfit(desk, count)
+
+
+def _count_looks(desk: Desk) -> int:
+    """End a request at the slow target and count how often a target was looked at."""
+    looks = 0
+    is_open = TargetState.is_open
+
+    def count(state: TargetState, now_s: float) -> bool:
+        nonlocal looks
+        looks += 1
+        return is_open(state, now_s)
+
+    request = next(r for r, target in desk.placed.items() if target == "t1")
+    TargetState.is_open = count
+    try:
+        desk.end(request, ending=Ending.left)
+    finally:
+        TargetState.is_open = is_open
+    return looks
+
+
+@when("a slot is free, then the same with {count:d} more that wait")
+def end_twice(context: Context, count: int) -> None:
+    desk = context.desk
+    few = _count_looks(desk)
+    _make_unfit(desk, count)
+    context.looks = (few, _count_looks(desk))
+
+
+@then("about as many targets were looked at both times")
+def check_looks(context: Context) -> None:
+    few, many = context.looks
+    assert many <= 2 * few, context.looks
+    waiting = context.desk.dispatcher.pools["work"].waiting
+    assert len(waiting) > 100, len(waiting)
