--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
+from troutstand.core.compression import expand
 from troutstand.core.configuration import RouteTable
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import Contact, ContactAsk, ContactReply
@@ -127,7 +128,7 @@
 
     def _use(self, version: int, content: bytes) -> None:
         try:
-            table = RouteTable(self._dialect.decode_configuration(content))
+            table = RouteTable(self._dialect.decode_configuration(expand(content)))
         except* TroutstandError:
             code = ResultCode.CONFIGURATION_INVALID
             self._node.events.emit("configuration_unreadable", code=code, version=version)
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -11,6 +11,7 @@
 
 from troutstand.core.acceptor import Acceptor
 from troutstand.core.codes import ResultCode
+from troutstand.core.compression import compress, expand
 from troutstand.core.errors import TroutstandError
 from troutstand.core.succession import FIRST_DISK, form_first_set
 from troutstand.daemon.registers import RegisterClient
@@ -112,6 +113,7 @@
             self.ask_keeper, self.registers, self.learn, self._get_configuration, _LINE_S
         )
         self.replacement = Replacement(self)
+        self._compressed = (0, b"")
         self._control = Control(self.line, dialect, self.node.events)
 
     def _get_configuration(self) -> StoredConfiguration:
@@ -249,9 +251,16 @@
             known=[] if is_known else self.node.book.export(_SHARED_ROLES, now_s),
             known_digest=digest,
             version=held.version if is_behind else 0,
-            content=held.content if is_behind else b"",
+            content=self._compress_held() if is_behind else b"",
         )
 
+    def _compress_held(self) -> bytes:
+        """Compress the configuration once a version, however many processes ask."""
+        held = self.acceptor.configuration
+        if self._compressed[0] != held.version:
+            self._compressed = (held.version, compress(held.content))
+        return self._compressed[1]
+
     def _hear(self, contact: Contact, known: list[Contact]) -> None:
         now_s = time.monotonic()
         for heard in (contact, *known):
@@ -283,13 +292,14 @@
         ask = ContactAsk(self._describe(), self.node.book.export(_SHARED_ROLES, now_s))
         try:
             reply = await self.node.ask(process, ask, _ASK_S)
+            if not isinstance(reply, ContactReply):
+                return
+            content = expand(reply.content)
         except TroutstandError:
             return
-        if not isinstance(reply, ContactReply):
-            return
         self._hear(reply.contact, reply.known)
         if reply.version:
-            await self._keep(StoredConfiguration(reply.version, reply.content))
+            await self._keep(StoredConfiguration(reply.version, content))
         if reply.contact.epoch > self.acceptor.epoch:
             await self.replacement.fetch(process)
 
--- /dev/null
+++ b/troutstand/tests/compression.feature
@@ -0,0 +1,17 @@
+Feature: Configurations are small on slow links
+
+  Scenario: A keeper hands on a large configuration in little
+    Given a keeper that holds a configuration of 1400 routes
+    When a gateway without one asks it
+    Then the answer takes at most 100000 bytes of its link
+    And it expands to the keeper's configuration
+    And one that has the version is sent nothing
+
+  Scenario Outline: Compressed content that is <fault> is refused
+    Then expanding content that is <fault> fails with 7002
+
+    Examples:
+      | fault     |
+      | cut short |
+      | broken    |
+      | too large |
