Sum up the limits' windows for several heartbeats together

With 16 workspaces at 340 requests/s that takes 3.6 ms (beside other runs), and 88 gateways send 282 heartbeats a second: a whole core. Change: the sums are kept for 0.1 s, a third of a heartbeat's period there. After: at most 10 sums a second. routed.feature 12 of 12.

--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -40,6 +40,8 @@
 
 _TICK_S = 0.05
 _STANDBY_TICK_S = 0.5
+# Summing up the windows of all limits takes as long as a few placements.
+_LEVELS_S = 0.1
 _LIST_S = 0.9
 _STANDBY_LIST_S = 5.0
 _SILENT_S = 1.2
@@ -75,6 +77,7 @@
         self._gateways: dict[ProcessId, GatewaySeen] = {}
         self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
         self._limits: dict[str, tuple[float, float]] = {}
+        self._levels: tuple[float, list[Level]] = (float("-inf"), [])
         self._is_leaving = False
         self._has_list = False
         self._list_wanted = asyncio.Event()
@@ -215,8 +218,13 @@
         )
 
     def _list_levels(self, now_s: float) -> list[Level]:
-        levels = self.quotas.list_levels(now_s)
-        return [Level(name, held.level, held.taken) for name, held in levels.items()]
+        """Return how full the limits are, summed up anew for a few heartbeats together."""
+        made_s, levels = self._levels
+        if now_s - made_s > _LEVELS_S:
+            held = self.quotas.list_levels(now_s)
+            levels = [Level(name, one.level, one.taken) for name, one in held.items()]
+            self._levels = (now_s, levels)
+        return levels
 
     def _drop(self, gateway: ProcessId, reason: str, now_s: float) -> None:
         self.node.events.emit("gateway_detached", peer=gateway, reason=reason)
