--- a/troutstand/daemon/keeper.py
+++ b/troutstand/daemon/keeper.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -15,6 +14,8 @@
 from troutstand.core.ids import ProcessId
 from troutstand.core.lease import LeaseVoter
 from troutstand.daemon.configuration import Configuration
+from troutstand.daemon.journal import Journal
+from troutstand.daemon.links import ask_oneself
 from troutstand.daemon.membership import Membership
 from troutstand.daemon.node import Node
 from troutstand.daemon.registers import RegisterClient
@@ -41,6 +42,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from troutstand.core.stored import StoredRecord
     from troutstand.generated.settings import Settings
 
@@ -48,38 +51,6 @@
 SNAPSHOT_RECORDS = 20_000
 
 
-class Journal:
-    """Sync the records of all that arrives in one turn of the loop together."""
-
-    def __init__(self, storage: Storage) -> None:
-        self._storage = storage
-        self._records: list[StoredRecord] = []
-        self._done: asyncio.Future[None] | None = None
-
-    def write(self, records: list[StoredRecord]) -> asyncio.Future[None]:
-        """Return a future that is done once the records are synced."""
-        loop = asyncio.get_running_loop()
-        if self._done is None:
-            self._done = loop.create_future()
-            # Two turns of the loop let every message that is already read join.
-            loop.call_soon(loop.call_soon, self._flush)
-        self._records.extend(records)
-        return self._done
-
-    def _flush(self) -> None:
-        records, self._records = self._records, []
-        done, self._done = self._done, None
-        assert done is not None
-        try:
-            self._storage.append(records)
-        except TroutstandError as error:
-            # What was not synced must never be acknowledged; memory is ahead
-            # of the disk now, so that the process cannot go on.
-            raise SystemExit(str(error)) from error
-        if not done.cancelled():
-            done.set_result(None)
-
-
 @dataclass(frozen=True)
 class Seen:
     """Keep how far a peer's disk had come when it was last heard."""
@@ -151,12 +122,7 @@
         """Ask a keeper, which may be this one."""
         if process != self.node.process:
             return await self.node.peers.ask(process, message, timeout_s)
-        result = self.handle(self.node.process, message)
-        if isinstance(result, Awaitable):
-            result = await result
-        if result is None:
-            raise TroutstandError(ResultCode.LINK_MALFORMED, "no answer to oneself")
-        return result
+        return await ask_oneself(self.handle, self.node.process, message)
 
     def handle(
         self, peer: ProcessId, message: PeerMessage
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -217,6 +217,22 @@
             await socket.send(await queue.get())
 
 
+async def ask_oneself(handler: Handler, own: ProcessId, message: PeerMessage) -> PeerMessage:
+    """Return a process's own answer to a message.
+
+    Raises
+    ------
+    TroutstandError
+        LINK_MALFORMED where the message has no answer.
+    """
+    result = handler(own, message)
+    if isinstance(result, Awaitable):
+        result = await result
+    if result is None:
+        raise TroutstandError(ResultCode.LINK_MALFORMED, "no answer to oneself")
+    return result
+
+
 @dataclass
 class Traffic:
     """Count what a process sends to its peers."""
--- a/troutstand/daemon/main.py
+++ b/troutstand/daemon/main.py
@@ -9,48 +9,30 @@
 import sys
 from pathlib import Path
 
-from aiohttp import web
 from cyclopts import App
 
 from troutstand.core.codes import ResultCode, describe_code
 from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.core.ids import name_process
 from troutstand.daemon.admin import Admin
-from troutstand.daemon.callers import MAX_HEADER_BYTES, Callers
+from troutstand.daemon.callers import Callers
 from troutstand.daemon.entry import EntryProcess
 from troutstand.daemon.keeper import KeeperProcess
 from troutstand.daemon.startup import load_settings
 from troutstand.daemon.storage import format_folder, read_identity
 from troutstand.generated.messages import StoredIdentity
-from troutstand.generated.settings import Address, Role, Settings
+from troutstand.generated.settings import Role, Settings
+from troutstand.util.listening import Waits, listen
 
 app = App(name="troutstandd", help="Run one process of troutstand.")
 
 _DISK_ID_BYTES = 12
-_SHUTDOWN_S = 1.0
+_WAITS = Waits(keep_alive_s=3630.0, shutdown_s=1.0)
 # Requests make few cycles; looking for them after every 700 allocations, the
 # default, costs more than it frees.
 GC_ALLOCATIONS = 50_000
 
 
-async def _listen(application: web.Application, address: Address, field: str) -> web.AppRunner:
-    runner = web.AppRunner(
-        application,
-        access_log=None,
-        handler_cancellation=True,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-        shutdown_timeout=_SHUTDOWN_S,
-    )
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, address.ip, address.port, backlog=1024).start()
-    except OSError as error:
-        detail = f"{field} {address.ip}:{address.port}: {error}"
-        raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
-    return runner
-
-
 async def _run_process(settings: Settings) -> int:
     process = EntryProcess(settings) if settings.role is Role.entry else KeeperProcess(settings)
     stopping = asyncio.Event()
@@ -59,10 +41,10 @@
         loop.add_signal_handler(number, stopping.set)
     await process.start()
     admin = Admin(process, stopping.set)
-    runners = [await _listen(admin.make_app(), settings.admin, "admin")]
+    runners = [await listen(admin.make_app(), settings.admin, "admin", _WAITS)]
     if isinstance(process, EntryProcess) and settings.callers:
         callers = Callers(process).make_app()
-        runners.append(await _listen(callers, settings.callers, "callers"))
+        runners.append(await listen(callers, settings.callers, "callers", _WAITS))
     # What lives as long as the process need not be looked at by every
     # collection; it showed as pauses between tokens.
     gc.freeze()
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -164,7 +164,7 @@
             raise TroutstandError(ResultCode.TOKEN_UNKNOWN, f"route {route.name!r} needs a key")
     tokens = read_tokens(headers.get(names.tokens))
     limit_ms = min(route.timeout_ms, _read_positive(headers.get(names.deadline_ms)) or float("inf"))
-    hint = _read_positive(headers.get(names.length_hint))
+    hint = _read_positive(headers.get(names.output_estimate))
     most = tokens.output if tokens else 0
     return Call(
         request=request,
--- a/troutstand/routing/control.py
+++ b/troutstand/routing/control.py
@@ -9,7 +9,7 @@
 from troutstand.core.codes import ResultCode, describe_code
 from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.generated.messages import StoredConfiguration
-from troutstand.routing.server import listen
+from troutstand.util.listening import listen
 
 if TYPE_CHECKING:
     from troutstand.generated.configuration import Configuration
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -21,8 +21,8 @@
 from troutstand.routing.placement import Placement
 from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import Sender
-from troutstand.routing.server import MAX_HEADER_BYTES, listen
 from troutstand.routing.targetlist import TargetList
+from troutstand.util.listening import MAX_HEADER_BYTES, listen
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
--- a/troutstand/routing/journal.py
+++ b/troutstand/routing/journal.py
@@ -1,12 +1,12 @@
-"""Sync the records of all that arrives in one turn of the loop together."""
+"""Keep a routed keeper alive while its disk refuses writes."""
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
+from troutstand.daemon.journal import Journal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +16,7 @@
     from troutstand.util.events import EventBus
 
 
-class Journal:
+class MendingJournal(Journal):
     """Write records to the disk, and stop voting while it refuses them.
 
     After a refused write memory is ahead of the disk. Nothing that rests on it
@@ -31,39 +31,10 @@
     def __init__(
         self, storage: Storage, events: EventBus, collect: Callable[[], list[StoredRecord]]
     ) -> None:
+        super().__init__(storage)
         self.is_failed = False
-        self._storage = storage
         self._events = events
         self._collect = collect
-        self._records: list[StoredRecord] = []
-        self._done: asyncio.Future[None] | None = None
-
-    def write(self, records: list[StoredRecord]) -> asyncio.Future[None]:
-        """Return a future that is done once the records are synced.
-
-        It fails with STORAGE_FAILED where the disk refuses.
-        """
-        loop = asyncio.get_running_loop()
-        if self._done is None:
-            self._done = loop.create_future()
-            # Two turns of the loop let every message that is already read join.
-            loop.call_soon(loop.call_soon, self._flush)
-        self._records.extend(records)
-        return self._done
-
-    def _flush(self) -> None:
-        records, self._records = self._records, []
-        done, self._done = self._done, None
-        assert done is not None
-        error = self._append(records)
-        if done.cancelled():
-            return
-        if error is None:
-            done.set_result(None)
-            return
-        done.set_exception(error)
-        # Some callers do not wait; the failure is logged already.
-        done.exception()
 
     def _append(self, records: list[StoredRecord]) -> TroutstandError | None:
         if self.is_failed:
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Awaitable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from troutstand.core.compression import compress, expand
 from troutstand.core.errors import TroutstandError
 from troutstand.core.succession import FIRST_DISK, form_first_set
+from troutstand.daemon.links import ask_oneself
 from troutstand.daemon.registers import RegisterClient
 from troutstand.daemon.storage import Storage, format_folder, read_identity, replace_identity
 from troutstand.generated.messages import (
@@ -38,12 +38,14 @@
 )
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.control import Control
-from troutstand.routing.journal import Journal
+from troutstand.routing.journal import MendingJournal
 from troutstand.routing.line import ConfigurationLine
 from troutstand.routing.node import RoutingNode, name_routing_process, parse_address
 from troutstand.routing.replacement import Replacement
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from troutstand.core.ids import ProcessId
     from troutstand.core.stored import StoredRecord
     from troutstand.generated.routing import RoutingSettings
@@ -99,7 +101,7 @@
         for record in self.storage.loaded:
             self.acceptor.load(record)
         self.storage.loaded = []
-        self.journal = Journal(self.storage, self.node.events, self._collect_snapshot)
+        self.journal = MendingJournal(self.storage, self.node.events, self._collect_snapshot)
         self.registers = RegisterClient(
             self.ask_keeper,
             self.node.process,
@@ -153,12 +155,7 @@
         """Ask a keeper, which may be this one."""
         if process != self.node.process:
             return await self.node.ask(process, message, timeout_s)
-        result = self.handle(self.node.process, message)
-        if isinstance(result, Awaitable):
-            result = await result
-        if result is None:
-            raise TroutstandError(ResultCode.LINK_MALFORMED, "no answer to oneself")
-        return result
+        return await ask_oneself(self.handle, self.node.process, message)
 
     def handle(
         self, peer: ProcessId, message: PeerMessage
--- a/troutstand/routing/metrics.py
+++ b/troutstand/routing/metrics.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from troutstand.routing.server import listen
+from troutstand.util.listening import listen
 
 if TYPE_CHECKING:
     from troutstand.generated.settings import Address
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -12,13 +12,13 @@
 import contextlib
 import time
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
-from troutstand.core.ids import ProcessId
 from troutstand.core.quota import LimitLevel, QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
@@ -36,56 +36,28 @@
     RoutedWork,
 )
 from troutstand.generated.routing import RoutingRole
+from troutstand.routing.schedulerwatch import (
+    BEAT_S,
+    Alone,
+    Decider,
+    Watch,
+    choose_decider,
+    space_standbys,
+)
 from troutstand.routing.targetlist import ListUnreadError
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
+    from troutstand.core.ids import ProcessId
     from troutstand.routing.node import RoutingNode
     from troutstand.routing.targetlist import TargetList
 
-_FIRST_PERIOD_S = 0.1
-_STANDBY_PERIOD_S = 1.0
-# The schedulers next in order are watched closely; the others only now and then,
-# since every gateway watches every scheduler.
-_CLOSE_STANDBYS = 2
-_FAR_STANDBY_PERIOD_S = 4.0
 _WATCH_S = 0.1
-_BEAT_S = 0.3
-_LIVE_SLACK_S = 0.15
-_RETURN_AFTER_S = 1.5
 _TICK_S = 0.05
 _ALONE_LIST_S = 1.0
 _FIRST_GATEWAYS = 8
 
 
-class _Alone(Enum):
-    """Stand for the gateway's own decisions in place of a scheduler's."""
-
-    ALONE = "alone"
-
-
-Decider = ProcessId | _Alone
-
-
-@dataclass
-class Watch:
-    """Follow one scheduler's heartbeat; times in seconds on the steady clock."""
-
-    heard_s: float = float("-inf")
-    live_since_s: float = float("inf")
-    period_s: float = _FIRST_PERIOD_S
-    incarnation: str = ""
-    is_ready: bool = False
-    is_attached: bool = False
-    standby_period_s: float = _STANDBY_PERIOD_S
-    wake: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def is_live(self, now_s: float) -> bool:
-        """Tell whether the scheduler answered lately."""
-        limit_s = max(self.period_s, self.standby_period_s if not self.is_attached else 0.0)
-        return self.is_ready and now_s - self.heard_s <= limit_s + _BEAT_S + _LIVE_SLACK_S
-
-
 @dataclass
 class Placing:
     """Hold one request that waits for a decision."""
@@ -104,7 +76,7 @@
     work: RoutedWork
     target: str
     started_s: float
-    decider: Decider = field(default=_Alone.ALONE)
+    decider: Decider = field(default=Alone.ALONE)
 
 
 class Placement:
@@ -115,7 +87,7 @@
         self._targets = targets
         self._table: RouteTable | None = None
         self._watches: dict[ProcessId, Watch] = {}
-        self._current: Decider = _Alone.ALONE
+        self._current: Decider = Alone.ALONE
         self._placing: dict[str, Placing] = {}
         self._held: dict[str, Held] = {}
         self._gateways = _FIRST_GATEWAYS
@@ -150,12 +122,12 @@
     @property
     def is_served(self) -> bool:
         """Tell whether requests can get targets at all."""
-        return self._current is not _Alone.ALONE or bool(self._targets.targets)
+        return self._current is not Alone.ALONE or bool(self._targets.targets)
 
     @property
     def decider(self) -> str:
         """Name who decides now."""
-        return "alone" if isinstance(self._current, _Alone) else str(self._current)
+        return "alone" if isinstance(self._current, Alone) else str(self._current)
 
     def use_table(self, table: RouteTable) -> None:
         """Take a configuration for decisions made alone."""
@@ -190,7 +162,7 @@
             if placing.task is not None:
                 placing.task.cancel()
         if isinstance(answer, Placed):
-            decider = placing.asked if placing.asked is not None else _Alone.ALONE
+            decider = placing.asked if placing.asked is not None else Alone.ALONE
             now_s = time.monotonic()
             self._held[work.request] = Held(work, answer.target, now_s, decider)
         return answer
@@ -203,7 +175,7 @@
         placing.asked = self._current
         spent_s = time.monotonic() - placing.since_s
         work = _shorten(placing.work, spent_s)
-        if isinstance(self._current, _Alone):
+        if isinstance(self._current, Alone):
             self._local.place(work, self._node.process, time.monotonic())
             self._deliver_local()
             return
@@ -223,7 +195,7 @@
 
     def _withdraw(self, placing: Placing) -> None:
         request = placing.work.request
-        if placing.asked is None or isinstance(placing.asked, _Alone):
+        if placing.asked is None or isinstance(placing.asked, Alone):
             self._local.abandon(request, time.monotonic())
         else:
             self._node.send(placing.asked, Abandon(request))
@@ -234,7 +206,7 @@
         if held is None:
             return
         first = FirstByte(request, held.target, first_s)
-        if isinstance(self._current, _Alone):
+        if isinstance(self._current, Alone):
             self._local.note_first(first, time.monotonic())
         else:
             self._node.send(self._current, first)
@@ -242,7 +214,7 @@
     def end(self, ended: Ended) -> None:
         """Tell how a request ended at its target."""
         self._held.pop(ended.request, None)
-        if isinstance(self._current, _Alone):
+        if isinstance(self._current, Alone):
             self._local.end(ended, time.monotonic())
             self._deliver_local()
         else:
@@ -259,22 +231,11 @@
                     self._node.spawn(self._follow(process), f"watch {process}")
             for process in set(self._watches) - set(known):
                 del self._watches[process]
-            self._choose()
-            self._space_standbys()
+            now_s = time.monotonic()
+            self._switch(choose_decider(self._watches, self._current, now_s))
+            space_standbys(self._watches, self._current, now_s)
             await asyncio.sleep(_WATCH_S)
 
-    def _space_standbys(self) -> None:
-        """Watch the next schedulers in order closely, and all while there is none to ask."""
-        now_s = time.monotonic()
-        live = sorted(p for p, w in self._watches.items() if w.is_live(now_s))
-        others = [p for p in live if p != self._current]
-        for process, watch in self._watches.items():
-            is_far = process in others[_CLOSE_STANDBYS:] and not self._is_alone()
-            period_s = _FAR_STANDBY_PERIOD_S if is_far else _STANDBY_PERIOD_S
-            if period_s < watch.standby_period_s:
-                watch.wake.set()
-            watch.standby_period_s = period_s
-
     async def _follow(self, process: ProcessId) -> None:
         """Send heartbeats to one scheduler until it is forgotten."""
         while True:
@@ -306,7 +267,7 @@
         )
         watch.is_attached = is_attached
         try:
-            reply = await self._node.ask(process, ask, _BEAT_S)
+            reply = await self._node.ask(process, ask, BEAT_S)
         except TroutstandError:
             watch.live_since_s = float("inf")
             if is_first:
@@ -344,7 +305,7 @@
             self._holds = reply.holds
 
     def _is_alone(self) -> bool:
-        return isinstance(self._current, _Alone)
+        return isinstance(self._current, Alone)
 
     def _miss(self, process: ProcessId) -> None:
         watch = self._watches.get(process)
@@ -352,25 +313,12 @@
             watch.is_ready = False
             watch.live_since_s = float("inf")
 
-    def _choose(self) -> None:
-        """Follow the first live scheduler; go back to an earlier one only once it is steady."""
-        now_s = time.monotonic()
-        live = sorted(p for p, watch in self._watches.items() if watch.is_live(now_s))
-        current = self._current
-        if not isinstance(current, _Alone) and current in live:
-            steady = [p for p in live if now_s - self._watches[p].live_since_s > _RETURN_AFTER_S]
-            better = [p for p in steady if p < current]
-            if better:
-                self._switch(better[0])
-            return
-        self._switch(live[0] if live else _Alone.ALONE)
-
     def _switch(self, decider: Decider) -> None:
         if decider == self._current:
             return
         before = self.decider
         self._current = decider
-        if isinstance(decider, _Alone):
+        if isinstance(decider, Alone):
             self._local = self._make_local()
             self._went_alone.set()
         else:
@@ -390,7 +338,7 @@
     def _move(self, placing: Placing) -> None:
         if placing.answer.done():
             return
-        if placing.asked is not None and not isinstance(placing.asked, _Alone):
+        if placing.asked is not None and not isinstance(placing.asked, Alone):
             self._node.send(placing.asked, Abandon(placing.work.request))
         self._ask(placing)
 
@@ -448,21 +396,4 @@
 
 def _shorten(work: RoutedWork, spent_s: float) -> RoutedWork:
     """Return the work with the time left that it has now."""
-    return RoutedWork(
-        request=work.request,
-        service=work.service,
-        workspace=work.workspace,
-        tier=work.tier,
-        is_repeatable=work.is_repeatable,
-        objective_s=work.objective_s,
-        remaining_s=max(0.0, work.remaining_s - spent_s),
-        prompt_tokens=work.prompt_tokens,
-        output_tokens=work.output_tokens,
-        charge=work.charge,
-        model=work.model,
-        parts=work.parts,
-        attempt=work.attempt,
-        excluded=work.excluded,
-        is_sticky=work.is_sticky,
-        failure_domain=work.failure_domain,
-    )
+    return msgspec.structs.replace(work, remaining_s=max(0.0, work.remaining_s - spent_s))
--- /dev/null
+++ b/troutstand/routing/schedulerwatch.py
@@ -0,0 +1,78 @@
+"""Judge from heartbeats which scheduler a gateway asks, and how closely to watch the others."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from troutstand.core.ids import ProcessId
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# How long a scheduler may take to answer a heartbeat.
+BEAT_S = 0.3
+_FIRST_PERIOD_S = 0.1
+_STANDBY_PERIOD_S = 1.0
+# The schedulers next in order are watched closely; the others only now and then,
+# since every gateway watches every scheduler.
+_CLOSE_STANDBYS = 2
+_FAR_STANDBY_PERIOD_S = 4.0
+_LIVE_SLACK_S = 0.15
+# An earlier scheduler is gone back to once it has been live for so long.
+_RETURN_AFTER_S = 1.5
+
+
+class Alone(Enum):
+    """Stand for the gateway's own decisions in place of a scheduler's."""
+
+    ALONE = "alone"
+
+
+Decider = ProcessId | Alone
+
+
+@dataclass
+class Watch:
+    """Follow one scheduler's heartbeat; times in seconds on the steady clock."""
+
+    heard_s: float = float("-inf")
+    live_since_s: float = float("inf")
+    period_s: float = _FIRST_PERIOD_S
+    incarnation: str = ""
+    is_ready: bool = False
+    is_attached: bool = False
+    standby_period_s: float = _STANDBY_PERIOD_S
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def is_live(self, now_s: float) -> bool:
+        """Tell whether the scheduler answered lately."""
+        limit_s = max(self.period_s, self.standby_period_s if not self.is_attached else 0.0)
+        return self.is_ready and now_s - self.heard_s <= limit_s + BEAT_S + _LIVE_SLACK_S
+
+
+def list_live(watches: Mapping[ProcessId, Watch], now_s: float) -> list[ProcessId]:
+    """Return the live schedulers in their fixed order."""
+    return sorted(process for process, watch in watches.items() if watch.is_live(now_s))
+
+
+def choose_decider(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> Decider:
+    """Return the first live scheduler; an earlier one only once it is steady."""
+    live = list_live(watches, now_s)
+    if isinstance(current, Alone) or current not in live:
+        return live[0] if live else Alone.ALONE
+    steady = [p for p in live if now_s - watches[p].live_since_s > _RETURN_AFTER_S]
+    return min([current, *steady])
+
+
+def space_standbys(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> None:
+    """Watch the next schedulers in order closely, and all while there is none to ask."""
+    others = [process for process in list_live(watches, now_s) if process != current]
+    far = set() if isinstance(current, Alone) else set(others[_CLOSE_STANDBYS:])
+    for process, watch in watches.items():
+        period_s = _FAR_STANDBY_PERIOD_S if process in far else _STANDBY_PERIOD_S
+        if period_s < watch.standby_period_s:
+            watch.wake.set()
+        watch.standby_period_s = period_s
--- a/troutstand/testing/routedcaller.py
+++ b/troutstand/testing/routedcaller.py
@@ -66,7 +66,7 @@
             "X-Deadline-Ms": str(int(deadline_s * 1000)),
         }
         if tokens or route.startswith("/stream"):
-            headers["X-Token-Count"] = tokens or "10,10"
+            headers["X-Tokens"] = tokens or "10,10"
         url = f"http://{gateway.settings.callers}{route}x"
         began_s = time.monotonic()
         status, data, retry_after, detail = 0, b"", "", ""
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -183,7 +183,7 @@
         return await self._answer(head, body, writer)
 
     def _note_run(self, head: Head, body: bytes) -> None:
-        prompt, _, output = head.headers.get("x-token-count", "0").partition(",")
+        prompt, _, output = head.headers.get("x-tokens", "0").partition(",")
         self.runs.append(
             RunRecord(
                 request=head.headers.get("x-request-id", ""),
--- a/troutstand/tests/steps/callers.py
+++ b/troutstand/tests/steps/callers.py
@@ -33,7 +33,6 @@
 _CHAT = "/v1/chat/completions"
 _LINK_PORT = 7400
 _LINK_BACK_S = 10.0
-_POLL_S = 0.01
 _PEER_LIMIT_BYTES = 2**20
 
 
@@ -293,14 +292,15 @@
 
 async def lose_link_while_writing(link: Link, server: LinkServer, large: Claim) -> None:
     """Send a message that the peer closes the link for, and wait for the next link."""
+    is_lost = asyncio.Event()
+    link.events.subscribe(lambda event: is_lost.set() if event.name == "link_down" else None)
     await server.start(link.address)
     running = asyncio.create_task(link.run())
     try:
         async with asyncio.timeout(_LINK_BACK_S):
             await link.wait_up()
             assert link.send(large)
-            while link.is_up and not running.done():
-                await asyncio.sleep(_POLL_S)
+            await is_lost.wait()
             await link.wait_up()
     finally:
         running.cancel()
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -23,6 +23,9 @@
 
     from troutstand.testing.routedcaller import CallResult
 
+_PACE_S = 0.03
+_ANSWERS = 10
+
 
 @given("a routed site")
 def open_scene(context: Context) -> None:
@@ -67,7 +70,8 @@
     while not breaking.done():
         for gateway in gateways:
             calls.append(asyncio.create_task(scene.caller.call(gateway, route, b"x")))
-        await asyncio.sleep(0.03)
+        # The pace of the callers, no wait for anything.
+        await asyncio.sleep(_PACE_S)
     await breaking
     await asyncio.gather(*calls)
 
@@ -78,14 +82,30 @@
     return min(schedulers, key=lambda process: process.settings.ip).name
 
 
+async def _wait_decider(scene: Scene, name: str, is_it: bool) -> None:
+    """Wait until the last word of every gateway is that a scheduler decides, or another."""
+    address = f"now={scene.site.processes[name].settings.ip}:"
+    logs = [gateway.log for gateway in scene.site.list_role(RoutingRole.gateway)]
+
+    def agrees(text: str) -> bool:
+        changes = [line for line in text.splitlines() if "event=scheduler_changed" in line]
+        return bool(changes) and (address in changes[-1]) is is_it
+
+    async def all_agree() -> bool:
+        return all(agrees(log.read_text()) for log in logs)
+
+    await wait_until(all_agree, f"{name} {'decides' if is_it else 'is left'}")
+
+
 async def _break_scheduler(scene: Scene) -> None:
     name = _find_deciding(scene)
+    await _wait_decider(scene, name, is_it=True)
     scene.site.send_signal(name, signal.SIGSTOP)
-    await asyncio.sleep(1.5)
+    await _wait_decider(scene, name, is_it=False)
     scene.site.send_signal(name, signal.SIGCONT)
-    await asyncio.sleep(0.5)
+    await _wait_decider(scene, name, is_it=True)
     scene.site.kill(name)
-    await asyncio.sleep(1.0)
+    await _wait_decider(scene, name, is_it=False)
 
 
 @when("calls of {route} run while the first scheduler is frozen, then killed")
@@ -113,11 +133,15 @@
 
 async def _stop_gateway(scene: Scene) -> None:
     site = scene.site
-    await asyncio.sleep(0.3)
+    await wait_until(lambda: _has_answers(scene), "calls are answered")
     site.send_signal("gateway-1", signal.SIGTERM)
     await wait_until(lambda: _is_gone(site, "gateway-1"), "the gateway ended")
 
 
+async def _has_answers(scene: Scene) -> bool:
+    return len(scene.caller.results) >= _ANSWERS
+
+
 async def _is_gone(site: RoutedSite, name: str) -> bool:
     return not site.processes[name].is_running
 
@@ -188,7 +212,11 @@
     for target in scene.targets:
         target.work_s = 1.7
     call = asyncio.create_task(scene.caller.call(gateway, "/do/", b"x"))
-    await asyncio.sleep(0.1)
+
+    async def is_running() -> bool:
+        return any(target.runs for target in scene.targets)
+
+    await wait_until(is_running, "the call runs")
     scene.site.send_signal("gateway-1", signal.SIGTERM)
 
     async def wait_closed(reader: asyncio.StreamReader) -> float:
--- a/troutstand/tests/steps/routedcallers.py
+++ b/troutstand/tests/steps/routedcallers.py
@@ -88,6 +88,7 @@
         asyncio.create_task(scene.caller.call(gateway, "/do/", deadline_s=_ANSWER_S))
         for _ in range(waiting)
     ]
+    # Time for the last ones to come into the queue; nothing tells of that from outside.
     await asyncio.sleep(0.1)
     for call in calls:
         call.cancel()
--- /dev/null
+++ b/troutstand/tests/steps/schedulerwatch.py
@@ -0,0 +1,84 @@
+"""Judge heartbeats on a clock that stands still."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.core.ids import ProcessId
+from troutstand.routing.schedulerwatch import (
+    Alone,
+    Decider,
+    Watch,
+    choose_decider,
+    space_standbys,
+)
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_NOW_S = 100.0
+_LONG_S = 60.0
+
+
+def _make_watch(age_s: float) -> Watch:
+    return Watch(heard_s=_NOW_S - age_s, live_since_s=_NOW_S - _LONG_S, is_ready=True)
+
+
+def _read_decider(name: str) -> Decider:
+    return Alone.ALONE if name == "nobody" else ProcessId(name)
+
+
+@given("schedulers a, b and c that answered {first:g}, {second:g} and {third:g} s ago")
+def use_three(context: Context, first: float, second: float, third: float) -> None:
+    ages = zip("abc", (first, second, third), strict=True)
+    context.watches = {ProcessId(name): _make_watch(age_s) for name, age_s in ages}
+
+
+@given("schedulers a, b, c, d and e that all answered {age_s:g} s ago")
+def use_five(context: Context, age_s: float) -> None:
+    context.watches = {ProcessId(name): _make_watch(age_s) for name in "abcde"}
+
+
+@given("{name} has been live for {length_s:g} s")
+@when("{name} has been live for {length_s:g} s")
+def set_live(context: Context, name: str, length_s: float) -> None:
+    context.watches[ProcessId(name)].live_since_s = _NOW_S - length_s
+
+
+def _check_choice(context: Context, current: Decider, expected: str) -> None:
+    for name, watch in context.watches.items():
+        watch.is_attached = name == current
+    chosen = choose_decider(context.watches, current, _NOW_S)
+    assert chosen == _read_decider(expected), chosen
+
+
+@then("a gateway that decides alone asks {expected}")
+def check_alone(context: Context, expected: str) -> None:
+    _check_choice(context, Alone.ALONE, expected)
+
+
+@then("a gateway that asks {current} asks {expected}")
+def check_asked(context: Context, current: str, expected: str) -> None:
+    _check_choice(context, _read_decider(current), expected)
+
+
+@when("a gateway that asks {current} spaces its heartbeats")
+def space(context: Context, current: str) -> None:
+    space_standbys(context.watches, _read_decider(current), _NOW_S)
+
+
+def _list_periods(context: Context, names: str) -> list[float]:
+    return [context.watches[ProcessId(name)].standby_period_s for name in names]
+
+
+@then("b and c are watched more closely than d and e")
+def check_spaced(context: Context) -> None:
+    assert max(_list_periods(context, "bc")) < min(_list_periods(context, "de"))
+
+
+@then("d and e are watched as closely as b and c, and woken")
+def check_woken(context: Context) -> None:
+    assert len(set(_list_periods(context, "bcde"))) == 1
+    assert all(context.watches[ProcessId(name)].wake.is_set() for name in "de")
--- a/troutstand/routing/server.py
+++ b/troutstand/util/listening.py
@@ -1,7 +1,8 @@
-"""Open an HTTP address of a routed site's process."""
+"""Open an HTTP address of a process."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -14,11 +15,22 @@
 
 MAX_HEADER_BYTES = 64 << 10
 _BACKLOG = 1024
-_SHUTDOWN_S = 0.3
-_KEEP_ALIVE_S = 75.0
 
 
-async def listen(application: web.Application, address: Address, field: str) -> web.AppRunner:
+@dataclass(frozen=True)
+class Waits:
+    """Say how long idle connections are kept, and answers waited for at the end, in seconds."""
+
+    keep_alive_s: float = 75.0
+    shutdown_s: float = 0.3
+
+
+_WAITS = Waits()
+
+
+async def listen(
+    application: web.Application, address: Address, field: str, waits: Waits = _WAITS
+) -> web.AppRunner:
     """Serve an application at an address.
 
     Raises
@@ -32,8 +44,8 @@
         handler_cancellation=True,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
-        keepalive_timeout=_KEEP_ALIVE_S,
-        shutdown_timeout=_SHUTDOWN_S,
+        keepalive_timeout=waits.keep_alive_s,
+        shutdown_timeout=waits.shutdown_s,
     )
     await runner.setup()
     try:
