Be patient with answers that a slow link carries for long

Cause: compressing configurations made them small, but a follower still gave each ask 0.4 s. A configuration that the link carries for longer, 250 kB compressed at 5 Mbit/s, would never come whole, and every ask would send it once more: the same fault at another size. Change: the patience of an ask doubles after a timeout, up to 1.6 s, and is the usual one again after an answer. Test first: with answers of 1.2 s five asks of 0.4 s each got nothing; now the third gets the configuration.

--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -22,6 +22,9 @@
 
 _PERIOD_S = 0.3
 _ASK_S = 0.4
+# An answer with a large configuration may take longer on a slow link. Asking the
+# next keeper at once would only send it once more, so that patience doubles.
+_MOST_ASK_S = 1.6
 _LOST_AFTER_S = 1.5
 
 
@@ -44,6 +47,7 @@
         self._turn = node.random.randrange(1 << 16)
         self._answered_s = time.monotonic()
         self._is_lost = False
+        self._patience_s = _ASK_S
         self._digest = ""
         self._listed: list[str] = []
 
@@ -56,7 +60,7 @@
         """Stay in touch until cancelled."""
         while True:
             self._node.forget_silent(time.monotonic())
-            answered = await self._ask_next()
+            answered = await self.ask_next()
             self._note_touch(answered)
             pause_s = _PERIOD_S * (0.75 + 0.5 * self._node.random.random())
             await asyncio.sleep(pause_s if answered else pause_s / 6)
@@ -80,7 +84,8 @@
         ips = {parse_address(seed).ip for seed in self._node.settings.seeds}
         return sorted(self._node.name_peer(role, ip) for ip in ips)
 
-    async def _ask_next(self) -> bool:
+    async def ask_next(self) -> bool:
+        """Ask one keeper; tell whether it answered in time."""
         keepers = self._list_keepers()
         if not keepers:
             return False
@@ -88,13 +93,16 @@
         keeper = keepers[self._turn % len(keepers)]
         ask = ContactAsk(self._node.describe(self.version), known_digest=self._digest)
         try:
-            reply = await self._node.ask(keeper, ask, _ASK_S)
-        except TroutstandError:
+            reply = await self._node.ask(keeper, ask, self._patience_s)
+        except TroutstandError as error:
+            if error.code is ResultCode.LINK_TIMEOUT:
+                self._patience_s = min(_MOST_ASK_S, 2 * self._patience_s)
             # A process that only its silence is known of must not hide the seeds.
             self._revive_seeds()
             return False
         if not isinstance(reply, ContactReply):
             return False
+        self._patience_s = _ASK_S
         self._hear(reply.contact, reply.known)
         if reply.known_digest != self._digest:
             self._digest = reply.known_digest
--- /dev/null
+++ b/troutstand/tests/follower.feature
@@ -0,0 +1,12 @@
+Feature: A process gets its configuration over slow links
+
+  Scenario: A configuration that the link carries in more than the usual time arrives
+    Given a follower whose keepers' answers take 1.2 s to come whole
+    When it asks 5 times
+    Then it holds the configuration
+    And it asks with the usual patience again
+
+  Scenario: Silent keepers do not make it wait for long
+    Given a follower whose keepers' answers take 60 s to come whole
+    When it asks 10 times
+    Then no ask waited longer than 1.6 s
