Drop orders to a target that a caller wrote

Ruled out: a fault of the key or of the workspace header, which were replaced. Change: the dialect names the headers that are reserved to this side, and requests go out without them. Test: relay.feature, the request goes on unaltered; it failed before the change.

--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -185,8 +185,8 @@
     call: Call, names: HeaderNames, method: str, path: str, headers: Headers, body: bytes
 ) -> Outgoing:
     """Write a caller's request as it goes to targets."""
-    replaced = frozenset({names.key, names.workspace, names.deadline_ms, names.expected_target})
-    passed = filter_headers(headers, replaced)
+    replaced = {names.key, names.workspace, names.deadline_ms, names.expected_target}
+    passed = filter_headers(headers, names.reserved | replaced)
     if call.workspace is not None:
         passed.append((names.workspace, call.workspace.name))
     return Outgoing(call.request, method, path, passed, body, call.is_repeatable)
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -38,6 +38,8 @@
     expected_target: str = "x-expected-target"
     not_run: str = "x-not-run"
     seal: str = "x-answer-seal"
+    # Orders to a target, such as to reserve memory: what a caller writes there is dropped.
+    reserved: frozenset[str] = frozenset({"x-target-order"})
 
 
 @dataclass(frozen=True)
--- a/troutstand/tests/relay.feature
+++ b/troutstand/tests/relay.feature
@@ -57,6 +57,7 @@
     When a repeatable request is sent
     Then the target got its path, its own headers, the time left and the expected target
     And the target got neither the key nor the headers of the caller's connection
+    And the target got the caller's workspace, and no order that a caller wrote
 
   Scenario: Events are passed on whole and the last one is remembered
     When a stream breaks within its third event
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -6,14 +6,18 @@
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
 from behave import given, then, when
 
+from troutstand.generated.configuration import RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Placed
+from troutstand.routing.calls import Call, make_outgoing
 from troutstand.routing.dialect import HeaderNames
 from troutstand.routing.exchange import ConnectionPool
-from troutstand.routing.relay import Outgoing, Sender, SendError, filter_headers
+from troutstand.routing.relay import Outgoing, Sender, SendError
 from troutstand.routing.streams import EventSplitter
 from troutstand.testing.scripted import Close, Received, Reply, ScriptedTarget
+from troutstand.tests.steps.configuration import make_route
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -74,9 +78,24 @@
         ("Connection", "keep-alive, X-Hop"),
         ("X-Hop", "dropped"),
         ("X-Workspace-Key", "secret"),
+        ("X-Workspace", "another"),
+        ("X-Target-Order", "admit ahead of all"),
     ]
-    passed = filter_headers(headers, frozenset({names.key}))
-    return Outgoing(_REQUEST, "POST", _PATH, passed, body, is_repeatable)
+    kind = RouteKind.idempotent if is_repeatable else RouteKind.non_idempotent
+    call = Call(
+        request=_REQUEST,
+        route=msgspec.structs.replace(make_route("r", "/a/"), kind=kind),
+        service="work",
+        workspace=RoutedWorkspace("w"),
+        version=1,
+        tokens=None,
+        expected_output=0,
+        model="",
+        parts=[],
+        arrived_s=0.0,
+        deadline_s=_LIMIT_S,
+    )
+    return make_outgoing(call, names, "POST", _PATH, headers, body)
 
 
 async def _send_all(context: Context, outgoings: list[Outgoing]) -> None:
@@ -182,6 +201,13 @@
         assert not request.find_header(name), name
 
 
+@then("the target got the caller's workspace, and no order that a caller wrote")
+def check_orders(context: Context) -> None:
+    request = context.target.received[0]
+    assert request.find_header("x-workspace") == "w"
+    assert not request.find_header("x-target-order")
+
+
 @when("a stream breaks within its third event")
 def break_stream(context: Context) -> None:
     context.splitter = EventSplitter()
