Log what made an answer late: its wait, its objective, its longest pause

Cause: the logs of an answered request told its first byte and its total only, so that an answer that was late for a pause between events could not be told from one that was in time. Change: request_answered and the other endings carry waited_ms, objective_ms and pause_ms, the longest pause between two pieces of the stream.

--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -55,6 +55,8 @@
         self._splitter: EventSplitter | None = None
         self._response: web.StreamResponse | None = None
         self._produced = 0
+        self._waited_ms = 0.0
+        self._longest_pause_s = 0.0
 
     @property
     def _can_repeat(self) -> bool:
@@ -99,6 +101,7 @@
         answer = await self._gateway.placement.place(work)
         if isinstance(answer, Placed):
             self._has_placed = True
+            self._waited_ms += answer.waited_ms
             waited_s = answer.waited_ms / 1000.0
             self._gateway.metrics.waited_s.labels(*self._labels()).observe(waited_s)
         return answer
@@ -215,9 +218,13 @@
         chunks = sent.connection.receive_chunks()
         try:
             while True:
+                asked_s = time.monotonic()
                 chunk = await self._next_chunk(chunks)
                 if chunk is None:
                     break
+                if began:
+                    pause_s = time.monotonic() - asked_s
+                    self._longest_pause_s = max(self._longest_pause_s, pause_s)
                 if not began:
                     began = True
                     self._note_first(sent, time.monotonic() - sent.started_s)
@@ -335,7 +342,10 @@
             route=call.route.name,
             version=call.version,
             total_ms=(now_s - call.arrived_s) * 1000.0,
+            objective_ms=call.objective_s * 1000.0,
+            waited_ms=self._waited_ms,
             first_ms=self._first_s * 1000.0 if self._first_s >= 0 else None,
+            pause_ms=self._longest_pause_s * 1000.0 if self._longest_pause_s else None,
             arrivals=self._arrivals,
             decider=self._gateway.placement.decider,
             **fields,
