Estimate first bytes by a constant and a time for each token

The time of a token was learnt from events, which carry six tokens each. Ruled out: unlike targets alone; the median over all targets was off. Change: a least-squares fit for each target over the tokens read until the first byte, the request's own and those ahead of it when it was placed; events count as many tokens as the service's stride.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -92,11 +92,12 @@
     def use_table(self, table: RouteTable, now_s: float) -> None:
         """Take a configuration."""
         self.quotas.use_workspaces(table.configuration.workspaces, now_s)
+        engines = {name: s.engine for name, s in table.services.items() if s.engine is not None}
         self._memory_tokens = {
-            name: service.engine.memory_tokens
-            for name, service in table.services.items()
-            if service.engine is not None and service.engine.memory_tokens
+            name: engine.memory_tokens for name, engine in engines.items() if engine.memory_tokens
         }
+        for name, engine in engines.items():
+            self.pools.setdefault(name, Pool()).stride = engine.stride
 
     def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
         """Take a newer list of targets; what runs at those that are gone is forgotten."""
@@ -191,7 +192,9 @@
             state = pool.targets.get(first.target)
             run = state.running.get(first.request) if state else None
             if state is not None and run is not None and not run.has_first:
-                state.note_first(run, first.first_s, now_s)
+                state.note_first(run, now_s)
+                if run.work.prompt_tokens:
+                    state.learn_reading(run, first.first_s, pool.know_reading(state))
                 state.remember(run.work.model, run.work.parts)
 
     def end(self, ended: Ended, now_s: float) -> None:
@@ -225,9 +228,9 @@
             case Ending.whole:
                 state.note_whole(now_s)
                 pool.learn_hold(ended.total_s)
-                if run.work.prompt_tokens and ended.produced_tokens > 1:
+                if run.work.prompt_tokens and ended.produced_events > 1:
                     decode_s = ended.total_s - max(0.0, ended.first_s)
-                    state.token_s.learn(decode_s / ended.produced_tokens)
+                    state.token_s.learn(decode_s / (ended.produced_events * pool.stride))
                 elif not run.work.prompt_tokens:
                     state.service_s.learn(ended.total_s)
             case Ending.failed:
@@ -295,6 +298,7 @@
         del pool.waiting[work.request]
         expected_s = pool.estimate_first(state, work)
         uncached = state.count_uncached(work)
+        ahead = state.measure_backlog()
         inputs = PlacedInputs(
             expected_first_s=expected_s,
             running=len(state.running),
@@ -302,7 +306,9 @@
             last_sign_s=now_s - state.last_sign_s,
             open_targets=sum(1 for t in pool.targets.values() if t.is_open(now_s)),
         )
-        state.running[work.request] = Running(work, waiting.owner, now_s, uncached, expected_s)
+        state.running[work.request] = Running(
+            work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead
+        )
         state.note_connection(waiting.owner, now_s)
         placed = Placed(
             work.request,
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -6,6 +6,7 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from troutstand.core.speed import ReadingSpeed
 from troutstand.generated.messages import ListedState
 
 if TYPE_CHECKING:
@@ -14,7 +15,7 @@
     from troutstand.generated.messages import RoutedWork
 
 # Guesses until something was measured, in seconds.
-_GUESS_PREFILL_S = 5e-5
+_GUESS_READING = ReadingSpeed(constant_s=3e-2, per_token_s=2e-5)
 _GUESS_TOKEN_S = 8e-3
 _GUESS_SERVICE_S = 3e-2
 _GUESS_HOLD_S = 0.3
@@ -65,10 +66,10 @@
 
 @dataclass(frozen=True)
 class BusyTargets:
-    """Tell what waiting for a busy target would bring; in seconds, and seconds a token."""
+    """Tell what waiting for a busy target would bring; times in seconds."""
 
     turn_s: float
-    prefill_s: float
+    reading: ReadingSpeed
     service_s: float
 
 
@@ -79,6 +80,8 @@
     targets: dict[str, TargetState] = field(default_factory=dict)
     waiting: dict[str, Waiting] = field(default_factory=dict)
     hold_s: float | None = None
+    # Tokens that one event of a stream carries.
+    stride: int = 1
 
     def learn_hold(self, sample_s: float) -> None:
         """Learn how long a request keeps its slot."""
@@ -109,8 +112,9 @@
         """Return the seconds until a target's first byte for a request."""
         if not work.prompt_tokens:
             return self._know(state, "service_s", _GUESS_SERVICE_S)
-        prefill_s = self._know(state, "prefill_s", _GUESS_PREFILL_S)
-        return prefill_s * (state.count_uncached(work) + state.measure_backlog())
+        return self.know_reading(state).estimate(
+            state.count_uncached(work) + state.measure_backlog()
+        )
 
     def estimate_cost(self, state: TargetState, waiting: Waiting, now_s: float) -> float:
         """Return what giving a request to a target costs, in seconds; the least is best."""
@@ -127,6 +131,18 @@
         fault_s = _FAULT_PENALTY_S * (1.0 - state.success)
         return first_s + far_s + connect_s + _OCCUPANCY_WEIGHT * held_s + fault_s
 
+    def know_reading(self, state: TargetState) -> ReadingSpeed:
+        """Return how fast a target reads prompts, or what its like show, or a guess."""
+        if state.reading is not None:
+            return state.reading.speed
+        others = [t.reading.speed for t in self.targets.values() if t.reading is not None]
+        if not others:
+            return _GUESS_READING
+        return ReadingSpeed(
+            median(speed.constant_s for speed in others),
+            median(speed.per_token_s for speed in others),
+        )
+
     def _know(self, state: TargetState, name: str, guess: float) -> float:
         """Return a target's learnt speed, or what its like show, or a guess."""
         own = getattr(state, name).value
@@ -142,8 +158,10 @@
         hold_s = self.hold_s or _GUESS_HOLD_S
         return BusyTargets(
             turn_s=hold_s / slots if slots else float("inf"),
-            prefill_s=min(
-                (self._know(t, "prefill_s", _GUESS_PREFILL_S) for t in busy), default=0.0
+            reading=min(
+                (self.know_reading(t) for t in busy),
+                key=lambda speed: speed.per_token_s,
+                default=_GUESS_READING,
             ),
             service_s=min(
                 (self._know(t, "service_s", _GUESS_SERVICE_S) for t in busy), default=0.0
@@ -162,7 +180,8 @@
         first_s = self.estimate_first(state, work)
         if first_s <= left_s or waiting.is_late:
             return False
-        alone_s = busy.prefill_s * work.prompt_tokens if work.prompt_tokens else busy.service_s
+        is_prompt = bool(work.prompt_tokens)
+        alone_s = busy.reading.estimate(work.prompt_tokens) if is_prompt else busy.service_s
         return busy.turn_s + alone_s < min(left_s, first_s)
 
     def find_patience(self, work: RoutedWork) -> float:
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -6,12 +6,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from troutstand.core.speed import ReadingFit, ReadingSpeed, Speed
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from troutstand.generated.messages import ListedTarget, Part, RoutedWork
 
-_EWMA = 0.25
 _HEALTH_EWMA = 0.15
 _FIRST_BLOCK_S = 0.5
 _MAX_BLOCK_S = 4.0
@@ -33,20 +34,11 @@
     started_s: float
     uncached_tokens: float
     expected_first_s: float
+    # Prompt tokens of requests that the target had to read before this one.
+    tokens_ahead: float = 0.0
     has_first: bool = False
 
 
-@dataclass
-class Speed:
-    """Hold a learnt speed; nothing learnt yet is None."""
-
-    value: float | None = None
-
-    def learn(self, sample: float) -> None:
-        """Move towards a sample."""
-        self.value = sample if self.value is None else self.value + _EWMA * (sample - self.value)
-
-
 @dataclass
 class KeptConnections:
     """Follow the connections that one gateway keeps to a target."""
@@ -61,7 +53,7 @@
 
     listed: ListedTarget
     running: dict[str, Running] = field(default_factory=dict)
-    prefill_s: Speed = field(default_factory=Speed)
+    reading: ReadingFit | None = None
     token_s: Speed = field(default_factory=Speed)
     service_s: Speed = field(default_factory=Speed)
     success: float = 1.0
@@ -133,16 +125,18 @@
         if not is_kept:
             kept.count = max(0, kept.count - 1)
 
+    def learn_reading(self, run: Running, first_s: float, prior: ReadingSpeed) -> None:
+        """Learn from the first byte of an answer how fast prompts are read."""
+        if self.reading is None:
+            self.reading = ReadingFit(prior)
+        self.reading.learn(run.uncached_tokens + run.tokens_ahead, first_s)
+
     # Signs of life
 
-    def note_first(self, run: Running, first_s: float, now_s: float) -> None:
-        """Learn from the first byte of an answer."""
+    def note_first(self, run: Running, now_s: float) -> None:
+        """Take the first byte of an answer as a sign of life."""
         run.has_first = True
         self.last_sign_s = now_s
-        if run.work.prompt_tokens and run.uncached_tokens > 0:
-            # The others' prompts were read before or beside this one.
-            others = self.measure_backlog()
-            self.prefill_s.learn(first_s / (run.uncached_tokens + 0.5 * others))
 
     def note_whole(self, now_s: float) -> None:
         """Take a whole answer as a sign of health."""
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -11,6 +11,7 @@
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
+from troutstand.core.speed import ReadingFit, ReadingSpeed
 from troutstand.core.targetstate import TargetState
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.messages import (
@@ -280,8 +281,8 @@
 @given("the first target reads {slow:d} tokens a second and the second {fast:d}")
 def set_speeds(context: Context, slow: int, fast: int) -> None:
     targets = context.desk.dispatcher.pools["work"].targets
-    targets["t1"].prefill_s.learn(1.0 / slow)
-    targets["t2"].prefill_s.learn(1.0 / fast)
+    targets["t1"].reading = ReadingFit(ReadingSpeed(0.0, 1.0 / slow))
+    targets["t2"].reading = ReadingFit(ReadingSpeed(0.0, 1.0 / fast))
 
 
 @given("the second target is full and ends a request every {gap_s:g} s")
@@ -395,7 +396,7 @@
     desk = context.desk
     targets = desk.dispatcher.pools["work"].targets
     for name, state in targets.items():
-        state.prefill_s.learn(1e-3 if name == "t1" else 1e-6)
+        state.reading = ReadingFit(ReadingSpeed(0.0, 1e-3 if name == "t1" else 1e-6))
     context.first = [desk.arrive(prompt_tokens=10, output_tokens=1) for _ in range(80)]
     assert len(desk.placed) == 80
     _make_unfit(desk, count)
