Ask the scheduler that most gateways ask, and do not go back to an earlier one

Ruled out: a longer wait before the return; the gateways would still differ. Change: a scheduler tells how many gateways ask it, and gateways come together at the one with the most; among equals the first in order, as before. Tests: schedulerwatch.feature; the scenario of the way back is replaced by three of the new rule.

--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -291,6 +291,7 @@
         watch.heard_s = now_s
         watch.period_s = reply.period_s
         watch.is_ready = reply.is_ready
+        watch.attached = reply.attached
         if reply.is_ready and watch.live_since_s == float("inf"):
             watch.live_since_s = now_s
         if not reply.is_ready:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -209,6 +209,7 @@
             period_s=max(_MIN_PERIOD_S, _PERIOD_PER_GATEWAY_S * len(self._gateways)),
             version=self.follower.version,
             gateways=max(1, len(self._gateways)),
+            attached=self._count_attached(),
             targets_version=self.targets.version,
             targets=self.targets.targets if has_news else [],
             has_targets=has_news and self._has_list,
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -21,8 +21,8 @@
 _CLOSE_STANDBYS = 2
 _FAR_STANDBY_PERIOD_S = 4.0
 _LIVE_SLACK_S = 0.15
-# An earlier scheduler is gone back to once it has been live for so long.
-_RETURN_AFTER_S = 1.5
+# Another scheduler is moved to, while one's own lives, once it was live for so long.
+_MOVE_AFTER_S = 1.5
 
 
 class Alone(Enum):
@@ -44,6 +44,8 @@
     incarnation: str = ""
     is_ready: bool = False
     is_attached: bool = False
+    # Gateways that ask the scheduler, as it told last.
+    attached: int = 0
     standby_period_s: float = _STANDBY_PERIOD_S
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -59,12 +61,16 @@
 
 
 def choose_decider(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> Decider:
-    """Return the first live scheduler; an earlier one only once it is steady."""
+    """Return the live scheduler that most gateways ask, and of those the first in order.
+
+    A scheduler that comes back is not gone back to: gateways judge it steady at
+    different moments, and until the last has moved two schedulers fill every target.
+    """
     live = list_live(watches, now_s)
     if isinstance(current, Alone) or current not in live:
-        return live[0] if live else Alone.ALONE
-    steady = [p for p in live if now_s - watches[p].live_since_s > _RETURN_AFTER_S]
-    return min([current, *steady])
+        return min(live, key=lambda p: (-watches[p].attached, p)) if live else Alone.ALONE
+    steady = [p for p in live if now_s - watches[p].live_since_s > _MOVE_AFTER_S]
+    return min([current, *steady], key=lambda p: (-watches[p].attached, p))
 
 
 def space_standbys(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> None:
