Judge limits by their window alone, and let gateways carry their part of it

Ruled out: repeated charges (no request was placed twice in the window). Change: a limit is its window; every gateway brings its part and what was taken of it; stopping gateways keep their part until they are forgotten; a scheduler that was left or did not answer is not ready until it answers; a count of changes tells late heartbeats from new ones; alone, schedulers are looked for every 0.1 s; what a gateway decides alone is logged like a scheduler's decision, with workspace and charge. The scenario of the dying scheduler waited for the way back that is gone: it breaks whichever scheduler decides, twice, and now waits for 30 calls between faults.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -63,6 +63,10 @@
         Prompt tokens that the target does not hold.
     last_sign_s
         Age of the target's last answer, in seconds.
+    open_targets
+        Targets that could have been given the request.
+    workspace, charge
+        Whose limit was charged, and with how many tokens.
     """
 
     expected_first_s: float
@@ -70,6 +74,8 @@
     uncached: float
     last_sign_s: float
     open_targets: int
+    workspace: str
+    charge: float
 
 
 class Dispatcher:
@@ -155,7 +161,6 @@
     def place(self, work: RoutedWork, owner: str, now_s: float) -> None:
         """Take a request in: give it a target, let it wait, or refuse it."""
         pool = self.pools.setdefault(work.service, Pool())
-        verdict = Verdict.OWED
         if work.attempt > 1:
             if not self.retries.take(work.service, now_s):
                 self._decline(work, owner, ResultCode.RETRY_BUDGET, 1.0, "retry budget")
@@ -164,15 +169,14 @@
             self.retries.note_request(work.service, now_s)
             judgement = self.quotas.take(work.workspace, work.charge, now_s)
             if judgement.verdict is Verdict.SPARE and not pool.has_spare(now_s):
-                self.quotas.give_back(work.workspace, work.charge, Verdict.SPARE, now_s, now_s)
+                self.quotas.give_back(work.workspace, work.charge, now_s, now_s)
                 judgement = Judgement(Verdict.REFUSED, judgement.wait_s)
             if judgement.verdict is Verdict.REFUSED:
-                level = self.quotas.read_level(work.workspace)
-                reason = f"workspace={work.workspace} charge={work.charge:g} level={level:g}"
+                taken = self.quotas.read_taken(work.workspace)
+                reason = f"workspace={work.workspace} charge={work.charge:g} taken={taken:.2f}"
                 self._decline(work, owner, ResultCode.WORKSPACE_LIMIT, judgement.wait_s, reason)
                 return
-            verdict = judgement.verdict
-        waiting = Waiting(work, owner, now_s, now_s + work.remaining_s, verdict)
+        waiting = Waiting(work, owner, now_s, now_s + work.remaining_s)
         pool.waiting[work.request] = waiting
         self._serve_queue(pool, now_s)
         if work.request in pool.waiting:
@@ -305,6 +309,8 @@
             uncached=uncached,
             last_sign_s=now_s - state.last_sign_s,
             open_targets=sum(1 for t in pool.targets.values() if t.is_open(now_s)),
+            workspace=work.workspace,
+            charge=work.charge,
         )
         state.running[work.request] = Running(
             work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead
@@ -324,9 +330,7 @@
         waiting = pool.waiting.pop(request, None)
         if waiting is not None and waiting.work.attempt == 1:
             work = waiting.work
-            self.quotas.give_back(
-                work.workspace, work.charge, waiting.verdict, waiting.arrived_s, now_s
-            )
+            self.quotas.give_back(work.workspace, work.charge, waiting.arrived_s, now_s)
 
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -10,7 +10,6 @@
 from troutstand.generated.messages import ListedState
 
 if TYPE_CHECKING:
-    from troutstand.core.quota import Verdict
     from troutstand.core.targetstate import TargetState
     from troutstand.generated.messages import RoutedWork
 
@@ -41,7 +40,6 @@
     owner: str
     arrived_s: float
     deadline_s: float
-    verdict: Verdict
     is_late: bool = False
     # How long it may wait and still be in time, as estimated when it arrived.
     patience_s: float = 0.0
--- a/troutstand/core/quota.py
+++ b/troutstand/core/quota.py
@@ -1,12 +1,11 @@
 """Limit what each workspace takes, over all gateways together.
 
-A bucket says what a workspace is owed: its rate, and its burst at once. What
-goes beyond may still be served where room is free, as long as all that was
-taken within a window of the settings' length stays in the excess that does no
-harm. One
-scheduler sees all admissions and holds the whole limit; where gateways are
-split between schedulers, each holds the share of the gateways it serves, so
-that the shares add up to the limit.
+A limit says what a workspace may take within every window of the settings' length:
+its rate for that long, and its burst. What goes beyond may still be served where
+room is free, as long as it stays in the excess that does no harm. One scheduler
+sees all admissions and holds the whole limit; where gateways are split between
+schedulers, each holds the share of the gateways it serves, so that the shares add
+up to the limit.
 """
 
 from __future__ import annotations
@@ -18,16 +17,15 @@
 from troutstand.core.window import SlidingWindow
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from troutstand.generated.configuration import RoutedWorkspace
 
-# Of the excess that does no harm, so much counts as owed, and so much may be taken
-# at all; the rest is kept, since what was taken may arrive a little bunched.
-_OWED_EXCESS = 0.3
+# Of the excess that does no harm, so much may be taken; the rest is kept, since what
+# was taken may arrive a little bunched (chosen, not measured).
 _TAKEN_EXCESS = 0.8
 _WINDOW_MARGIN_S = 0.5
-_MIN_RATE = 1e-9
+_MIN_LIMIT = 1e-9
 
 
 @dataclass(frozen=True)
@@ -73,32 +71,22 @@
     wait_s: float = 0.0
 
 
-@dataclass(frozen=True)
-class LimitLevel:
-    """Tell how full a bucket is, as a share, and what its window's parts hold."""
-
-    level: float
-    taken: list[int]
-
-
 @dataclass
-class Bucket:
-    """Hold a workspace's tokens, and all that it took within the window."""
+class Limit:
+    """Hold what a workspace may take in a window, and what it took.
+
+    Parameters
+    ----------
+    owed
+        Tokens of a window that the workspace is entitled to.
+    most
+        Tokens of a window that may be taken at all.
+    """
 
-    rate_per_s: float
-    capacity: float
+    owed: float
     most: float
-    level: float
-    filled_s: float
     window: SlidingWindow
 
-    def advance(self, now_s: float, share: float) -> None:
-        """Add what came since the last call, and drop what left the window."""
-        passed_s = max(0.0, now_s - self.filled_s)
-        self.filled_s = now_s
-        self.level = min(self.capacity * share, self.level + passed_s * self.rate_per_s * share)
-        self.window.advance(now_s)
-
 
 class Quotas:
     """Admit requests within the limits of their workspaces."""
@@ -106,89 +94,83 @@
     def __init__(self, bounds: QuotaBounds) -> None:
         self._bounds = bounds
         self._window_s = bounds.window_s + _WINDOW_MARGIN_S
-        self._buckets: dict[str, Bucket] = {}
+        self._limits: dict[str, Limit] = {}
         self.share = 1.0
 
-    def _advance(self, workspace: str, now_s: float) -> Bucket | None:
-        bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.advance(now_s, self.share)
-        return bucket
-
     def use_workspaces(self, workspaces: Iterable[RoutedWorkspace], now_s: float) -> None:
         """Take new limits; what was taken before still counts."""
         limited = {w.name: w for w in workspaces if w.tokens_per_s > 0}
-        for name in set(self._buckets) - set(limited):
-            del self._buckets[name]
+        for name in set(self._limits) - set(limited):
+            del self._limits[name]
         for name, workspace in limited.items():
-            self._use_limit(name, workspace.tokens_per_s, workspace.burst_tokens, now_s)
+            self._use_limit(name, workspace.tokens_per_s, workspace.burst_tokens)
 
-    def _use_limit(self, name: str, rate_per_s: float, burst: float, now_s: float) -> None:
-        excess = self._bounds.find_excess(rate_per_s, burst)
-        capacity = burst + _OWED_EXCESS * excess
-        most = self._bounds.find_limit(rate_per_s, burst) + _TAKEN_EXCESS * excess
-        held = self._advance(name, now_s)
+    def _use_limit(self, name: str, rate_per_s: float, burst: float) -> None:
+        owed = self._bounds.find_limit(rate_per_s, burst)
+        most = owed + _TAKEN_EXCESS * self._bounds.find_excess(rate_per_s, burst)
+        held = self._limits.get(name)
         if held is None:
-            level = capacity * self.share
-            window = SlidingWindow(self._window_s)
-            self._buckets[name] = Bucket(rate_per_s, capacity, most, level, now_s, window)
+            self._limits[name] = Limit(owed, most, SlidingWindow(self._window_s))
             return
-        held.rate_per_s, held.capacity, held.most = rate_per_s, capacity, most
-        held.level = min(held.level, capacity * self.share)
+        held.owed, held.most = owed, most
 
     def take(self, workspace: str, amount: float, now_s: float) -> Judgement:
         """Take tokens where the limit allows it."""
-        bucket = self._advance(workspace, now_s)
-        if bucket is None or amount <= 0:
+        limit = self._limits.get(workspace)
+        if limit is None or amount <= 0:
             return Judgement(Verdict.OWED)
-        most = bucket.most * self.share
+        window = limit.window
+        window.advance(now_s)
         # One request may be larger than the limit: an empty window lets it pass.
+        most = limit.most * self.share
         within = min(amount, most)
-        if bucket.window.total + within > most:
-            return Judgement(Verdict.REFUSED, bucket.window.find_room(within, most, now_s))
-        # Nor may the burst be smaller than a request: a full bucket lets it pass.
-        enough = min(amount, bucket.capacity * self.share)
-        bucket.window.note(amount, now_s)
-        if bucket.level >= enough:
-            bucket.level -= amount
-            return Judgement(Verdict.OWED)
-        missing_s = (enough - bucket.level) / max(bucket.rate_per_s * self.share, _MIN_RATE)
-        return Judgement(Verdict.SPARE, missing_s)
-
-    def give_back(
-        self, workspace: str, amount: float, verdict: Verdict, taken_s: float, now_s: float
-    ) -> None:
+        if window.total + within > most:
+            return Judgement(Verdict.REFUSED, window.find_room(within, most, now_s))
+        owed = limit.owed * self.share
+        enough = min(amount, owed)
+        wait_s = window.find_room(enough, owed, now_s)
+        window.note(amount, now_s)
+        return Judgement(Verdict.SPARE, wait_s) if wait_s else Judgement(Verdict.OWED)
+
+    def give_back(self, workspace: str, amount: float, taken_s: float, now_s: float) -> None:
         """Return the tokens of a request that was not run, taken at an earlier time."""
-        bucket = self._advance(workspace, now_s)
-        if bucket is None or amount <= 0:
+        limit = self._limits.get(workspace)
+        if limit is None or amount <= 0:
             return
-        bucket.window.take_back(amount, taken_s)
-        if verdict is Verdict.OWED:
-            bucket.level = min(bucket.capacity * self.share, bucket.level + amount)
+        limit.window.advance(now_s)
+        limit.window.take_back(amount, taken_s)
 
     # Handing over
 
-    def read_level(self, workspace: str) -> float:
-        """Return the tokens that a workspace could take as of the last call."""
-        bucket = self._buckets.get(workspace)
-        return bucket.level if bucket is not None else float("inf")
-
-    def list_levels(self, now_s: float) -> dict[str, LimitLevel]:
-        """Return how full the limits are of which something is taken."""
-        levels: dict[str, LimitLevel] = {}
-        for name, bucket in self._buckets.items():
-            bucket.advance(now_s, self.share)
-            full = bucket.capacity * self.share
-            if bucket.level < full or bucket.window.total > 0:
-                most = max(bucket.most * self.share, _MIN_RATE)
-                parts = bucket.window.list_parts(most, now_s)
-                levels[name] = LimitLevel(bucket.level / full, parts)
-        return levels
-
-    def inherit(self, workspace: str, held: LimitLevel, now_s: float) -> None:
-        """Take over how full a limit was under another holder; the stricter word counts."""
-        bucket = self._advance(workspace, now_s)
-        if bucket is None:
+    def read_taken(self, workspace: str) -> float:
+        """Return the share of its limit that a workspace's window held at the last call."""
+        limit = self._limits.get(workspace)
+        if limit is None:
+            return 0.0
+        return limit.window.total / max(limit.owed * self.share, _MIN_LIMIT)
+
+    def list_taken(self, now_s: float) -> dict[str, list[int]]:
+        """Return the parts of the windows that hold anything, in thousandths of the limit."""
+        taken: dict[str, list[int]] = {}
+        for name, limit in self._limits.items():
+            limit.window.advance(now_s)
+            if limit.window.total > 0:
+                most = max(limit.most * self.share, _MIN_LIMIT)
+                taken[name] = limit.window.list_parts(most, now_s)
+        return taken
+
+    def inherit(self, workspace: str, parts: Sequence[int], portion: float, now_s: float) -> None:
+        """Take over a portion of a limit together with what another holder took of it.
+
+        Parameters
+        ----------
+        parts
+            What the other holder's window held, in thousandths of its share.
+        portion
+            The portion of the whole limit that comes from it, such as one gateway's.
+        """
+        limit = self._limits.get(workspace)
+        if limit is None:
             return
-        bucket.level = min(bucket.level, held.level * bucket.capacity * self.share)
-        bucket.window.take_over(held.taken, bucket.most * self.share, now_s)
+        limit.window.advance(now_s)
+        limit.window.add_parts(parts, limit.most * portion, now_s)
--- a/troutstand/core/window.py
+++ b/troutstand/core/window.py
@@ -71,13 +71,13 @@
             sums[min(PARTS - 1, max(0, age))] += taken
         return [max(0, math.ceil(_THOUSANDTHS * part / unit)) for part in sums]
 
-    def take_over(self, parts: Sequence[int], unit: float, now_s: float) -> None:
-        """Hold in each part at least what another holder's window held there."""
+    def add_parts(self, parts: Sequence[int], unit: float, now_s: float) -> None:
+        """Add the parts of another holder's window to one's own."""
         part_s = self.length_s / PARTS
-        own = self.list_parts(unit, now_s)
-        merged = deque(self._taken)
-        for index, (theirs, ours) in enumerate(zip(parts, own, strict=False)):
-            if theirs > ours:
-                merged.append((now_s - index * part_s, (theirs - ours) * unit / _THOUSANDTHS))
-        self._taken = deque(sorted(merged))
+        added = [
+            (now_s - index * part_s, part * unit / _THOUSANDTHS)
+            for index, part in enumerate(parts[:PARTS])
+            if part
+        ]
+        self._taken = deque(sorted([*self._taken, *added]))
         self.total = sum(taken for _, taken in self._taken)
--- /dev/null
+++ b/troutstand/routing/decisions.py
@@ -0,0 +1,64 @@
+"""Log what was decided on a request, whoever decided it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.generated.messages import Declined, Placed
+
+if TYPE_CHECKING:
+    from troutstand.core.dispatch import Decision, PlacedInputs
+    from troutstand.util.events import EventBus
+
+ALONE = "alone"
+SCHEDULER = "scheduler"
+_MILLISECONDS = 1000.0
+
+
+def emit_decision(
+    events: EventBus, decision: Decision, decider: str, version: int, targets_version: str
+) -> None:
+    """Write one line with the inputs that decided."""
+    match decision.answer:
+        case Placed():
+            if decision.inputs is not None:
+                _emit_placed(
+                    events, decision.answer, decision.inputs, decider, version, targets_version
+                )
+        case Declined(request, code, retry_after_s, reason):
+            events.emit(
+                "request_declined",
+                request,
+                code=ResultCode(code),
+                retry_after_s=retry_after_s,
+                reason=reason,
+                decider=decider,
+                version=version,
+            )
+
+
+def _emit_placed(
+    events: EventBus,
+    placed: Placed,
+    inputs: PlacedInputs,
+    decider: str,
+    version: int,
+    targets_version: str,
+) -> None:
+    events.emit(
+        "request_placed",
+        placed.request,
+        target=placed.target,
+        waited_ms=placed.waited_ms,
+        expected_ms=_MILLISECONDS * inputs.expected_first_s,
+        running=inputs.running,
+        uncached=inputs.uncached,
+        sign_age_s=inputs.last_sign_s,
+        open=inputs.open_targets,
+        workspace=inputs.workspace,
+        charge=inputs.charge,
+        decider=decider,
+        list=targets_version[:8],
+        version=version,
+    )
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -125,7 +125,6 @@
         """Let others take new callers, finish what is open, then end."""
         started_s = time.monotonic()
         self.is_stopping = True
-        self.placement.leave()
         self.node.state = ProcessState.draining
         self.node.events.emit("stop_started", open=self.open_requests)
         await asyncio.sleep(_QUIET_SHARE * self.settings.stop_s)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -16,10 +16,9 @@
 
 import msgspec
 
-from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
-from troutstand.core.quota import LimitLevel, QuotaBounds, Quotas
+from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
@@ -36,6 +35,7 @@
     RoutedWork,
 )
 from troutstand.generated.routing import RoutingRole
+from troutstand.routing.decisions import ALONE, emit_decision
 from troutstand.routing.schedulerwatch import (
     BEAT_S,
     Alone,
@@ -93,7 +93,7 @@
         self._gateways = _FIRST_GATEWAYS
         self._went_alone = asyncio.Event()
         self._went_alone.set()
-        self._is_leaving = False
+        self._attachment = 0
         self._levels: list[Level] = []
         self._holds: list[Hold] = []
         self._local = self._make_local()
@@ -111,7 +111,7 @@
         if self._table is not None:
             local.use_table(self._table, now_s)
         for level in self._levels:
-            quotas.inherit(level.workspace, LimitLevel(level.share, level.taken), now_s)
+            quotas.inherit(level.workspace, level.taken, share, now_s)
         local.inherit_holds(self._holds)
         local.use_targets(self._targets.targets, now_s)
         for held in self._held.values():
@@ -127,7 +127,7 @@
     @property
     def decider(self) -> str:
         """Name who decides now."""
-        return "alone" if isinstance(self._current, Alone) else str(self._current)
+        return ALONE if isinstance(self._current, Alone) else str(self._current)
 
     def use_table(self, table: RouteTable) -> None:
         """Take a configuration for decisions made alone."""
@@ -140,10 +140,6 @@
         self._node.spawn(self._run_ticks(), "placement ticks")
         self._node.spawn(self._run_list_alone(), "list alone")
 
-    def leave(self) -> None:
-        """Tell the schedulers that this gateway stops."""
-        self._is_leaving = True
-
     # Requests
 
     async def place(self, work: RoutedWork) -> Placed | Declined:
@@ -260,8 +256,8 @@
             is_attached=is_attached,
             targets_version=self._targets.version,
             is_first=is_first,
+            attachment=self._attachment,
             running=self._list_running(now_s) if is_first else [],
-            is_leaving=self._is_leaving,
             levels=self._levels if is_first else [],
             holds=self._holds if is_first else [],
         )
@@ -270,6 +266,8 @@
             reply = await self._node.ask(process, ask, BEAT_S)
         except TroutstandError:
             watch.live_since_s = float("inf")
+            # One heartbeat that is lost on the way does not end it with one's own scheduler.
+            watch.is_ready = watch.is_ready and is_attached
             if is_first:
                 watch.is_attached = False
             return
@@ -308,6 +306,10 @@
     def _is_alone(self) -> bool:
         return isinstance(self._current, Alone)
 
+    def _is_live(self, process: ProcessId) -> bool:
+        watch = self._watches.get(process)
+        return watch is not None and watch.is_live(time.monotonic())
+
     def _miss(self, process: ProcessId) -> None:
         watch = self._watches.get(process)
         if watch is not None:
@@ -318,7 +320,15 @@
         if decider == self._current:
             return
         before = self.decider
+        if isinstance(self._current, Alone):
+            # What this gateway took alone counts at the scheduler that it asks next.
+            held = self._local.quotas.list_taken(time.monotonic())
+            self._levels = [Level(name, parts) for name, parts in held.items()]
+        elif not self._is_live(self._current):
+            # A standby may be silent for longer than one's own scheduler; this one was left.
+            self._miss(self._current)
         self._current = decider
+        self._attachment += 1
         if isinstance(decider, Alone):
             self._local = self._make_local()
             self._went_alone.set()
@@ -359,15 +369,8 @@
                 placing.answer.set_result(answer)
             elif isinstance(answer, Placed):
                 self._local.abandon(answer.request, time.monotonic())
-            if isinstance(answer, Declined):
-                self._node.events.emit(
-                    "request_declined",
-                    answer.request,
-                    code=ResultCode(answer.code),
-                    retry_after_s=answer.retry_after_s,
-                    reason=answer.reason,
-                    decider="alone",
-                )
+            version = self._table.version if self._table is not None else 0
+            emit_decision(self._node.events, decision, ALONE, version, self._targets.version)
 
     async def _run_ticks(self) -> None:
         while True:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -9,14 +9,13 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.dispatch import Dispatcher, PlacedInputs
-from troutstand.core.quota import LimitLevel, QuotaBounds, Quotas
+from troutstand.core.dispatch import Dispatcher
+from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
     Attached,
-    Declined,
     Ended,
     FirstByte,
     Level,
@@ -26,6 +25,7 @@
     ProcessState,
     Refused,
 )
+from troutstand.routing.decisions import SCHEDULER, emit_decision
 from troutstand.routing.follower import Follower
 from troutstand.routing.node import RoutingNode
 from troutstand.routing.targetlist import ListUnreadError, TargetList
@@ -49,6 +49,7 @@
 _MIN_PERIOD_S = 0.1
 _PERIOD_PER_GATEWAY_S = 0.0035
 _LEAVE_S = 1.0
+_THOUSANDTHS = 1000.0
 
 
 @dataclass
@@ -58,6 +59,8 @@
     incarnation: str
     heard_s: float
     is_attached: bool
+    # The gateway's count of its changes of scheduler.
+    attachment: int
 
 
 class RoutingScheduler:
@@ -147,62 +150,62 @@
         for decision in self.dispatcher.take_decisions():
             answer = decision.answer
             settled = self._settle(decision.owner, answer.request, answer)
-            match answer:
-                case Placed(request):
-                    self._tell_placed(answer, decision.inputs)
-                    if not settled:
-                        # Its gateway no longer waits; the slot is free again.
-                        self.dispatcher.abandon(request, now_s)
-                case Declined(request, code, retry_after_s, reason):
-                    self.node.events.emit(
-                        "request_declined",
-                        request,
-                        code=ResultCode(code),
-                        retry_after_s=retry_after_s,
-                        reason=reason,
-                        version=self.follower.version,
-                    )
-
-    def _tell_placed(self, placed: Placed, inputs: PlacedInputs | None) -> None:
-        if inputs is None:
-            return
-        self.node.events.emit(
-            "request_placed",
-            placed.request,
-            target=placed.target,
-            waited_ms=placed.waited_ms,
-            expected_ms=1000.0 * inputs.expected_first_s,
-            running=inputs.running,
-            uncached=inputs.uncached,
-            sign_age_s=inputs.last_sign_s,
-            open=inputs.open_targets,
-            list=self.targets.version[:8],
-            version=self.follower.version,
-        )
+            emit_decision(
+                self.node.events,
+                decision,
+                SCHEDULER,
+                self.follower.version,
+                self.targets.version,
+            )
+            if isinstance(answer, Placed) and not settled:
+                # Its gateway no longer waits; the slot is free again.
+                self.dispatcher.abandon(answer.request, now_s)
 
     # Gateways
 
     def _handle_attach(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> Attached:
         seen = self._gateways.get(peer)
-        if ask.is_leaving and not ask.is_attached:
-            self._gateways.pop(peer, None)
-        else:
-            if seen is not None and seen.incarnation != ask.incarnation:
-                self._drop(peer, "restarted", now_s)
-            if seen is not None and seen.is_attached and not ask.is_attached:
-                self._drop(peer, "asks another scheduler", now_s)
-            self._gateways[peer] = GatewaySeen(ask.incarnation, now_s, ask.is_attached)
-        if ask.is_first:
-            if self._count_attached() <= 1:
-                # A standby's list is old; the first gateway to come needs a new one.
-                self._list_wanted.set()
-            for run in ask.running:
-                self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
-            for level in ask.levels:
-                self.quotas.inherit(level.workspace, LimitLevel(level.share, level.taken), now_s)
-            self.dispatcher.inherit_holds(ask.holds)
-            self.node.events.emit("gateway_attached", peer=peer, running=len(ask.running))
+        is_known = seen is not None and seen.incarnation == ask.incarnation
+        if is_known and seen is not None and ask.attachment < seen.attachment:
+            # Sent before a link was lost, and delivered after the gateway had gone on.
+            return self._answer_attach(ask, now_s)
+        if seen is not None and seen.incarnation != ask.incarnation:
+            self._drop(peer, "restarted", now_s)
+        if seen is not None and seen.is_attached and not ask.is_attached:
+            self._drop(peer, "asks another scheduler", now_s)
+        # A gateway that stops still counts for a while: what it took of the limits
+        # elsewhere is within their window, and its part must not be used twice.
+        self._gateways[peer] = GatewaySeen(ask.incarnation, now_s, ask.is_attached, ask.attachment)
+        is_repeated = (
+            is_known and seen is not None and seen.is_attached and seen.attachment == ask.attachment
+        )
+        if ask.is_first and not is_repeated:
+            self._take_over(peer, ask, now_s)
         self._share()
+        return self._answer_attach(ask, now_s)
+
+    def _take_over(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> None:
+        """Take in what a gateway that begins to ask this scheduler brings along."""
+        if self._count_attached() <= 1:
+            # A standby's list is old; the first gateway to come needs a new one.
+            self._list_wanted.set()
+        for run in ask.running:
+            self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
+        # Each gateway brings its part of the limits, and what was taken of it elsewhere.
+        portion = 1.0 / len(self._gateways)
+        for level in ask.levels:
+            self.quotas.inherit(level.workspace, level.taken, portion, now_s)
+        self.dispatcher.inherit_holds(ask.holds)
+        self.node.events.emit(
+            "gateway_attached",
+            peer=peer,
+            running=len(ask.running),
+            limits=len(ask.levels),
+            fullest=max((sum(level.taken) / _THOUSANDTHS for level in ask.levels), default=0.0),
+            gateways=len(self._gateways),
+        )
+
+    def _answer_attach(self, ask: AttachAsk, now_s: float) -> Attached:
         has_news = ask.targets_version != self.targets.version
         return Attached(
             incarnation=self.node.incarnation,
@@ -222,8 +225,8 @@
         """Return how full the limits are, summed up anew for a few heartbeats together."""
         made_s, levels = self._levels
         if now_s - made_s > _LEVELS_S:
-            held = self.quotas.list_levels(now_s)
-            levels = [Level(name, one.level, one.taken) for name, one in held.items()]
+            held = self.quotas.list_taken(now_s)
+            levels = [Level(name, parts) for name, parts in held.items()]
             self._levels = (now_s, levels)
         return levels
 
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -21,6 +21,10 @@
 _CLOSE_STANDBYS = 2
 _FAR_STANDBY_PERIOD_S = 4.0
 _LIVE_SLACK_S = 0.15
+# A gateway that decides alone hears of schedulers one after the other; one that nobody
+# asks yet is taken only after so long (a few round trips between failure domains).
+_LOOK_OVER_S = 0.15
+_ALONE_PERIOD_S = 0.1
 # Another scheduler is moved to, while one's own lives, once it was live for so long.
 _MOVE_AFTER_S = 1.5
 
@@ -67,18 +71,27 @@
     different moments, and until the last has moved two schedulers fill every target.
     """
     live = list_live(watches, now_s)
+    if isinstance(current, Alone):
+        live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
     if isinstance(current, Alone) or current not in live:
         return min(live, key=lambda p: (-watches[p].attached, p)) if live else Alone.ALONE
     steady = [p for p in live if now_s - watches[p].live_since_s > _MOVE_AFTER_S]
     return min([current, *steady], key=lambda p: (-watches[p].attached, p))
 
 
+def _is_looked_over(watch: Watch, now_s: float) -> bool:
+    """Tell whether the other schedulers had time to answer as well."""
+    return now_s - watch.live_since_s >= _LOOK_OVER_S
+
+
 def space_standbys(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> None:
     """Watch the next schedulers in order closely, and all while there is none to ask."""
+    is_alone = isinstance(current, Alone)
     others = [process for process in list_live(watches, now_s) if process != current]
-    far = set() if isinstance(current, Alone) else set(others[_CLOSE_STANDBYS:])
+    far = set() if is_alone else set(others[_CLOSE_STANDBYS:])
+    near_s = _ALONE_PERIOD_S if is_alone else _STANDBY_PERIOD_S
     for process, watch in watches.items():
-        period_s = _FAR_STANDBY_PERIOD_S if process in far else _STANDBY_PERIOD_S
+        period_s = _FAR_STANDBY_PERIOD_S if process in far else near_s
         if period_s < watch.standby_period_s:
             watch.wake.set()
         watch.standby_period_s = period_s
--- a/troutstand/tests/limits.feature
+++ b/troutstand/tests/limits.feature
@@ -11,6 +11,12 @@
     When a workspace asks two schedulers of 4 and 2 gateways for four times as much for 30 s
     Then no window of 8 s holds more than 11350 tokens
 
+  Scenario: What gateways took while they decided alone counts when they are back
+    Given a limit of 1000 tokens a second and a burst of 500, judged over 8 s with 10 in 100 and 2000 excess
+    When a workspace asks for four times as much for 30 s and 2 of 6 gateways decide alone from 5 to 12 s
+    Then no window of 8 s holds more than 11350 tokens
+    And the workspace got at least 30000 tokens
+
   Scenario: A request larger than the burst passes a full bucket
     Given a limit of 10 tokens a second and a burst of 50, judged over 8 s with 0 in 100 and 0 excess
     Then a request of 80 tokens passes, and the next must wait 8 s or more
--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -4,6 +4,13 @@
     Given schedulers a, b and c that answered 0.1, 0.1 and 0.1 s ago
     Then a gateway that decides alone asks a
 
+  Scenario: A gateway that decides alone looks about before it asks one that nobody asks
+    Given schedulers a, b and c that answered 0.1, 9 and 9 s ago
+    And a has been live for 0.1 s and is asked by 0 gateways
+    Then a gateway that decides alone asks nobody
+    When a has been live for 0.1 s and is asked by 1 gateways
+    Then a gateway that decides alone asks a
+
   Scenario: A scheduler that is silent is left for the next
     Given schedulers a, b and c that answered 2, 0.1 and 0.1 s ago
     Then a gateway that asks a asks b
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -47,10 +47,8 @@
     while now_s < length_s:
         if now_s - changed_s >= period_s:
             changed_s = now_s
-            levels = quotas.list_levels(now_s)
-            quotas = _make_quotas(context, now_s)
-            for workspace, level in levels.items():
-                quotas.inherit(workspace, level, now_s)
+            before, quotas = quotas, _make_quotas(context, now_s)
+            _hand_over(before, quotas, 1.0, now_s)
         if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
             context.taken.append((now_s, _REQUEST_TOKENS))
         now_s += _STEP_S
@@ -71,18 +69,50 @@
         now_s += _STEP_S
 
 
+def _hand_over(source: Quotas, goal: Quotas, portion: float, now_s: float) -> None:
+    for workspace, parts in source.list_taken(now_s).items():
+        goal.inherit(workspace, parts, portion, now_s)
+
+
+@when(
+    "a workspace asks for four times as much for {length_s:d} s and {alone:d} of {all_:d} gateways "
+    "decide alone from {start_s:d} to {end_s:d} s"
+)
+def ask_alone(
+    context: Context, length_s: int, alone: int, all_: int, start_s: int, end_s: int
+) -> None:
+    scheduler = _make_quotas(context, 0.0)
+    cut_off: list[Quotas] = []
+    now_s = 0.0
+    while now_s < length_s:
+        if start_s <= now_s < end_s and not cut_off:
+            scheduler.share = 1.0 - alone / all_
+            cut_off = [_make_quotas(context, now_s, 1.0 / all_) for _ in range(alone)]
+            for gateway in cut_off:
+                _hand_over(scheduler, gateway, 1.0 / all_, now_s)
+        if now_s >= end_s and cut_off:
+            for gateway in cut_off:
+                _hand_over(gateway, scheduler, 1.0 / all_, now_s)
+            scheduler.share = 1.0
+            cut_off = []
+        for quotas in (scheduler, *cut_off):
+            if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
+                context.taken.append((now_s, _REQUEST_TOKENS))
+        now_s += _STEP_S
+
+
 @when(
     "a workspace takes all it can at once, gives it back after {after_s:d} s, "
     "and asks for four times as much for {length_s:d} s"
 )
 def ask_and_give_back(context: Context, after_s: int, length_s: int) -> None:
     quotas = _make_quotas(context, 0.0)
-    lent: list[Verdict] = []
-    while (verdict := quotas.take("w", _REQUEST_TOKENS, 0.0).verdict) is not Verdict.REFUSED:
-        lent.append(verdict)
+    lent = 0
+    while quotas.take("w", _REQUEST_TOKENS, 0.0).verdict is not Verdict.REFUSED:
+        lent += 1
     now_s = float(after_s)
-    for verdict in lent:
-        quotas.give_back("w", _REQUEST_TOKENS, verdict, 0.0, now_s)
+    for _ in range(lent):
+        quotas.give_back("w", _REQUEST_TOKENS, 0.0, now_s)
     while now_s < after_s + length_s:
         if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
             context.taken.append((now_s, _REQUEST_TOKENS))
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -25,6 +26,8 @@
 
 _PACE_S = 0.03
 _ANSWERS = 10
+# Calls that end between two faults, so that each fault meets some.
+_STAGE_ANSWERS = 30
 
 
 @given("a routed site")
@@ -76,36 +79,59 @@
     await asyncio.gather(*calls)
 
 
-def _find_deciding(scene: Scene) -> str:
-    """Return the scheduler that gateways ask first."""
-    schedulers = scene.site.list_role(RoutingRole.scheduler)
-    return min(schedulers, key=lambda process: process.settings.ip).name
+def _read_deciders(scene: Scene) -> set[str]:
+    """Return whom the gateways' logs name last as deciding; nothing is an empty text."""
+    deciders = set()
+    for gateway in scene.site.list_role(RoutingRole.gateway):
+        changes = re.findall(r"event=scheduler_changed .*now=(\S+)", gateway.log.read_text())
+        deciders.add(changes[-1].partition(":")[0] if changes else "")
+    return deciders
 
 
-async def _wait_decider(scene: Scene, name: str, is_it: bool) -> None:
-    """Wait until the last word of every gateway is that a scheduler decides, or another."""
-    address = f"now={scene.site.processes[name].settings.ip}:"
-    logs = [gateway.log for gateway in scene.site.list_role(RoutingRole.gateway)]
+async def _find_deciding(scene: Scene) -> str:
+    """Return the scheduler that all gateways ask, once they agree."""
+    names = {s.settings.ip: s.name for s in scene.site.list_role(RoutingRole.scheduler)}
 
-    def agrees(text: str) -> bool:
-        changes = [line for line in text.splitlines() if "event=scheduler_changed" in line]
-        return bool(changes) and (address in changes[-1]) is is_it
+    async def agree() -> bool:
+        deciders = _read_deciders(scene)
+        return len(deciders) == 1 and deciders <= set(names)
 
-    async def all_agree() -> bool:
-        return all(agrees(log.read_text()) for log in logs)
+    await wait_until(agree, "the gateways ask one scheduler")
+    return names[_read_deciders(scene).pop()]
 
-    await wait_until(all_agree, f"{name} {'decides' if is_it else 'is left'}")
+
+async def _wait_left(scene: Scene, name: str) -> None:
+    """Wait until no gateway asks a scheduler any more."""
+    ip = scene.site.processes[name].settings.ip
+
+    async def is_left() -> bool:
+        return ip not in _read_deciders(scene)
+
+    await wait_until(is_left, f"{name} is left")
+
+
+async def _wait_answers(scene: Scene, count: int) -> None:
+    """Wait until so many more calls have ended."""
+    most = len(scene.caller.results) + count
+
+    async def has_answers() -> bool:
+        return len(scene.caller.results) >= most
+
+    await wait_until(has_answers, f"{count} calls end")
 
 
 async def _break_scheduler(scene: Scene) -> None:
-    name = _find_deciding(scene)
-    await _wait_decider(scene, name, is_it=True)
+    name = await _find_deciding(scene)
+    await _wait_answers(scene, _STAGE_ANSWERS)
     scene.site.send_signal(name, signal.SIGSTOP)
-    await _wait_decider(scene, name, is_it=False)
+    await _wait_left(scene, name)
+    await _wait_answers(scene, _STAGE_ANSWERS)
     scene.site.send_signal(name, signal.SIGCONT)
-    await _wait_decider(scene, name, is_it=True)
+    await _wait_answers(scene, _STAGE_ANSWERS)
+    name = await _find_deciding(scene)
     scene.site.kill(name)
-    await _wait_decider(scene, name, is_it=False)
+    await _wait_left(scene, name)
+    await _wait_answers(scene, _STAGE_ANSWERS)
 
 
 @when("calls of {route} run while the first scheduler is frozen, then killed")
@@ -247,7 +273,7 @@
 
 async def _drain_and_kill(scene: Scene) -> None:
     # The standby scheduler has just read the list, so that its next read is far off.
-    name = _find_deciding(scene)
+    name = await _find_deciding(scene)
     standby = next(p.name for p in scene.site.list_role(RoutingRole.scheduler) if p.name != name)
     scene.site.kill(standby)
     log = scene.site.processes[standby].log
--- a/troutstand/tests/steps/routedcallers.py
+++ b/troutstand/tests/steps/routedcallers.py
@@ -90,7 +90,9 @@
     ]
     # Time for the last ones to come into the queue; nothing tells of that from outside.
     await asyncio.sleep(0.1)
-    for call in calls:
+    # Those that wait go first: a slot that gets free is for a caller that is still there,
+    # and their gateway may learn of the others' leaving a turn of its loop earlier.
+    for call in reversed(calls):
         call.cancel()
     await asyncio.wait(calls)
 
