Keep long prompts away from streams that they would make pause

Ruled out: the gateway (no pause came from targets that read fast); the length of the answers (receipts of 24 tokens were late there too). Change: a placement weighs the chance that the request's first byte is late, that its stream pauses or meets its deadline, and how many streams beside it would pause; a request waits for a busy target that puts clearly fewer answers at risk; one that is late already goes nowhere where it harms others. Test: dispatch.feature, a long prompt does not go where it would make streams pause.

--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -24,6 +24,19 @@
 _IN_TIME_SHARE = 0.85
 _OCCUPANCY_WEIGHT = 0.15
 _FAULT_PENALTY_S = 1.0
+# What one answer that comes late is worth; more than any difference in time.
+_RISK_S = 1.0
+# Up to this share of a limit an expected time keeps it, and from this share on it
+# misses it; first bytes take 0.5 to 2 times what is expected (10 and 90 in 100).
+_SAFE_SHARE = 0.6
+_LOST_SHARE = 1.4
+# Engines read prompts in pieces, one between two tokens of the streams beside it;
+# 1024 tokens are a usual piece (assumed: nothing tells it).
+_READ_AT_ONCE_TOKENS = 1024
+# A request waits for a busy target that puts so many fewer answers at risk.
+_WORTH_WAITING = 0.2
+# An answer that is late already may put so many others at risk.
+_LATE_HARM = 0.1
 # What the way to another failure domain and its bytes are worth.
 _FAR_S = 0.02
 # What a new connection of the gateway to the target is worth.
@@ -66,11 +79,41 @@
 class BusyTargets:
     """Tell what waiting for a busy target would bring; times in seconds."""
 
+    count: int
     turn_s: float
     reading: ReadingSpeed
     service_s: float
 
 
+@dataclass(frozen=True)
+class Risk:
+    """Tell how many answers a placement is expected to make late.
+
+    Parameters
+    ----------
+    first
+        The chance that the request's first byte is late, 0 to 1.
+    rest
+        The chance that its stream pauses for too long or is cut by its deadline.
+    others
+        Streams at the target that its prompt would make pause for too long.
+    """
+
+    first: float
+    rest: float
+    others: float
+
+
+def _ramp(expected_s: float, limit_s: float) -> float:
+    """Return the chance that a limit is missed, from an expected time; 0 is no limit."""
+    if limit_s == 0.0:
+        return 0.0
+    if limit_s < 0.0:
+        return 1.0
+    share = expected_s / limit_s
+    return min(1.0, max(0.0, (share - _SAFE_SHARE) / (_LOST_SHARE - _SAFE_SHARE)))
+
+
 @dataclass
 class Pool:
     """Hold the targets and the queue of one service."""
@@ -124,10 +167,31 @@
             held_s = token_s * max(1, work.output_tokens)
         else:
             held_s = first_s * busy
+        risk = self.estimate_risk(state, waiting, now_s)
         far_s = _FAR_S if state.listed.failure_domain != work.failure_domain else 0.0
         connect_s = 0.0 if state.has_connection(waiting.owner, now_s) else _CONNECT_S
         fault_s = _FAULT_PENALTY_S * (1.0 - state.success)
-        return first_s + far_s + connect_s + _OCCUPANCY_WEIGHT * held_s + fault_s
+        risk_s = _RISK_S * (risk.first + risk.rest + risk.others)
+        return first_s + far_s + connect_s + _OCCUPANCY_WEIGHT * held_s + fault_s + risk_s
+
+    def estimate_risk(self, state: TargetState, waiting: Waiting, now_s: float) -> Risk:
+        """Return what giving a request to a target puts at risk, itself and others."""
+        work = waiting.work
+        first_s = self.estimate_first(state, work)
+        first = _ramp(first_s, waiting.due_s - now_s)
+        if not work.prompt_tokens:
+            return Risk(first, 0.0, 0.0)
+        token_s = self._know(state, "token_s", _GUESS_TOKEN_S)
+        total_s = first_s + token_s * work.output_tokens
+        rest = _ramp(total_s, waiting.deadline_s - now_s)
+        rest += _ramp(token_s * self.stride, work.pause_s)
+        # While prompts are read, the tokens of the others come slower.
+        to_read = state.count_uncached(work) + state.measure_backlog()
+        between_events = min(to_read, float(self.stride * _READ_AT_ONCE_TOKENS))
+        read_s = self.know_reading(state).per_token_s * between_events
+        pause_s = token_s * self.stride + read_s
+        others = sum(_ramp(pause_s, run.work.pause_s) for run in state.running.values())
+        return Risk(first, min(1.0, rest), others)
 
     def know_reading(self, state: TargetState) -> ReadingSpeed:
         """Return how fast a target reads prompts, or what its like show, or a guess."""
@@ -155,6 +219,7 @@
         slots = sum(t.listed.slots for t in busy)
         hold_s = self.hold_s or _GUESS_HOLD_S
         return BusyTargets(
+            count=len(busy),
             turn_s=hold_s / slots if slots else float("inf"),
             reading=min(
                 (self.know_reading(t) for t in busy),
@@ -172,15 +237,18 @@
     def should_wait(
         self, state: TargetState, waiting: Waiting, busy: BusyTargets, now_s: float
     ) -> bool:
-        """Tell whether a busy target will bring the first byte in time, and a free one not."""
-        work = waiting.work
-        left_s = waiting.due_s - now_s
-        first_s = self.estimate_first(state, work)
-        if first_s <= left_s or waiting.is_late:
+        """Tell whether a busy target puts fewer answers at risk than an open one."""
+        if not busy.count:
             return False
+        risk = self.estimate_risk(state, waiting, now_s)
+        if waiting.is_late:
+            # Its own answer is late anywhere; it must not make others late too.
+            return risk.others > _LATE_HARM
+        work = waiting.work
         is_prompt = bool(work.prompt_tokens)
         alone_s = busy.reading.estimate(work.prompt_tokens) if is_prompt else busy.service_s
-        return busy.turn_s + alone_s < min(left_s, first_s)
+        risk_there = _ramp(busy.turn_s + alone_s, waiting.due_s - now_s)
+        return risk_there + _WORTH_WAITING < risk.first + risk.others
 
     def find_patience(self, work: RoutedWork) -> float:
         """Return how long a request may wait and still be in time."""
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -98,6 +98,7 @@
             tier=self.tier,
             is_repeatable=self.is_repeatable,
             objective_s=self.objective_s,
+            pause_s=self.route.pause_ms / _MILLISECONDS,
             remaining_s=max(0.0, self.deadline_s - now_s),
             prompt_tokens=self.tokens.prompt if self.tokens else 0,
             output_tokens=self.expected_output,
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -58,6 +58,16 @@
     When a request of 20000 tokens with an objective of 0.5 s arrives
     Then it waits, and gets the second target when a slot is free there
 
+  Scenario: A long prompt does not go where it would make other streams pause
+    Given a service with 2 targets of 4 slots
+    And the first target reads 2000 tokens a second and the second 200000
+    And the first target streams to 2 callers that bear pauses of 0.25 s
+    And the second target is full and ends a request every 0.05 s
+    When a request of 6000 tokens with an objective of 7 s arrives
+    Then it waits, and gets the second target when a slot is free there
+    When a request of 100 tokens with an objective of 2 s arrives
+    Then the first target has 3 requests
+
   Scenario: A scheduler that has learnt nothing refuses nobody by a guess
     Given a service with 1 targets of 2 slots
     When 40 requests with an objective of 0.3 s arrive at once
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -12,7 +12,7 @@
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.core.speed import ReadingFit, ReadingSpeed
-from troutstand.core.targetstate import TargetState
+from troutstand.core.targetstate import Running, TargetState
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.messages import (
     Declined,
@@ -285,12 +285,24 @@
     targets["t2"].reading = ReadingFit(ReadingSpeed(0.0, 1.0 / fast))
 
 
+@given("the first target streams to {count:d} callers that bear pauses of {pause_s:g} s")
+def stream_first(context: Context, count: int, pause_s: float) -> None:
+    desk = context.desk
+    state = desk.dispatcher.pools["work"].targets["t1"]
+    for number in range(count):
+        work = RoutedWork(f"stream{number}", "work", 1.0, 8.0, prompt_tokens=10, pause_s=pause_s)
+        run = Running(work, _GATEWAY, desk.now_s, 10.0, 0.1, has_first=True)
+        state.running[work.request] = run
+        desk.placed[work.request] = "t1"
+
+
 @given("the second target is full and ends a request every {gap_s:g} s")
 def fill_second(context: Context, gap_s: float) -> None:
     desk = context.desk
     desk.dispatcher.pools["work"].hold_s = 2 * gap_s
     context.first = []
-    while desk.count("t2") < 2:
+    slots = desk.listed[1].slots
+    while desk.count("t2") < slots:
         request = desk.arrive(prompt_tokens=10, output_tokens=1)
         context.first.append(request)
     context.first = [r for r in context.first if desk.placed[r] == "t2"]
