Count a request as late once no target could bring it in time

Cause: a waiting request kept its place among those that can be in time until its objective had passed; one that needed 0.4 s until its first byte with 0.1 s left got the next slot, came late and made another late. Change: the least that a target would need is estimated on arrival, and a request counts as late when that no longer fits. Test: dispatch.feature, who cannot be in time any more.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -335,7 +335,7 @@
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
             return
-        waiting.patience_s = pool.find_patience(waiting.work)
+        pool.judge_time(waiting)
         wait_s = pool.estimate_wait(pool.count_ahead(waiting))
         if wait_s <= waiting.patience_s:
             return
@@ -364,7 +364,7 @@
                     self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
             elif is_early and not waiting.is_late:
                 self._judge_early(pool, waiting, waited_s + wait_s, now_s)
-            elif now_s > waiting.due_s and not waiting.is_late:
+            elif not waiting.is_late and not waiting.can_be_in_time(now_s):
                 waiting.mark_late()
 
     def _judge_early(self, pool: Pool, waiting: Waiting, total_s: float, now_s: float) -> None:
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -56,6 +56,8 @@
     is_late: bool = False
     # How long it may wait and still be in time, as estimated when it arrived.
     patience_s: float = 0.0
+    # The least that a target needs until its first byte, as estimated when it arrived.
+    least_first_s: float = 0.0
 
     # What sorts the queue: the tier, who can be in time, who is due first. It is kept,
     # since a long queue is sorted at every event.
@@ -69,6 +71,10 @@
         """Return until when the first byte is in time."""
         return self.arrived_s + self.work.objective_s
 
+    def can_be_in_time(self, now_s: float) -> bool:
+        """Tell whether a target that got the request now could still be in time."""
+        return now_s + self.least_first_s <= self.due_s
+
     def mark_late(self) -> None:
         """Put the request behind those of its tier that can be in time."""
         self.is_late = True
@@ -250,11 +256,20 @@
         risk_there = _ramp(busy.turn_s + alone_s, waiting.due_s - now_s)
         return risk_there + _WORTH_WAITING < risk.first + risk.others
 
-    def find_patience(self, work: RoutedWork) -> float:
-        """Return how long a request may wait and still be in time."""
-        firsts = [self.estimate_first(t, work) for t in self.list_usable() if not t.strikes]
-        first_s = min(firsts, default=0.0)
-        return max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
+    def judge_time(self, waiting: Waiting) -> None:
+        """Estimate how long a request may wait and still be in time."""
+        work = waiting.work
+        targets = [t for t in self.list_usable() if not t.strikes]
+        first_s = min((self.estimate_first(t, work) for t in targets), default=0.0)
+        waiting.patience_s = max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
+        alone_s = min((self._estimate_alone(t, work) for t in targets), default=0.0)
+        waiting.least_first_s = alone_s
+
+    def _estimate_alone(self, state: TargetState, work: RoutedWork) -> float:
+        """Return the seconds until a target's first byte if it had no other prompts to read."""
+        if not work.prompt_tokens:
+            return self._know(state, "service_s", _GUESS_SERVICE_S)
+        return self.know_reading(state).estimate(state.count_uncached(work))
 
     def count_ahead(self, waiting: Waiting) -> int:
         """Return how many come before a request in the queue."""
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -68,6 +68,13 @@
     When a request of 100 tokens with an objective of 2 s arrives
     Then the first target has 3 requests
 
+  Scenario: Who cannot be in time any more lets others of its tier go first
+    Given a service with 1 targets of 1 slots
+    And the target reads 10000 tokens a second and its slot is taken
+    When a request of 4000 tokens with an objective of 0.8 s arrives, then one of 100 with 1.2 s
+    And the slot gets free after 0.5 s
+    Then the later request has the target and the earlier one waits
+
   Scenario: A scheduler that has learnt nothing refuses nobody by a guess
     Given a service with 1 targets of 2 slots
     When 40 requests with an objective of 0.3 s arrive at once
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -296,6 +296,43 @@
         desk.placed[work.request] = "t1"
 
 
+@given("the target reads {speed:d} tokens a second and its slot is taken")
+def take_only_slot(context: Context, speed: int) -> None:
+    pool = context.desk.dispatcher.pools["work"]
+    pool.targets["t1"].reading = ReadingFit(ReadingSpeed(0.0, 1.0 / speed))
+    pool.hold_s = 0.05
+    context.first = [context.desk.arrive()]
+
+
+@when(
+    "a request of {long:d} tokens with an objective of {first_s:g} s arrives, "
+    "then one of {short:d} with {second_s:g} s"
+)
+def arrive_long_and_short(
+    context: Context, long: int, first_s: float, short: int, second_s: float
+) -> None:
+    desk = context.desk
+    fields = {"output_tokens": 1}
+    context.later = [
+        desk.arrive(prompt_tokens=long, objective_s=first_s, **fields),
+        desk.arrive(prompt_tokens=short, objective_s=second_s, **fields),
+    ]
+
+
+@when("the slot gets free after {after_s:g} s")
+def free_later(context: Context, after_s: float) -> None:
+    context.desk.pass_time(after_s)
+    context.desk.end(context.first[0])
+
+
+@then("the later request has the target and the earlier one waits")
+def check_later_first(context: Context) -> None:
+    earlier, later = context.later
+    assert later in context.desk.placed, context.desk.placed
+    assert earlier not in context.desk.placed
+    assert earlier not in context.desk.declined
+
+
 @given("the second target is full and ends a request every {gap_s:g} s")
 def fill_second(context: Context, gap_s: float) -> None:
     desk = context.desk
