--- a/troutstand/control/walk.py
+++ b/troutstand/control/walk.py
@@ -22,6 +22,8 @@
 _OVERLOAD = "3001"
 _LATE_CODES = ("3002", "5005")
 _LIMIT = "3003"
+# A pause that is worth a word: routes ask for 200 to 300 ms between events.
+_LONG_PAUSE_MS = 200.0
 
 
 @dataclass(frozen=True)
@@ -121,10 +123,29 @@
         f"waited {waited} ms for a target, first byte expected in {expected} ms and "
         f"{_describe_first(end)}, "
         f"under version {end.fields.get('version')}{held}"
+        f"{_describe_late(end)}"
         f"{_describe_failures(steps)}"
     )
 
 
+def _read_ms(end: Line, name: str) -> float:
+    """Return a time that a line carries, 0 where it carries none."""
+    return float(end.fields.get(name) or 0.0)
+
+
+def _describe_late(end: Line) -> str:
+    """Name the part that made an answer late, by its own line's times."""
+    objective_ms = _read_ms(end, "objective_ms")
+    waited_ms, first_ms = _read_ms(end, "waited_ms"), _read_ms(end, "first_ms")
+    pause_ms = _read_ms(end, "pause_ms")
+    if objective_ms and waited_ms + first_ms > objective_ms:
+        part = "its wait" if waited_ms > first_ms else "its first byte"
+        return f"; late, its objective is {objective_ms:g} ms, mostly for {part}"
+    if pause_ms > _LONG_PAUSE_MS:
+        return f"; its longest pause between events was {pause_ms:g} ms"
+    return ""
+
+
 def _describe_first(end: Line) -> str:
     first_ms = end.fields.get("first_ms")
     return f"come in {first_ms} ms" if first_ms else "never come from this try"
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -265,9 +265,10 @@
         try:
             reply = await self._node.ask(process, ask, BEAT_S)
         except TroutstandError:
-            watch.live_since_s = float("inf")
             # One heartbeat that is lost on the way does not end it with one's own scheduler.
-            watch.is_ready = watch.is_ready and is_attached
+            watch.live_since_s = float("inf")
+            if not is_attached:
+                watch.miss()
             if is_first:
                 watch.is_attached = False
             return
@@ -313,8 +314,7 @@
     def _miss(self, process: ProcessId) -> None:
         watch = self._watches.get(process)
         if watch is not None:
-            watch.is_ready = False
-            watch.live_since_s = float("inf")
+            watch.miss()
 
     def _switch(self, decider: Decider) -> None:
         if decider == self._current:
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -53,6 +53,11 @@
     standby_period_s: float = _STANDBY_PERIOD_S
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def miss(self) -> None:
+        """Note that the scheduler did not answer, or was left: it must answer first."""
+        self.is_ready = False
+        self.live_since_s = float("inf")
+
     def is_live(self, now_s: float) -> bool:
         """Tell whether the scheduler answered lately."""
         limit_s = max(self.period_s, self.standby_period_s if not self.is_attached else 0.0)
--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -15,6 +15,13 @@
     Given schedulers a, b and c that answered 2, 0.1 and 0.1 s ago
     Then a gateway that asks a asks b
 
+  Scenario: A scheduler that was left is not asked again before it answers
+    Given schedulers a, b and c that answered 0.7, 9 and 9 s ago
+    Then a gateway that asks a asks nobody
+    And a gateway that decides alone asks a
+    When a was left
+    Then a gateway that decides alone asks nobody
+
   Scenario: One that comes back is not gone back to while most gateways ask another
     Given schedulers a, b and c that answered 0.1, 0.1 and 0.1 s ago
     And a has been live for 60 s and is asked by 0 gateways
--- a/troutstand/tests/steps/schedulerwatch.py
+++ b/troutstand/tests/steps/schedulerwatch.py
@@ -49,6 +49,11 @@
     watch.attached = count
 
 
+@when("{name} was left")
+def leave(context: Context, name: str) -> None:
+    context.watches[ProcessId(name)].miss()
+
+
 def _check_choice(context: Context, current: Decider, expected: str) -> None:
     for name, watch in context.watches.items():
         watch.is_attached = name == current
--- a/troutstand/tests/steps/walk.py
+++ b/troutstand/tests/steps/walk.py
@@ -45,6 +45,14 @@
         f"at=5.1 {_GATEWAY} event=request_answered request=r1 status=200 total_ms=900 "
         "first_ms=60 version=6",
     ],
+    "a first byte too late": [
+        f"at=5.1 {_GATEWAY} event=request_answered request=r1 status=200 total_ms=900 "
+        "objective_ms=300 waited_ms=60 first_ms=280 pause_ms=20 version=6",
+    ],
+    "a long pause": [
+        f"at=5.1 {_GATEWAY} event=request_answered request=r1 status=200 total_ms=900 "
+        "objective_ms=300 waited_ms=0 first_ms=80 pause_ms=340 version=6",
+    ],
     "an answer without a byte": [
         f"at=4.0 {_SCHEDULER} event=request_placed request=r1 target=t1 waited_ms=0 expected_ms=9",
         f"at=5.1 {_GATEWAY} event=request_answered request=r1 status=500 total_ms=20 version=6",
--- a/troutstand/tests/walk.feature
+++ b/troutstand/tests/walk.feature
@@ -11,6 +11,8 @@
       | a refusal under load   | overload: core-1.scheduler expected  | event=targets_changed        |
       | a broken stream        | 2 other attempts failed at the same  | event=configuration_in_force |
       | a late answer          | under version 6, 7 in force          | version=7                    |
+      | a first byte too late  | late, its objective is 300 ms, mostly for its first byte | version=6 |
+      | a long pause           | longest pause between events was 340 ms | version=6                 |
       | a limit that is reached| its workspace was at its limit       | event=scheduler_changed      |
       | an answer without a byte| never come from this try            | event=configuration_in_force |
       | no end                 | no end was logged                    | event=configuration_in_force |
