Keep the sums that every placement reads, and look at a target once

Change: a target keeps its backlog and the count of its pauses up to date as requests start and finish; one estimate serves the cost, the wait and the log.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -128,8 +128,7 @@
         pool = self.pools.setdefault(work.service, Pool())
         state = pool.targets.get(target)
         if state is not None and work.request not in state.running:
-            run = Running(work, owner, now_s - elapsed_s, 0.0, elapsed_s, has_first=True)
-            state.running[work.request] = run
+            state.start(Running(work, owner, now_s - elapsed_s, 0.0, elapsed_s, has_first=True))
 
     def list_holds(self) -> list[Hold]:
         """Return how long requests keep their slots, by service."""
@@ -153,7 +152,7 @@
                 self._leave_queue(pool, request, now_s)
             for state in pool.targets.values():
                 for request in [r for r, run in state.running.items() if run.owner == owner]:
-                    del state.running[request]
+                    state.finish(request)
             self._serve_queue(pool, now_s)
 
     # Requests
@@ -187,7 +186,7 @@
         for pool in self.pools.values():
             self._leave_queue(pool, request, now_s)
             for state in pool.targets.values():
-                if state.running.pop(request, None) is not None:
+                if state.finish(request) is not None:
                     self._serve_queue(pool, now_s)
 
     def note_first(self, first: FirstByte, now_s: float) -> None:
@@ -207,7 +206,7 @@
             state = pool.targets.get(ended.target)
             if state is None:
                 continue
-            run = state.running.pop(ended.request, None)
+            run = state.finish(ended.request)
             if run is not None:
                 is_kept = ended.ending in (Ending.whole, Ending.failed)
                 state.note_released(run.owner, is_kept, now_s)
@@ -302,7 +301,7 @@
         del pool.waiting[work.request]
         expected_s = pool.estimate_first(state, work)
         uncached = state.count_uncached(work)
-        ahead = state.measure_backlog()
+        ahead = state.backlog
         inputs = PlacedInputs(
             expected_first_s=expected_s,
             running=len(state.running),
@@ -312,9 +311,7 @@
             workspace=work.workspace,
             charge=work.charge,
         )
-        state.running[work.request] = Running(
-            work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead
-        )
+        state.start(Running(work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead))
         state.note_connection(waiting.owner, now_s)
         placed = Placed(
             work.request,
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -91,23 +91,29 @@
     service_s: float
 
 
-@dataclass(frozen=True)
-class Risk:
-    """Tell how many answers a placement is expected to make late.
+@dataclass(slots=True)
+class Outcome:
+    """Tell what is expected to come of a placement; times in seconds.
 
     Parameters
     ----------
-    first
-        The chance that the request's first byte is late, 0 to 1.
-    rest
-        The chance that its stream pauses for too long or is cut by its deadline.
-    others
-        Streams at the target that its prompt would make pause for too long.
+    first_s
+        Until the first byte.
+    held_s
+        How long the slot is held behind it.
+    first_risk
+        The chance that the first byte is late, 0 to 1.
+    rest_risk
+        The chance that the stream pauses for too long or is cut by its deadline.
+    others_risk
+        Streams at the target that the prompt would make pause for too long.
     """
 
-    first: float
-    rest: float
-    others: float
+    first_s: float
+    held_s: float
+    first_risk: float
+    rest_risk: float = 0.0
+    others_risk: float = 0.0
 
 
 def _ramp(expected_s: float, limit_s: float) -> float:
@@ -117,7 +123,9 @@
     if limit_s < 0.0:
         return 1.0
     share = expected_s / limit_s
-    return min(1.0, max(0.0, (share - _SAFE_SHARE) / (_LOST_SHARE - _SAFE_SHARE)))
+    if share <= _SAFE_SHARE:
+        return 0.0
+    return min(1.0, (share - _SAFE_SHARE) / (_LOST_SHARE - _SAFE_SHARE))
 
 
 @dataclass
@@ -159,45 +167,41 @@
         """Return the seconds until a target's first byte for a request."""
         if not work.prompt_tokens:
             return self._know(state, "service_s", _GUESS_SERVICE_S)
-        return self.know_reading(state).estimate(
-            state.count_uncached(work) + state.measure_backlog()
-        )
+        return self.know_reading(state).estimate(state.count_uncached(work) + state.backlog)
 
     def estimate_cost(self, state: TargetState, waiting: Waiting, now_s: float) -> float:
         """Return what giving a request to a target costs, in seconds; the least is best."""
-        work = waiting.work
-        first_s = self.estimate_first(state, work)
-        busy = len(state.running) / max(1, state.listed.slots)
-        if work.prompt_tokens:
-            token_s = self._know(state, "token_s", _GUESS_TOKEN_S)
-            held_s = token_s * max(1, work.output_tokens)
-        else:
-            held_s = first_s * busy
-        risk = self.estimate_risk(state, waiting, now_s)
-        far_s = _FAR_S if state.listed.failure_domain != work.failure_domain else 0.0
+        outcome = self.expect(state, waiting, now_s)
+        far = state.listed.failure_domain != waiting.work.failure_domain
+        far_s = _FAR_S if far else 0.0
         connect_s = 0.0 if state.has_connection(waiting.owner, now_s) else _CONNECT_S
+        held_s = _OCCUPANCY_WEIGHT * outcome.held_s
         fault_s = _FAULT_PENALTY_S * (1.0 - state.success)
-        risk_s = _RISK_S * (risk.first + risk.rest + risk.others)
-        return first_s + far_s + connect_s + _OCCUPANCY_WEIGHT * held_s + fault_s + risk_s
+        risk_s = _RISK_S * (outcome.first_risk + outcome.rest_risk + outcome.others_risk)
+        return outcome.first_s + far_s + connect_s + held_s + fault_s + risk_s
 
-    def estimate_risk(self, state: TargetState, waiting: Waiting, now_s: float) -> Risk:
-        """Return what giving a request to a target puts at risk, itself and others."""
+    def expect(self, state: TargetState, waiting: Waiting, now_s: float) -> Outcome:
+        """Estimate what comes of giving a request to a target."""
         work = waiting.work
-        first_s = self.estimate_first(state, work)
-        first = _ramp(first_s, waiting.due_s - now_s)
         if not work.prompt_tokens:
-            return Risk(first, 0.0, 0.0)
+            first_s = self._know(state, "service_s", _GUESS_SERVICE_S)
+            busy = len(state.running) / max(1, state.listed.slots)
+            first_risk = _ramp(first_s, waiting.due_s - now_s)
+            return Outcome(first_s, first_s * busy, first_risk)
+        reading = self.know_reading(state)
+        to_read = state.count_uncached(work) + state.backlog
+        first_s = reading.estimate(to_read)
         token_s = self._know(state, "token_s", _GUESS_TOKEN_S)
-        total_s = first_s + token_s * work.output_tokens
-        rest = _ramp(total_s, waiting.deadline_s - now_s)
-        rest += _ramp(token_s * self.stride, work.pause_s)
+        held_s = token_s * max(1, work.output_tokens)
+        event_s = token_s * self.stride
+        rest_risk = _ramp(first_s + held_s, waiting.deadline_s - now_s)
+        rest_risk += _ramp(event_s, work.pause_s)
         # While prompts are read, the tokens of the others come slower.
-        to_read = state.count_uncached(work) + state.measure_backlog()
         between_events = min(to_read, float(self.stride * _READ_AT_ONCE_TOKENS))
-        read_s = self.know_reading(state).per_token_s * between_events
-        pause_s = token_s * self.stride + read_s
-        others = sum(_ramp(pause_s, run.work.pause_s) for run in state.running.values())
-        return Risk(first, min(1.0, rest), others)
+        pause_s = event_s + reading.per_token_s * between_events
+        others = sum(count * _ramp(pause_s, limit_s) for limit_s, count in state.pauses.items())
+        first_risk = _ramp(first_s, waiting.due_s - now_s)
+        return Outcome(first_s, held_s, first_risk, min(1.0, rest_risk), others)
 
     def know_reading(self, state: TargetState) -> ReadingSpeed:
         """Return how fast a target reads prompts, or what its like show, or a guess."""
@@ -237,24 +241,21 @@
             ),
         )
 
-    def _find_least(self, targets: list[TargetState], name: str, guess: float) -> float:
-        return min((self._know(target, name, guess) for target in targets), default=guess)
-
     def should_wait(
         self, state: TargetState, waiting: Waiting, busy: BusyTargets, now_s: float
     ) -> bool:
         """Tell whether a busy target puts fewer answers at risk than an open one."""
         if not busy.count:
             return False
-        risk = self.estimate_risk(state, waiting, now_s)
+        outcome = self.expect(state, waiting, now_s)
         if waiting.is_late:
             # Its own answer is late anywhere; it must not make others late too.
-            return risk.others > _LATE_HARM
+            return outcome.others_risk > _LATE_HARM
         work = waiting.work
         is_prompt = bool(work.prompt_tokens)
         alone_s = busy.reading.estimate(work.prompt_tokens) if is_prompt else busy.service_s
         risk_there = _ramp(busy.turn_s + alone_s, waiting.due_s - now_s)
-        return risk_there + _WORTH_WAITING < risk.first + risk.others
+        return risk_there + _WORTH_WAITING < outcome.first_risk + outcome.others_risk
 
     def judge_time(self, waiting: Waiting) -> None:
         """Estimate how long a request may wait and still be in time."""
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -53,6 +53,10 @@
 
     listed: ListedTarget
     running: dict[str, Running] = field(default_factory=dict)
+    # Prompt tokens that are still to be read, and how many of the running requests bear
+    # which longest pause: kept up to date, since every placement looks at every target.
+    backlog: float = 0.0
+    pauses: dict[float, int] = field(default_factory=dict)
     reading: ReadingFit | None = None
     token_s: Speed = field(default_factory=Speed)
     service_s: Speed = field(default_factory=Speed)
@@ -74,9 +78,27 @@
         """Tell whether the target may be given work now."""
         return self.free_slots > 0 and now_s >= self.blocked_until_s
 
-    def measure_backlog(self) -> float:
-        """Return the prompt tokens that are still to be read."""
-        return sum(run.uncached_tokens for run in self.running.values() if not run.has_first)
+    def start(self, run: Running) -> None:
+        """Count a request that the target was given."""
+        self.running[run.work.request] = run
+        if not run.has_first:
+            self.backlog += run.uncached_tokens
+        pause_s = run.work.pause_s
+        self.pauses[pause_s] = self.pauses.get(pause_s, 0) + 1
+
+    def finish(self, request: str) -> Running | None:
+        """Return a request that is no longer at the target, and count it no more."""
+        run = self.running.pop(request, None)
+        if run is None:
+            return None
+        if not run.has_first:
+            self.backlog -= run.uncached_tokens
+        self.pauses[run.work.pause_s] -= 1
+        if not self.pauses[run.work.pause_s]:
+            del self.pauses[run.work.pause_s]
+        if not self.running:
+            self.backlog = 0.0
+        return run
 
     def count_uncached(self, work: RoutedWork) -> float:
         """Return the prompt tokens of a request that the target does not hold."""
@@ -135,6 +157,8 @@
 
     def note_first(self, run: Running, now_s: float) -> None:
         """Take the first byte of an answer as a sign of life."""
+        if not run.has_first:
+            self.backlog -= run.uncached_tokens
         run.has_first = True
         self.last_sign_s = now_s
 
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -292,7 +292,7 @@
     for number in range(count):
         work = RoutedWork(f"stream{number}", "work", 1.0, 8.0, prompt_tokens=10, pause_s=pause_s)
         run = Running(work, _GATEWAY, desk.now_s, 10.0, 0.1, has_first=True)
-        state.running[work.request] = run
+        state.start(run)
         desk.placed[work.request] = "t1"
 
 
