--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -1,9 +1,9 @@
 """Get targets for a gateway's requests, whoever decides.
 
-The first live scheduler in a fixed order decides, so that all gateways that
+The live scheduler that most gateways ask decides, so that all gateways that
 reach each other ask the same one. When it falls silent, those that wait ask
-the next one; without any, the gateway decides alone, over the targets it last
-knew and with its share of the limits.
+another; without any, the gateway decides alone, over the targets it last
+knew and with its part of the limits.
 """
 
 from __future__ import annotations
