Count prompts that are still read when requests are taken over

Cause: whoever took requests over counted each as having begun its answer, so that prompts still to be read held up nobody by its books; and a gateway asked before it told what it had running. Change: gateways pass on whether an answer has begun, and attach before they ask. Test: takeover.feature, first scenario (the backlog was 0 before).

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -22,7 +22,13 @@
     from troutstand.core.configuration import RouteTable
     from troutstand.core.quota import Quotas
     from troutstand.core.retries import RetryBudget
-    from troutstand.generated.messages import Ended, FirstByte, ListedTarget, RoutedWork
+    from troutstand.generated.messages import (
+        Ended,
+        FirstByte,
+        ListedTarget,
+        PlacedWork,
+        RoutedWork,
+    )
 
 # How many waiting requests an event may look at in vain.
 _MAX_PASSED = 8
@@ -121,14 +127,23 @@
                 del pool.targets[target]
             self._serve_queue(pool, now_s)
 
-    def adopt(
-        self, work: RoutedWork, target: str, owner: str, elapsed_s: float, now_s: float
-    ) -> None:
+    def adopt(self, placed: PlacedWork, owner: str, now_s: float) -> None:
         """Count a request that another scheduler had placed."""
+        work = placed.work
         pool = self.pools.setdefault(work.service, Pool())
-        state = pool.targets.get(target)
-        if state is not None and work.request not in state.running:
-            state.start(Running(work, owner, now_s - elapsed_s, 0.0, elapsed_s, has_first=True))
+        state = pool.targets.get(placed.target)
+        if state is None or work.request in state.running:
+            return
+        run = Running(
+            work,
+            owner,
+            now_s - placed.elapsed_s,
+            # A prompt that is not read yet holds up those that come after it.
+            uncached_tokens=0.0 if placed.has_first else state.count_uncached(work),
+            expected_first_s=placed.elapsed_s + pool.estimate_first(state, work),
+            has_first=placed.has_first,
+        )
+        state.start(run)
 
     def list_holds(self) -> list[Hold]:
         """Return how long requests keep their slots, by service."""
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -83,7 +83,7 @@
     work: RoutedWork
     target: str
     started_s: float
-    decider: Decider = field(default=Alone.ALONE)
+    has_first: bool = False
 
 
 class Placement:
@@ -123,9 +123,8 @@
             quotas.inherit(level.workspace, level.taken, share, now_s)
         local.inherit_holds(self._holds)
         local.use_targets(self._targets.targets, now_s)
-        for held in self._held.values():
-            elapsed_s = now_s - held.started_s
-            local.adopt(held.work, held.target, self._node.process, elapsed_s, now_s)
+        for run in self._list_running(now_s):
+            local.adopt(run, self._node.process, now_s)
         return local
 
     @property
@@ -167,9 +166,7 @@
             if placing.task is not None:
                 placing.task.cancel()
         if isinstance(answer, Placed):
-            decider = placing.asked if placing.asked is not None else Alone.ALONE
-            now_s = time.monotonic()
-            self._held[work.request] = Held(work, answer.target, now_s, decider)
+            self._held[work.request] = Held(work, answer.target, time.monotonic())
         return answer
 
     def _ask(self, placing: Placing) -> None:
@@ -242,6 +239,7 @@
         held = self._held.get(request)
         if held is None:
             return
+        held.has_first = True
         first = FirstByte(request, held.target, first_s)
         if isinstance(self._current, Alone):
             self._local.note_first(first, time.monotonic())
@@ -328,7 +326,10 @@
             self._hear(process, watch, reply)
 
     def _list_running(self, now_s: float) -> list[PlacedWork]:
-        return [PlacedWork(h.work, h.target, now_s - h.started_s) for h in self._held.values()]
+        return [
+            PlacedWork(held.work, held.target, now_s - held.started_s, held.has_first)
+            for held in self._held.values()
+        ]
 
     def _hear(self, process: ProcessId, watch: Watch, reply: Attached) -> None:
         now_s = time.monotonic()
@@ -398,6 +399,8 @@
         else:
             watch = self._watches[decider]
             watch.is_attached = False
+            # What runs is told before anything is asked, so that it counts in the answer.
+            self._node.spawn(self._beat(decider, watch), f"attach {decider}")
             watch.wake.set()
         self._node.events.emit(
             "scheduler_changed",
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -190,7 +190,7 @@
             # A standby's list is old; the first gateway to come needs a new one.
             self._list_wanted.set()
         for run in ask.running:
-            self.dispatcher.adopt(run.work, run.target, peer, run.elapsed_s, now_s)
+            self.dispatcher.adopt(run, peer, now_s)
         # Each gateway brings its part of the limits, and what was taken of it elsewhere.
         portion = 1.0 / len(self._gateways)
         for level in ask.levels:
--- /dev/null
+++ b/troutstand/tests/steps/takeover.py
@@ -0,0 +1,118 @@
+"""Let dispatchers begin with what others leave them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.core.dispatch import Dispatcher
+from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.retries import RetryBudget
+from troutstand.generated.messages import (
+    ListedState,
+    ListedTarget,
+    Placed,
+    PlacedWork,
+    RoutedWork,
+)
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_SERVICE = "engine"
+_SLOTS = 4
+_NOW_S = 100.0
+
+
+def _make_dispatcher(targets: int, seed: int | None) -> Dispatcher:
+    spread = random.Random(seed) if seed is not None else None
+    dispatcher = Dispatcher(Quotas(QuotaBounds()), RetryBudget(0.2, 50, 10.0), spread)
+    listed = [
+        ListedTarget(f"t{n}", _SERVICE, f"127.0.0.1:{n + 1}", "north", _SLOTS, ListedState.ready)
+        for n in range(targets)
+    ]
+    dispatcher.use_targets(listed, _NOW_S)
+    return dispatcher
+
+
+def _make_work(request: str, prompt_tokens: int) -> RoutedWork:
+    return RoutedWork(
+        request=request,
+        service=_SERVICE,
+        objective_s=1.0,
+        remaining_s=8.0,
+        prompt_tokens=prompt_tokens,
+        output_tokens=10,
+        failure_domain="north",
+    )
+
+
+def _place(dispatcher: Dispatcher, request: str, prompt_tokens: int) -> str:
+    """Place a request and return its target."""
+    dispatcher.place(_make_work(request, prompt_tokens), "gateway-1", _NOW_S)
+    answer = dispatcher.take_decisions()[-1].answer
+    assert isinstance(answer, Placed), answer
+    return answer.target
+
+
+@given("a scheduler that takes over a prompt of {tokens:d} tokens at each target")
+def use_taken_over(context: Context, tokens: int) -> None:
+    context.dispatcher = _make_dispatcher(2, None)
+    context.tokens = tokens
+
+
+@given("the first target has begun to answer, the second has not")
+def adopt(context: Context) -> None:
+    for target, has_first in (("t0", True), ("t1", False)):
+        work = _make_work(f"taken over at {target}", context.tokens)
+        run = PlacedWork(work, target, elapsed_s=0.1, has_first=has_first)
+        context.dispatcher.adopt(run, "gateway-2", _NOW_S)
+
+
+@when("a request of {tokens:d} tokens arrives there")
+def arrive(context: Context, tokens: int) -> None:
+    context.target = _place(context.dispatcher, "new", tokens)
+
+
+@then("the first target gets it")
+def check_first(context: Context) -> None:
+    assert context.target == "t0", context.target
+
+
+@then("the second target has {tokens:d} tokens before it")
+def check_backlog(context: Context, tokens: int) -> None:
+    state = context.dispatcher.pools[_SERVICE].targets["t1"]
+    assert state.backlog == tokens, state.backlog
+
+
+@given("{gateways:d} gateways that decide alone for {targets:d} like targets")
+def use_alone(context: Context, gateways: int, targets: int) -> None:
+    context.dispatchers = [_make_dispatcher(targets, seed) for seed in range(gateways)]
+
+
+@when("each of them places one request")
+def place_each(context: Context) -> None:
+    context.counts = Counter(_place(d, "one", 1000) for d in context.dispatchers)
+
+
+@then("no target gets more than {most:d} of them")
+def check_spread(context: Context, most: int) -> None:
+    assert max(context.counts.values()) <= most, context.counts
+
+
+@given("a scheduler of {targets:d} like targets")
+def use_scheduler(context: Context, targets: int) -> None:
+    context.count = targets
+
+
+@when("it places one request twice from the beginning")
+def place_twice(context: Context) -> None:
+    context.got = [_place(_make_dispatcher(context.count, None), "one", 1000) for _ in range(2)]
+
+
+@then("both went to the same target")
+def check_same(context: Context) -> None:
+    assert context.got[0] == context.got[1], context.got
