Look for schedulers on the seeds' hosts after a start

Until then six gateways decided alone and placed 149 requests in 90 slots. Change: as long as no keeper told of a scheduler, those on the seeds' hosts are tried; one that answered stays known.

--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -37,6 +37,7 @@
 )
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.decisions import ALONE, emit_decision
+from troutstand.routing.node import parse_address
 from troutstand.routing.schedulerwatch import (
     BEAT_S,
     PROBE_AFTER_S,
@@ -265,13 +266,14 @@
                 for watch in self._watches.values():
                     watch.forgive(stall_s)
             last_s = time.monotonic()
-            known = self._node.book.list_role(RoutingRole.scheduler.value)
+            known = self._list_schedulers()
             for process in known:
                 if process not in self._watches:
                     self._watches[process] = Watch()
                     self._node.spawn(self._follow(process), f"watch {process}")
             for process in set(self._watches) - set(known):
                 del self._watches[process]
+                self._node.drop_link(process)
             now_s = time.monotonic()
             self._switch(choose_decider(self._watches, self._current, now_s))
             space_standbys(self._watches, self._current, now_s)
@@ -280,6 +282,19 @@
                     await self._judge_now.wait()
             self._judge_now.clear()
 
+    def _list_schedulers(self) -> list[ProcessId]:
+        """Return the schedulers that are known, and those found on the seeds' hosts.
+
+        Without the latter gateways asked a scheduler 0.44 to 0.60 s after the first was
+        ready, since keepers that have just started learn of schedulers one by one
+        (restart of a site of 6 gateways and 3 keepers, from its logs).
+        """
+        known = set(self._node.book.list_role(RoutingRole.scheduler.value))
+        ips = {parse_address(seed).ip for seed in self._node.settings.seeds}
+        guessed = {self._node.name_peer(RoutingRole.scheduler, ip) for ip in ips}
+        found = {process for process in guessed if self._is_live(process)}
+        return sorted(known | found if known else guessed)
+
     async def _follow(self, process: ProcessId) -> None:
         """Send heartbeats to one scheduler until it is forgotten."""
         while True:
