Hand over how fast targets were seen, and keep heartbeats apart

Cause: a scheduler that takes over and a gateway that decides alone knew no target's speed, though a third of the targets may be several times slower than the rest. Change: gateways keep the first bytes and token times that they saw lately and pass them on when they attach, 16 targets each at most; sums of first bytes add up, so that a scheduler fits them together. Test: takeover.feature, the last two scenarios.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -29,6 +29,7 @@
         ListedTarget,
         PlacedWork,
         RoutedWork,
+        TargetSpeed,
     )
 
 # How many waiting requests an event may look at in vain.
@@ -180,6 +181,14 @@
             if pool.hold_s is None:
                 pool.hold_s = hold.hold_s
 
+    def inherit_speeds(self, speeds: Iterable[TargetSpeed]) -> None:
+        """Take in how fast a gateway saw the targets to be."""
+        for seen in speeds:
+            pool = self.pools.setdefault(seen.service, Pool())
+            state = pool.targets.get(seen.target)
+            if state is not None:
+                state.inherit_speed(seen, pool.know_reading(state))
+
     def drop_owner(self, owner: str, now_s: float) -> None:
         """Forget all requests of a gateway that is gone or asks another scheduler."""
         for pool in self.pools.values():
@@ -358,6 +367,7 @@
             state.listed.target,
             state.listed.address,
             1000.0 * (now_s - waiting.arrived_s),
+            uncached + ahead,
         )
         self._decisions.append(Decision(waiting.owner, placed, inputs))
 
--- /dev/null
+++ b/troutstand/core/seenspeeds.py
@@ -0,0 +1,74 @@
+"""Keep how fast targets were seen to be, to pass it on to whoever decides next."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from troutstand.core.speed import ReadingSums, Speed
+from troutstand.generated.messages import TargetSpeed
+
+# What was seen longer ago than this is not passed on, in seconds (chosen, not measured).
+_FRESH_S = 20.0
+# Only the targets seen last are passed on, since many gateways attach at the same moment.
+_MOST_TARGETS = 16
+_KEPT_WEIGHT = 0.95
+
+
+@dataclass
+class SeenSpeed:
+    """Hold what one process saw of one target."""
+
+    service: str
+    seen_s: float = 0.0
+    reading: ReadingSums = field(default_factory=ReadingSums)
+    token_s: Speed = field(default_factory=Speed)
+    service_s: Speed = field(default_factory=Speed)
+
+
+class SeenSpeeds:
+    """Hold what a gateway saw of the targets that it sent requests to."""
+
+    def __init__(self) -> None:
+        self._seen: OrderedDict[str, SeenSpeed] = OrderedDict()
+
+    def _touch(self, service: str, target: str, now_s: float) -> SeenSpeed:
+        seen = self._seen.setdefault(target, SeenSpeed(service))
+        seen.seen_s = now_s
+        self._seen.move_to_end(target)
+        return seen
+
+    def note_first(
+        self, service: str, target: str, tokens: float, first_s: float, now_s: float
+    ) -> None:
+        """Note a first byte, and the prompt tokens that the target read until then."""
+        seen = self._touch(service, target, now_s)
+        seen.reading.scale(_KEPT_WEIGHT)
+        seen.reading.add(tokens, first_s)
+
+    def note_token(self, service: str, target: str, token_s: float, now_s: float) -> None:
+        """Note the seconds between two tokens of a whole answer."""
+        self._touch(service, target, now_s).token_s.learn(token_s)
+
+    def note_service(self, service: str, target: str, total_s: float, now_s: float) -> None:
+        """Note the seconds that a target took for a whole answer without a prompt."""
+        self._touch(service, target, now_s).service_s.learn(total_s)
+
+    def list_fresh(self, now_s: float) -> list[TargetSpeed]:
+        """Return what was seen lately, the latest first; forget what is old."""
+        while self._seen and now_s - next(iter(self._seen.values())).seen_s > _FRESH_S:
+            self._seen.popitem(last=False)
+        latest = list(reversed(self._seen.items()))[:_MOST_TARGETS]
+        return [_export(target, seen) for target, seen in latest]
+
+
+def _export(target: str, seen: SeenSpeed) -> TargetSpeed:
+    return TargetSpeed(
+        service=seen.service,
+        target=target,
+        reading=seen.reading.list_values() if seen.reading.weight else [],
+        token_s=seen.token_s.value or 0.0,
+        token_samples=seen.token_s.samples,
+        service_s=seen.service_s.value or 0.0,
+        service_samples=seen.service_s.samples,
+    )
--- a/troutstand/core/speed.py
+++ b/troutstand/core/speed.py
@@ -13,6 +13,8 @@
 # A fit may say that a token costs nothing or less; a share of the prior is kept.
 _MIN_SLOPE_SHARE = 0.1
 _MIN_CONSTANT_S = 1e-3
+# Sums passed on count for no more first bytes than a fit keeps of its own.
+_MOST_WEIGHT = 1.0 / (1.0 - _KEPT_WEIGHT)
 
 
 @dataclass
@@ -20,11 +22,56 @@
     """Hold a learnt speed; nothing learnt yet is None."""
 
     value: float | None = None
+    samples: int = 0
 
     def learn(self, sample: float) -> None:
         """Move towards a sample."""
+        self.samples += 1
         self.value = sample if self.value is None else self.value + _EWMA * (sample - self.value)
 
+    def merge(self, value: float, samples: int) -> None:
+        """Take in what another learnt, each side by the number of its samples."""
+        if not samples:
+            return
+        held = self.value if self.value is not None else value
+        self.value = (held * self.samples + value * samples) / (self.samples + samples)
+        self.samples += samples
+
+
+@dataclass
+class ReadingSums:
+    """Sum first bytes up, so that a line can be fitted to them and sums be added."""
+
+    weight: float = 0.0
+    tokens: float = 0.0
+    seconds: float = 0.0
+    tokens_squared: float = 0.0
+    product: float = 0.0
+
+    def add(self, tokens: float, seconds: float) -> None:
+        """Add one first byte."""
+        self.merge(ReadingSums(1.0, tokens, seconds, tokens * tokens, tokens * seconds))
+
+    def merge(self, other: ReadingSums) -> None:
+        """Add the sums of others."""
+        self.weight += other.weight
+        self.tokens += other.tokens
+        self.seconds += other.seconds
+        self.tokens_squared += other.tokens_squared
+        self.product += other.product
+
+    def scale(self, share: float) -> None:
+        """Let everything held count for a share only."""
+        self.weight *= share
+        self.tokens *= share
+        self.seconds *= share
+        self.tokens_squared *= share
+        self.product *= share
+
+    def list_values(self) -> list[float]:
+        """Return the sums in the order of the fields."""
+        return [self.weight, self.tokens, self.seconds, self.tokens_squared, self.product]
+
 
 @dataclass(frozen=True)
 class ReadingSpeed:
@@ -50,16 +97,12 @@
 
     prior: ReadingSpeed
     speed: ReadingSpeed = field(init=False)
-    _weight: float = field(init=False, default=0.0)
-    _tokens: float = field(init=False, default=0.0)
-    _seconds: float = field(init=False, default=0.0)
-    _tokens_squared: float = field(init=False, default=0.0)
-    _product: float = field(init=False, default=0.0)
+    _sums: ReadingSums = field(init=False, default_factory=ReadingSums)
 
     def __post_init__(self) -> None:
         self.speed = self.prior
         for tokens in (0.0, _PRIOR_TOKENS):
-            self._add(tokens, self.prior.estimate(tokens))
+            self._sums.add(tokens, self.prior.estimate(tokens))
 
     def learn(self, tokens: float, seconds: float) -> None:
         """Take the time of one first byte.
@@ -71,26 +114,23 @@
         seconds
             From sending the request to its first byte.
         """
-        self._weight *= _KEPT_WEIGHT
-        self._tokens *= _KEPT_WEIGHT
-        self._seconds *= _KEPT_WEIGHT
-        self._tokens_squared *= _KEPT_WEIGHT
-        self._product *= _KEPT_WEIGHT
-        self._add(tokens, seconds)
+        self._sums.scale(_KEPT_WEIGHT)
+        self._sums.add(tokens, seconds)
         self.speed = self._solve()
 
-    def _add(self, tokens: float, seconds: float) -> None:
-        self._weight += 1.0
-        self._tokens += tokens
-        self._seconds += seconds
-        self._tokens_squared += tokens * tokens
-        self._product += tokens * seconds
+    def merge(self, sums: ReadingSums) -> None:
+        """Take in the first bytes that others saw."""
+        self._sums.merge(sums)
+        if self._sums.weight > _MOST_WEIGHT:
+            self._sums.scale(_MOST_WEIGHT / self._sums.weight)
+        self.speed = self._solve()
 
     def _solve(self) -> ReadingSpeed:
-        mean_tokens = self._tokens / self._weight
-        mean_s = self._seconds / self._weight
-        variance = self._tokens_squared / self._weight - mean_tokens**2
-        covariance = self._product / self._weight - mean_tokens * mean_s
+        sums = self._sums
+        mean_tokens = sums.tokens / sums.weight
+        mean_s = sums.seconds / sums.weight
+        variance = sums.tokens_squared / sums.weight - mean_tokens**2
+        covariance = sums.product / sums.weight - mean_tokens * mean_s
         slope_s = covariance / variance if variance > 1.0 else self.prior.per_token_s
         slope_s = max(slope_s, _MIN_SLOPE_SHARE * self.prior.per_token_s)
         return ReadingSpeed(max(_MIN_CONSTANT_S, mean_s - slope_s * mean_tokens), slope_s)
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from troutstand.core.speed import ReadingFit, ReadingSpeed, Speed
+from troutstand.core.speed import ReadingFit, ReadingSpeed, ReadingSums, Speed
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from troutstand.generated.messages import ListedTarget, Part, RoutedWork
+    from troutstand.generated.messages import ListedTarget, Part, RoutedWork, TargetSpeed
 
 _HEALTH_EWMA = 0.15
 _FIRST_BLOCK_S = 0.5
@@ -153,6 +153,15 @@
             self.reading = ReadingFit(prior)
         self.reading.learn(run.uncached_tokens + run.tokens_ahead, first_s)
 
+    def inherit_speed(self, seen: TargetSpeed, prior: ReadingSpeed) -> None:
+        """Take in how fast others saw the target to be."""
+        if seen.reading:
+            if self.reading is None:
+                self.reading = ReadingFit(prior)
+            self.reading.merge(ReadingSums(*seen.reading))
+        self.token_s.merge(seen.token_s, seen.token_samples)
+        self.service_s.merge(seen.service_s, seen.service_samples)
+
     # Signs of life
 
     def note_first(self, run: Running, now_s: float) -> None:
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -27,27 +26,19 @@
     Attached,
     Declined,
     Ended,
-    FirstByte,
     Hold,
     Level,
     Place,
     Placed,
-    PlacedWork,
     RoutedWork,
 )
-from troutstand.generated.routing import RoutingRole
 from troutstand.routing.decisions import ALONE, emit_decision
-from troutstand.routing.node import parse_address
+from troutstand.routing.heartbeats import Heartbeats
+from troutstand.routing.heldwork import HeldWork
 from troutstand.routing.schedulerwatch import (
-    BEAT_S,
     PROBE_AFTER_S,
-    SILENT_S,
-    STALL_S,
     Alone,
     Decider,
-    Watch,
-    choose_decider,
-    space_standbys,
 )
 from troutstand.routing.targetlist import ListUnreadError
 
@@ -58,7 +49,6 @@
     from troutstand.routing.node import RoutingNode
     from troutstand.routing.targetlist import TargetList
 
-_WATCH_S = 0.1
 _TICK_S = 0.05
 _ALONE_LIST_S = 1.0
 _FIRST_GATEWAYS = 8
@@ -77,16 +67,6 @@
     task: asyncio.Task[None] | None = None
 
 
-@dataclass
-class Held:
-    """Hold one request that has a target."""
-
-    work: RoutedWork
-    target: str
-    started_s: float
-    has_first: bool = False
-
-
 class Placement:
     """Ask for targets and tell how they did."""
 
@@ -94,15 +74,12 @@
         self._node = node
         self._targets = targets
         self._table: RouteTable | None = None
-        self._watches: dict[ProcessId, Watch] = {}
-        self._current: Decider = Alone.ALONE
         self._placing: dict[str, Placing] = {}
-        self._held: dict[str, Held] = {}
+        self._held = HeldWork()
         self._gateways = _FIRST_GATEWAYS
         self._went_alone = asyncio.Event()
         self._went_alone.set()
-        self._judge_now = asyncio.Event()
-        node.on_refused = self._note_refused
+        self._heartbeats = Heartbeats(node, self)
         self._attachment = 0
         self._levels: list[Level] = []
         self._holds: list[Hold] = []
@@ -124,10 +101,15 @@
             quotas.inherit(level.workspace, level.taken, share, now_s)
         local.inherit_holds(self._holds)
         local.use_targets(self._targets.targets, now_s)
-        for run in self._list_running(now_s):
+        local.inherit_speeds(self._held.list_speeds(now_s))
+        for run in self._held.list_running(now_s):
             local.adopt(run, self._node.process, now_s)
         return local
 
+    @property
+    def _current(self) -> Decider:
+        return self._heartbeats.current
+
     @property
     def is_served(self) -> bool:
         """Tell whether requests can get targets at all."""
@@ -136,7 +118,7 @@
     @property
     def decider(self) -> str:
         """Name who decides now."""
-        return ALONE if isinstance(self._current, Alone) else str(self._current)
+        return _name(self._current)
 
     def use_table(self, table: RouteTable) -> None:
         """Take a configuration for decisions made alone."""
@@ -145,7 +127,7 @@
 
     def start(self) -> None:
         """Begin to watch the schedulers."""
-        self._node.spawn(self._run_watch(), "watch schedulers")
+        self._heartbeats.start()
         self._node.spawn(self._run_ticks(), "placement ticks")
         self._node.spawn(self._run_list_alone(), "list alone")
 
@@ -167,7 +149,7 @@
             if placing.task is not None:
                 placing.task.cancel()
         if isinstance(answer, Placed):
-            self._held[work.request] = Held(work, answer.target, time.monotonic())
+            self._held.start(work, answer, time.monotonic())
         return answer
 
     def _ask(self, placing: Placing) -> None:
@@ -188,30 +170,23 @@
         self, placing: Placing, scheduler: ProcessId, work: RoutedWork
     ) -> None:
         limit_s = max(_MIN_ASK_S, work.remaining_s)
-        probe = asyncio.get_running_loop().call_later(PROBE_AFTER_S, self._probe, scheduler)
-        watch = self._watches.get(scheduler)
-        if watch is not None:
-            watch.note_asked(time.monotonic())
+        loop = asyncio.get_running_loop()
+        probe = loop.call_later(PROBE_AFTER_S, self._heartbeats.probe, scheduler)
+        self._heartbeats.note_asked(scheduler)
         try:
             reply = await self._node.ask(scheduler, Place(work), limit_s)
         except TroutstandError as error:
             if error.code is not ResultCode.LINK_CLOSED:
-                self._miss(scheduler)
+                self._heartbeats.miss(scheduler)
                 return
             reply = await self._repeat_ask(scheduler, work, limit_s)
         finally:
             probe.cancel()
-        if watch is not None and reply is not None:
-            watch.note_answered()
+        if reply is not None:
+            self._heartbeats.note_answered(scheduler)
         if isinstance(reply, Placed | Declined) and not placing.answer.done():
             placing.answer.set_result(reply)
 
-    def _probe(self, scheduler: ProcessId) -> None:
-        """Send a heartbeat at once: the scheduler may be silent, or only its queue long."""
-        watch = self._watches.get(scheduler)
-        if watch is not None:
-            watch.wake.set()
-
     async def _repeat_ask(
         self, scheduler: ProcessId, work: RoutedWork, limit_s: float
     ) -> PeerMessage | None:
@@ -225,7 +200,7 @@
                 self._node.send(scheduler, Abandon(work.request))
             return await self._node.ask(scheduler, Place(work), limit_s)
         except TroutstandError:
-            self._miss(scheduler)
+            self._heartbeats.miss(scheduler)
             return None
 
     def _withdraw(self, placing: Placing) -> None:
@@ -237,11 +212,9 @@
 
     def note_first(self, request: str, first_s: float) -> None:
         """Tell that a target began to answer."""
-        held = self._held.get(request)
-        if held is None:
+        first = self._held.note_first(request, first_s, time.monotonic())
+        if first is None:
             return
-        held.has_first = True
-        first = FirstByte(request, held.target, first_s)
         if isinstance(self._current, Alone):
             self._local.note_first(first, time.monotonic())
         else:
@@ -249,7 +222,7 @@
 
     def end(self, ended: Ended) -> None:
         """Tell how a request ended at its target."""
-        self._held.pop(ended.request, None)
+        self._held.end(ended, self._table, time.monotonic())
         if isinstance(self._current, Alone):
             self._local.end(ended, time.monotonic())
             self._deliver_local()
@@ -258,115 +231,27 @@
 
     # Schedulers
 
-    async def _run_watch(self) -> None:
-        last_s = time.monotonic()
-        while True:
-            stall_s = time.monotonic() - last_s - _WATCH_S
-            if stall_s > STALL_S:
-                for watch in self._watches.values():
-                    watch.forgive(stall_s)
-            last_s = time.monotonic()
-            known = self._list_schedulers()
-            for process in known:
-                if process not in self._watches:
-                    self._watches[process] = Watch()
-                    self._node.spawn(self._follow(process), f"watch {process}")
-            for process in set(self._watches) - set(known):
-                del self._watches[process]
-                self._node.drop_link(process)
-            now_s = time.monotonic()
-            self._switch(choose_decider(self._watches, self._current, now_s))
-            space_standbys(self._watches, self._current, now_s)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_WATCH_S):
-                    await self._judge_now.wait()
-            self._judge_now.clear()
-
-    def _list_schedulers(self) -> list[ProcessId]:
-        """Return the schedulers that are known, and those found on the seeds' hosts.
-
-        Without the latter gateways asked a scheduler 0.44 to 0.60 s after the first was
-        ready, since keepers that have just started learn of schedulers one by one
-        (restart of a site of 6 gateways and 3 keepers, from its logs).
-        """
-        known = set(self._node.book.list_role(RoutingRole.scheduler.value))
-        ips = {parse_address(seed).ip for seed in self._node.settings.seeds}
-        guessed = {self._node.name_peer(RoutingRole.scheduler, ip) for ip in ips}
-        found = {process for process in guessed if self._is_live(process)}
-        return sorted(known | found if known else guessed)
-
-    async def _follow(self, process: ProcessId) -> None:
-        """Send heartbeats to one scheduler until it is forgotten."""
-        while True:
-            watch = self._watches.get(process)
-            if watch is None:
-                return
-            await self._beat(process, watch)
-            is_current = self._current == process
-            period_s = watch.period_s if is_current else watch.standby_period_s
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(period_s * (0.9 + 0.2 * self._node.random.random())):
-                    await watch.wake.wait()
-            watch.wake.clear()
-
-    async def _beat(self, process: ProcessId, watch: Watch) -> None:
-        is_attached = self._current == process
-        is_first = is_attached and not watch.is_attached
+    def describe_attachment(self, is_attached: bool, is_first: bool) -> AttachAsk:
+        """Write a heartbeat; the first one to a scheduler tells all that it must know."""
         now_s = time.monotonic()
-        ask = AttachAsk(
+        return AttachAsk(
             process=self._node.process,
             incarnation=self._node.incarnation,
             is_attached=is_attached,
             targets_version=self._targets.version,
             is_first=is_first,
             attachment=self._attachment,
-            running=self._list_running(now_s) if is_first else [],
+            running=self._held.list_running(now_s) if is_first else [],
             levels=self._levels if is_first else [],
             holds=self._holds if is_first else [],
+            speeds=self._held.list_speeds(now_s) if is_first else [],
         )
-        watch.is_attached = is_attached
-        if is_attached:
-            watch.note_asked(now_s)
-        try:
-            reply = await self._node.ask(process, ask, SILENT_S if is_attached else BEAT_S)
-        except TroutstandError:
-            # One heartbeat that is lost on the way does not end it with one's own scheduler.
-            watch.live_since_s = float("inf")
-            if not is_attached:
-                watch.miss()
-            if is_first:
-                watch.is_attached = False
-            return
-        if isinstance(reply, Attached):
-            self._hear(process, watch, reply)
 
-    def _list_running(self, now_s: float) -> list[PlacedWork]:
-        return [
-            PlacedWork(held.work, held.target, now_s - held.started_s, held.has_first)
-            for held in self._held.values()
-        ]
-
-    def _hear(self, process: ProcessId, watch: Watch, reply: Attached) -> None:
-        now_s = time.monotonic()
-        if watch.incarnation != reply.incarnation:
-            # A new process knows nothing of what runs.
-            watch.incarnation = reply.incarnation
-            watch.live_since_s = float("inf")
-            if watch.is_attached:
-                watch.is_attached = False
-                self._ask_again(process)
-        watch.note_answered()
-        watch.heard_s = now_s
-        watch.period_s = reply.period_s
-        watch.is_ready = reply.is_ready
-        watch.attached = reply.attached
-        if reply.is_ready and watch.live_since_s == float("inf"):
-            watch.live_since_s = now_s
-        if not reply.is_ready:
-            watch.live_since_s = float("inf")
+    def hear(self, process: ProcessId, reply: Attached) -> None:
+        """Take a scheduler's answer to a heartbeat."""
         if reply.has_targets and (process == self._current or self._is_alone()):
             self._targets.install(reply.targets, reply.targets_version)
-            self._local.use_targets(reply.targets, now_s)
+            self._local.use_targets(reply.targets, time.monotonic())
             self._deliver_local()
         if process == self._current:
             self._gateways = reply.gateways
@@ -376,50 +261,22 @@
     def _is_alone(self) -> bool:
         return isinstance(self._current, Alone)
 
-    def _is_live(self, process: ProcessId) -> bool:
-        watch = self._watches.get(process)
-        return watch is not None and watch.is_live(time.monotonic())
-
-    def _miss(self, process: ProcessId) -> None:
-        watch = self._watches.get(process)
-        if watch is not None:
-            watch.miss()
-            self._judge_now.set()
-
-    def _note_refused(self, process: ProcessId) -> None:
-        """Leave a scheduler whose process has ended, whether or not it is asked now.
-
-        Heartbeats alone need 0.55 s to tell, and with all schedulers gone at once a
-        gateway went through one after the other for 0.3 to 0.8 s; this takes 0.1 s.
-        """
-        if process in self._watches:
-            self._miss(process)
-
-    def _switch(self, decider: Decider) -> None:
-        if decider == self._current:
-            return
-        before = self.decider
-        if isinstance(self._current, Alone):
+    def switch(self, before: Decider) -> None:
+        """Ask the present decider from now on, also what waits already."""
+        if isinstance(before, Alone):
             # What this gateway took alone counts at the scheduler that it asks next.
             held = self._local.quotas.list_taken(time.monotonic())
             self._levels = [Level(name, parts) for name, parts in held.items()]
-        elif not self._is_live(self._current):
-            # A standby may be silent for longer than one's own scheduler; this one was left.
-            self._miss(self._current)
-        self._current = decider
         self._attachment += 1
-        if isinstance(decider, Alone):
+        if isinstance(self._current, Alone):
             self._local = self._make_local()
             self._went_alone.set()
         else:
-            watch = self._watches[decider]
-            watch.is_attached = False
             # What runs is told before anything is asked, so that it counts in the answer.
-            self._node.spawn(self._beat(decider, watch), f"attach {decider}")
-            watch.wake.set()
+            self._heartbeats.attach(self._current)
         self._node.events.emit(
             "scheduler_changed",
-            before=before,
+            before=_name(before),
             now=self.decider,
             waiting=len(self._placing),
             running=len(self._held),
@@ -434,7 +291,7 @@
             self._node.send(placing.asked, Abandon(placing.work.request))
         self._ask(placing)
 
-    def _ask_again(self, process: ProcessId) -> None:
+    def ask_again(self, process: ProcessId) -> None:
         """Repeat what a scheduler's earlier life was asked."""
         for placing in list(self._placing.values()):
             if placing.asked == process and not placing.answer.done():
@@ -479,6 +336,10 @@
                 self._deliver_local()
 
 
+def _name(decider: Decider) -> str:
+    return ALONE if isinstance(decider, Alone) else str(decider)
+
+
 def _shorten(work: RoutedWork, spent_s: float) -> RoutedWork:
     """Return the work with the time left that it has now."""
     return msgspec.structs.replace(work, remaining_s=max(0.0, work.remaining_s - spent_s))
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -196,10 +196,12 @@
         for level in ask.levels:
             self.quotas.inherit(level.workspace, level.taken, portion, now_s)
         self.dispatcher.inherit_holds(ask.holds)
+        self.dispatcher.inherit_speeds(ask.speeds)
         self.node.events.emit(
             "gateway_attached",
             peer=peer,
             running=len(ask.running),
+            speeds=len(ask.speeds),
             limits=len(ask.levels),
             fullest=max((sum(level.taken) / _THOUSANDTHS for level in ask.levels), default=0.0),
             gateways=len(self._gateways),
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from troutstand.generated.messages import Attached
+
 # How long a scheduler that is not asked may take to answer a heartbeat.
 BEAT_S = 0.3
 _FIRST_PERIOD_S = 0.1
@@ -76,6 +78,18 @@
         """Take any answer as a sign of life."""
         self.owed_since_s = float("inf")
 
+    def hear(self, reply: Attached, now_s: float) -> None:
+        """Take an answer to a heartbeat."""
+        self.note_answered()
+        self.heard_s = now_s
+        self.period_s = reply.period_s
+        self.is_ready = reply.is_ready
+        self.attached = reply.attached
+        if not reply.is_ready:
+            self.live_since_s = float("inf")
+        elif self.live_since_s == float("inf"):
+            self.live_since_s = now_s
+
     def forgive(self, stall_s: float) -> None:
         """Leave out of account a time in which this gateway itself stood still."""
         self.heard_s += stall_s
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -11,6 +11,7 @@
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
+from troutstand.core.seenspeeds import SeenSpeeds
 from troutstand.generated.messages import (
     ListedState,
     ListedTarget,
@@ -116,3 +117,62 @@
 @then("both went to the same target")
 def check_same(context: Context) -> None:
     assert context.got[0] == context.got[1], context.got
+
+
+_SLOW_TOKEN_S = 4e-4
+_FAST_TOKEN_S = 4e-5
+
+
+def _see(target: str, token_s: float) -> SeenSpeeds:
+    seen = SeenSpeeds()
+    for tokens in (500.0, 1000.0, 2000.0, 4000.0):
+        seen.note_first(_SERVICE, target, tokens, 0.05 + token_s * tokens, _NOW_S)
+    return seen
+
+
+@given(
+    "{count:d} gateways that saw the first of {targets:d} targets read ten times slower "
+    "than the second"
+)
+def use_seen(context: Context, count: int, targets: int) -> None:
+    context.count = targets
+    context.seen = [
+        seen
+        for _ in range(count)
+        for seen in (_see("t0", _SLOW_TOKEN_S), _see("t1", _FAST_TOKEN_S))
+    ]
+
+
+@given("a scheduler that takes over what they saw")
+def inherit_speeds(context: Context) -> None:
+    context.dispatcher = _make_dispatcher(context.count, None)
+    for seen in context.seen:
+        context.dispatcher.inherit_speeds(seen.list_fresh(_NOW_S))
+
+
+@then("the second target gets it, expected within {limit_s:g} s")
+def check_second(context: Context, limit_s: float) -> None:
+    assert context.target == "t1", context.target
+    pool = context.dispatcher.pools[_SERVICE]
+    expected_s = pool.know_reading(pool.targets["t1"]).estimate(4000)
+    assert expected_s < limit_s, expected_s
+
+
+@given("a gateway that saw {count:d} targets, the first {old:d} of them {age_s:g} s ago")
+def use_many(context: Context, count: int, old: int, age_s: float) -> None:
+    context.speeds = SeenSpeeds()
+    for number in range(count):
+        seen_s = _NOW_S - age_s if number < old else _NOW_S
+        context.speeds.note_service(_SERVICE, f"t{number}", 0.1, seen_s)
+
+
+@then("it passes {count:d} of them on, the latest first")
+def check_passed_on(context: Context, count: int) -> None:
+    passed = [seen.target for seen in context.speeds.list_fresh(_NOW_S)]
+    assert len(passed) == count, passed
+    assert passed[0] == "t39", passed
+
+
+@then("nothing {later_s:g} s later")
+def check_forgotten(context: Context, later_s: float) -> None:
+    assert not context.speeds.list_fresh(_NOW_S + later_s)
--- a/troutstand/tests/takeover.feature
+++ b/troutstand/tests/takeover.feature
@@ -16,3 +16,14 @@
     Given a scheduler of 16 like targets
     When it places one request twice from the beginning
     Then both went to the same target
+
+  Scenario: A scheduler that takes over knows which targets gateways saw to be slow
+    Given 3 gateways that saw the first of 2 targets read ten times slower than the second
+    And a scheduler that takes over what they saw
+    When a request of 4000 tokens arrives there
+    Then the second target gets it, expected within 0.4 s
+
+  Scenario: Only what was seen lately at few targets is passed on
+    Given a gateway that saw 40 targets, the first 10 of them 30 s ago
+    Then it passes 16 of them on, the latest first
+    And nothing 30 s later
