Let gateways that decide alone wait for the scheduler that others ask

Change: gateways tell every scheduler whom they ask, schedulers tell who is asked most, and a gateway alone waits up to 0.6 s for that one. Test: schedulerwatch.feature, the last two scenarios.

--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -241,6 +241,7 @@
             targets_version=self._targets.version,
             is_first=is_first,
             attachment=self._attachment,
+            asks="" if self._is_alone() else str(self._current),
             running=self._held.list_running(now_s) if is_first else [],
             levels=self._levels if is_first else [],
             holds=self._holds if is_first else [],
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -61,6 +62,8 @@
     is_attached: bool
     # The gateway's count of its changes of scheduler.
     attachment: int
+    # The scheduler that it asks; empty where it decides alone.
+    asks: str = ""
 
 
 class RoutingScheduler:
@@ -78,6 +81,7 @@
         self.follower = Follower(self.node, dialect, self._use_table)
         self.targets = TargetList(settings.target_list, dialect)
         self._gateways: dict[ProcessId, GatewaySeen] = {}
+        self._asked: Counter[str] = Counter()
         self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
         self._limits: dict[str, tuple[float, float]] = {}
         self._levels: tuple[float, list[Level]] = (float("-inf"), [])
@@ -175,7 +179,10 @@
             self._drop(peer, "asks another scheduler", now_s)
         # A gateway that stops still counts for a while: what it took of the limits
         # elsewhere is within their window, and its part must not be used twice.
-        self._gateways[peer] = GatewaySeen(ask.incarnation, now_s, ask.is_attached, ask.attachment)
+        self._note_asked(seen.asks if seen is not None else "", ask.asks)
+        self._gateways[peer] = GatewaySeen(
+            ask.incarnation, now_s, ask.is_attached, ask.attachment, ask.asks
+        )
         is_repeated = (
             is_known and seen is not None and seen.is_attached and seen.attachment == ask.attachment
         )
@@ -184,6 +191,13 @@
         self._share()
         return self._answer_attach(ask, now_s)
 
+    def _note_asked(self, before: str, now: str) -> None:
+        """Count how many gateways ask each scheduler, as they tell all schedulers."""
+        if before:
+            self._asked[before] -= 1
+        if now:
+            self._asked[now] += 1
+
     def _take_over(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> None:
         """Take in what a gateway that begins to ask this scheduler brings along."""
         if self._count_attached() <= 1:
@@ -209,6 +223,7 @@
 
     def _answer_attach(self, ask: AttachAsk, now_s: float) -> Attached:
         has_news = ask.targets_version != self.targets.version
+        most_asked = max(self._asked, key=self._asked.__getitem__, default="")
         return Attached(
             incarnation=self.node.incarnation,
             period_s=max(_MIN_PERIOD_S, _PERIOD_PER_GATEWAY_S * len(self._gateways)),
@@ -219,6 +234,8 @@
             targets=self.targets.targets if has_news else [],
             has_targets=has_news and self._has_list,
             is_ready=self.is_ready,
+            most_asked=most_asked,
+            most_asked_by=self._asked[most_asked],
             levels=self._list_levels(now_s) if ask.is_attached else [],
             holds=self.dispatcher.list_holds() if ask.is_attached else [],
         )
@@ -255,6 +272,7 @@
                 self._drop(gateway, f"silent for {silent_s:.1f} s", now_s)
                 self._share()
             if silent_s > _FORGET_GATEWAY_S:
+                self._note_asked(seen.asks, "")
                 del self._gateways[gateway]
                 self._share()
 
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -34,6 +34,10 @@
 # asks yet is taken only after so long (a few round trips between failure domains).
 _LOOK_OVER_S = 0.15
 _ALONE_PERIOD_S = 0.1
+# For so long a gateway that decides alone waits for the scheduler that others are said to
+# ask. Without it gateways that came back from a cut took whichever they heard first, and
+# two schedulers filled the same targets for 1.6 to 2.6 s (site of 6 gateways, its logs).
+_AWAIT_ASKED_S = 0.6
 # Another scheduler is moved to, while one's own lives, once it was live for so long.
 _MOVE_AFTER_S = 1.5
 
@@ -59,6 +63,9 @@
     is_attached: bool = False
     # Gateways that ask the scheduler, as it told last.
     attached: int = 0
+    # The scheduler that most gateways ask by what they told this one, and their number.
+    most_asked: str = ""
+    most_asked_by: int = 0
     # Since when something is asked and nothing at all was answered.
     owed_since_s: float = float("inf")
     standby_period_s: float = _STANDBY_PERIOD_S
@@ -85,6 +92,8 @@
         self.period_s = reply.period_s
         self.is_ready = reply.is_ready
         self.attached = reply.attached
+        self.most_asked = reply.most_asked
+        self.most_asked_by = reply.most_asked_by
         if not reply.is_ready:
             self.live_since_s = float("inf")
         elif self.live_since_s == float("inf"):
@@ -120,6 +129,8 @@
     """
     live = list_live(watches, now_s)
     if isinstance(current, Alone):
+        if _should_await_asked(watches, live, now_s):
+            return current
         live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
     if isinstance(current, Alone) or current not in live:
         return min(live, key=lambda p: (-watches[p].attached, p)) if live else Alone.ALONE
@@ -127,6 +138,19 @@
     return min([current, *steady], key=lambda p: (-watches[p].attached, p))
 
 
+def _should_await_asked(
+    watches: Mapping[ProcessId, Watch], live: list[ProcessId], now_s: float
+) -> bool:
+    """Tell whether others are said to ask a scheduler that was not heard yet."""
+    asked_by = max((watches[p].attached for p in live), default=0)
+    for process in live:
+        watch = watches[process]
+        is_more = watch.most_asked_by > asked_by and watch.most_asked not in live
+        if is_more and now_s - watch.live_since_s < _AWAIT_ASKED_S:
+            return True
+    return False
+
+
 def _is_looked_over(watch: Watch, now_s: float) -> bool:
     """Tell whether the other schedulers had time to answer as well."""
     return now_s - watch.live_since_s >= _LOOK_OVER_S
--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -70,3 +70,16 @@
     Then b and c are watched more closely than d and e
     When a gateway that asks nobody spaces its heartbeats
     Then d and e are watched as closely as b and c, and woken
+
+  Scenario: A gateway that decides alone waits for the scheduler that others ask
+    Given schedulers a, b and c that answered 0.1, 9 and 9 s ago
+    And a has been live for 0.3 s and says that 5 gateways ask b
+    Then a gateway that decides alone asks nobody
+    When a has been live for 1 s and says that 5 gateways ask b
+    Then a gateway that decides alone asks a
+
+  Scenario: What others ask is not waited for once it is heard
+    Given schedulers a, b and c that answered 0.1, 0.1 and 9 s ago
+    And a has been live for 0.3 s and says that 5 gateways ask b
+    And b has been live for 0.1 s and is asked by 5 gateways
+    Then a gateway that decides alone asks b
--- a/troutstand/tests/steps/schedulerwatch.py
+++ b/troutstand/tests/steps/schedulerwatch.py
@@ -49,6 +49,14 @@
     watch.attached = count
 
 
+@given("{name} has been live for {length_s:g} s and says that {count:d} gateways ask {asked}")
+@when("{name} has been live for {length_s:g} s and says that {count:d} gateways ask {asked}")
+def set_told(context: Context, name: str, length_s: float, count: int, asked: str) -> None:
+    watch = context.watches[ProcessId(name)]
+    watch.live_since_s = _NOW_S - length_s
+    watch.most_asked, watch.most_asked_by = asked, count
+
+
 @given("{name} is heard every {period_s:g} s and owes an answer for {owed_s:g} s")
 @when("{name} is heard every {period_s:g} s and owes an answer for {owed_s:g} s")
 def set_owed(context: Context, name: str, period_s: float, owed_s: float) -> None:
