Keep requests that moved late where nobody waits before them

Cause: since what is spent travels with an ask, a request of an objective of 0.4 s that had spent 0.4 s at a frozen scheduler was refused by the next one although the queue was empty (routed.feature, the scheduler dies: 4 of 100 calls refused). Change: who is late by what it has spent, and would be in time by the queue, waits. Test: takeover.feature, the last scenario; routed.feature passes again.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -396,6 +396,9 @@
         most_s = min(
             _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
         )
+        if waiting.work.spent_s >= waiting.full_patience_s:
+            # It is late by what it has spent, not by the queue here.
+            most_s = max(most_s, waiting.full_patience_s)
         if wait_s > most_s:
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
 
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -56,6 +56,8 @@
     is_late: bool = False
     # How long it may wait and still be in time, as estimated when it arrived.
     patience_s: float = 0.0
+    # The same, had it just come from its caller.
+    full_patience_s: float = 0.0
     # The least that a target needs until its first byte, as estimated when it arrived.
     least_first_s: float = 0.0
 
@@ -280,8 +282,8 @@
         work = waiting.work
         targets = [t for t in self.list_usable() if not t.strikes]
         first_s = min((self.estimate_first(t, work) for t in targets), default=0.0)
-        in_time_s = _IN_TIME_SHARE * work.objective_s - work.spent_s
-        waiting.patience_s = max(0.0, in_time_s - first_s)
+        waiting.full_patience_s = max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
+        waiting.patience_s = max(0.0, waiting.full_patience_s - work.spent_s)
         alone_s = min((self._estimate_alone(t, work) for t in targets), default=0.0)
         waiting.least_first_s = alone_s
 
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -18,6 +18,7 @@
 from troutstand.generated.messages import (
     Ended,
     Ending,
+    Hold,
     ListedState,
     ListedTarget,
     Placed,
@@ -235,3 +236,22 @@
 @then("it tells that {spent_s:g} s are spent")
 def check_spent(context: Context, spent_s: float) -> None:
     assert abs(context.work.spent_s - spent_s) < 1e-6, context.work.spent_s
+
+
+@given("a scheduler whose only slot is taken and gets free every {hold_s:g} s")
+def use_held_slot(context: Context, hold_s: float) -> None:
+    use_taken_slot(context)
+    context.dispatcher.inherit_holds([Hold(_SERVICE, hold_s)])
+
+
+@when("a request moves there with {spent_s:g} of {objective_s:g} s spent")
+def move_late(context: Context, spent_s: float, objective_s: float) -> None:
+    work = msgspec.structs.replace(
+        _make_work("moved", 10), objective_s=objective_s, spent_s=spent_s
+    )
+    context.dispatcher.place(work, "gateway-1", _NOW_S)
+
+
+@then("it waits there")
+def check_waits(context: Context) -> None:
+    assert not context.dispatcher.take_decisions()
--- a/troutstand/tests/takeover.feature
+++ b/troutstand/tests/takeover.feature
@@ -38,3 +38,10 @@
     Given a call that arrived 0.2 s ago
     When it asks for a second target
     Then it tells that 0.2 s are spent
+
+  Scenario: A request that moves late is not refused where nobody waits before it
+    Given a scheduler whose only slot is taken and gets free every 0.1 s
+    When a request moves there with 0.5 of 0.4 s spent
+    Then it waits there
+    When the slot gets free there
+    Then the one that moved has it
