--- a/troutstand/core/reach.py
+++ b/troutstand/core/reach.py
@@ -28,6 +28,20 @@
     failed: dict[str, float] = field(default_factory=dict)
     blocked_until_s: float = float("-inf")
 
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the way was held off since the last answer."""
+        return self.blocked_until_s > float("-inf")
+
+
+@dataclass(frozen=True)
+class WayChange:
+    """Tell that a way is held off, or open again, for the log."""
+
+    way: Way
+    is_open: bool
+    targets: tuple[str, ...] = ()
+
 
 class Reach:
     """Hold off targets that gateways of a failure domain cannot reach.
@@ -39,11 +53,20 @@
 
     def __init__(self) -> None:
         self._ways: dict[Way, WayState] = {}
+        self._changes: list[WayChange] = []
+
+    def take_changes(self) -> list[WayChange]:
+        """Return the ways held off or opened since the last call."""
+        taken, self._changes = self._changes, []
+        return taken
 
     def note_sign(self, way: Way) -> None:
         """Take any answer that came by a way as a sign that it is open."""
-        if self._ways:
-            self._ways.pop(way, None)
+        if not self._ways:
+            return
+        state = self._ways.pop(way, None)
+        if state is not None and state.is_held:
+            self._changes.append(WayChange(way, is_open=True))
 
     def note_unreached(self, way: Way, target: str, now_s: float) -> None:
         """Note a target that could not be reached, or from which nothing came."""
@@ -51,9 +74,11 @@
             return
         state = self._ways.setdefault(way, WayState())
         state.failed = {t: at_s for t, at_s in state.failed.items() if now_s - at_s < _TOGETHER_S}
-        was_blocked = state.blocked_until_s > float("-inf")
         state.failed[target] = now_s
-        if was_blocked or len(state.failed) >= _MIN_TARGETS:
+        if not state.is_held and len(state.failed) >= _MIN_TARGETS:
+            self._changes.append(WayChange(way, is_open=False, targets=tuple(state.failed)))
+            state.blocked_until_s = now_s + _HOLD_S
+        elif state.is_held:
             state.blocked_until_s = now_s + _HOLD_S
 
     def is_open(self, way: Way, now_s: float) -> bool:
@@ -66,5 +91,5 @@
     def note_sent(self, way: Way, now_s: float) -> None:
         """Let one request alone try a way that was held off."""
         state = self._ways.get(way) if self._ways else None
-        if state is not None and state.blocked_until_s > float("-inf"):
+        if state is not None and state.is_held:
             state.blocked_until_s = now_s + _HOLD_S
--- a/troutstand/routing/decisions.py
+++ b/troutstand/routing/decisions.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from troutstand.core.dispatch import Decision, PlacedInputs
+    from troutstand.core.reach import WayChange
     from troutstand.util.events import EventBus
 
 ALONE = "alone"
@@ -38,6 +39,18 @@
             )
 
 
+def emit_way_changes(events: EventBus, changes: list[WayChange], decider: str) -> None:
+    """Write one line for each way between failure domains that is held off or open again."""
+    for change in changes:
+        events.emit(
+            "way_regained" if change.is_open else "way_lost",
+            source=change.way.source,
+            destination=change.way.destination,
+            targets=",".join(change.targets),
+            decider=decider,
+        )
+
+
 def _emit_placed(
     events: EventBus,
     placed: Placed,
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -32,7 +32,7 @@
     Placed,
     RoutedWork,
 )
-from troutstand.routing.decisions import ALONE, emit_decision
+from troutstand.routing.decisions import ALONE, emit_decision, emit_way_changes
 from troutstand.routing.heartbeats import Heartbeats
 from troutstand.routing.heldwork import HeldWork
 from troutstand.routing.schedulerwatch import (
@@ -301,6 +301,7 @@
     # Alone
 
     def _deliver_local(self) -> None:
+        emit_way_changes(self._node.events, self._local.reach.take_changes(), ALONE)
         for decision in self._local.take_decisions():
             answer = decision.answer
             placing = self._placing.get(answer.request)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -26,7 +26,7 @@
     ProcessState,
     Refused,
 )
-from troutstand.routing.decisions import SCHEDULER, emit_decision
+from troutstand.routing.decisions import SCHEDULER, emit_decision, emit_way_changes
 from troutstand.routing.follower import Follower
 from troutstand.routing.node import RoutingNode
 from troutstand.routing.targetlist import ListUnreadError, TargetList
@@ -151,6 +151,7 @@
 
     def _deliver(self) -> None:
         now_s = time.monotonic()
+        emit_way_changes(self.node.events, self.dispatcher.reach.take_changes(), SCHEDULER)
         for decision in self.dispatcher.take_decisions():
             answer = decision.answer
             settled = self._settle(decision.owner, answer.request, answer)
--- a/troutstand/tests/reach.feature
+++ b/troutstand/tests/reach.feature
@@ -4,6 +4,7 @@
     Given 4 targets in each of the failure domains north and south
     When two targets in south cannot be reached from north
     Then requests from north go to targets in north only
+    And the way from north to south is reported as lost
     And requests from south still go to targets in south
 
   Scenario: One target that fails does not hold its failure domain off
@@ -25,3 +26,4 @@
     Then one request from north goes to south, others do not
     When that request is answered
     Then the requests that wait go to south
+    And the way from north to south is reported as regained
--- a/troutstand/tests/steps/reach.py
+++ b/troutstand/tests/steps/reach.py
@@ -8,6 +8,7 @@
 
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.reach import Way
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
     Ended,
@@ -146,3 +147,13 @@
     placed = context.then_placed
     assert len(placed) > 1, placed
     assert all(target.startswith("south") for target in placed), placed
+
+
+@then("the way from {source} to {destination} is reported as {state}")
+def check_reported(context: Context, source: str, destination: str, state: str) -> None:
+    changes = context.cut.dispatcher.reach.take_changes()
+    assert changes, changes
+    last = changes[-1]
+    assert last.way == Way(source, destination), last
+    assert last.is_open == (state == "regained"), last
+    assert last.is_open or last.targets == ("south-0", "south-1"), last
