Believe the scheduler that is asked about whom others ask

A standby's own count of its gateways is up to 4 s old; the scheduler that a gateway asks hears from all gateways whom they ask. Test: schedulerwatch.feature, the last scenario (the gateway stayed with the lesser one before).

--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -132,10 +132,26 @@
         if _should_await_asked(watches, live, now_s):
             return current
         live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
+
+    def rank(process: ProcessId) -> tuple[int, ProcessId]:
+        return -_count_asking(watches, live, process), process
+
     if isinstance(current, Alone) or current not in live:
-        return min(live, key=lambda p: (-watches[p].attached, p)) if live else Alone.ALONE
+        return min(live, key=rank) if live else Alone.ALONE
     steady = [p for p in live if now_s - watches[p].live_since_s > _MOVE_AFTER_S]
-    return min([current, *steady], key=lambda p: (-watches[p].attached, p))
+    return min([current, *steady], key=rank)
+
+
+def _count_asking(
+    watches: Mapping[ProcessId, Watch], live: list[ProcessId], process: ProcessId
+) -> int:
+    """Return how many gateways ask a scheduler, by its own word or that of another.
+
+    A standby's own word is up to 4 s old where there are many schedulers; the scheduler
+    that is asked hears from every gateway whom it asks.
+    """
+    told = (w.most_asked_by for p in live if (w := watches[p]).most_asked == process)
+    return max(watches[process].attached, *told, 0)
 
 
 def _should_await_asked(
--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -83,3 +83,12 @@
     And a has been live for 0.3 s and says that 5 gateways ask b
     And b has been live for 0.1 s and is asked by 5 gateways
     Then a gateway that decides alone asks b
+
+  Scenario: A gateway hears from its own scheduler that most ask another
+    Given schedulers a, b and c that answered 0.1, 0.1 and 9 s ago
+    And a has been live for 60 s and is asked by 2 gateways
+    And b has been live for 60 s and is asked by 0 gateways
+    Then a gateway that asks a asks a
+    When a has been live for 60 s and says that 5 gateways ask b
+    Then a gateway that asks a asks b
+    And a gateway that decides alone asks b
