--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -56,8 +56,10 @@
 
 
 _get_rank = attrgetter("rank")
-# Ends of sends that may tell of a way that is cut.
+# Ends of sends that may tell of a way that is cut, and those that tell it is open; a
+# connection that broke may have been dropped at either end.
 _UNREACHED = frozenset({Ending.unsent, Ending.silent})
+_REACHED = frozenset({Ending.whole, Ending.failed, Ending.turned_away})
 
 
 @dataclass(frozen=True)
@@ -289,7 +291,7 @@
         way = _find_way(run.work, state)
         if ended.ending in _UNREACHED:
             self.reach.note_unreached(way, ended.target, now_s)
-        elif ended.ending is not Ending.left:
+        elif ended.ending in _REACHED:
             self.reach.note_sign(way)
         match ended.ending:
             case Ending.whole:
--- a/troutstand/tests/reach.feature
+++ b/troutstand/tests/reach.feature
@@ -19,6 +19,13 @@
     And a third one in south cannot be reached from north
     Then requests from north may go to the others in south
 
+  Scenario: A connection that breaks tells nothing of the way
+    Given 4 targets in each of the failure domains north and south
+    When one target in south cannot be reached from north
+    And the connection to a second one in south breaks
+    And a third one in south cannot be reached from north
+    Then requests from north go to targets in north only
+
   Scenario: A way that was held off is tried with one request, and opened by its answer
     Given 4 targets in each of the failure domains north and south
     When two targets in south cannot be reached from north
--- a/troutstand/tests/steps/reach.py
+++ b/troutstand/tests/steps/reach.py
@@ -100,6 +100,11 @@
     context.cut.send("north", "south-1", Ending.whole)
 
 
+@when("the connection to a second one in south breaks")
+def break_second(context: Context) -> None:
+    context.cut.send("north", "south-1", Ending.broken)
+
+
 @when("a third one in south cannot be reached from north")
 def lose_third(context: Context) -> None:
     context.cut.send("north", "south-2", Ending.unsent)
