--- /dev/null
+++ b/troutstand/core/decision.py
@@ -0,0 +1,47 @@
+"""Carry what was decided on a request, with what it rested on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from troutstand.generated.messages import Declined, Placed
+
+
+@dataclass(frozen=True)
+class Decision:
+    """Tell a gateway what becomes of its request."""
+
+    owner: str
+    answer: Placed | Declined
+    inputs: PlacedInputs | None = None
+
+
+@dataclass(frozen=True)
+class PlacedInputs:
+    """Tell what a placement rested on, for the log.
+
+    Parameters
+    ----------
+    expected_first_s
+        Seconds that the target's first byte should take.
+    running
+        Requests that the target had already.
+    uncached
+        Prompt tokens that the target does not hold.
+    last_sign_s
+        Age of the target's last answer, in seconds.
+    open_targets
+        Targets that could have been given the request.
+    workspace, charge
+        Whose limit was charged, and with how many tokens.
+    """
+
+    expected_first_s: float
+    running: int
+    uncached: float
+    last_sign_s: float
+    open_targets: int
+    workspace: str
+    charge: float
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
+from troutstand.core.decision import Decision, PlacedInputs
 from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.reach import Reach, Way
@@ -62,44 +62,6 @@
 _REACHED = frozenset({Ending.whole, Ending.failed, Ending.turned_away})
 
 
-@dataclass(frozen=True)
-class Decision:
-    """Tell a gateway what becomes of its request."""
-
-    owner: str
-    answer: Placed | Declined
-    inputs: PlacedInputs | None = None
-
-
-@dataclass(frozen=True)
-class PlacedInputs:
-    """Tell what a placement rested on, for the log.
-
-    Parameters
-    ----------
-    expected_first_s
-        Seconds that the target's first byte should take.
-    running
-        Requests that the target had already.
-    uncached
-        Prompt tokens that the target does not hold.
-    last_sign_s
-        Age of the target's last answer, in seconds.
-    open_targets
-        Targets that could have been given the request.
-    workspace, charge
-        Whose limit was charged, and with how many tokens.
-    """
-
-    expected_first_s: float
-    running: int
-    uncached: float
-    last_sign_s: float
-    open_targets: int
-    workspace: str
-    charge: float
-
-
 class Dispatcher:
     """Hold the queues and the targets of a whole site.
 
--- a/troutstand/routing/decisions.py
+++ b/troutstand/routing/decisions.py
@@ -8,7 +8,7 @@
 from troutstand.generated.messages import Declined, Placed
 
 if TYPE_CHECKING:
-    from troutstand.core.dispatch import Decision, PlacedInputs
+    from troutstand.core.decision import Decision, PlacedInputs
     from troutstand.core.reach import WayChange
     from troutstand.util.events import EventBus
 
--- /dev/null
+++ b/troutstand/tests/regression.feature
@@ -0,0 +1,16 @@
+Feature: A regression run says which site fell
+
+  Scenario Outline: A mean that falls by <fall> <verdict>
+    Given kept figures of 0.8 for two days
+    When the days come to 0.8 less <fall>
+    Then the run <verdict>
+
+    Examples:
+      | fall | verdict |
+      | 0.02 | holds   |
+      | 0.04 | fails   |
+
+  Scenario: A broken rule fails whatever the worth is
+    Given kept figures of 0.8 for two days
+    When a day comes to 0.9 with a rule broken
+    Then the run fails
