Find out that one's own failure domain is cut off

Change: two failed targets outside, with no answer from any outside between, hold all others off. Test: reach.feature, the last scenario.

--- a/troutstand/core/reach.py
+++ b/troutstand/core/reach.py
@@ -14,8 +14,12 @@
 _HOLD_S = 1.0
 
 
+# Stands for every other failure domain.
+ANY = "*"
+
+
 class Way(NamedTuple):
-    """Name the way from a gateway's failure domain to a target's."""
+    """Name the way from a gateway's failure domain to a target's, or to all others."""
 
     source: str
     destination: str
@@ -62,34 +66,47 @@
 
     def note_sign(self, way: Way) -> None:
         """Take any answer that came by a way as a sign that it is open."""
-        if not self._ways:
+        if not self._ways or way.source == way.destination:
             return
-        state = self._ways.pop(way, None)
-        if state is not None and state.is_held:
-            self._changes.append(WayChange(way, is_open=True))
+        for known in (way, _find_any(way)):
+            state = self._ways.pop(known, None)
+            if state is not None and state.is_held:
+                self._changes.append(WayChange(known, is_open=True))
 
     def note_unreached(self, way: Way, target: str, now_s: float) -> None:
         """Note a target that could not be reached, or from which nothing came."""
         if way.source == way.destination:
             return
+        for known in (way, _find_any(way)):
+            self._note_failed(known, target, now_s)
+
+    def _note_failed(self, way: Way, target: str, now_s: float) -> None:
         state = self._ways.setdefault(way, WayState())
         state.failed = {t: at_s for t, at_s in state.failed.items() if now_s - at_s < _TOGETHER_S}
         state.failed[target] = now_s
-        if not state.is_held and len(state.failed) >= _MIN_TARGETS:
+        if not state.is_held and len(state.failed) < _MIN_TARGETS:
+            return
+        if not state.is_held:
             self._changes.append(WayChange(way, is_open=False, targets=tuple(state.failed)))
-            state.blocked_until_s = now_s + _HOLD_S
-        elif state.is_held:
-            state.blocked_until_s = now_s + _HOLD_S
+        state.blocked_until_s = now_s + _HOLD_S
 
     def is_open(self, way: Way, now_s: float) -> bool:
         """Tell whether requests may go a way."""
-        if not self._ways:
+        if not self._ways or way.source == way.destination:
             return True
-        state = self._ways.get(way)
-        return state is None or now_s >= state.blocked_until_s
+        states = (self._ways.get(way), self._ways.get(_find_any(way)))
+        return all(state is None or now_s >= state.blocked_until_s for state in states)
 
     def note_sent(self, way: Way, now_s: float) -> None:
         """Let one request alone try a way that was held off."""
-        state = self._ways.get(way) if self._ways else None
-        if state is not None and state.is_held:
-            state.blocked_until_s = now_s + _HOLD_S
+        if not self._ways or way.source == way.destination:
+            return
+        for known in (way, _find_any(way)):
+            state = self._ways.get(known)
+            if state is not None and state.is_held:
+                state.blocked_until_s = now_s + _HOLD_S
+
+
+def _find_any(way: Way) -> Way:
+    """Return the way from the same source to all others, which its own cut closes."""
+    return Way(way.source, ANY)
--- a/troutstand/tests/reach.feature
+++ b/troutstand/tests/reach.feature
@@ -34,3 +34,9 @@
     When that request is answered
     Then the requests that wait go to south
     And the way from north to south is reported as regained
+
+  Scenario: A failure domain that is itself cut off does not try the others one by one
+    Given 1 targets in each of the failure domains north, south, east and west
+    When the targets in south and east cannot be reached from north
+    Then requests from north go to targets in north only
+    And the way from north to * is reported as lost
