--- a/troutstand/core/estimate.py
+++ b/troutstand/core/estimate.py
@@ -69,6 +69,27 @@
         """Tell whether the table or the platform's list says it leaves."""
         return self.listed_leaving or self.row.state is TargetState.leaving
 
+    def describe_run(
+        self,
+        ask: PlacementAsk,
+        process: str,
+        rank: int,
+        now_s: float,
+        uncached_tokens: int,
+        expected_s: float,
+    ) -> Running:
+        """Describe a request that is granted to the target now."""
+        return Running(
+            ask,
+            process,
+            self.row.name,
+            rank,
+            now_s,
+            uncached_tokens,
+            expected_s,
+            tuple(self.row.serves),
+        )
+
     def count_free(self, now_s: float) -> int:
         """Return how many requests may be granted now."""
         if self.is_leaving:
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -183,7 +183,9 @@
             target = self.targets.get(item.target)
             if target is None or RequestId(item.ask.request) in target.running:
                 continue
-            run = self._make_running(item.ask, report.process, target, now_s, 0, 0.0)
+            run = target.describe_run(
+                item.ask, report.process, self._find_rank(item.ask), now_s, 0, 0.0
+            )
             target.start(RequestId(item.ask.request), run, _get_prefixes(item.ask))
             self._note_run(run, 1)
         return self._place(now_s)
@@ -400,8 +402,13 @@
         self._dequeue(waiting)
         target = choice.target
         expected_s = choice.finish_s - choice.wait_s
-        run = self._make_running(
-            waiting.ask, waiting.process, target, now_s, choice.uncached_tokens, expected_s
+        run = target.describe_run(
+            waiting.ask,
+            waiting.process,
+            self._find_rank(waiting.ask),
+            now_s,
+            choice.uncached_tokens,
+            expected_s,
         )
         target.start(waiting.request, run, waiting.prefixes)
         self._note_run(run, 1)
@@ -411,27 +418,9 @@
         grant = Grant(waiting.ask.request, target.row.name, waited_ms, cached, reason)
         return Send(waiting.process, grant)
 
-    def _make_running(
-        self,
-        ask: PlacementAsk,
-        process: str,
-        target: TargetEstimate,
-        now_s: float,
-        uncached: int,
-        expected_s: float,
-    ) -> Running:
+    def _find_rank(self, ask: PlacementAsk) -> int:
         tier = self._tiers.get(ask.tier)
-        rank = tier.rank if tier else 0
-        return Running(
-            ask,
-            process,
-            target.row.name,
-            rank,
-            now_s,
-            uncached,
-            expected_s,
-            tuple(target.row.serves),
-        )
+        return tier.rank if tier else 0
 
     def _enqueue(self, waiting: Waiting) -> None:
         key = PoolKey(waiting.rank, waiting.ask.serves)
