Correct the figure beside the kept medians

The comment held a figure that no run had given. Measured now with benchmarks/dispatching.py, 78 targets, 1,248 requests/s, busy machine: 1.07 and 1.00 of a core without, 0.78 and 0.92 with.

--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -139,9 +139,10 @@
     hold_s: float | None = None
     # Tokens that one event of a stream carries.
     stride: int = 1
-    # What targets of which nothing was learnt are taken to be like. A median over all
-    # others for each of them at each placement took 0.25 of a core at 312 requests/s and
-    # 78 targets; kept until something is learnt, 0.11 (`benchmarks/dispatching.py`).
+    # What targets of which nothing was learnt are taken to be like. Without keeping the
+    # medians until something is learnt the decider took 1.00 to 1.07 of a core at 1,248
+    # requests/s and 78 targets, with it 0.78 to 0.92 (`benchmarks/dispatching.py`, busy
+    # machine).
     _typical_reading: ReadingSpeed | None = None
     _typical: dict[str, float | None] = field(default_factory=dict)
 
--- a/troutstand/core/reach.py
+++ b/troutstand/core/reach.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-# So many targets of a failure domain must fail, with no sign of any other between.
+# So many targets of a failure domain must fail, with no sign of any other between: one
+# may have crashed (chosen, not measured).
 _MIN_TARGETS = 2
 # Failures count together for so long, in seconds: a target takes 0.2 to 0.5 s to fail.
 _TOGETHER_S = 1.5
 # A failure domain that seems cut off is tried again with one request after so long, in
-# seconds; the request loses the time in which it finds no connection.
+# seconds; the request loses the time in which it finds no connection (chosen, not measured).
 _HOLD_S = 1.0
 
-
 # Stands for every other failure domain.
 ANY = "*"
 
