Tell a scheduler that takes over which targets are leaving

Ruled out: the read at once on taking over, which was under way. Change: a gateway tells with its attachment which targets its own list shows as leaving; a target never stops leaving, so that an older list cannot contradict it.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -9,13 +9,15 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from troutstand.core.codes import ResultCode
 from troutstand.core.decision import Decision, PlacedInputs
 from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.reach import Reach, Way
 from troutstand.core.targetstate import Running, TargetState, measure_service
-from troutstand.generated.messages import Declined, Ending, Hold, Placed
+from troutstand.generated.messages import Declined, Ending, Hold, ListedState, Placed
 
 if TYPE_CHECKING:
     import random
@@ -120,6 +122,17 @@
             pool.forget_typical()
             self._serve_queue(pool, now_s)
 
+    def note_leaving(self, targets: Iterable[str]) -> None:
+        """Give no more work to targets that a newer list than one's own shows as leaving.
+
+        A target never stops leaving, so that the next list cannot contradict it.
+        """
+        leaving = set(targets)
+        for pool in self.pools.values():
+            for name in leaving & set(pool.targets):
+                state = pool.targets[name]
+                state.listed = msgspec.structs.replace(state.listed, state=ListedState.draining)
+
     def adopt(self, placed: PlacedWork, owner: str, now_s: float) -> None:
         """Count a request that another scheduler had placed."""
         work = placed.work
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -246,6 +246,7 @@
             levels=self._levels if is_first else [],
             holds=self._holds if is_first else [],
             speeds=self._held.list_speeds(now_s) if is_first else [],
+            leaving=self._targets.list_leaving() if is_first else [],
         )
 
     def hear(self, process: ProcessId, reply: Attached) -> None:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -204,6 +204,7 @@
         if self._count_attached() <= 1:
             # A standby's list is old; the first gateway to come needs a new one.
             self._list_wanted.set()
+        self.dispatcher.note_leaving(ask.leaving)
         for run in ask.running:
             self.dispatcher.adopt(run, peer, now_s)
         # Each gateway brings its part of the limits, and what was taken of it elsewhere.
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from troutstand.core.errors import TroutstandError
+from troutstand.generated.messages import ListedState
 from troutstand.routing.exchange import ConnectionPool, ExchangeError, write_head
 
 if TYPE_CHECKING:
@@ -38,6 +39,10 @@
         """Take a list that another process has read."""
         self.targets, self.version = targets, version
 
+    def list_leaving(self) -> list[str]:
+        """Return the targets that the held list shows as leaving."""
+        return [entry.target for entry in self.targets if entry.state is ListedState.draining]
+
     async def read(self) -> bool:
         """Read the whole list; tell whether it changed.
 
--- a/troutstand/tests/soak.feature
+++ b/troutstand/tests/soak.feature
@@ -37,3 +37,4 @@
       | seed       |
       | 7          |
       | 477523074  |
+      | 699416042  |
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -255,3 +255,19 @@
 @then("it waits there")
 def check_waits(context: Context) -> None:
     assert not context.dispatcher.take_decisions()
+
+
+@given("a scheduler that takes over from an older list of {targets:d} targets")
+def use_old_list(context: Context, targets: int) -> None:
+    context.dispatcher = _make_dispatcher(targets, None)
+
+
+@when("a gateway tells that the first target is leaving, and asks twice")
+def tell_leaving(context: Context) -> None:
+    context.dispatcher.note_leaving(["t0", "a target that is gone"])
+    context.got = [_place(context.dispatcher, name, 10) for name in ("one", "two")]
+
+
+@then("both requests go to the second target")
+def check_not_leaving(context: Context) -> None:
+    assert context.got == ["t1", "t1"], context.got
--- a/troutstand/tests/takeover.feature
+++ b/troutstand/tests/takeover.feature
@@ -45,3 +45,8 @@
     Then it waits there
     When the slot gets free there
     Then the one that moved has it
+
+  Scenario: A scheduler with an old list gives nothing to a target that a gateway knows to leave
+    Given a scheduler that takes over from an older list of 2 targets
+    When a gateway tells that the first target is leaving, and asks twice
+    Then both requests go to the second target
