--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -67,7 +67,7 @@
     most_asked: str = ""
     most_asked_by: int = 0
     # Since when something is asked and nothing at all was answered.
-    owed_since_s: float = float("inf")
+    unanswered_since_s: float = float("inf")
     standby_period_s: float = _STANDBY_PERIOD_S
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -78,12 +78,12 @@
         self.note_answered()
 
     def note_asked(self, now_s: float) -> None:
-        """Note that the scheduler owes an answer."""
-        self.owed_since_s = min(self.owed_since_s, now_s)
+        """Note that something was asked of the scheduler."""
+        self.unanswered_since_s = min(self.unanswered_since_s, now_s)
 
     def note_answered(self) -> None:
         """Take any answer as a sign of life."""
-        self.owed_since_s = float("inf")
+        self.unanswered_since_s = float("inf")
 
     def hear(self, reply: Attached, now_s: float) -> None:
         """Take an answer to a heartbeat."""
@@ -102,15 +102,15 @@
     def forgive(self, stall_s: float) -> None:
         """Leave out of account a time in which this gateway itself stood still."""
         self.heard_s += stall_s
-        self.owed_since_s += stall_s
+        self.unanswered_since_s += stall_s
 
     def is_live(self, now_s: float) -> bool:
         """Tell whether the scheduler answered lately.
 
         Heartbeats slow down with the number of gateways, so that their age alone tells
-        after 0.55 s at 6 hosts and after 1.13 s at 195; what is owed tells after 0.4 s.
+        after 0.55 s at 6 hosts and after 1.13 s at 195; an unanswered ask tells after 0.4 s.
         """
-        if now_s - self.owed_since_s > SILENT_S:
+        if now_s - self.unanswered_since_s > SILENT_S:
             return False
         limit_s = max(self.period_s, self.standby_period_s if not self.is_attached else 0.0)
         return self.is_ready and now_s - self.heard_s <= limit_s + BEAT_S + _LIVE_SLACK_S
--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -15,18 +15,18 @@
     Given schedulers a, b and c that answered 2, 0.1 and 0.1 s ago
     Then a gateway that asks a asks b
 
-  Scenario: A scheduler that owes an answer is left long before its next heartbeat is due
+  Scenario: A scheduler that does not answer is left long before its next heartbeat is due
     Given schedulers a, b and c that answered 0.5, 0.1 and 0.1 s ago
-    And a is heard every 0.7 s and owes an answer for 0.3 s
+    And a is heard every 0.7 s and has not answered for 0.3 s
     Then a gateway that asks a asks a
-    When a is heard every 0.7 s and owes an answer for 0.5 s
+    When a is heard every 0.7 s and has not answered for 0.5 s
     Then a gateway that asks a asks b
     When a answers
     Then a gateway that asks a asks a
 
   Scenario: A gateway that stood still does not take it for the silence of a scheduler
     Given schedulers a, b and c that answered 2, 2 and 2 s ago
-    And a is heard every 0.7 s and owes an answer for 2 s
+    And a is heard every 0.7 s and has not answered for 2 s
     When the gateway itself stood still for 1.9 s
     Then a gateway that asks a asks a
 
--- a/troutstand/tests/steps/schedulerwatch.py
+++ b/troutstand/tests/steps/schedulerwatch.py
@@ -57,13 +57,13 @@
     watch.most_asked, watch.most_asked_by = asked, count
 
 
-@given("{name} is heard every {period_s:g} s and owes an answer for {owed_s:g} s")
-@when("{name} is heard every {period_s:g} s and owes an answer for {owed_s:g} s")
-def set_owed(context: Context, name: str, period_s: float, owed_s: float) -> None:
+@given("{name} is heard every {period_s:g} s and has not answered for {silent_s:g} s")
+@when("{name} is heard every {period_s:g} s and has not answered for {silent_s:g} s")
+def set_unanswered(context: Context, name: str, period_s: float, silent_s: float) -> None:
     watch = context.watches[ProcessId(name)]
     watch.period_s = period_s
     watch.note_answered()
-    watch.note_asked(_NOW_S - owed_s)
+    watch.note_asked(_NOW_S - silent_s)
 
 
 @when("{name} answers")
