Log when an answer had begun, and what a failed attempt's target answered

Cause: of the three explanations of an answer within a stream none could be proved or ruled out by the log, since no line said whether the caller already had the beginning of an answer when an attempt failed or a request ended. Change: begun_ms on a request's end and on its failed attempts, status on the attempts; explain names both. Behaviour unchanged. Shown: walk.feature (two new rows) and relay.feature pass: 33 scenarios.

--- a/troutstand/control/walk.py
+++ b/troutstand/control/walk.py
@@ -105,8 +105,10 @@
         and line.request != end.request
         and line.fields.get("target") in targets
     ]
+    begun_ms = end.fields.get("begun_ms")
+    when = f", {begun_ms} ms after it came the caller had its beginning" if begun_ms else ""
     return (
-        f"its stream broke at the target and could not go on elsewhere: "
+        f"its stream broke at the target and could not go on elsewhere{when}: "
         f"{failed or end.fields.get('detail', '')}; "
         f"{len(others)} other attempts failed at the same target"
     )
@@ -153,12 +155,17 @@
 
 def _list_failures(steps: list[Line]) -> str:
     return "; ".join(
-        f"{s.fields.get('target')} {s.fields.get('ending')} ({s.fields.get('detail', '')})"
+        f"{s.fields.get('target')} {s.fields.get('ending')} ({_describe_failure(s)})"
         for s in steps
         if s.event == "attempt_failed"
     )
 
 
+def _describe_failure(step: Line) -> str:
+    status, detail = step.fields.get("status"), step.fields.get("detail", "")
+    return f"status {status}, {detail}" if status else detail
+
+
 def _describe_failures(steps: list[Line]) -> str:
     failed = _list_failures(steps)
     return f", after failed attempts: {failed}" if failed else ""
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -54,6 +54,7 @@
         self._first_s = -1.0
         self._splitter: EventSplitter | None = None
         self._response: web.StreamResponse | None = None
+        self._begun_ms: float | None = None
         self._produced = 0
         self._waited_ms = 0.0
         self._longest_pause_s = 0.0
@@ -140,7 +141,7 @@
         if sent.head.status >= _FIRST_SERVER_FAULT:
             if self._can_repeat_fault():
                 self._last_fault = response
-                raise SendError(Ending.failed, f"status {sent.head.status}")
+                raise SendError(Ending.failed, "a fault of the target's own", sent.head.status)
             return self._finish(response, sent), Ending.failed
         return self._finish(response, sent), Ending.whole
 
@@ -185,6 +186,8 @@
             address=placed.address,
             ending=error.ending.value,
             detail=error.detail,
+            status=error.status,
+            begun_ms=self._begun_ms,
             arrivals=self._arrivals,
         )
 
@@ -278,6 +281,7 @@
                 response.force_close()
             await response.prepare(self._request)
             self._response = response
+            self._begun_ms = (time.monotonic() - self._call.arrived_s) * 1000.0
         return self._response
 
     async def _write(self, sent: Sent, data: bytes) -> None:
@@ -346,6 +350,7 @@
             waited_ms=self._waited_ms,
             first_ms=self._first_s * 1000.0 if self._first_s >= 0 else None,
             pause_ms=self._longest_pause_s * 1000.0 if self._longest_pause_s else None,
+            begun_ms=self._begun_ms,
             arrivals=self._arrivals,
             decider=self._gateway.placement.decider,
             **fields,
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -67,12 +67,15 @@
     ----------
     ending
         What became of it at the target.
+    status
+        The status with which the target answered, where it did.
     """
 
-    def __init__(self, ending: Ending, detail: str) -> None:
+    def __init__(self, ending: Ending, detail: str, status: int | None = None) -> None:
         super().__init__(detail)
         self.ending = ending
         self.detail = detail
+        self.status = status
 
     @property
     def has_arrived(self) -> bool:
@@ -179,13 +182,13 @@
     def _check_head(self, outgoing: Outgoing, head: AnswerHead) -> None:
         echo = head.get(self._names.request)
         if echo and echo != outgoing.request:
-            raise SendError(Ending.broken, f"the answer is for request {echo!r}")
+            raise SendError(Ending.broken, f"the answer is for request {echo!r}", head.status)
         if head.status == MISDIRECTED or head.get(self._names.not_run) is not None:
-            raise SendError(Ending.turned_away, f"status {head.status}, not run")
+            raise SendError(Ending.turned_away, "the target did not run it", head.status)
         if head.get(self._names.seal) is None or not echo:
-            raise SendError(Ending.broken, f"status {head.status} without the target's seal")
+            raise SendError(Ending.broken, "the target's seal is missing", head.status)
         if head.get("content-encoding") is not None:
-            raise SendError(Ending.broken, "the body is encoded")
+            raise SendError(Ending.broken, "the body is encoded", head.status)
 
     async def _finish_refused(self, sent: Sent, error: SendError) -> None:
         """Read a refusal to its end, so that its connection can be kept."""
--- a/troutstand/tests/steps/walk.py
+++ b/troutstand/tests/steps/walk.py
@@ -38,6 +38,15 @@
         f"at=5.0 {_GATEWAY} event=attempt_failed request=r1 target=t1 ending=broken detail=reset",
         f"at=5.1 {_GATEWAY} event=stream_broken_off request=r1 code=5003 status=200",
     ],
+    "a stream that another target fails": [
+        f"at=5.0 {_GATEWAY} event=attempt_failed request=r1 target=t1 ending=broken detail=reset",
+        f"at=5.1 {_GATEWAY} event=attempt_failed request=r1 target=t2 ending=failed "
+        'detail="no events" status=500 begun_ms=80',
+        f"at=5.2 {_GATEWAY} event=stream_broken_off request=r1 code=5003 status=200",
+    ],
+    "a stream that began": [
+        f"at=5.1 {_GATEWAY} event=stream_broken_off request=r1 code=5003 status=200 begun_ms=80",
+    ],
     "a late answer": [
         f"at=4.0 {_SCHEDULER} event=request_placed request=r1 target=t1 waited_ms=700 "
         "expected_ms=50",
