Add a failing test: the target that goes on with a begun stream fails

Cause of the fault: in a stream that may be resumed the second target's whole answer, here a 500 of its own on the last attempt, is passed on with a head of its own amid the chunked body that the caller reads; the strict parser stops with "Invalid character in chunk size".

--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -273,6 +273,7 @@
         make_route("do", "/do/", RouteKind.non_idempotent),
         make_route("stream", "/stream/", RouteKind.streaming, "engine"),
         make_route("resume", "/stream/resume/", RouteKind.streaming, "engine", 3, True),
+        make_route("resume-once", "/stream/resume-once/", RouteKind.streaming, "engine", 2, True),
     ]
 
 
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -24,6 +24,8 @@
 _SHED = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 _ELSEWHERE = b"HTTP/1.1 421 Elsewhere\r\nContent-Length: 0\r\n\r\n"
 _QUEUE = 24
+# The event within which a stream breaks off, counted from where it began.
+_CUT_EVENT = 2
 
 
 class Fault(Enum):
@@ -56,6 +58,15 @@
     body_digest: int
 
 
+@dataclass(frozen=True)
+class ContinuedAnswer:
+    """Say what a target answers to a request that goes on behind an event."""
+
+    status: str
+    content_type: str
+    body: bytes
+
+
 @dataclass
 class Head:
     """Hold a request's first line and headers."""
@@ -83,6 +94,7 @@
     work_s: float = 0.02
     events: int = 4
     fault: Fault = Fault.NONE
+    continued: ContinuedAnswer | None = None
     is_draining: bool = False
     address: str = ""
     runs: list[RunRecord] = field(default_factory=list)
@@ -201,7 +213,10 @@
 
     async def _answer(self, head: Head, body: bytes, writer: asyncio.StreamWriter) -> bool:
         request = head.headers.get("x-request-id", "")
-        cuts = self.fault is Fault.CUT_ANSWERS and self._random.random() < 0.5
+        if self.continued is not None and "last-event-id" in head.headers:
+            return await self._answer_continued(request, self.continued, writer)
+        is_cut_once = self.continued is not None
+        cuts = is_cut_once or (self.fault is Fault.CUT_ANSWERS and self._random.random() < 0.5)
         fails = self.fault is Fault.ERRORS and self._random.random() < 0.5
         status = "500 Fault" if fails else "200 OK"
         common = f"HTTP/1.1 {status}\r\nX-Request-Id: {request}\r\nX-Answer-Seal: {self.target}\r\n"
@@ -220,6 +235,21 @@
         self.ended[request] = "whole"
         return True
 
+    async def _answer_continued(
+        self, request: str, answer: ContinuedAnswer, writer: asyncio.StreamWriter
+    ) -> bool:
+        lines = [
+            f"HTTP/1.1 {answer.status}",
+            f"X-Request-Id: {request}",
+            f"X-Answer-Seal: {self.target}",
+            f"Content-Type: {answer.content_type}",
+            f"Content-Length: {len(answer.body)}",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode() + answer.body)
+        await writer.drain()
+        self.ended[request] = "whole"
+        return True
+
     async def _stream(
         self, head: Head, common: str, writer: asyncio.StreamWriter, cuts: bool
     ) -> bool:
@@ -229,7 +259,7 @@
         writer.write((common + kind).encode())
         for number in range(after + 1, self.events + 1):
             event = make_event(request, number)
-            if cuts and number == after + 2:
+            if cuts and number == after + _CUT_EVENT:
                 writer.write(f"{len(event):x}\r\n".encode() + event[:5])
                 await writer.drain()
                 return False
--- /dev/null
+++ b/troutstand/tests/begun.feature
@@ -0,0 +1,17 @@
+Feature: An answer that has begun goes on, or breaks off where the caller can see it
+
+  # Symptom: callers of resumable streams read bytes that are no answer in HTTP.
+  # Sequence: a target broke off its stream; the gateway went on at a second target, which
+  # answered with a whole 500 of its own; no attempt was left, so the gateway passed that
+  # answer on.
+  # Cause: it was passed on with a head of its own, amid the chunked body that the caller was
+  # reading. Nothing asked whether an answer had begun before another one was written.
+  # Settled by: "attempt_failed ending=broken arrivals=1", and 8 ms later "request_answered
+  # status=500 arrivals=1 pause_ms=169.228" of the same request: pauses are only measured in
+  # a stream that has begun. A stream that ends for good is logged as "stream_broken_off".
+
+  Scenario: The target that goes on with a stream fails
+    Given a routed site whose engines break streams and answer 500 with a text when asked to go on
+    When a stream of /stream/resume-once/ is read to the end of its connection
+    Then the caller has read one head, only whole events, and no end of the answer
+    And the gateway's log tells that the stream broke off
