Add failing tests: an entry process refuses amid a begun answer

The same cause elsewhere: the guard around the OpenAI paths turns every failure into a refusal, also where the caller has the beginning of a stream already. That a real request comes there was not seen: what engines do wrong is caught before.

--- a/troutstand/tests/begun.feature
+++ b/troutstand/tests/begun.feature
@@ -33,3 +33,15 @@
   Scenario: A second answer is dropped and the first one broken off
     When a server that answers a request twice is called and read to the end of the connection
     Then the caller has read one head, only what the handler wrote, and no end of the answer
+
+  Scenario Outline: A handler for the callers of an entry process fails amid its answer with <failure>
+    Given an application for callers whose handler begins an answer and fails with <failure>
+    When it is called and read to the end of the connection
+    Then the caller has read one head, only what the handler wrote, and no end of the answer
+    And the log tells that the answer was broken off with <code>
+
+    Examples:
+      | failure             | code |
+      | a numbered error    | 5003 |
+      | an unexpected error | 9001 |
+      | an HTTP error       | 2001 |
--- a/troutstand/tests/steps/begun.py
+++ b/troutstand/tests/steps/begun.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import time
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
 
 from aiohttp import web
 from behave import given, then, when
 
+from troutstand.core.clock import HybridClock
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
+from troutstand.core.ids import ProcessId
+from troutstand.daemon.callers import Callers
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.rawcaller import RawAnswer, call_raw
 from troutstand.testing.routedsite import wait_until
 from troutstand.testing.standins import ContinuedAnswer, make_event
 from troutstand.tests.steps.routed import open_scene
+from troutstand.util.events import EventBus
 from troutstand.util.listening import write_only_answer
 
 if TYPE_CHECKING:
@@ -22,6 +28,7 @@
 
     from behave.runner import Context
 
+    from troutstand.daemon.entry import EntryProcess
 
 _REQUEST = "begun-1"
 _LIMIT_S = 8.0
@@ -105,6 +112,37 @@
     context.answer = asyncio.run(_call_server(_answer_twice))
 
 
+# Entry processes
+
+
+def _make_entry() -> SimpleNamespace:
+    """Make what an application for callers needs of its entry process."""
+    events = EventBus(ProcessId("entry-1"), HybridClock(time.time))
+    settings = SimpleNamespace(limits=SimpleNamespace(body_bytes=_BODY_BYTES))
+    return SimpleNamespace(settings=settings, events=events, running_calls=0)
+
+
+@given("an application for callers whose handler begins an answer and fails with {failure}")
+def make_failing(context: Context, failure: str) -> None:
+    context.entry = _make_entry()
+    context.app = Callers(cast("EntryProcess", context.entry)).make_app()
+
+    async def begin_and_fail(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(_WRITTEN)
+        raise _FAILURES[failure]
+
+    context.app.router.add_post("/begun/x", begin_and_fail)
+
+
+async def _call_app(app: web.Application) -> RawAnswer:
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return await _call_runner(runner)
+
+
 async def _call_runner(runner: web.BaseRunner) -> RawAnswer:
     try:
         host, port = runner.addresses[0][:2]
@@ -113,6 +151,17 @@
         await runner.cleanup()
 
 
+@when("it is called and read to the end of the connection")
+def call_app(context: Context) -> None:
+    context.answer = asyncio.run(_call_app(context.app))
+
+
 @then("the caller has read one head, only what the handler wrote, and no end of the answer")
 def check_app_answer(context: Context) -> None:
     _check_cut(context.answer, _WRITTEN)
+
+
+@then("the log tells that the answer was broken off with {code:d}")
+def check_app_log(context: Context, code: int) -> None:
+    told = [event for event in context.entry.events.kept if event.name == "answer_broken_off"]
+    assert [int(event.code) for event in told] == [code], told
