Break off instead of refusing amid an entry process's begun answer

Cause: as in the gateway, whoever turned a failure into a refusal did not ask whether an answer had begun. Change: the guard breaks the connection off and logs answer_broken_off with the number. Looked through for the same cause: every path that writes to a caller (grep for prepare, write_eof, make_refusal, transport): operators' addresses write whole answers only; the engines' relay already breaks off by itself; the server library refuses to write its own error page once bytes went out.

--- a/troutstand/daemon/callers.py
+++ b/troutstand/daemon/callers.py
@@ -15,6 +15,7 @@
 from troutstand.daemon.requests import read_attempt, read_body, read_engine_request, read_key
 from troutstand.daemon.services import ServiceCall, ServiceCalls
 from troutstand.generated.messages import ProcessState
+from troutstand.util.listening import break_off, has_begun
 
 if TYPE_CHECKING:
     from troutstand.daemon.entry import EntryProcess
@@ -70,18 +71,31 @@
             return await handler(request)
         except TroutstandError as error:
             self._note_refusal(request, error)
-            return make_refusal(error, request.headers.get("Idempotency-Key", "")[:128])
+            return self._refuse(request, error)
         except web.HTTPException as error:
-            return make_refusal(_translate_http(error))
+            return self._refuse(request, _translate_http(error))
         except ConnectionError:
             raise
         except Exception as error:  # a fault of ours must not look like an answer
             internal = TroutstandError(ResultCode.INTERNAL, type(error).__name__)
             self._entry.events.emit("internal_error", code=internal.code, detail=repr(error))
-            return make_refusal(internal)
+            return self._refuse(request, internal)
         finally:
             self._entry.running_calls -= 1
 
+    def _refuse(self, request: web.Request, error: TroutstandError) -> web.Response:
+        """Refuse, or break off: amid a begun answer a refusal would be read as its body."""
+        if has_begun(request):
+            self._entry.events.emit(
+                "answer_broken_off",
+                request.get("request_id", ""),
+                error.code,
+                detail=error.detail,
+            )
+            break_off(request)
+            raise ConnectionResetError("the answer had begun")
+        return make_refusal(error, request.headers.get("Idempotency-Key", "")[:128])
+
     def _note_refusal(self, request: web.Request, error: TroutstandError) -> None:
         self._entry.events.emit(
             "refused",
