Add failing tests: what another target adds is not compared with what the caller has

An event stream on a repeatable route that cannot be resumed is sent again behind its beginning; a target that begins too early repeats events; a stream that ends by its connection within an event is ended as whole.

--- /dev/null
+++ b/troutstand/testing/oddstreams.py
@@ -0,0 +1,104 @@
+"""Answer with event streams that leave a caller with part of an answer."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from troutstand.testing.standins import make_event
+
+if TYPE_CHECKING:
+    from troutstand.testing.standins import Head
+
+EVENTS = 4
+# What stands behind the last whole event where a stream ends within the next one.
+PART = b"id: 9"
+_PAUSE_S = 0.9
+_PIECE_S = 0.03
+_EVENTS_TYPE = "text/event-stream"
+_CHUNKED = "Transfer-Encoding: chunked"
+
+
+class Oddity(Enum):
+    """Say what is odd about a site's event streams."""
+
+    CUT_ONCE = "break off once"
+    PAUSE = "pause for 0.9 s"
+    START_AGAIN = "begin from the first event when asked to go on"
+    NO_IDS = "number no events and break off once"
+    ENDS_WITHIN_EVENT = "end without a length within an event"
+    EMPTY_NEXT = "break off once and go on with 204 of the same type"
+    OTHER_CASE = "break off once and go on with the type in capitals"
+
+
+class OddStreams:
+    """Write the answers of a site's targets; the first of them differs from the others."""
+
+    def __init__(self, oddity: Oddity) -> None:
+        self._oddity = oddity
+        self._answers = 0
+
+    async def answer(self, target: str, head: Head, writer: asyncio.StreamWriter) -> bool:
+        """Write one answer."""
+        self._answers += 1
+        is_first = self._answers == 1
+        request = head.headers["x-request-id"]
+        events = self._make_events(request, head, is_first)
+        match self._oddity:
+            case Oddity.ENDS_WITHIN_EVENT:
+                self._write_head(writer, target, request, framing="")
+                writer.write(events[0] + PART)
+                await writer.drain()
+                return False
+            case Oddity.EMPTY_NEXT if not is_first:
+                self._write_head(writer, target, request, "204 No Content", framing="")
+                await writer.drain()
+                return True
+            case Oddity.OTHER_CASE if not is_first:
+                self._write_head(writer, target, request, kind="Text/Event-Stream")
+            case _:
+                self._write_head(writer, target, request)
+        await _write_chunk(writer, events[0])
+        if self._oddity is Oddity.PAUSE:
+            await asyncio.sleep(_PAUSE_S)
+        elif is_first:
+            await _write_chunk(writer, PART)
+            return False
+        await _write_chunk(writer, b"".join(events[1:]))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    def _make_events(self, request: str, head: Head, is_first: bool) -> list[bytes]:
+        resumed = int(head.headers.get("last-event-id") or 0)
+        after = 0 if self._oddity is Oddity.START_AGAIN else resumed
+        events = [make_event(request, number) for number in range(after + 1, EVENTS + 1)]
+        if self._oddity is Oddity.NO_IDS:
+            return [event.partition(b"\n")[2] for event in events]
+        return events
+
+    def _write_head(
+        self,
+        writer: asyncio.StreamWriter,
+        target: str,
+        request: str,
+        status: str = "200 OK",
+        kind: str = _EVENTS_TYPE,
+        framing: str = _CHUNKED,
+    ) -> None:
+        lines = [
+            f"HTTP/1.1 {status}",
+            f"X-Request-Id: {request}",
+            f"X-Answer-Seal: {target}",
+            f"Content-Type: {kind}",
+        ]
+        if framing:
+            lines.append(framing)
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+
+
+async def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+    await writer.drain()
+    await asyncio.sleep(_PIECE_S)
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -13,6 +13,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -88,6 +89,10 @@
     return Head(method, path, {key.strip().lower(): value.strip() for key, _, value in pairs})
 
 
+# Writes the answer of a target, named first, and tells whether its connection is kept.
+Answerer = Callable[[str, Head, asyncio.StreamWriter], Awaitable[bool]]
+
+
 @dataclass
 class StandInTarget:
     """Serve requests of one service on loopback, a few at a time."""
@@ -99,6 +104,7 @@
     events: int = 4
     fault: Fault = Fault.NONE
     continued: ContinuedAnswer | None = None
+    answerer: Answerer | None = None
     is_draining: bool = False
     address: str = ""
     runs: list[RunRecord] = field(default_factory=list)
@@ -216,6 +222,8 @@
         )
 
     async def _answer(self, head: Head, body: bytes, writer: asyncio.StreamWriter) -> bool:
+        if self.answerer is not None:
+            return await self.answerer(self.target, head, writer)
         request = head.headers.get("x-request-id", "")
         is_resumed = "last-event-id" in head.headers
         if self.continued is not None and is_resumed:
--- a/troutstand/tests/begun.feature
+++ b/troutstand/tests/begun.feature
@@ -30,6 +30,20 @@
       | /stream/resume/       | 200 with a text               |
       | /stream/resume/       | 204 without a body            |
 
+  # The same cause, without a second head: what another target adds was not compared with
+  # the events that the caller has.
+
+  Scenario Outline: Targets <oddity> on <route>
+    Given a routed site with odd targets, which <oddity>
+    When a stream of <route> is read to the end of its connection
+    Then no event came twice, and half an event is not followed by the end of the answer
+
+    Examples:
+      | oddity                                         | route           |
+      | break off once                                 | /get/           |
+      | begin from the first event when asked to go on | /stream/resume/ |
+      | end without a length within an event           | /stream/        |
+
   Scenario: A second answer is dropped and the first one broken off
     When a server that answers a request twice is called and read to the end of the connection
     Then the caller has read one head, only what the handler wrote, and no end of the answer
--- a/troutstand/tests/steps/begun.py
+++ b/troutstand/tests/steps/begun.py
@@ -16,6 +16,7 @@
 from troutstand.core.ids import ProcessId
 from troutstand.daemon.callers import Callers
 from troutstand.generated.routing import RoutingRole
+from troutstand.testing.oddstreams import PART, Oddity, OddStreams
 from troutstand.testing.rawcaller import RawAnswer, call_raw
 from troutstand.testing.routedsite import wait_until
 from troutstand.testing.standins import ContinuedAnswer, make_event
@@ -88,6 +89,27 @@
     scene.background.run(wait_until(is_told, "the stream's end is logged"))
 
 
+# What another target adds to a begun answer
+
+
+@given("a routed site with odd targets, which {oddity}")
+def open_odd(context: Context, oddity: str) -> None:
+    open_scene(context)
+    streams = OddStreams(Oddity(oddity))
+    for target in context.scene.targets:
+        target.answerer = streams.answer
+
+
+@then("no event came twice, and half an event is not followed by the end of the answer")
+def check_events(context: Context) -> None:
+    answer = context.answer
+    *events, rest = answer.body.split(b"\n\n")
+    assert not answer.error, answer
+    assert len(events) == len(set(events)), answer
+    assert not any(event.startswith(PART) for event in events), answer
+    assert not (rest and answer.is_complete), answer
+
+
 # Whoever writes a second answer
 
 
