Let another target add only what follows the events that the caller has

Cause: the mend asked whether a second target sends events, not whether they follow what the caller has. (1) An event stream on a repeatable route that cannot be resumed was sent again behind its beginning, by a pause of 0.9 s alone; the same with events without ids. (2) Nothing compared ids, so that a target that begins too early repeats events. (3) A stream that ends by its connection within an event was ended as whole. (4) A 204 of the events' type ended the stream. In an entry process an event behind the end mark, or a resumed one, was dropped and the answer called whole. Change: a begun answer goes on only behind an event with an id; events that are not behind the last one are dropped; an end within an event is a break; a continuation has the status and the type (compared without case) of the beginning; the entry process's end mark no longer swallows numbered events. Refusals that an entry process does not send are not logged as sent.

--- a/troutstand/core/answer.py
+++ b/troutstand/core/answer.py
@@ -65,6 +65,8 @@
         """Begin to read a resumed stream behind the events already taken."""
         self._rest = b""
         self._ahead.clear()
+        # A stream that ended with an event missing goes on behind its end.
+        self.is_done = False
 
     def feed(self, data: bytes) -> list[AnswerEvent]:
         """Take bytes and return the events that come next, in order.
@@ -90,9 +92,9 @@
             number = _parse_number(head)
         if not block.startswith(_DATA):
             return []
-        if number is None or not self.numbered:
-            return self._take_event(block)
-        return self._take_numbered(number, block)
+        if number is not None and self.numbered:
+            return self._take_numbered(number, block)
+        return [] if self.is_done else self._take_event(block)
 
     def _take_numbered(self, number: int, block: bytes) -> list[AnswerEvent]:
         if number <= self.last_number:
@@ -110,8 +112,6 @@
         return events
 
     def _take_event(self, block: bytes) -> list[AnswerEvent]:
-        if self.is_done:
-            return []
         if block == _DONE:
             self.is_done = True
             return []
--- a/troutstand/daemon/callers.py
+++ b/troutstand/daemon/callers.py
@@ -70,7 +70,6 @@
         try:
             return await handler(request)
         except TroutstandError as error:
-            self._note_refusal(request, error)
             return self._refuse(request, error)
         except web.HTTPException as error:
             return self._refuse(request, _translate_http(error))
@@ -92,8 +91,10 @@
                 error.code,
                 detail=error.detail,
             )
+            # The server library writes nothing to a connection that closes.
             break_off(request)
-            raise ConnectionResetError("the answer had begun")
+        else:
+            self._note_refusal(request, error)
         return make_refusal(error, request.headers.get("Idempotency-Key", "")[:128])
 
     def _note_refusal(self, request: web.Request, error: TroutstandError) -> None:
--- a/troutstand/routing/exchange.py
+++ b/troutstand/routing/exchange.py
@@ -62,6 +62,11 @@
         """Return the first value of a header."""
         return self.index.get(name)
 
+    @property
+    def has_body(self) -> bool:
+        """Tell whether a body may follow."""
+        return self.status not in _BODILESS
+
 
 class TargetConnection(asyncio.Protocol):
     """Hold one connection to a target, which carries one request at a time."""
@@ -247,6 +252,11 @@
                 self._wake.clear()
                 await self._wake.wait()
 
+    @property
+    def is_framed(self) -> bool:
+        """Tell whether the answer tells its own end, so that one cut short is noticed."""
+        return self._is_framed
+
     def can_be_kept(self) -> bool:
         """Tell whether another request may follow on this connection."""
         if self.is_closed or self._is_surplus or not self._is_whole or not self._is_framed:
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -22,7 +22,7 @@
 from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import Sender
 from troutstand.routing.targetlist import TargetList
-from troutstand.util.listening import MAX_HEADER_BYTES, listen, write_only_answer
+from troutstand.util.listening import MAX_HEADER_BYTES, listen, write_whole_answer
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
@@ -170,7 +170,7 @@
         if self.is_stopping:
             response.force_close()
         with contextlib.suppress(ConnectionError):
-            if not await write_only_answer(request, response):
+            if not await write_whole_answer(request, response):
                 self._note_second_answer(request, response)
 
     def _note_second_answer(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -18,7 +18,7 @@
 from troutstand.routing.exchange import ExchangeError
 from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import SendError, Sent, filter_headers
-from troutstand.routing.streams import EventSplitter
+from troutstand.routing.streams import EventEnd, EventSplitter
 
 if TYPE_CHECKING:
     from troutstand.routing.calls import Call
@@ -132,13 +132,13 @@
 
     async def _exchange(self, placed: Placed) -> tuple[web.StreamResponse, Ending]:
         sent = await self._send(placed)
-        if _is_stream(sent):
-            return await self._stream(sent)
-        if self._answer.has_begun:
+        if self._answer.has_begun and not self._continues(sent):
             # Passed on, this answer would stand with a head of its own amid the events that
             # the caller reads. The stream goes on at another target or is broken off.
             sent.connection.abort()
             raise SendError(Ending.failed, "no events that go on with a stream", sent.head.status)
+        if _is_stream(sent):
+            return await self._stream(sent)
         self._note_first(sent, sent.first_s)
         body = await self._gateway.sender.read_whole(sent)
         response = self._make_whole(sent, body)
@@ -149,8 +149,25 @@
             return self._finish(response, sent), Ending.failed
         return self._finish(response, sent), Ending.whole
 
+    def _continues(self, sent: Sent) -> bool:
+        """Tell whether an answer may follow what the caller has of the one that has begun."""
+        return _is_stream(sent) and sent.head.status == self._answer.response.status
+
     def _can_repeat_fault(self) -> bool:
-        return self._call.is_repeatable and self._arrivals + 1 < self._call.route.attempts
+        has_attempts = self._arrivals + 1 < self._call.route.attempts
+        return self._call.is_repeatable and has_attempts and self._can_go_on
+
+    @property
+    def _can_go_on(self) -> bool:
+        """Tell whether another target can add to what the caller has.
+
+        Once an answer has begun, only events behind one whose id is known can: all else
+        would come twice.
+        """
+        if not self._answer.has_begun:
+            return True
+        splitter = self._splitter
+        return splitter is not None and splitter.can_resume and bool(splitter.last_id)
 
     async def _send(self, placed: Placed) -> Sent:
         outgoing = self._outgoing
@@ -196,7 +213,7 @@
         )
 
     def _may_go_on(self, error: SendError) -> bool:
-        if self._answer.has_begun and not self._can_repeat:
+        if self._answer.has_begun and not (self._can_repeat and self._can_go_on):
             return False
         if not error.has_arrived:
             return self._unsent <= _MAX_UNSENT
@@ -216,11 +233,12 @@
     def _finish(self, response: web.StreamResponse, sent: Sent) -> web.StreamResponse:
         first_s = time.monotonic() - self._call.arrived_s
         self._gateway.metrics.first_s.labels(*self._labels()).observe(first_s)
-        self._emit("request_answered", ResultCode.OK, sent.head.status, target=sent.placed.target)
+        self._emit("request_answered", ResultCode.OK, response.status, target=sent.placed.target)
         return response
 
     async def _stream(self, sent: Sent) -> tuple[web.StreamResponse, Ending]:
         splitter = self._start_splitter()
+        end = EventEnd()
         began = False
         chunks = sent.connection.receive_chunks()
         try:
@@ -236,9 +254,12 @@
                     began = True
                     self._note_first(sent, time.monotonic() - sent.started_s)
                 self._produced += chunk.count(b"\n\n")
+                end.feed(chunk)
                 data = splitter.feed(chunk) if splitter else chunk
                 if data:
                     await self._write(sent, data)
+            if not sent.connection.is_framed and not end.is_between_events:
+                raise SendError(Ending.broken, "the connection ended within an event")
             if splitter:
                 rest = splitter.take_rest()
                 if rest:
@@ -361,5 +382,5 @@
 
 
 def _is_stream(sent: Sent) -> bool:
-    content_type = sent.head.get("content-type") or ""
-    return sent.is_success and content_type.startswith(_EVENT_STREAM)
+    content_type = (sent.head.get("content-type") or "").lower()
+    return sent.is_success and sent.head.has_body and content_type.startswith(_EVENT_STREAM)
--- a/troutstand/routing/streams.py
+++ b/troutstand/routing/streams.py
@@ -6,11 +6,17 @@
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_DATA = re.compile(rb"^data", re.MULTILINE)
+# The longest blank line that ends an event.
+_TAIL_BYTES = 4
 
 
 class EventSplitter:
     """Hold back an event until it is whole, and remember the last id passed on.
 
+    Whoever goes on with a stream may begin too early; without dropping what was passed
+    on already, its caller reads those events twice.
+
     Parameters
     ----------
     last_id
@@ -19,19 +25,34 @@
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
+        # Whether the stream can go on behind the last event: that one has told its id.
+        self.can_resume = True
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes and return the whole events among them and those before."""
+        """Take bytes and return the whole events among them that were not passed on yet."""
         self._rest += data
-        end = 0
+        events: list[bytes] = []
+        start = 0
         for match in _BOUNDARY.finditer(self._rest):
-            end = match.end()
-        whole, self._rest = self._rest[:end], self._rest[end:]
-        ids = _ID.findall(whole)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1").strip()
-        return whole
+            event, start = self._rest[start : match.end()], match.end()
+            if self._take(event):
+                events.append(event)
+        self._rest = self._rest[start:]
+        return b"".join(events)
+
+    def _take(self, event: bytes) -> bool:
+        """Note an event that is passed on; tell whether it comes for the first time."""
+        found = _ID.search(event)
+        if found is None:
+            if _DATA.search(event):
+                self.can_resume = False
+            return True
+        event_id = found[1].decode("latin-1").strip()
+        if _is_behind(event_id, self.last_id):
+            self.last_id = event_id
+            return True
+        return False
 
     def drop_partial(self) -> None:
         """Forget an event that broke off."""
@@ -41,3 +62,26 @@
         """Return what stands behind the last whole event."""
         rest, self._rest = self._rest, b""
         return rest
+
+
+def _is_behind(event_id: str, last_id: str) -> bool:
+    """Tell whether an event follows another; ids that are no numbers are taken to."""
+    if event_id.isdecimal() and last_id.isdecimal():
+        return int(event_id) > int(last_id)
+    return True
+
+
+class EventEnd:
+    """Tell whether a stream stands between two events."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def feed(self, data: bytes) -> None:
+        """Take a piece of the stream."""
+        self._tail = (self._tail + data)[-_TAIL_BYTES:]
+
+    @property
+    def is_between_events(self) -> bool:
+        """Tell whether nothing came behind the last whole event."""
+        return not self._tail or self._tail.endswith((b"\n\n", b"\r\n\r\n"))
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -116,10 +116,13 @@
     _busy: asyncio.Semaphore = field(init=False)
     _waiting: int = 0
     _random: random.Random = field(init=False)
+    # Apart, so that which answers break off does not hang on who goes on with them.
+    _resumed_random: random.Random = field(init=False)
 
     def __post_init__(self) -> None:
         self._busy = asyncio.Semaphore(self.slots)
         self._random = random.Random(self.seed)
+        self._resumed_random = random.Random(self.seed)
 
     async def start(self, ip: str = "127.0.0.1") -> None:
         """Listen, at the address used before if there is one."""
@@ -230,7 +233,7 @@
             return await self._answer_continued(request, self.continued, writer)
         is_cut_once = self.continued is not None
         cuts = is_cut_once or (self.fault is Fault.CUT_ANSWERS and self._random.random() < 0.5)
-        if cuts and is_resumed and self._random.random() < 0.5:
+        if cuts and is_resumed and self._resumed_random.random() < 0.5:
             return await self._answer_continued(request, _FAILED, writer)
         fails = self.fault is Fault.ERRORS and self._random.random() < 0.5
         status = "500 Fault" if fails else "200 OK"
--- a/troutstand/tests/answer.feature
+++ b/troutstand/tests/answer.feature
@@ -14,6 +14,8 @@
       | one byte at a time         |
       | cut off and resumed        |
       | resumed from too early     |
+      | with event 3 behind the end mark |
+      | cut off in a gap behind the end mark |
 
   Scenario: An event of another answer is refused
     Given an answer of 12 numbered events
--- a/troutstand/tests/begun.feature
+++ b/troutstand/tests/begun.feature
@@ -43,6 +43,20 @@
       | break off once                                 | /get/           |
       | begin from the first event when asked to go on | /stream/resume/ |
       | end without a length within an event           | /stream/        |
+      | end without a length within an event           | /stream/resume/ |
+      | pause for 0.9 s                                | /get/           |
+      | number no events and break off once            | /stream/resume/ |
+
+  Scenario Outline: Targets <oddity>, and the caller gets <what>
+    Given a routed site with odd targets, which <oddity>
+    When a stream of /stream/resume/ is read to the end of its connection
+    Then the caller has read one head and <what>
+
+    Examples:
+      | oddity                                             | what                              |
+      | begin from the first event when asked to go on     | every event and the end           |
+      | break off once and go on with 204 of the same type | the first event and no end        |
+      | break off once and go on with the type in capitals | every event and the end           |
 
   Scenario: A second answer is dropped and the first one broken off
     When a server that answers a request twice is called and read to the end of the connection
--- a/troutstand/tests/steps/answer.py
+++ b/troutstand/tests/steps/answer.py
@@ -91,6 +91,20 @@
     feed(context, *context.events[2:], _DONE)
 
 
+@when("its events come with event {number:d} behind the end mark")
+def feed_behind_end(context: Context, number: int) -> None:
+    missing = context.events.pop(number)
+    feed(context, *context.events, _DONE, missing)
+
+
+@when("its events come cut off in a gap behind the end mark")
+def feed_gap_resumed(context: Context) -> None:
+    feed(context, *context.events[:3], *context.events[4:], _DONE)
+    assert not context.stream.is_whole
+    context.stream.restart()
+    feed(context, *context.events[3:], _DONE)
+
+
 @when("event {number:d} carries another id")
 def feed_foreign(context: Context, number: int) -> None:
     context.events[number] = make_event(number, "chatcmpl-r2")
--- a/troutstand/tests/steps/begun.py
+++ b/troutstand/tests/steps/begun.py
@@ -16,13 +16,13 @@
 from troutstand.core.ids import ProcessId
 from troutstand.daemon.callers import Callers
 from troutstand.generated.routing import RoutingRole
-from troutstand.testing.oddstreams import PART, Oddity, OddStreams
+from troutstand.testing.oddstreams import EVENTS, PART, Oddity, OddStreams
 from troutstand.testing.rawcaller import RawAnswer, call_raw
 from troutstand.testing.routedsite import wait_until
 from troutstand.testing.standins import ContinuedAnswer, make_event
 from troutstand.tests.steps.routed import open_scene
 from troutstand.util.events import EventBus
-from troutstand.util.listening import write_only_answer
+from troutstand.util.listening import write_whole_answer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -110,6 +110,21 @@
     assert not (rest and answer.is_complete), answer
 
 
+@then("the caller has read one head and every event and the end")
+def check_whole(context: Context) -> None:
+    answer = context.answer
+    events = b"".join(make_event(_REQUEST, number) for number in range(1, EVENTS + 1))
+    assert not answer.error, answer
+    assert (answer.heads, answer.status) == (1, 200), answer
+    assert answer.body == events, answer
+    assert answer.is_complete, answer
+
+
+@then("the caller has read one head and the first event and no end")
+def check_first(context: Context) -> None:
+    _check_cut(context.answer, make_event(_REQUEST, 1))
+
+
 # Whoever writes a second answer
 
 
@@ -118,7 +133,7 @@
     await first.prepare(request)
     await first.write(_WRITTEN)
     second = web.Response(status=500, text="broken")
-    assert not await write_only_answer(request, second)
+    assert not await write_whole_answer(request, second)
     return second
 
 
--- a/troutstand/util/listening.py
+++ b/troutstand/util/listening.py
@@ -67,7 +67,7 @@
         request.transport.close()
 
 
-async def write_only_answer(request: web.BaseRequest, response: web.StreamResponse) -> bool:
+async def write_whole_answer(request: web.BaseRequest, response: web.StreamResponse) -> bool:
     """Write a whole answer; where another has begun, break that off and return False.
 
     A head amid a body that has begun is read as a part of that body.
