Make keeper sets in one module for both kinds of sites

name_keepers, form_set and replace_member go from daemon/membership.py to core/succession.py; promote_member was the same as promote there.

For a process that is no member promote_member raised StopIteration and promote returns the set with the next epoch; its one caller looks the member up right before, without a wait between.

--- a/troutstand/core/succession.py
+++ b/troutstand/core/succession.py
@@ -1,4 +1,4 @@
-"""Decide when the keeper set takes in a new disk, and in whose place.
+"""Make the keeper sets, and decide when one takes in a new disk and in whose place.
 
 A set holds `2 * losses + 1` members, so that as many disks may be lost at
 once. A member gives its place up when its process reports another disk, or
@@ -11,11 +11,14 @@
 
 from typing import TYPE_CHECKING
 
+from troutstand.core.codes import ResultCode
+from troutstand.core.errors import TroutstandError
+from troutstand.core.ids import RegisterName
 from troutstand.generated.messages import KeeperSet, Member, MemberState
 
 if TYPE_CHECKING:
     from troutstand.core.contacts import ContactBook
-    from troutstand.generated.messages import Contact
+    from troutstand.generated.messages import Contact, KeepersReply
 
 GONE_S = 2.5
 FRESH_S = 1.0
@@ -24,12 +27,36 @@
 KEEPER_ROLE = "keeper"
 
 
+def name_keepers(epoch: int) -> RegisterName:
+    """Name the register that holds the keeper set of an epoch."""
+    return RegisterName(f"keepers/{epoch}")
+
+
 def form_first_set(processes: list[str]) -> KeeperSet:
     """Make the set that all seeds agree on without a word at the first start."""
     members = [Member(p, FIRST_DISK, MemberState.voting) for p in sorted(set(processes))]
     return KeeperSet(FIRST_EPOCH, members)
 
 
+def form_set(replies: list[KeepersReply]) -> KeeperSet:
+    """Make the first keeper set.
+
+    Raises
+    ------
+    TroutstandError
+        KEEPER_CHANGE_REFUSED where a keeper belongs to a set already.
+    """
+    formed = [reply for reply in replies if reply.keepers is not None]
+    if formed:
+        raise TroutstandError(
+            ResultCode.KEEPER_CHANGE_REFUSED,
+            f"{formed[0].process} belongs to a keeper set already; replace it instead",
+        )
+    ordered = sorted(replies, key=lambda reply: reply.process)
+    members = [Member(r.process, r.disk_id, MemberState.voting) for r in ordered]
+    return KeeperSet(FIRST_EPOCH, members)
+
+
 def count_needed(keepers: KeeperSet) -> int:
     """Return how many voters a copying disk must read before it votes.
 
@@ -81,6 +108,25 @@
     return None
 
 
+def replace_member(keepers: KeeperSet, process: str, disk_id: str) -> KeeperSet:
+    """Make the set in which a new disk copies in a lost one's place.
+
+    Raises
+    ------
+    TroutstandError
+        KEEPER_CHANGE_REFUSED for an unknown keeper or the disk that votes now.
+    """
+    held = [m for m in keepers.members if m.process == process]
+    if not held or held[0].disk_id == disk_id:
+        raise TroutstandError(
+            ResultCode.KEEPER_CHANGE_REFUSED,
+            f"{process} with disk {disk_id} is no replacement in epoch {keepers.epoch}",
+        )
+    joining = Member(process, disk_id, MemberState.copying)
+    members = [joining if m.process == process else m for m in keepers.members]
+    return KeeperSet(keepers.epoch + 1, members)
+
+
 def promote(keepers: KeeperSet, process: str) -> KeeperSet:
     """Make the set in which a complete copy votes."""
     members = [
--- a/troutstand/daemon/membership.py
+++ b/troutstand/daemon/membership.py
@@ -16,7 +16,7 @@
 from troutstand.core.codec import decode_record, encode_record
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
-from troutstand.core.ids import ProcessId, RegisterName
+from troutstand.core.succession import form_set, name_keepers, promote, replace_member
 from troutstand.generated.messages import (
     Acknowledged,
     CopyAsk,
@@ -25,72 +25,19 @@
     KeeperSet,
     KeepersInstall,
     KeepersReply,
-    Member,
     MemberState,
     PeerMessage,
     Refused,
 )
 
 if TYPE_CHECKING:
+    from troutstand.core.ids import ProcessId
     from troutstand.core.stored import StoredRecord
     from troutstand.daemon.keeper import KeeperProcess
 
-_FIRST_EPOCH = 1
 _ASK_S = 5.0
 
 
-def name_keepers(epoch: int) -> RegisterName:
-    """Name the register that holds the keeper set of an epoch."""
-    return RegisterName(f"keepers/{epoch}")
-
-
-def form_set(replies: list[KeepersReply]) -> KeeperSet:
-    """Make the first keeper set.
-
-    Raises
-    ------
-    TroutstandError
-        KEEPER_CHANGE_REFUSED where a keeper belongs to a set already.
-    """
-    formed = [reply for reply in replies if reply.keepers is not None]
-    if formed:
-        raise TroutstandError(
-            ResultCode.KEEPER_CHANGE_REFUSED,
-            f"{formed[0].process} belongs to a keeper set already; replace it instead",
-        )
-    ordered = sorted(replies, key=lambda reply: reply.process)
-    members = [Member(r.process, r.disk_id, MemberState.voting) for r in ordered]
-    return KeeperSet(_FIRST_EPOCH, members)
-
-
-def replace_member(keepers: KeeperSet, process: str, disk_id: str) -> KeeperSet:
-    """Make the set in which a new disk copies in a lost one's place.
-
-    Raises
-    ------
-    TroutstandError
-        KEEPER_CHANGE_REFUSED for an unknown keeper or the disk that votes now.
-    """
-    held = [m for m in keepers.members if m.process == process]
-    if not held or held[0].disk_id == disk_id:
-        raise TroutstandError(
-            ResultCode.KEEPER_CHANGE_REFUSED,
-            f"{process} with disk {disk_id} is no replacement in epoch {keepers.epoch}",
-        )
-    return _with_member(keepers, Member(process, disk_id, MemberState.copying))
-
-
-def promote_member(keepers: KeeperSet, process: str) -> KeeperSet:
-    """Make the set in which a complete copy votes."""
-    held = next(m for m in keepers.members if m.process == process)
-    return _with_member(keepers, Member(process, held.disk_id, MemberState.voting))
-
-
-def _with_member(keepers: KeeperSet, member: Member) -> KeeperSet:
-    members = [member if m.process == member.process else m for m in keepers.members]
-    return KeeperSet(keepers.epoch + 1, members)
-
-
 class Membership:
     """Change the keeper set from one keeper process."""
 
@@ -185,7 +132,7 @@
         keepers = self._require_set()
         for voter in sorted(list_voters(keepers)):
             await self._copy_from(voter, keepers.epoch)
-        promoted = await self._decide(promote_member(keepers, self._keeper.node.process))
+        promoted = await self._decide(promote(keepers, self._keeper.node.process))
         await self._install_everywhere(promoted, frozenset({self._keeper.node.process}))
         self._keeper.node.events.emit("keeper_joined", epoch=promoted.epoch)
 
--- a/troutstand/routing/replacement.py
+++ b/troutstand/routing/replacement.py
@@ -13,8 +13,13 @@
 from troutstand.core.acceptor import list_voters
 from troutstand.core.codec import decode_record, encode_record
 from troutstand.core.errors import TroutstandError
-from troutstand.core.succession import FRESH_S, count_needed, plan_change, promote
-from troutstand.daemon.membership import name_keepers
+from troutstand.core.succession import (
+    FRESH_S,
+    count_needed,
+    name_keepers,
+    plan_change,
+    promote,
+)
 from troutstand.generated.messages import (
     CopyAsk,
     CopyPage,
