Add failing tests: what a stopping gateway cuts is logged as left by its caller

A request that still ran at the end of a stop is logged as request_left, and explain says that its caller closed the connection.

--- a/troutstand/tests/routed.feature
+++ b/troutstand/tests/routed.feature
@@ -34,6 +34,11 @@
     Then every call that it took was answered whole
     And the gateway ended by itself with 0
 
+  Scenario: What a stopping gateway cuts is not logged as left by its caller
+    Given a routed site whose targets work for 5 s
+    When a gateway is told to stop while it answers a call
+    Then its log tells of the call as cut, not as left
+
   Scenario: A configuration is in force everywhere, and two contents never share a number
     Given a routed site
     When two operators send different contents under version 7 at once
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -220,6 +220,34 @@
     assert child.returncode == code, child.returncode
 
 
+async def _stop_busy(scene: Scene) -> str:
+    """Stop a gateway amid a call, and return the call's id."""
+    gateway = scene.site.processes["gateway-1"]
+    call = asyncio.create_task(scene.caller.call(gateway, "/do/", b"x"))
+
+    async def is_running() -> bool:
+        return any(target.runs for target in scene.targets)
+
+    await wait_until(is_running, "the call runs")
+    scene.site.send_signal(gateway.name, signal.SIGTERM)
+    result = await call
+    await wait_until(lambda: _is_gone(scene.site, gateway.name), "the gateway ended")
+    return result.request
+
+
+@when("a gateway is told to stop while it answers a call")
+def stop_busy(context: Context) -> None:
+    context.request = context.scene.background.run(_stop_busy(context.scene))
+
+
+@then("its log tells of the call as cut, not as left")
+def check_cut_logged(context: Context) -> None:
+    log = context.scene.site.processes["gateway-1"].log.read_text()
+    lines = [line for line in log.splitlines() if f"request={context.request} " in line]
+    assert any("event=request_cut" in line for line in lines), lines
+    assert not any("event=request_left" in line for line in lines), lines
+
+
 # Streams
 
 
--- a/troutstand/tests/steps/walk.py
+++ b/troutstand/tests/steps/walk.py
@@ -66,6 +66,10 @@
         f"at=4.0 {_SCHEDULER} event=request_placed request=r1 target=t1 waited_ms=0 expected_ms=9",
         f"at=5.1 {_GATEWAY} event=request_answered request=r1 status=500 total_ms=20 version=6",
     ],
+    "a stop amid its answer": [
+        f"at=4.0 {_GATEWAY} event=stop_started open=1",
+        f"at=5.0 {_GATEWAY} event=request_cut request=r1 code=3006 status=0",
+    ],
     "no end": [f"at=4.0 {_GATEWAY} event=attempt_failed request=r1 target=t1 ending=broken"],
 }
 
--- a/troutstand/tests/walk.feature
+++ b/troutstand/tests/walk.feature
@@ -17,6 +17,7 @@
       | a long pause           | longest pause between events was 340 ms | version=6                 |
       | a limit that is reached| its workspace was at its limit       | event=scheduler_changed      |
       | an answer without a byte| never come from this try            | event=configuration_in_force |
+      | a stop amid its answer | its gateway was told to stop         | event=stop_started           |
       | no end                 | no end was logged                    | event=configuration_in_force |
 
   Scenario: An id that no line names
