Log what the end of a planned stop cuts as cut, not as left by its caller

Cause: the server library cancels a request's handler alike when its caller leaves and at the end of a stop; both were logged as request_left, and explain named the caller. Change: the gateway notes when its stop has come to its end; request_cut from then on.

--- a/troutstand/control/walk.py
+++ b/troutstand/control/walk.py
@@ -18,7 +18,7 @@
     "keepers_lost",
     "keepers_regained",
 )
-_ENDS = ("request_answered", "request_refused", "stream_broken_off", "request_left")
+_ENDS = ("request_answered", "request_refused", "stream_broken_off", "request_left", "request_cut")
 _OVERLOAD = "3001"
 _LATE_CODES = ("3002", "5005")
 _LIMIT = "3003"
@@ -76,6 +76,8 @@
             return _explain_break(lines, steps, end)
         case "request_left":
             return "the caller closed its connection before the answer was whole"
+        case "request_cut":
+            return "its gateway was told to stop and ended before the answer was whole"
         case _:
             return _explain_answer(beliefs, steps, end)
 
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -60,6 +60,8 @@
         self.sender = Sender(self.pool, dialect.headers)
         self._busy: set[web.RequestHandler] = set()
         self.is_stopping = False
+        # Whether a planned stop has come to its end: what is still open is cut now.
+        self.is_cutting = False
         self._runners: list[web.BaseRunner] = []
         self._site: web.TCPSite | None = None
         self._server: web.Server | None = None
@@ -132,6 +134,7 @@
             await self._site.stop()
         await self._wait_quiet(started_s + _END_SHARE * self.settings.stop_s)
         self.node.events.emit("stop_ended", left=self.open_requests)
+        self.is_cutting = True
         for runner in self._runners:
             with contextlib.suppress(Exception):
                 await runner.cleanup()
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -73,10 +73,17 @@
         except TimeoutError:
             response = self._refuse_late()
         except asyncio.CancelledError:
-            self._emit("request_left", ResultCode.OK, 0)
+            self._note_cancelled()
             raise
         return response
 
+    def _note_cancelled(self) -> None:
+        """Log who ended the request: its caller, or the end of a planned stop."""
+        if self._gateway.is_cutting:
+            self._emit("request_cut", ResultCode.DRAINING, 0)
+        else:
+            self._emit("request_left", ResultCode.OK, 0)
+
     # Attempts
 
     async def _attempt_all(self) -> web.StreamResponse:
