Add failing tests: addresses of a routed process are not checked

Cause: the settings of a routed process are held against the schema only, which takes any text for an address.

--- a/troutstand/tests/startup.feature
+++ b/troutstand/tests/startup.feature
@@ -35,3 +35,33 @@
     Given the settings of an entry process with no fault
     When troutstandd checks them
     Then it exits with 0 and prints 0 and "in order"
+
+  Scenario Outline: A routed <role> whose <field> is <value> is told so
+    Given the settings of a routed <role> whose <field> is <value>
+    When troutstandd checks them
+    Then it exits with 10 and prints 1002 and "<field> '<value>'"
+    And it prints 1002 and "<accepted>"
+
+    Examples: bad addresses
+      | role    | field   | value               | accepted  |
+      | gateway | callers | 127.127.81.1.4:7700 | [IP]:PORT |
+
+  Scenario: A routed process that starts with a wrong address opens no port
+    Given the settings of a routed gateway whose callers is 127.127.81.1.4:7700
+    When troutstandd starts with them
+    Then it exits with 10 and prints 1002 and "callers '127.127.81.1.4:7700'"
+    And it has logged nothing
+
+  Scenario: Every fault of a routed process is told at once
+    Given the settings of a routed gateway with
+      | field       | value               |
+      | callers     | 127.127.81.1.4:7700 |
+      | readiness   |                     |
+      | target_list | 127.0.0.1           |
+      | seeds       | keeper.example:7702 |
+    When troutstandd starts with them
+    Then it exits with 10 and prints 1004 and "readiness"
+    And it prints 1002 and "callers '127.127.81.1.4:7700'"
+    And it prints 1002 and "target_list '127.0.0.1'"
+    And it prints 1002 and "seeds[1] 'keeper.example:7702'"
+    And it has logged nothing
--- a/troutstand/tests/steps/startup.py
+++ b/troutstand/tests/steps/startup.py
@@ -67,7 +67,9 @@
 
 def run_daemon(context: Context, *flags: str) -> None:
     """Run the daemon to its end."""
-    command = [sys.executable, "-m", "troutstand.daemon.main", str(context.settings), *flags]
+    routed = ["--routed"] if "is_routed" in context else []
+    program = [sys.executable, "-m", "troutstand.daemon.main", str(context.settings)]
+    command = [*program, *routed, *flags]
     context.ended = subprocess.run(command, capture_output=True, text=True, timeout=_HANG_S)
     context.printed = context.ended.stdout + context.ended.stderr
 
