Check the addresses of a routed process's settings before any port opens

Cause: the settings of a routed process were held against the schema only, which takes any text for an address. The process began and ended with 1007 at the first port, or, with a bad seed or a missing port, with a traceback. Change: routing/startup.py reads and checks the settings as daemon/startup.py does: callers, readiness, control, target_list, seeds, ip and bind_ip (1002), and each field that the role lacks (1004), one error for each, all at once. A running process logs all faults of a changed file in one line and goes on. An IPv6 number in brackets was accepted but could not be opened; its brackets are taken off now. run_process leaves with its exit code after `except*`, since an exit within it would be wrapped in a group. control stays optional for a keeper, as docs/SETTINGS.md says. Tests: further rows. The filled template of the platform now passes the check as well.

--- a/troutstand/daemon/main.py
+++ b/troutstand/daemon/main.py
@@ -82,16 +82,19 @@
 def start_routed(settings: Path, check: bool) -> None:
     """Run, or only check the settings of, a process of a routed site."""
     from troutstand.routing.dialect import Dialect
-    from troutstand.routing.main import load_routing_settings, run_process
+    from troutstand.routing.main import run_process
+    from troutstand.routing.startup import load_routing_settings
 
     if not check:
         run_process(settings, Dialect())
         return
+    exit_code = 0
     try:
         load_routing_settings(settings)
-    except TroutstandError as error:
-        sys.exit(_report(error))
-    print(f"{settings.name}: in order")
+        print(f"{settings.name}: in order")
+    except* TroutstandError as group:
+        exit_code = _report(group)
+    sys.exit(exit_code)
 
 
 @app.default
--- a/troutstand/routing/main.py
+++ b/troutstand/routing/main.py
@@ -8,15 +8,15 @@
 import sys
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from troutstand.core.codes import ResultCode, describe_code
+from troutstand.core.codes import describe_code
 from troutstand.core.errors import TroutstandError, flatten_group
-from troutstand.generated.routing import RoutingRole, RoutingSettings
+from troutstand.generated.routing import RoutingRole
+from troutstand.routing.startup import load_routing_settings
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.dialect import Dialect
     from troutstand.routing.gateway import Gateway
     from troutstand.routing.keeper import RoutingKeeper
@@ -27,32 +27,18 @@
 # Requests make few cycles; looking for them after every 700 allocations, the
 # default, costs more than it frees.
 _GC_ALLOCATIONS = 50_000
-_NEEDED = {
-    RoutingRole.gateway: ("callers", "readiness", "target_list"),
-    RoutingRole.scheduler: ("target_list",),
-    RoutingRole.keeper: ("data_folder",),
-}
 
 
-def load_routing_settings(path: Path) -> RoutingSettings:
-    """Read and check a settings file.
+def _list_errors(error: BaseException) -> list[TroutstandError]:
+    return [single for single in flatten_group(error) if isinstance(single, TroutstandError)]
 
-    Raises
-    ------
-    TroutstandError
-        SETTINGS_UNREADABLE, SETTINGS_INVALID or SETTINGS_ROLE.
-    """
-    try:
-        settings = msgspec.json.decode(path.read_bytes(), type=RoutingSettings)
-    except msgspec.ValidationError as error:
-        raise TroutstandError(ResultCode.SETTINGS_INVALID, str(error)) from error
-    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise TroutstandError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
-    missing = [name for name in _NEEDED[settings.role] if not getattr(settings, name)]
-    if missing:
-        detail = f"role {settings.role.value} needs {', '.join(missing)}"
-        raise TroutstandError(ResultCode.SETTINGS_ROLE, detail)
-    return settings
+
+def _report_errors(error: BaseException) -> int:
+    """Print every single error and return the exit code."""
+    errors = _list_errors(error)
+    for single in errors:
+        print(f"troutstandd: {single}", file=sys.stderr)
+    return describe_code(errors[0].code).exit_code
 
 
 def make_process(settings: RoutingSettings, dialect: Dialect) -> Process:
@@ -87,13 +73,21 @@
     await process.stop()
 
 
-def _reload(process: Process, path: Path) -> None:
-    """Take what may change while running: the seeds."""
+def _read_again(process: Process, path: Path) -> RoutingSettings:
+    """Return the settings as they stand now, or those in use where they are wrong."""
+    settings = process.node.settings
     try:
         settings = load_routing_settings(path)
-    except TroutstandError as error:
-        process.node.events.emit("settings_refused", code=error.code, detail=error.detail)
-        return
+    except* TroutstandError as group:
+        errors = _list_errors(group)
+        detail = "; ".join(error.detail for error in errors)
+        process.node.events.emit("settings_refused", code=errors[0].code, detail=detail)
+    return settings
+
+
+def _reload(process: Process, path: Path) -> None:
+    """Take what may change while running: the seeds."""
+    settings = _read_again(process, path)
     if settings == process.node.settings:
         return
     process.node.settings = settings
@@ -112,6 +106,7 @@
 
 def run_process(path: Path, dialect: Dialect) -> None:
     """Run the process that a settings file describes, and exit."""
+    exit_code = 0
     # What is loaded at the start stays, so that looking for cycles in it is in vain.
     gc.disable()
     try:
@@ -120,7 +115,6 @@
         gc.enable()
         asyncio.run(_run(process, path))
     except* TroutstandError as group:
-        errors = [e for e in flatten_group(group) if isinstance(e, TroutstandError)]
-        for error in errors:
-            print(f"troutstandd: {error}", file=sys.stderr)
-        sys.exit(describe_code(errors[0].code).exit_code)
+        exit_code = _report_errors(group)
+    if exit_code:
+        sys.exit(exit_code)
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -42,9 +42,9 @@
 
 
 def parse_address(text: str) -> Address:
-    """Split IP:PORT."""
+    """Split IP:PORT; an IPv6 number may stand in brackets."""
     ip, _, port = text.rpartition(":")
-    return Address(ip, int(port))
+    return Address(ip.removeprefix("[").removesuffix("]"), int(port))
 
 
 def name_routing_process(role: RoutingRole, ip: str, first_port: int) -> ProcessId:
--- a/troutstand/tests/startup.feature
+++ b/troutstand/tests/startup.feature
@@ -43,8 +43,52 @@
     And it prints 1002 and "<accepted>"
 
     Examples: bad addresses
-      | role    | field   | value               | accepted  |
-      | gateway | callers | 127.127.81.1.4:7700 | [IP]:PORT |
+      | role      | field       | value               | accepted        |
+      | gateway   | callers     | 127.127.81.1.4:7700 | [IP]:PORT       |
+      | gateway   | callers     | edge.example:7700   | [IP]:PORT       |
+      | gateway   | callers     | ::1:7700            | [IP]:PORT       |
+      | gateway   | callers     | [127.0.0.1]:7700    | [IP]:PORT       |
+      | gateway   | callers     | [::1]               | [IP]:PORT       |
+      | gateway   | callers     | :7700               | [IP]:PORT       |
+      | gateway   | readiness   | 127.0.0.1           | from 1 to 65535 |
+      | gateway   | readiness   | 127.0.0.1:          | from 1 to 65535 |
+      | gateway   | readiness   | 127.0.0.1:0         | from 1 to 65535 |
+      | gateway   | readiness   | 127.0.0.1:65536     | from 1 to 65535 |
+      | gateway   | readiness   | 127.0.0.1:+770      | from 1 to 65535 |
+      | keeper    | control     | 127.0.0.1.1:7702    | [IP]:PORT       |
+      | scheduler | target_list | targets.example:80  | [IP]:PORT       |
+      | keeper    | seeds[1]    | 127.0.0.300:7702    | [IP]:PORT       |
+      | keeper    | ip          | 127.127.81.1.4      | IPv4 or IPv6    |
+      | scheduler | ip          | core.example        | IPv4 or IPv6    |
+      | scheduler | ip          | 127.0.0.1:7600      | IPv4 or IPv6    |
+      | gateway   | bind_ip     | [::1]               | IPv4 or IPv6    |
+
+  Scenario Outline: A routed <role> without <field> is told so
+    Given the settings of a routed <role> without <field>
+    When troutstandd checks them
+    Then it exits with 10 and prints 1004 and "<field> is needed for role <role>"
+
+    Examples: needed fields
+      | role      | field       |
+      | gateway   | callers     |
+      | gateway   | readiness   |
+      | gateway   | target_list |
+      | scheduler | target_list |
+      | keeper    | data_folder |
+
+  Scenario Outline: A routed <role> whose <field> is <value> is in order
+    Given the settings of a routed <role> whose <field> is <value>
+    When troutstandd checks them
+    Then it exits with 0 and prints 0 and "in order"
+
+    Examples: good addresses
+      | role      | field       | value              |
+      | gateway   | callers     | 0.0.0.0:65535      |
+      | gateway   | readiness   | [::1]:7701         |
+      | keeper    | control     | 127.0.0.1:1        |
+      | scheduler | target_list | [fd00::2]:80       |
+      | keeper    | seeds[1]    | [::1]:7702         |
+      | scheduler | bind_ip     | ::1                |
 
   Scenario: A routed process that starts with a wrong address opens no port
     Given the settings of a routed gateway whose callers is 127.127.81.1.4:7700
@@ -65,3 +109,9 @@
     And it prints 1002 and "target_list '127.0.0.1'"
     And it prints 1002 and "seeds[1] 'keeper.example:7702'"
     And it has logged nothing
+
+  Scenario: A running routed process refuses wrong settings and goes on
+    Given a routed gateway that runs
+    When its settings get a bad seed and a bad target list
+    Then it logs settings_refused with 1002 and both fields
+    And it runs still
--- a/troutstand/tests/steps/platform.py
+++ b/troutstand/tests/steps/platform.py
@@ -17,6 +17,7 @@
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import ListedState
 from troutstand.generated.routing import RoutingRole, RoutingSettings
+from troutstand.routing.startup import check_routing_settings
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -267,6 +268,7 @@
     for role, own in _OF_ROLE.items():
         text = _fill(_TEMPLATE.read_text(), {**_FIELDS, **own, "role": role.value})
         settings = msgspec.json.decode(text.encode(), type=RoutingSettings)
+        check_routing_settings(settings)
         assert settings.role is role
         assert settings.retry_extra == 52
         assert settings.first_start is True
--- a/troutstand/tests/steps/routedstartup.py
+++ b/troutstand/tests/steps/routedstartup.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from behave import given, then
+from behave import given, then, when
 
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.routedsite import RoutedPlan, RoutedSite
@@ -17,15 +18,24 @@
     from behave.runner import Context
 
 
-def make_settings(context: Context, role: str) -> dict[str, Any]:
-    """Make settings in order."""
+_LOG_S = 30.0
+_POLL_S = 0.05
+
+
+def lay_out(context: Context) -> RoutedSite:
+    """Lay out a site without starting it."""
     targets = StandInList([])
     targets.address = "127.0.0.1:80"
     plan = RoutedPlan(subnet=next_subnet(context))
     site = RoutedSite(make_folder(context), plan, targets)
     site.lay_out()
-    settings = site.list_role(RoutingRole(role))[0].settings
-    plain = msgspec.to_builtins(settings)
+    return site
+
+
+def make_settings(context: Context, role: str) -> dict[str, Any]:
+    """Make settings in order."""
+    process = lay_out(context).list_role(RoutingRole(role))[0]
+    plain = msgspec.to_builtins(process.settings)
     plain["seeds"] = plain["seeds"][:1]
     return plain
 
@@ -60,6 +70,54 @@
     write_settings(context, plain)
 
 
+@given("the settings of a routed {role} without {field}")
+def make_short(context: Context, role: str, field: str) -> None:
+    plain = make_settings(context, role)
+    del plain[field]
+    write_settings(context, plain)
+
+
+@given("a routed gateway that runs")
+def run_gateway(context: Context) -> None:
+    site = lay_out(context)
+    context.sites.append(site)
+    context.process = site.list_role(RoutingRole.gateway)[0]
+    site.start(context.process.name)
+    wait_logged(context, "event=process_started")
+
+
+def wait_logged(context: Context, text: str) -> str:
+    """Return the first line of the process's log that holds a text."""
+    end_s = time.monotonic() + _LOG_S
+    while time.monotonic() < end_s:
+        for line in context.process.log.read_text().splitlines():
+            if text in line:
+                return line
+        time.sleep(_POLL_S)
+    raise AssertionError(f"{text} is not in {context.process.log.read_text()}")
+
+
+@when("its settings get a bad seed and a bad target list")
+def spoil_running(context: Context) -> None:
+    plain = msgspec.to_builtins(context.process.settings)
+    plain["seeds"] = ["keeper.example:7702"]
+    plain["target_list"] = "127.0.0.1"
+    context.process.path.write_text(json.dumps(plain))
+
+
+@then("it logs settings_refused with {code:d} and both fields")
+def assert_refused(context: Context, code: int) -> None:
+    line = wait_logged(context, "event=settings_refused")
+    assert f"code={code}" in line, line
+    assert "keeper.example:7702" in line, line
+    assert "target_list" in line, line
+
+
+@then("it runs still")
+def assert_running(context: Context) -> None:
+    assert context.process.is_running, context.process.log.read_text()
+
+
 @then("it has logged nothing")
 def assert_silent(context: Context) -> None:
     assert "event=" not in context.printed, context.printed
