Log what was swallowed, or say why it may be ignored

Cause: many places caught an error and went on without a line or a reason. Change, by a line: a failed attempt of an entry process (target_failed); a peer where nothing listens (link_unopened) and a full queue towards one (link_queue_full peer), each once a change; a contact's or a configuration's broken content, once a peer or a version (configuration_unreadable had been logged with each contact, without the reason); a majority that is missed while a process catches up (catch_up_waits), once; which voters a copy lacks; which keepers did not take a set, and why; a peer that does not tell the targets of keyed requests (tried_unknown), once until it answers; an unexpected error of a command whose caller has left (task_failed). All others got a comment. What processes do is unchanged. Tests: link_unopened and link_queue_full come once, configuration_unreadable once with its reason. The other lines have no test of their own.

--- a/troutstand/backends/engine.py
+++ b/troutstand/backends/engine.py
@@ -61,6 +61,7 @@
         if not self.row.cancels:
             return
         call = self._make_small_call("DELETE", f"/engine/requests/{request}")
+        # The request has its own line; an engine that is not told ends it by itself.
         with contextlib.suppress(TroutstandError):
             await self.request(call)
 
--- a/troutstand/daemon/commands.py
+++ b/troutstand/daemon/commands.py
@@ -87,6 +87,7 @@
             async with asyncio.timeout(ask.wait_ms / _MILLISECONDS):
                 return OutcomeReply(True, await asyncio.shield(ended))
         except TimeoutError:
+            # It runs still; whoever asked may ask again.
             return OutcomeReply(True)
 
     async def run(
@@ -128,6 +129,7 @@
         try:
             data = await self._registers.decide(action.register, encode_record(action.claim), fresh)
         except TroutstandError:
+            # What the command makes of it ends up in command_refused or its outcome.
             return RegisterUnreachable()
         return ClaimDecided(decode_record(data, Claim))
 
@@ -136,6 +138,7 @@
         try:
             data = await self._registers.read(action.register)
         except TroutstandError:
+            # As for a claim.
             return RegisterUnreachable()
         return ClaimBlank() if data is None else ClaimDecided(decode_record(data, Claim))
 
@@ -146,6 +149,7 @@
                 action.register, encode_record(action.outcome), action.owned
             )
         except TroutstandError:
+            # As for a claim.
             return RegisterUnreachable()
         return OutcomeDecided(decode_record(data, Outcome))
 
@@ -159,6 +163,7 @@
             try:
                 reply = await self._ask_once(action.owner, ask)
             except TroutstandError:
+                # A silent owner counts as gone; the registers tell what became of it.
                 return OwnerGone()
             if not isinstance(reply, OutcomeReply) or not reply.known:
                 return OwnerGone()
--- a/troutstand/daemon/configuration.py
+++ b/troutstand/daemon/configuration.py
@@ -114,6 +114,7 @@
             try:
                 reply = await self._peers.ask(process, ask, self._ask_timeout_s)
             except TroutstandError:
+                # Its next heartbeat tells of the newer version again.
                 return
             if not isinstance(reply, Changes | Snapshot):
                 return
@@ -171,6 +172,7 @@
         try:
             data = await self._registers.read(name_version(version))
         except TroutstandError:
+            # The operator is told with 6003 where the edit does not get on without it.
             return VersionUnreachable()
         if data is None:
             return VersionBlank()
@@ -180,6 +182,7 @@
         try:
             data = await self._registers.decide(name_version(version), encode_record(change))
         except TroutstandError:
+            # The operator is told with 6003 where the edit does not get on without it.
             return VersionUnreachable()
         return await self._learn_decided(version, data)
 
--- a/troutstand/daemon/engines.py
+++ b/troutstand/daemon/engines.py
@@ -106,6 +106,9 @@
         try:
             response = await self._relay(http, attempt, relay)
         except TroutstandError as error:
+            self._entry.events.emit(
+                "target_failed", grant.request, error.code, target=grant.target, detail=error.detail
+            )
             self._finish(attempt, grant, relay, error)
             return await self._decide_again(attempt, error)
         except BaseException:
--- a/troutstand/daemon/entry.py
+++ b/troutstand/daemon/entry.py
@@ -83,6 +83,7 @@
         self.tried = Tried(self.node)
         self.placement = Placement(self.node.process, self.events, self._deliver)
         self.running_calls = 0
+        self._is_waiting = False
         self._backends: dict[str, Backend] = {}
         self.scheduling: Scheduling
 
@@ -225,10 +226,17 @@
             await self.configuration.pull(keeper)
         try:
             await self.configuration.catch_up()
-        except TroutstandError:
+        except TroutstandError as error:
+            self._note_waiting(error)
             return False
         return True
 
+    def _note_waiting(self, error: TroutstandError) -> None:
+        """Log once that no majority tells the newest version; `serving` ends it."""
+        if not self._is_waiting:
+            self._is_waiting = True
+            self.events.emit("catch_up_waits", code=error.code, detail=error.detail)
+
     async def _read_own_keeper(self) -> bool:
         now_s = time.monotonic()
         lease_s = self.settings.limits.lease_s
--- a/troutstand/daemon/keeper.py
+++ b/troutstand/daemon/keeper.py
@@ -100,6 +100,7 @@
         self.membership = Membership(self)
         self.node.make_heartbeat = self._make_heartbeat
         self.is_complete = False
+        self._is_waiting = False
         # A disk votes only once another keeper has told how far it had come,
         # so that an older copy of it is found out.
         self.is_checked = self.node.peers.keepers == {self.node.process}
@@ -247,9 +248,17 @@
             return
         try:
             await self.configuration.catch_up()
-            self.is_complete = True
-        except TroutstandError:
+        except TroutstandError as error:
+            self._note_waiting(error)
             return
+        self.is_complete = True
+        self._is_waiting = False
+
+    def _note_waiting(self, error: TroutstandError) -> None:
+        """Log once that no majority tells what was decided; it is tried again."""
+        if not self._is_waiting:
+            self._is_waiting = True
+            self.node.events.emit("catch_up_waits", code=error.code, detail=error.detail)
 
     async def _join(self) -> None:
         member = self.acceptor.find_member()
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -143,6 +143,7 @@
         try:
             await self._read(socket, peer, replies)
         except websockets.ConnectionClosed:
+            # link_lost tells it.
             pass
         finally:
             writer.cancel()
@@ -199,6 +200,7 @@
         try:
             reply = await result
         except TroutstandError as error:
+            # Whoever asked is told.
             reply = Refused(int(error.code), error.detail)
         if reply is not None and frame.sequence != _ONE_WAY:
             self._put_reply(reply, frame, replies)
@@ -215,6 +217,7 @@
 async def _write_queue(
     socket: ServerConnection | ClientConnection, queue: asyncio.Queue[bytes]
 ) -> None:
+    # Whoever reads the socket tells that it closed.
     with contextlib.suppress(websockets.ConnectionClosed):
         while True:
             await socket.send(await queue.get())
@@ -270,6 +273,7 @@
     _queue: asyncio.Queue[bytes] = field(init=False)
     _up: asyncio.Event = field(default_factory=asyncio.Event)
     _was_up: bool = False
+    _is_full: bool = False
 
     def __post_init__(self) -> None:
         self._queue = asyncio.Queue(self.limits.link_queue_messages)
@@ -302,7 +306,10 @@
 
     def _note_refused(self) -> None:
         was_refused, self.is_refused = self.is_refused, True
-        if self.on_refused is not None and not was_refused:
+        if was_refused:
+            return
+        self.events.emit("link_unopened", peer=self.peer, detail="nothing listens there")
+        if self.on_refused is not None:
             self.on_refused(self.peer)
 
     async def _connect(self) -> None:
@@ -366,18 +373,28 @@
             raise TroutstandError(ResultCode.LINK_CLOSED, self.peer)
         stamp = self.events.clock.tick().pack()
         data = encode_frame(Frame(stamp, sequence, 0, message))
+        if self._queue.empty():
+            self._is_full = False
         try:
             self._queue.put_nowait(data)
         except asyncio.QueueFull as error:
+            self._note_full()
             raise TroutstandError(ResultCode.LINK_QUEUE_FULL, self.peer) from error
         self.traffic.messages += 1
         self.traffic.bytes += len(data)
 
+    def _note_full(self) -> None:
+        """Log that the queue is full, once until it was empty again."""
+        if not self._is_full:
+            self._is_full = True
+            self.events.emit("link_queue_full", code=ResultCode.LINK_QUEUE_FULL, peer=self.peer)
+
     def send(self, message: PeerMessage) -> bool:
         """Send a message that has no answer; tell whether it was queued."""
         try:
             self._put(_ONE_WAY, message)
         except TroutstandError:
+            # link_down or link_queue_full told it before.
             return False
         return True
 
--- a/troutstand/daemon/membership.py
+++ b/troutstand/daemon/membership.py
@@ -68,6 +68,11 @@
         asks = [self._ask(name, KeepersInstall(keepers)) for name in names]
         replies = await asyncio.gather(*asks, return_exceptions=True)
         failed = [n for n, r in zip(names, replies, strict=True) if isinstance(r, BaseException)]
+        for name, reply in zip(names, replies, strict=True):
+            if isinstance(reply, BaseException):
+                self._keeper.node.events.emit(
+                    "keepers_install_failed", peer=name, epoch=keepers.epoch, detail=repr(reply)
+                )
         if needed & set(failed):
             detail = f"epoch {keepers.epoch} is not yet at {', '.join(failed)}; repeat the call"
             raise TroutstandError(ResultCode.KEEPER_CHANGE_REFUSED, detail)
@@ -117,6 +122,7 @@
         try:
             reply = await self._ask(process, KeepersAsk())
         except TroutstandError:
+            # Its next heartbeat tells of the newer set again.
             return
         if isinstance(reply, KeepersReply) and reply.keepers:
             pending = self.install(reply.keepers)
--- a/troutstand/daemon/node.py
+++ b/troutstand/daemon/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import secrets
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from troutstand.core.clock import HybridClock
 from troutstand.core.codes import ResultCode
@@ -79,12 +79,19 @@
 
     def _forget_command(self, task: asyncio.Task[Outcome]) -> None:
         self._commands.discard(task)
-        if not task.cancelled():
-            task.exception()
+        if task.cancelled():
+            return
+        # A numbered error was logged as command_refused, whether its caller is there or not.
+        if not isinstance(task.exception(), TroutstandError):
+            self._note_failed(task)
 
     def _report_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
+        if not task.cancelled():
+            self._note_failed(task)
+
+    def _note_failed(self, task: asyncio.Task[Any]) -> None:
+        if task.exception() is None:
             return
         detail = f"{task.get_name()}: {task.exception()!r}"
         self.events.emit("task_failed", code=ResultCode.INTERNAL, detail=detail)
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -167,6 +167,7 @@
         try:
             vote = await self._node.peers.ask(peer, ask, self._lease_s / _ASKS_A_LEASE)
         except TroutstandError:
+            # A silent peer casts no vote; the next ask comes within the lease.
             return
         if isinstance(vote, LeaseVote):
             self._holder.count_vote(peer, vote, asked_s)
--- a/troutstand/daemon/services.py
+++ b/troutstand/daemon/services.py
@@ -115,12 +115,14 @@
         try:
             grant = await self._place(call, request, [])
         except TroutstandError as error:
+            # The outcome carries the number.
             return make_not_run(error.code)
         target = grant.target
         self._entry.events.emit("command_dispatched", request, target=target, key=call.command_key)
         try:
             reply = await self._request(call, grant, call.key)
         except TroutstandError as error:
+            # target_failed tells of it.
             if error.code is ResultCode.TARGET_UNREACHABLE:
                 return make_not_run(error.code)
             return UNKNOWN_OUTCOME
@@ -178,6 +180,9 @@
             return reply
         except TroutstandError as error:
             fault = error.code.name.lower()
+            self._entry.events.emit(
+                "target_failed", grant.request, error.code, target=grant.target, detail=error.detail
+            )
             raise
         finally:
             total_ms = int((time.monotonic() - started_s) * _MILLISECONDS)
--- a/troutstand/daemon/storage.py
+++ b/troutstand/daemon/storage.py
@@ -201,6 +201,8 @@
 
     def _cut_back(self) -> None:
         """Take a half-written record away, so that later ones can be read."""
+        # The refused write is told already. What stays of it is at the end, where a start
+        # cuts it off; nothing is appended behind it, since the state is written anew first.
         with contextlib.suppress(OSError):
             self._file.truncate(self.log_bytes)
 
--- a/troutstand/daemon/tried.py
+++ b/troutstand/daemon/tried.py
@@ -31,6 +31,7 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._targets: OrderedDict[str, list[str]] = OrderedDict()
+        self._silent: set[ProcessId] = set()
 
     def handle_ask(self, ask: TriedAsk) -> TriedReply:
         """Tell the targets that had a key before, and note another."""
@@ -58,10 +59,18 @@
     async def _ask(self, peer: ProcessId, ask: TriedAsk) -> set[str]:
         try:
             reply = await self._node.peers.ask(peer, ask, _ASK_S)
-        except TroutstandError:
+        except TroutstandError as error:
+            self._note_silent(peer, error)
             return set()
+        self._silent.discard(peer)
         return set(reply.targets) if isinstance(reply, TriedReply) else set()
 
+    def _note_silent(self, peer: ProcessId, error: TroutstandError) -> None:
+        """Log once that the targets a peer knows of are left out, until it answers again."""
+        if peer not in self._silent:
+            self._silent.add(peer)
+            self._node.events.emit("tried_unknown", code=error.code, peer=peer)
+
     def _list_live(self) -> list[ProcessId]:
         peers, lease_s = self._node.peers, self._node.settings.limits.lease_s
         now_s = time.monotonic()
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -139,6 +139,7 @@
     try:
         number = float(text) if text is not None else 0.0
     except ValueError:
+        # What a caller may leave out is left out where it cannot be read.
         return None
     return number if number > 0 else None
 
--- a/troutstand/routing/exchange.py
+++ b/troutstand/routing/exchange.py
@@ -117,6 +117,7 @@
             self._fail("the answer asks for another protocol")
         except httptools.HttpParserError as error:
             if self._is_whole:
+                # The answer is whole; what follows it only spoils the connection.
                 self._is_surplus = True
             else:
                 self._fail(f"not an answer: {error}")
--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -9,7 +9,7 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.compression import expand
 from troutstand.core.configuration import RouteTable
-from troutstand.core.errors import TroutstandError
+from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.generated.messages import Contact, ContactAsk, ContactReply
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.node import RoutingNode, parse_address
@@ -48,6 +48,7 @@
         self._answered_s = time.monotonic()
         self._is_lost = False
         self._patience_s = _ASK_S
+        self._unreadable_version = 0
         self._digest = ""
         self._listed: list[str] = []
 
@@ -97,7 +98,8 @@
         except TroutstandError as error:
             if error.code is ResultCode.LINK_TIMEOUT:
                 self._patience_s = min(_MOST_ASK_S, 2 * self._patience_s)
-            # A process that only its silence is known of must not hide the seeds.
+            # keepers_lost tells of it when no other answers either. A process that only
+            # its silence is known of must not hide the seeds.
             self._revive_seeds()
             return False
         if not isinstance(reply, ContactReply):
@@ -134,12 +136,23 @@
             if heard.process != self._node.process and self._node.book.hear(heard, now_s):
                 self._node.events.emit("contact_found", peer=heard.process, host=heard.host)
 
+    def _note_unreadable(self, version: int, group: BaseExceptionGroup) -> None:
+        """Log once a version why it cannot be used; every contact brings it again."""
+        if version == self._unreadable_version:
+            return
+        self._unreadable_version = version
+        self._node.events.emit(
+            "configuration_unreadable",
+            code=ResultCode.CONFIGURATION_INVALID,
+            version=version,
+            detail="; ".join(str(error) for error in flatten_group(group)),
+        )
+
     def _use(self, version: int, content: bytes) -> None:
         try:
             table = RouteTable(self._dialect.decode_configuration(expand(content)))
-        except* TroutstandError:
-            code = ResultCode.CONFIGURATION_INVALID
-            self._node.events.emit("configuration_unreadable", code=code, version=version)
+        except* TroutstandError as group:
+            self._note_unreadable(version, group)
         else:
             self._node.events.emit(
                 "configuration_in_force",
--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -73,6 +73,7 @@
             if decider != self.current:
                 self._change(decider)
             space_standbys(self._watches, self.current, last_s)
+            # Running out of time is how the pause usually ends.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_WATCH_S):
                     await self._judge_now.wait()
@@ -174,6 +175,7 @@
             await self._beat(process, watch)
             is_current = self.current == process
             period_s = watch.period_s if is_current else watch.standby_period_s
+            # Running out of time is how the pause usually ends.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(period_s * (0.9 + 0.2 * self._node.random.random())):
                     await watch.wake.wait()
--- a/troutstand/routing/journal.py
+++ b/troutstand/routing/journal.py
@@ -56,6 +56,7 @@
         try:
             self.replace()
         except TroutstandError:
+            # disk_failed was logged when it began to refuse; disk_recovered ends it.
             return
         self.is_failed = False
         self._events.emit("disk_recovered")
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -116,6 +116,8 @@
         )
         self.replacement = Replacement(self)
         self._compressed = (0, b"")
+        # The peers whose last content was broken.
+        self._unreadable: set[ProcessId] = set()
         self._control = Control(self.line, dialect, self.node.events)
 
     def _get_configuration(self) -> StoredConfiguration:
@@ -289,10 +291,13 @@
         ask = ContactAsk(self._describe(), self.node.book.export(_SHARED_ROLES, now_s))
         try:
             reply = await self.node.ask(process, ask, _ASK_S)
-            if not isinstance(reply, ContactReply):
-                return
-            content = expand(reply.content)
         except TroutstandError:
+            # Its link tells of a lost peer, and contact_forgotten of a silent one.
+            return
+        if not isinstance(reply, ContactReply):
+            return
+        content = self._expand(process, reply.content)
+        if content is None:
             return
         self._hear(reply.contact, reply.known)
         if reply.version:
@@ -300,6 +305,20 @@
         if reply.contact.epoch > self.acceptor.epoch:
             await self.replacement.fetch(process)
 
+    def _expand(self, process: ProcessId, data: bytes) -> bytes | None:
+        """Return a contact's content, or None where it is broken, which is logged once."""
+        try:
+            content = expand(data)
+        except TroutstandError as error:
+            if process not in self._unreadable:
+                self._unreadable.add(process)
+                self.node.events.emit(
+                    "contact_unreadable", code=error.code, peer=process, detail=error.detail
+                )
+            return None
+        self._unreadable.discard(process)
+        return content
+
     # The keeper set
 
     async def _run_replacement(self) -> None:
--- a/troutstand/routing/line.py
+++ b/troutstand/routing/line.py
@@ -155,6 +155,7 @@
         try:
             reply = await self._ask(voter, NewestAsk(epoch), _ASK_S)
         except TroutstandError:
+            # A silent voter has no vote; a majority that is missed is told as 6011.
             return voter, None
         if isinstance(reply, Refused):
             self._registers.learn_keepers(reply.keepers)
@@ -195,6 +196,7 @@
         try:
             return decision.result()
         except TroutstandError:
+            # The caller tries again until its own time is up, and then tells of it.
             return None
 
     async def _is_settled(self, version: int) -> bool:
@@ -209,6 +211,7 @@
         try:
             reply = await self._ask(keeper, ConfigurationAsk(), _ASK_S)
         except TroutstandError:
+            # The keeper has gone since it voted; the caller sees that nothing came.
             return
         if isinstance(reply, Learned):
             await self._learn(StoredConfiguration(reply.version, reply.content))
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -207,6 +207,7 @@
         """Wait a moment for a link that was just opened or lost; tell whether it is up."""
         link = self._open_link(ProcessId(process))
         if not link.is_up:
+            # The caller is told by what this returns.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_CONNECT_S):
                     await link.wait_up()
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -176,6 +176,8 @@
         try:
             reply = await self._node.ask(scheduler, Place(work), limit_s)
         except TroutstandError as error:
+            # Whoever decides next is asked, which scheduler_changed tells of; a request
+            # whose time ends before has its own line.
             if error.code is not ResultCode.LINK_CLOSED:
                 self._heartbeats.miss(scheduler)
                 return
@@ -200,6 +202,7 @@
                 self._node.send(scheduler, Abandon(work.request))
             return await self._node.ask(scheduler, Place(work), limit_s)
         except TroutstandError:
+            # As for the first ask.
             self._heartbeats.miss(scheduler)
             return None
 
--- a/troutstand/routing/replacement.py
+++ b/troutstand/routing/replacement.py
@@ -126,16 +126,22 @@
         try:
             reply = await self._keeper.node.ask(process, KeepersAsk(), _ASK_S)
         except TroutstandError:
+            # The next contact tells of the newer set again.
             return
         if isinstance(reply, KeepersReply) and reply.keepers:
             await self.install(reply.keepers)
 
     async def _copy_and_join(self, keepers: KeeperSet) -> None:
         needed = count_needed(keepers)
-        copies = [self._copy_from(v, keepers.epoch) for v in sorted(list_voters(keepers))]
-        done = sum(await asyncio.gather(*copies))
+        voters = sorted(list_voters(keepers))
+        copies = [self._copy_from(voter, keepers.epoch) for voter in voters]
+        wholes = await asyncio.gather(*copies)
+        done = sum(wholes)
         if done < needed or self._keeper.acceptor.epoch != keepers.epoch:
-            self._keeper.node.events.emit("keeper_copy_waits", have=done, needed=needed)
+            missing = [voter for voter, whole in zip(voters, wholes, strict=True) if not whole]
+            self._keeper.node.events.emit(
+                "keeper_copy_waits", have=done, needed=needed, missing=",".join(missing)
+            )
             return
         await self._decide(promote(keepers, self._keeper.node.process))
 
@@ -146,6 +152,7 @@
             try:
                 reply = await self._keeper.node.ask(voter, CopyAsk(epoch, after), _COPY_S)
             except TroutstandError:
+                # keeper_copy_waits names it.
                 return False
             if isinstance(reply, Refused):
                 await self._learn_refusal(voter, reply)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -311,6 +311,7 @@
                 self.node.events.emit("targets_unread", detail=str(error))
             is_busy = self._count_attached() > 0 or not self._has_list
             period_s = _LIST_S if is_busy else _STANDBY_LIST_S
+            # Running out of time is how the pause usually ends.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(period_s * (0.9 + 0.2 * self.node.random.random())):
                     await self._list_wanted.wait()
--- a/troutstand/tests/follower.feature
+++ b/troutstand/tests/follower.feature
@@ -10,3 +10,8 @@
     Given a follower whose keepers' answers take 60 s to come whole
     When it asks 10 times
     Then no ask waited longer than 1.6 s
+
+  Scenario: A configuration that cannot be read is told of once with the reason
+    Given a follower whose keepers send a broken configuration
+    When it asks 5 times
+    Then it has logged once that the configuration is unreadable, and why
--- a/troutstand/tests/links.feature
+++ b/troutstand/tests/links.feature
@@ -24,3 +24,12 @@
   Scenario: A link that is lost amid a write is opened again
     When a link's peer closes it while a message over the peer's limit is written
     Then the link is opened again
+
+  Scenario: A peer where nothing listens is told of once
+    When a link is opened again and again where nothing listens
+    Then its log holds "link_unopened" once
+
+  Scenario: A full queue is told of once
+    When 20 messages are sent over a link whose queue takes 16
+    Then 4 of them are not queued
+    And its log holds "link_queue_full" once
--- a/troutstand/tests/steps/follower.py
+++ b/troutstand/tests/steps/follower.py
@@ -31,6 +31,7 @@
 
     def __init__(self, takes_s: float) -> None:
         self.takes_s = takes_s
+        self.content = _make_content()
         self.waited_s: list[float] = []
 
     async def ask(self, process: ProcessId, message: PeerMessage, timeout_s: float) -> PeerMessage:
@@ -48,7 +49,7 @@
             age_ms=0,
             version=_VERSION,
         )
-        return ContactReply(contact, version=_VERSION, content=compress(_make_content()))
+        return ContactReply(contact, version=_VERSION, content=compress(self.content))
 
 
 def _make_content() -> bytes:
@@ -70,9 +71,16 @@
     node = RoutingNode(settings)
     context.slow = SlowLinks(takes_s)
     node.ask = context.slow.ask
+    context.events = node.events
     context.follower = Follower(node, Dialect(), lambda table: None)
 
 
+@given("a follower whose keepers send a broken configuration")
+def use_broken(context: Context) -> None:
+    use_follower(context, 0.0)
+    context.slow.content = b"{"
+
+
 @when("it asks {count:d} times")
 def ask(context: Context, count: int) -> None:
     async def ask_all() -> None:
@@ -97,3 +105,10 @@
 @then("no ask waited longer than {most_s:g} s")
 def check_patience(context: Context, most_s: float) -> None:
     assert max(context.slow.waited_s) <= most_s, context.slow.waited_s
+
+
+@then("it has logged once that the configuration is unreadable, and why")
+def check_unreadable(context: Context) -> None:
+    found = [e for e in context.events.kept if e.name == "configuration_unreadable"]
+    assert len(found) == 1, found
+    assert "truncated" in str(found[0].fields["detail"]), found
--- /dev/null
+++ b/troutstand/tests/steps/links.py
@@ -0,0 +1,68 @@
+"""Watch what one link logs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from behave import then, when
+
+from troutstand.core.clock import HybridClock
+from troutstand.core.ids import ProcessId
+from troutstand.daemon.links import Identity, Link, Traffic
+from troutstand.generated.messages import Withdraw
+from troutstand.generated.settings import Address, Limits
+from troutstand.tests.environment import next_subnet
+from troutstand.util.events import EventBus
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_PORT = 7700
+_QUEUE_MESSAGES = 16
+_TRIES_S = 0.6
+
+
+def make_link(context: Context) -> Link:
+    """Make a link to an address where nothing listens."""
+    context.events = EventBus(ProcessId("a"), HybridClock(time.time))
+    return Link(
+        Identity("demo", ProcessId("a"), bytes(16)),
+        ProcessId("b"),
+        Address(f"127.{next_subnet(context)}.1", _PORT),
+        Limits(link_queue_messages=_QUEUE_MESSAGES),
+        context.events,
+        Traffic(),
+    )
+
+
+@when("a link is opened again and again where nothing listens")
+def open_in_vain(context: Context) -> None:
+    link = make_link(context)
+
+    async def run() -> None:
+        running = asyncio.create_task(link.run())
+        await asyncio.sleep(_TRIES_S)
+        running.cancel()
+
+    asyncio.run(run())
+    assert link.is_refused
+
+
+@when("{count:d} messages are sent over a link whose queue takes 16")
+def fill_queue(context: Context, count: int) -> None:
+    link = make_link(context)
+    link.is_up = True
+    context.queued = [link.send(Withdraw(f"r-{number}")) for number in range(count)]
+
+
+@then("{count:d} of them are not queued")
+def check_queued(context: Context, count: int) -> None:
+    assert context.queued.count(False) == count, context.queued
+
+
+@then('its log holds "{name}" once')
+def check_once(context: Context, name: str) -> None:
+    found = [event for event in context.events.kept if event.name == name]
+    assert len(found) == 1, found
--- a/troutstand/util/lines.py
+++ b/troutstand/util/lines.py
@@ -27,6 +27,7 @@
         self._limit_bytes = limit_bytes
         self._waiting = b""
         self._told = 0
+        # Where there is no such descriptor, each write fails and its lines are counted.
         with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
 
@@ -47,6 +48,7 @@
             try:
                 written = os.write(self._descriptor, self._waiting)
             except (BlockingIOError, InterruptedError):
+                # What waits goes with the next call.
                 return
             except OSError:
                 # Nobody reads any more; a log must not end the process.
