Add a failing test: a link to an IPv6 number has no valid address

Cause: the URI of a link is IP:PORT without brackets, which the library refuses (InvalidURI). Settings with an IPv6 ip are in order, but no link of such a process comes up.

--- a/troutstand/tests/links.feature
+++ b/troutstand/tests/links.feature
@@ -33,3 +33,12 @@
     When 20 messages are sent over a link whose queue takes 16
     Then 4 of them are not queued
     And its log holds "link_queue_full" once
+
+  Scenario Outline: A link is opened to <ip>
+    When a link to <ip> is told where its peer listens
+    Then it connects to "<uri>"
+
+    Examples: numbers
+      | ip        | uri                  |
+      | 127.0.0.1 | ws://127.0.0.1:7700/ |
+      | ::1       | ws://[::1]:7700/     |
--- a/troutstand/tests/steps/links.py
+++ b/troutstand/tests/steps/links.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from behave import then, when
 
@@ -66,3 +67,28 @@
 def check_once(context: Context, name: str) -> None:
     found = [event for event in context.events.kept if event.name == name]
     assert len(found) == 1, found
+
+
+@when("a link to {ip} is told where its peer listens")
+def address_link(context: Context, ip: str) -> None:
+    link = make_link(context)
+    link.address = Address(ip, _PORT)
+    tried: list[str] = []
+
+    def connect(uri: str, **_: object) -> None:
+        tried.append(uri)
+        raise ConnectionRefusedError
+
+    async def run() -> None:
+        running = asyncio.create_task(link.run())
+        await asyncio.sleep(0)
+        running.cancel()
+
+    with patch("troutstand.daemon.links.connect", connect):
+        asyncio.run(run())
+    context.tried = tried
+
+
+@then('it connects to "{uri}"')
+def check_uri(context: Context, uri: str) -> None:
+    assert context.tried == [uri], context.tried
