Open links to IPv6 numbers

Cause: the URI of a link was IP:PORT without brackets, which the library refuses. Change: an IPv6 number stands in brackets.

--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -239,6 +239,12 @@
     return result
 
 
+def _write_uri(address: Address) -> str:
+    """Write where a link connects to; an IPv6 number stands in brackets."""
+    ip = f"[{address.ip}]" if ":" in address.ip else address.ip
+    return f"ws://{ip}:{address.port}/"
+
+
 @dataclass
 class Traffic:
     """Count what a process sends to its peers."""
@@ -313,9 +319,8 @@
             self.on_refused(self.peer)
 
     async def _connect(self) -> None:
-        uri = f"ws://{self.address.ip}:{self.address.port}/"
         async with connect(
-            uri,
+            _write_uri(self.address),
             max_size=self.limits.message_bytes,
             compression=None,
             open_timeout=self.limits.lease_s,
