Log what fails at the end of a stop, and match known failures without blanks

gateway.stop hid every fault of closing its addresses. tools/count.py compared a listed name with behave's own, which ends in a blank for rows of a table without a name, so that such a row could not be listed.

--- a/tools/count.py
+++ b/tools/count.py
@@ -32,7 +32,9 @@
     passed, failed, errors, _ = (int(group or 0) for group in counts[-1].groups())
     failed += errors
     tail = text[text.rfind("Failing scenarios:") :] if "Failing scenarios:" in text else ""
-    failing = [match.group(2) for line in tail.splitlines() if (match := _FAILING.match(line))]
+    failing = [
+        match.group(2).strip() for line in tail.splitlines() if (match := _FAILING.match(line))
+    ]
     known = read_known(Path("KNOWN-RED.txt"))
     if len(known) > _MAX_KNOWN:
         print(f"KNOWN-RED.txt holds {len(known)} lines; {_MAX_KNOWN} are allowed")
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -136,8 +136,10 @@
         self.node.events.emit("stop_ended", left=self.open_requests)
         self.is_cutting = True
         for runner in self._runners:
-            with contextlib.suppress(Exception):
+            try:
                 await runner.cleanup()
+            except Exception as error:  # the process ends all the same
+                self.node.events.emit("stop_failed", code=ResultCode.INTERNAL, detail=repr(error))
         self.pool.close()
         self.targets.close()
         await self.node.close()
@@ -172,6 +174,7 @@
             return
         if self.is_stopping:
             response.force_close()
+        # The caller left; its answer is logged, and nobody is there to be told.
         with contextlib.suppress(ConnectionError):
             if not await write_whole_answer(request, response):
                 self._note_second_answer(request, response)
