Add a failing test: a lone request finds every target held off

Cause: each target is held off on its own for its failures, 0.5 s and twice as long for each further one, and nothing looks at how many of a service are held off at once. When the answers that ran at all of them break together, nobody is left to try though every place is free.

--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -112,3 +112,9 @@
     When a request of tier 2 has waited 0.6 s of an objective of 2 s
     And 20 requests of tier 1 with an objective of 20 s arrive before it
     Then it is refused with 3001 within 0.1 s
+
+  Scenario: A lone request is tried though every target is held off for its failures
+    Given every slot is taken
+    When every running answer breaks
+    And a lone request with an objective of 0.4 s arrives 0.3 s later
+    Then it has a target within 0.1 s
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -401,3 +401,23 @@
     assert many <= 2 * few, context.looks
     waiting = context.desk.dispatcher.pools["work"].waiting
     assert len(waiting) > 100, len(waiting)
+
+
+@when("every running answer breaks")
+def break_all(context: Context) -> None:
+    desk = context.desk
+    for request in list(desk.placed):
+        desk.end(request, Ending.broken)
+    assert not desk.placed
+
+
+@when("a lone request with an objective of {objective_s:g} s arrives {length_s:g} s later")
+def arrive_alone(context: Context, objective_s: float, length_s: float) -> None:
+    context.desk.pass_time(length_s)
+    context.lone = context.desk.arrive(objective_s=objective_s)
+
+
+@then("it has a target within {length_s:g} s")
+def check_lone_placed(context: Context, length_s: float) -> None:
+    context.desk.pass_time(length_s)
+    assert context.lone in context.desk.placed, context.desk.declined
