Fail open where more than half of a service's targets are held off

Cause: a target that loses answers is held off on its own, and nothing limits how many of a service are held off at once. With all of them held off nobody is left to try, and a lone request is refused at an empty queue though every place is free. Change: at most half of a service's targets are held off (a panic threshold, chosen, not measured). Of those beyond, the ones held off longest stay open for single probes, 0.2 s after their last loss at the earliest (chosen), as many at a time as are beyond. A lost probe does not lengthen the hold, else a target that is sound again would be held off for up to 4 s more; one that is never answered is judged silent during the hold, and then leaves its turn to the next. A request that may not be repeated is no probe while a target without failures is left to try. Ways that are held off between failure domains are looked at as before, so that a probe goes there as seldom as any other request.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -245,7 +245,7 @@
         """Do what time alone brings about."""
         for pool in self.pools.values():
             for state in pool.targets.values():
-                if now_s >= state.blocked_until_s:
+                if now_s >= state.blocked_until_s or state.is_probed():
                     self._judge_silence(state, now_s)
             self._serve_queue(pool, now_s, most_passed=len(pool.waiting) + 1)
             self._judge_waiting(pool, now_s)
@@ -254,7 +254,7 @@
         """Hold a target off that owes a first byte for long."""
         run = state.find_silence(now_s)
         if run is not None:
-            state.note_lost(now_s)
+            state.note_lost(run, now_s)
             self.reach.note_unreached(_find_way(run.work, state), state.listed.target, now_s)
 
     # Choosing
@@ -276,7 +276,7 @@
             case Ending.failed:
                 state.note_fault(now_s)
             case Ending.broken | Ending.silent | Ending.unsent:
-                state.note_lost(now_s)
+                state.note_lost(run, now_s)
             case Ending.turned_away:
                 state.note_turned_away(now_s)
             case Ending.left:
@@ -304,12 +304,21 @@
             untried = [t for t in pool.list_usable() if t.listed.target not in tried]
             if untried:
                 fitting = [t for t in fitting if t.listed.target not in tried]
+        if not work.is_repeatable and self._has_sound(pool, work, now_s):
+            # A probe may cost it its only try, and a sound target will have a place.
+            fitting = [t for t in fitting if not t.is_held_off(now_s)]
         if not fitting:
             return None
         return min(
             fitting, key=lambda state: pool.estimate_cost(state, waiting, now_s) + self._draw()
         )
 
+    def _has_sound(self, pool: Pool, work: RoutedWork, now_s: float) -> bool:
+        """Tell whether a target without failures is left to try, be it busy or not."""
+        sound = [t for t in pool.list_usable() if not t.strikes]
+        untried = [t for t in sound if t.listed.target not in work.excluded]
+        return any(self.reach.is_open(_find_way(work, t), now_s) for t in untried)
+
     def _draw(self) -> float:
         return self._spread.uniform(0.0, _SPREAD_S) if self._spread is not None else 0.0
 
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from operator import attrgetter
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -41,10 +42,17 @@
 _FAR_S = 0.02
 # What a new connection of the gateway to the target is worth.
 _CONNECT_S = 0.005
+# At most this share of a service's targets is held off for failures; the others stay open
+# for probes (a panic threshold; chosen, not measured). With all of them held off, requests
+# would be refused though places are free and nobody else waits.
+_MOST_HELD_SHARE = 0.5
 # Requests beyond what their workspace is owed leave so many slots free.
 _SPARE_SHARE = 0.25
 
 
+_get_lost = attrgetter("lost_s")
+
+
 @dataclass
 class Waiting:
     """Hold a request that has no target yet; times in seconds."""
@@ -156,8 +164,20 @@
         return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
 
     def list_open(self, now_s: float) -> list[TargetState]:
-        """Return the targets that may be given work now."""
-        return [target for target in self.list_usable() if target.is_open(now_s)]
+        """Return the targets that may be given work now, among them those to be probed."""
+        usable = self.list_usable()
+        open_ = [target for target in usable if target.is_open(now_s)]
+        return open_ + self._list_probes(usable, now_s)
+
+    def _list_probes(self, usable: list[TargetState], now_s: float) -> list[TargetState]:
+        """Return targets beyond the share that may be held off, the longest held off first."""
+        held = [target for target in usable if target.is_held_off(now_s)]
+        excess = len(held) - int(_MOST_HELD_SHARE * len(usable))
+        if excess <= 0:
+            return []
+        excess -= sum(target.is_probed() for target in held)
+        ready = [target for target in held if target.may_probe(now_s)]
+        return sorted(ready, key=_get_lost)[: max(0, excess)]
 
     def measure_turn(self) -> float:
         """Return the seconds between two slots that become free."""
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -17,6 +17,10 @@
 _FIRST_BLOCK_S = 0.5
 _MAX_BLOCK_S = 4.0
 _TURNED_AWAY_BLOCK_S = 0.05
+# A target that is held off gets a probe no sooner than this after its last loss, in seconds
+# (chosen, not measured): a target that refuses connections would spend a queue of callers
+# within milliseconds.
+_PROBE_AFTER_S = 0.2
 _MIN_SILENT_S = 1.2
 _SILENT_FACTOR = 6.0
 _KEPT_PARTS = 4000
@@ -63,6 +67,8 @@
     success: float = 1.0
     strikes: int = 0
     blocked_until_s: float = 0.0
+    # When an answer was last lost, or a probe turned away.
+    lost_s: float = float("-inf")
     last_sign_s: float = 0.0
     parts: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
     connections: dict[str, KeptConnections] = field(default_factory=dict)
@@ -78,6 +84,18 @@
         """Tell whether the target may be given work now."""
         return self.free_slots > 0 and now_s >= self.blocked_until_s
 
+    def is_held_off(self, now_s: float) -> bool:
+        """Tell whether the target gets no work now for its failures."""
+        return self.strikes > 0 and now_s < self.blocked_until_s
+
+    def is_probed(self) -> bool:
+        """Tell whether a request given since the last loss has no answer yet."""
+        return any(not r.has_first and r.started_s > self.lost_s for r in self.running.values())
+
+    def may_probe(self, now_s: float) -> bool:
+        """Tell whether a target that is held off may be given a probe now."""
+        return self.free_slots > 0 and now_s - self.lost_s >= _PROBE_AFTER_S
+
     def start(self, run: Running) -> None:
         """Count a request that the target was given."""
         self.running[run.work.request] = run
@@ -183,8 +201,14 @@
         self.success += _HEALTH_EWMA * (0.0 - self.success)
         self.last_sign_s = now_s
 
-    def note_lost(self, now_s: float) -> None:
+    def note_lost(self, run: Running, now_s: float) -> None:
         """Take an answer that broke off or never came, and hold the target off."""
+        is_probe = self.is_held_off(now_s) and run.started_s > self.lost_s
+        self.lost_s = now_s
+        if is_probe:
+            # It tells nothing new. Counted, probes would lengthen the hold of a target
+            # that is sound again.
+            return
         self.success += _HEALTH_EWMA * (0.0 - self.success)
         block_s = min(_MAX_BLOCK_S, _FIRST_BLOCK_S * 2.0**self.strikes)
         self.strikes += 1
@@ -193,6 +217,9 @@
     def note_turned_away(self, now_s: float) -> None:
         """Take a refusal for want of room."""
         self.last_sign_s = now_s
+        if self.is_held_off(now_s):
+            # The next probe must not follow at once.
+            self.lost_s = now_s
         self.blocked_until_s = max(self.blocked_until_s, now_s + _TURNED_AWAY_BLOCK_S)
 
     def find_silence(self, now_s: float) -> Running | None:
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -118,3 +118,73 @@
     When every running answer breaks
     And a lone request with an objective of 0.4 s arrives 0.3 s later
     Then it has a target within 0.1 s
+
+  Scenario: Targets that stay dead do not spend all who wait
+    Given every slot is taken
+    When every running answer breaks
+    And 20 requests wait for 0.9 s while every target loses what it gets
+    Then 1 to 10 of them were lost, one at a time
+
+  Scenario: Targets that turn probes away get no more of them than dead ones
+    Given every slot is taken
+    When every running answer breaks
+    And 20 requests wait for 0.9 s while every target turns away what it gets
+    Then 1 to 10 of them were lost, one at a time
+
+  Scenario: A probe that is lost does not lengthen the hold
+    Given every slot is taken
+    When every running answer breaks
+    And 20 requests wait for 0.9 s while every target loses what it gets
+    And 0.2 s pass there with nothing asked
+    Then no target is held off any more
+
+  Scenario: Half of the targets may be held off without a probe
+    Given every slot is taken
+    When the answers at the first target break
+    Then the first target gets nothing for 0.9 s
+
+  Scenario: A request that may not be repeated waits for a sound target
+    Given a service with 3 targets of 2 slots
+    And all but the third target lost their answers and the third is full
+    When a request that may not be repeated arrives 0.3 s later
+    Then it waits, and gets the third target when a slot is free there
+    But one that may be repeated is tried at a target that is held off
+
+  Scenario: A request that may not be repeated is tried where no target is sound
+    Given every slot is taken
+    When every running answer breaks
+    And a request that may not be repeated arrives 0.3 s later
+    Then it has a target within 0.1 s
+
+  Scenario: A service of one target goes on trying it
+    Given a service with 1 targets of 4 slots
+    When its running answers break
+    And a lone request with an objective of 0.4 s arrives 0.3 s later
+    Then it has a target within 0.1 s
+
+  Scenario: A probe that is never answered leaves the other target to others
+    Given every slot is taken
+    When every running answer breaks 4 times over
+    And a lone request with an objective of 8 s arrives 0.3 s later
+    And a second one arrives 0.3 s later
+    Then the second has the other target when the first has owed its first byte for long
+
+  Scenario: The target that was held off first is probed first
+    Given every slot is taken
+    When the answers at the second target break, and 0.1 s later those at the first
+    And a lone request with an objective of 0.4 s arrives 0.3 s later
+    Then the second target has 1 requests
+
+  Scenario: A probe that is being answered leaves the other target to others
+    Given every slot is taken
+    When every running answer breaks
+    And a lone request with an objective of 8 s arrives 0.3 s later
+    And its first byte comes
+    And a second one arrives 0.1 s later
+    Then each target has 1 requests
+
+  Scenario: A sound target that was tried in vain keeps no request waiting
+    Given a service with 3 targets of 2 slots
+    And all but the third target lost their answers and the third is full
+    When a request that may not be repeated arrives 0.3 s later, turned away by the third
+    Then it has a target within 0.1 s
--- a/troutstand/tests/reach.feature
+++ b/troutstand/tests/reach.feature
@@ -40,3 +40,10 @@
     When the targets in south and east cannot be reached from north
     Then requests from north go to targets in north only
     And the way from north to * is reported as lost
+
+  Scenario: Probes of targets that are held off do not go a way that is held off
+    Given 1 targets in each of the failure domains north, south, east and west
+    When the targets in south, east and west cannot be reached from north
+    And 0.3 s pass there
+    Then 0 repeatable requests from north go to targets that are held off
+    But 1 repeatable requests from west go to targets that are held off
--- a/troutstand/tests/steps/reach.py
+++ b/troutstand/tests/steps/reach.py
@@ -43,7 +43,9 @@
         ]
         self.dispatcher.use_targets(listed, self.now_s)
 
-    def place(self, source: str, excluded: list[str]) -> tuple[str, str]:
+    def place(
+        self, source: str, excluded: list[str], is_repeatable: bool = False
+    ) -> tuple[str, str]:
         """Place a request and return it and its target; an empty text is none."""
         self.count += 1
         request = f"r{self.count}"
@@ -54,6 +56,7 @@
             remaining_s=8.0,
             failure_domain=source,
             excluded=excluded,
+            is_repeatable=is_repeatable,
         )
         self.dispatcher.place(work, "gateway", self.now_s)
         answers = [d.answer for d in self.dispatcher.take_decisions()]
@@ -172,3 +175,26 @@
     change = changes[Way(source, destination)]
     assert change.is_open == (state == "regained"), change
     assert change.is_open or len(change.targets) == 2, change
+
+
+@when("the targets in south, east and west cannot be reached from north")
+def lose_three(context: Context) -> None:
+    cut = context.cut
+    sent = [(cut.place("north", ["north-0"])) for _ in range(3)]
+    assert sorted(target for _, target in sent) == ["east-0", "south-0", "west-0"], sent
+    for request, target in sent:
+        cut.end(request, target, Ending.unsent)
+
+
+def _count_probes(cut: Cut, source: str) -> int:
+    """Place requests that may be repeated and count those at targets that are held off."""
+    got = [cut.place(source, [], is_repeatable=True)[1] for _ in range(4)]
+    placed = [target for target in got if target]
+    assert placed, got
+    targets = cut.dispatcher.pools[_SERVICE].targets
+    return sum(1 for target in placed if targets[target].is_held_off(cut.now_s))
+
+
+@then("{count:d} repeatable requests from {source} go to targets that are held off")
+def check_probes(context: Context, count: int, source: str) -> None:
+    assert _count_probes(context.cut, source) == count
