Keep the probes' steps apart, and look for probes only where there are some

A request that may not be repeated looks through all targets only where one that is held off is open to it.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -282,31 +282,30 @@
             case Ending.left:
                 pass
 
-    def _has_memory(self, state: TargetState, work: RoutedWork) -> bool:
-        memory = self._memory_tokens.get(work.service)
-        if not memory or not state.running:
-            return True
-        needed = sum(r.work.prompt_tokens + r.work.output_tokens for r in state.running.values())
-        return needed + work.prompt_tokens + work.output_tokens <= memory
-
     def _choose(
         self, pool: Pool, waiting: Waiting, open_: list[TargetState], now_s: float
     ) -> TargetState | None:
         """Return the best of the open targets for a request."""
         work = waiting.work
+        memory = self._memory_tokens.get(work.service, 0)
         fitting = [
             t
             for t in open_
-            if self._has_memory(t, work) and self.reach.is_open(_find_way(work, t), now_s)
+            if t.has_memory(work, memory) and self.reach.is_open(_find_way(work, t), now_s)
         ]
         if work.excluded:
             tried = work.excluded
             untried = [t for t in pool.list_usable() if t.listed.target not in tried]
             if untried:
                 fitting = [t for t in fitting if t.listed.target not in tried]
-        if not work.is_repeatable and self._has_sound(pool, work, now_s):
+        sound = [t for t in fitting if not t.is_held_off(now_s)]
+        if (
+            len(sound) < len(fitting)
+            and not work.is_repeatable
+            and self._has_sound(pool, work, now_s)
+        ):
             # A probe may cost it its only try, and a sound target will have a place.
-            fitting = [t for t in fitting if not t.is_held_off(now_s)]
+            fitting = sound
         if not fitting:
             return None
         return min(
@@ -315,9 +314,12 @@
 
     def _has_sound(self, pool: Pool, work: RoutedWork, now_s: float) -> bool:
         """Tell whether a target without failures is left to try, be it busy or not."""
-        sound = [t for t in pool.list_usable() if not t.strikes]
-        untried = [t for t in sound if t.listed.target not in work.excluded]
-        return any(self.reach.is_open(_find_way(work, t), now_s) for t in untried)
+        return any(
+            not t.strikes
+            and t.listed.target not in work.excluded
+            and self.reach.is_open(_find_way(work, t), now_s)
+            for t in pool.list_usable()
+        )
 
     def _draw(self) -> float:
         return self._spread.uniform(0.0, _SPREAD_S) if self._spread is not None else 0.0
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -127,6 +127,13 @@
             held += part.tokens
         return max(0.0, work.prompt_tokens - held)
 
+    def has_memory(self, work: RoutedWork, memory_tokens: int) -> bool:
+        """Tell whether a request fits beside those that run; 0 tokens of memory is no limit."""
+        if not memory_tokens or not self.running:
+            return True
+        needed = sum(r.work.prompt_tokens + r.work.output_tokens for r in self.running.values())
+        return needed + work.prompt_tokens + work.output_tokens <= memory_tokens
+
     def remember(self, model: str, parts: Sequence[Part]) -> None:
         """Note the prompt parts that the target has read."""
         for part in parts:
