--- /dev/null
+++ b/troutstand/core/choice.py
@@ -0,0 +1,85 @@
+"""Choose the target that a request goes to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from troutstand.core.reach import Way
+
+if TYPE_CHECKING:
+    import random
+
+    from troutstand.core.pool import Pool, Waiting
+    from troutstand.core.reach import Reach
+    from troutstand.core.targetstate import TargetState
+    from troutstand.generated.messages import RoutedWork
+
+# Deciders that do not hear of each other choose among targets whose costs differ by less
+# than this at random. The value is that of the way to another failure domain, so that
+# requests stay in their own. With equal costs 40 deciders sent 40 requests to one of 16
+# targets; now the busiest gets 5 in the median of 200 draws, 11 at most.
+_SPREAD_S = 0.02
+
+
+def find_way(work: RoutedWork, state: TargetState) -> Way:
+    """Return the way that a request goes to a target."""
+    return Way(work.failure_domain, state.listed.failure_domain)
+
+
+class TargetChoice:
+    """Choose among a service's open targets.
+
+    Parameters
+    ----------
+    spread
+        Draws among targets that cost about the same; without it the first of equals is
+        taken.
+    """
+
+    def __init__(self, reach: Reach, spread: random.Random | None) -> None:
+        self._reach = reach
+        self._spread = spread
+
+    def choose(
+        self, pool: Pool, waiting: Waiting, open_: list[TargetState], now_s: float
+    ) -> TargetState | None:
+        """Return the best of the open targets for a request, or None where none fits."""
+        fitting = self._list_fitting(pool, waiting.work, open_, now_s)
+        if not fitting:
+            return None
+        return min(
+            fitting, key=lambda state: pool.estimate_cost(state, waiting, now_s) + self._draw()
+        )
+
+    def _list_fitting(
+        self, pool: Pool, work: RoutedWork, open_: list[TargetState], now_s: float
+    ) -> list[TargetState]:
+        fitting = [
+            t
+            for t in open_
+            if t.has_memory(work, pool.memory_tokens) and self._is_reached(work, t, now_s)
+        ]
+        tried = work.excluded
+        if tried and any(t.listed.target not in tried for t in pool.list_usable()):
+            fitting = [t for t in fitting if t.listed.target not in tried]
+        sound = [t for t in fitting if not t.is_held_off(now_s)]
+        has_probes = len(sound) < len(fitting)
+        if has_probes and not work.is_repeatable and self._has_sound(pool, work, now_s):
+            # A probe may cost it its only try, and a sound target will have a place.
+            return sound
+        return fitting
+
+    def _is_reached(self, work: RoutedWork, state: TargetState, now_s: float) -> bool:
+        return self._reach.is_open(find_way(work, state), now_s)
+
+    def _has_sound(self, pool: Pool, work: RoutedWork, now_s: float) -> bool:
+        """Tell whether a target without failures is left to try, be it busy or not."""
+        return any(
+            not t.strikes
+            and t.listed.target not in work.excluded
+            and self._is_reached(work, t, now_s)
+            for t in pool.list_usable()
+        )
+
+    def _draw(self) -> float:
+        return self._spread.uniform(0.0, _SPREAD_S) if self._spread is not None else 0.0
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -11,11 +11,12 @@
 
 import msgspec
 
+from troutstand.core.choice import TargetChoice, find_way
 from troutstand.core.codes import ResultCode
 from troutstand.core.decision import Decision, PlacedInputs
 from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
-from troutstand.core.reach import Reach, Way
+from troutstand.core.reach import Reach
 from troutstand.core.targetstate import Running, TargetState, measure_service
 from troutstand.generated.messages import Declined, Ending, Hold, ListedState, Placed
 
@@ -53,11 +54,6 @@
 # An estimated wait may be too long by this share of a request's patience before it counts
 # as overtaken, since the estimate moves with every arrival (chosen, not measured).
 _OVERTAKEN_MARGIN = 0.2
-# Deciders that do not hear of each other choose among targets whose costs differ by less
-# than this at random. The value is that of the way to another failure domain, so that
-# requests stay in their own. With equal costs 40 deciders sent 40 requests to one of 16
-# targets; now the busiest gets 5 in the median of 200 draws, 11 at most.
-_SPREAD_S = 0.02
 
 
 _get_rank = attrgetter("rank")
@@ -78,11 +74,10 @@
     ) -> None:
         self.quotas = quotas
         self.retries = retries
-        self._spread = spread
         self.pools: dict[str, Pool] = {}
         self.reach = Reach()
+        self._choice = TargetChoice(self.reach, spread)
         self._decisions: list[Decision] = []
-        self._memory_tokens: dict[str, int] = {}
 
     def take_decisions(self) -> list[Decision]:
         """Return the decisions since the last call."""
@@ -95,11 +90,12 @@
         """Take a configuration."""
         self.quotas.use_workspaces(table.configuration.workspaces, now_s)
         engines = {name: s.engine for name, s in table.services.items() if s.engine is not None}
-        self._memory_tokens = {
-            name: engine.memory_tokens for name, engine in engines.items() if engine.memory_tokens
-        }
+        for pool in self.pools.values():
+            pool.memory_tokens = 0
         for name, engine in engines.items():
-            self.pools.setdefault(name, Pool()).stride = engine.stride
+            pool = self.pools.setdefault(name, Pool())
+            pool.stride = engine.stride
+            pool.memory_tokens = engine.memory_tokens
 
     def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
         """Take a newer list of targets; what runs at those that are gone is forgotten."""
@@ -222,7 +218,7 @@
             run = state.running.get(first.request) if state else None
             if state is not None and run is not None and not run.has_first:
                 state.note_first(run, now_s)
-                self.reach.note_sign(_find_way(run.work, state))
+                self.reach.note_sign(find_way(run.work, state))
                 if run.work.prompt_tokens:
                     state.learn_reading(run, first.first_s, pool.know_reading(state))
                     pool.forget_typical()
@@ -255,14 +251,14 @@
         run = state.find_silence(now_s)
         if run is not None:
             state.note_lost(run, now_s)
-            self.reach.note_unreached(_find_way(run.work, state), state.listed.target, now_s)
+            self.reach.note_unreached(find_way(run.work, state), state.listed.target, now_s)
 
     # Choosing
 
     def _learn_ending(
         self, pool: Pool, state: TargetState, run: Running, ended: Ended, now_s: float
     ) -> None:
-        self.reach.note_ending(_find_way(run.work, state), ended, now_s)
+        self.reach.note_ending(find_way(run.work, state), ended, now_s)
         match ended.ending:
             case Ending.whole:
                 state.note_whole(now_s)
@@ -282,48 +278,6 @@
             case Ending.left:
                 pass
 
-    def _choose(
-        self, pool: Pool, waiting: Waiting, open_: list[TargetState], now_s: float
-    ) -> TargetState | None:
-        """Return the best of the open targets for a request."""
-        work = waiting.work
-        memory = self._memory_tokens.get(work.service, 0)
-        fitting = [
-            t
-            for t in open_
-            if t.has_memory(work, memory) and self.reach.is_open(_find_way(work, t), now_s)
-        ]
-        if work.excluded:
-            tried = work.excluded
-            untried = [t for t in pool.list_usable() if t.listed.target not in tried]
-            if untried:
-                fitting = [t for t in fitting if t.listed.target not in tried]
-        sound = [t for t in fitting if not t.is_held_off(now_s)]
-        if (
-            len(sound) < len(fitting)
-            and not work.is_repeatable
-            and self._has_sound(pool, work, now_s)
-        ):
-            # A probe may cost it its only try, and a sound target will have a place.
-            fitting = sound
-        if not fitting:
-            return None
-        return min(
-            fitting, key=lambda state: pool.estimate_cost(state, waiting, now_s) + self._draw()
-        )
-
-    def _has_sound(self, pool: Pool, work: RoutedWork, now_s: float) -> bool:
-        """Tell whether a target without failures is left to try, be it busy or not."""
-        return any(
-            not t.strikes
-            and t.listed.target not in work.excluded
-            and self.reach.is_open(_find_way(work, t), now_s)
-            for t in pool.list_usable()
-        )
-
-    def _draw(self) -> float:
-        return self._spread.uniform(0.0, _SPREAD_S) if self._spread is not None else 0.0
-
     def _serve_queue(self, pool: Pool, now_s: float, most_passed: int = _MAX_PASSED) -> None:
         """Give free slots to those who wait, in the queue's order.
 
@@ -341,7 +295,7 @@
         outlook = pool.describe_busy()
         passed = 0
         for waiting in sorted(pool.waiting.values(), key=_get_rank):
-            state = self._choose(pool, waiting, open_, now_s)
+            state = self._choice.choose(pool, waiting, open_, now_s)
             if state is None or pool.should_wait(state, waiting, outlook, now_s):
                 passed += 1
                 if passed >= most_passed:
@@ -370,7 +324,7 @@
         )
         state.start(Running(work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead))
         state.note_connection(waiting.owner, now_s)
-        self.reach.note_sent(_find_way(work, state), now_s)
+        self.reach.note_sent(find_way(work, state), now_s)
         placed = Placed(
             work.request,
             state.listed.target,
@@ -453,7 +407,3 @@
         retry_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
         declined = Declined(work.request, int(code), retry_s, reason)
         self._decisions.append(Decision(owner, declined))
-
-
-def _find_way(work: RoutedWork, state: TargetState) -> Way:
-    return Way(work.failure_domain, state.listed.failure_domain)
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -147,6 +147,8 @@
     hold_s: float | None = None
     # Tokens that one event of a stream carries.
     stride: int = 1
+    # What a target's memory holds, in tokens of prompts and answers; 0 is no limit.
+    memory_tokens: int = 0
     # What targets of which nothing was learnt are taken to be like. Without keeping the
     # medians until something is learnt the decider took 1.00 to 1.07 of a core at 1,248
     # requests/s and 78 targets, with it 0.78 to 0.92 (`benchmarks/dispatching.py`, busy
