Add a failing test: standby schedulers send lists that nobody takes

A standby reads the list of targets every 5 s, the scheduler that decides every 0.9 s: for as long as they differ, each gateway's heartbeat to each standby is answered with the whole list, which the gateway drops.

--- a/troutstand/tests/takeover.feature
+++ b/troutstand/tests/takeover.feature
@@ -50,3 +50,15 @@
     Given a scheduler that takes over from an older list of 2 targets
     When a gateway tells that the first target is leaving, and asks twice
     Then both requests go to the second target
+
+  Scenario Outline: A gateway that <whom> and holds <which> list gets <count> targets with a heartbeat
+    Given a scheduler that knows 3 targets
+    When a gateway that <whom> and holds <which> list sends a heartbeat
+    Then it is told <count> targets
+
+    Examples:
+      | whom                   | which      | count |
+      | asks this scheduler    | another    | 3     |
+      | asks this scheduler    | the same   | 0     |
+      | decides alone          | another    | 3     |
+      | asks another scheduler | another    | 0     |
