Drop events behind a resume only, and know every end of an event

Cause: ids were compared within one target's stream as well, so that of two events under one id the second was dropped; and a stream without a length that ended behind \n\r\n counted as broken within an event. Change: ids are compared with the last one before a resume; all four forms of the blank line end an event. Shown: two of relay.feature's new scenarios red before; relay and begun pass (48).

--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -141,9 +141,9 @@
         sent = await self._send(placed)
         if self._answer.has_begun and not self._continues(sent):
             # Passed on, this answer would stand with a head of its own amid the events that
-            # the caller reads, as 1 of 13 broken attempts did where engines failed a third of
-            # their requests (counted in the logs). The stream goes on at another target or
-            # is broken off.
+            # the caller reads: 1 of 13 broken attempts where engines fail a third of their
+            # requests (counted in the logs). The stream goes on at another target or is
+            # broken off.
             sent.connection.abort()
             raise SendError(Ending.failed, "no events that go on with a stream", sent.head.status)
         if _is_stream(sent):
@@ -293,6 +293,7 @@
         if self._splitter is None:
             names = self._gateway.dialect.headers
             self._splitter = EventSplitter(self._request.headers.get(names.resume, ""))
+        self._splitter.resume()
         return self._splitter
 
     async def _next_chunk(self, chunks) -> bytes | None:  # type: ignore[no-untyped-def]
--- a/troutstand/routing/streams.py
+++ b/troutstand/routing/streams.py
@@ -7,15 +7,17 @@
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 _DATA = re.compile(rb"^data", re.MULTILINE)
-# The longest blank line that ends an event.
-_TAIL_BYTES = 4
+# The endings of an event, and the bytes of the longest of them.
+_ENDINGS = (b"\n\n", b"\n\r\n")
+_TAIL_BYTES = 3
 
 
 class EventSplitter:
     """Hold back an event until it is whole, and remember the last id passed on.
 
     Whoever goes on with a stream may begin too early; without dropping what was passed
-    on already, its caller reads those events twice.
+    on already, its caller reads those events twice. Ids that are no whole numbers cannot
+    be compared: what comes under them is passed on.
 
     Parameters
     ----------
@@ -25,8 +27,9 @@
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
-        # Whether the stream can go on behind the last event: that one has told its id.
+        # Whether every event with data so far had an id; only then can others go on.
         self.can_resume = True
+        self._resumed_behind = last_id
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -49,10 +52,14 @@
                 self.can_resume = False
             return True
         event_id = found[1].decode("latin-1").strip()
-        if _is_behind(event_id, self.last_id):
-            self.last_id = event_id
-            return True
-        return False
+        if not _is_behind(event_id, self._resumed_behind):
+            return False
+        self.last_id = event_id
+        return True
+
+    def resume(self) -> None:
+        """Expect the stream to go on behind the last event that was passed on."""
+        self._resumed_behind = self.last_id
 
     def drop_partial(self) -> None:
         """Forget an event that broke off."""
@@ -84,4 +91,4 @@
     @property
     def is_between_events(self) -> bool:
         """Tell whether nothing came behind the last whole event."""
-        return not self._tail or self._tail.endswith((b"\n\n", b"\r\n\r\n"))
+        return not self._tail or self._tail.endswith(_ENDINGS)
--- a/troutstand/tests/relay.feature
+++ b/troutstand/tests/relay.feature
@@ -62,3 +62,22 @@
   Scenario: Events are passed on whole and the last one is remembered
     When a stream breaks within its third event
     Then two events were passed on and the stream resumes behind the second
+
+  Scenario: Only what comes again behind a resume is dropped
+    When a stream sends two events under one id
+    Then both were passed on
+    When it is resumed by a target that begins with the event before the last
+    Then only the event that follows was passed on
+
+  Scenario Outline: A stream that ends with <ending> stands <where>
+    When a stream ends with <ending>
+    Then it stands <where>
+
+    Examples: endings
+      | ending         | where            |
+      | "\n\n"         | between events   |
+      | "\r\n\r\n"     | between events   |
+      | "\n\r\n"       | between events   |
+      | "\r\n\n"       | between events   |
+      | "\n"           | within an event  |
+      | "x"            | within an event  |
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -15,7 +15,7 @@
 from troutstand.routing.dialect import HeaderNames
 from troutstand.routing.exchange import ConnectionPool
 from troutstand.routing.relay import Outgoing, Sender, SendError
-from troutstand.routing.streams import EventSplitter
+from troutstand.routing.streams import EventEnd, EventSplitter
 from troutstand.testing.scripted import Close, Received, Reply, ScriptedTarget
 from troutstand.tests.steps.configuration import make_route
 
@@ -221,3 +221,45 @@
     assert context.passed == b"id: 4\ndata: a\n\nid: 7\ndata: b\n\n", context.passed
     assert context.splitter.last_id == "7"
     assert context.splitter.feed(b"id: 9\ndata: c\n\n") == b"id: 9\ndata: c\n\n"
+
+
+@when("a stream sends two events under one id")
+def send_alike(context: Context) -> None:
+    context.splitter = EventSplitter()
+    context.sent = b"id: 4\ndata: a\n\nid: 4\ndata: b\n\n"
+    context.passed = context.splitter.feed(context.sent)
+
+
+@then("both were passed on")
+def check_both(context: Context) -> None:
+    assert context.passed == context.sent, context.passed
+
+
+@when("it is resumed by a target that begins with the event before the last")
+def resume_early(context: Context) -> None:
+    context.splitter.resume()
+    context.passed = context.splitter.feed(
+        b"id: 3\ndata: y\n\nid: 4\ndata: z\n\nid: 5\ndata: c\n\n"
+    )
+
+
+@then("only the event that follows was passed on")
+def check_following(context: Context) -> None:
+    assert context.passed == b"id: 5\ndata: c\n\n", context.passed
+
+
+@when('a stream ends with "{ending}"')
+def end_stream(context: Context, ending: str) -> None:
+    context.end = EventEnd()
+    for byte in b"data: a" + ending.encode().decode("unicode_escape").encode():
+        context.end.feed(bytes([byte]))
+
+
+@then("it stands between events")
+def check_between(context: Context) -> None:
+    assert context.end.is_between_events
+
+
+@then("it stands within an event")
+def check_within(context: Context) -> None:
+    assert not context.end.is_between_events
