--- a/troutstand/tests/steps/links.py
+++ b/troutstand/tests/steps/links.py
@@ -22,7 +22,8 @@
 
 _PORT = 7700
 _QUEUE_MESSAGES = 16
-_TRIES_S = 0.6
+_TRIES = 3
+_LIMIT_S = 10.0
 
 
 def make_link(context: Context) -> Link:
@@ -41,13 +42,23 @@
 @when("a link is opened again and again where nothing listens")
 def open_in_vain(context: Context) -> None:
     link = make_link(context)
+    tried: list[str] = []
+    has_tried = asyncio.Event()
+
+    def connect(uri: str, **_: object) -> None:
+        tried.append(uri)
+        if len(tried) == _TRIES:
+            has_tried.set()
+        raise ConnectionRefusedError
 
     async def run() -> None:
         running = asyncio.create_task(link.run())
-        await asyncio.sleep(_TRIES_S)
+        async with asyncio.timeout(_LIMIT_S):
+            await has_tried.wait()
         running.cancel()
 
-    asyncio.run(run())
+    with patch("troutstand.daemon.links.connect", connect):
+        asyncio.run(run())
     assert link.is_refused
 
 
