Decide by a target's version who gets requests, and judge a version on trial

Cause: nothing in the product knew that targets run versions. An order to move a service to another version had no handler, and targets of a version that nobody ordered would have got requests from the first list that showed them.

Change: the keepers agree on a second line of decided contents, the rollout book. Pure functions change it, say which versions get requests, draw a sample of a twenty-fifth of each route's requests, count its answers beside those of the version in force, judge them and plan the next step. A decider's share holds of what it placed itself, so that no count has to survive a split or a restart. A service moves over within the exposure that is left, so that a version that turns bad at the last moment has got little.

Ruled out: judging a version against what its own targets learnt (a slow version teaches its own slowness); a part of the configuration (its numbers are the operator's).

--- a/troutstand/core/acceptor.py
+++ b/troutstand/core/acceptor.py
@@ -16,9 +16,11 @@
     CopyPage,
     KeeperSet,
     KeepersReply,
+    Line,
     Member,
     MemberState,
     Newest,
+    NewestAsk,
     Prepare,
     Promise,
     Refused,
@@ -36,10 +38,10 @@
     from troutstand.core.stored import StoredRecord
 
 TABLE_PREFIX = "table/"
-CONFIGURATION_PREFIX = "configuration/"
 CLAIM_PREFIXES = ("claim/", "outcome/")
 # Registers of older table versions are closed; their changes live in the table.
 KEPT_TABLE_REGISTERS = 1000
+_LINE_NAMES = frozenset(line.value for line in Line)
 
 
 @dataclass(frozen=True)
@@ -64,7 +66,18 @@
         self.keepers: KeeperSet | None = None
         self.registers: dict[str, RegisterState] = {}
         self.follower = Follower()
-        self.configuration = StoredConfiguration(0, b"")
+        # The newest decided content of each line.
+        self.decided = {line: StoredConfiguration(0, b"", line) for line in Line}
+
+    @property
+    def configuration(self) -> StoredConfiguration:
+        """Return the newest decided configuration."""
+        return self.decided[Line.configuration]
+
+    @property
+    def rollouts(self) -> StoredConfiguration:
+        """Return the newest decided rollout book."""
+        return self.decided[Line.rollouts]
 
     @property
     def epoch(self) -> int:
@@ -100,7 +113,7 @@
             case StoredTable(version, table):
                 self.follower.install(version, table)
             case StoredConfiguration():
-                self.learn_configuration(record)
+                self.learn_decided(record)
             case StoredIdentity() | StoredSequence():
                 pass
 
@@ -130,37 +143,36 @@
         oldest = self.follower.version - KEPT_TABLE_REGISTERS
         if version is not None and version <= oldest:
             return Refused(int(ResultCode.TABLE_STALE), f"version {version} is long decided")
-        number = parse_configuration_register(message.register)
-        if number is not None and number <= self.configuration.version:
-            held = self.configuration.version
-            return Refused(int(ResultCode.CONFIGURATION_STALE), f"version {held} is decided")
+        if self._is_settled(message.register):
+            detail = f"{message.register}: a version as high is decided"
+            return Refused(int(ResultCode.CONFIGURATION_STALE), detail)
         return None
 
-    def learn_configuration(self, record: StoredConfiguration) -> list[StoredRecord]:
-        """Take a newer decided configuration and drop the registers it settles."""
-        if record.version <= self.configuration.version:
+    def _is_settled(self, register: str) -> bool:
+        """Tell whether a register's line is known to have come as far or further."""
+        place = parse_line_register(register)
+        return place is not None and place.version <= self.decided[place.line].version
+
+    def learn_decided(self, record: StoredConfiguration) -> list[StoredRecord]:
+        """Take a newer decided content of a line and drop the registers it settles."""
+        if record.version <= self.decided[record.line].version:
             return []
-        self.configuration = record
-        self._drop_configuration_registers()
+        self.decided[record.line] = record
+        for name in [name for name in self.registers if self._is_settled(name)]:
+            del self.registers[name]
         return [record]
 
-    def _drop_configuration_registers(self) -> None:
-        for name in list(self.registers):
-            number = parse_configuration_register(name)
-            if number is not None and number <= self.configuration.version:
-                del self.registers[name]
-
-    def describe_newest(self, epoch: int) -> Newest | Refused:
-        """Tell how far configurations have come here, as a vote."""
-        if not self.is_voting or epoch != self.epoch:
+    def describe_newest(self, ask: NewestAsk) -> Newest | Refused:
+        """Tell how far a line has come here, as a vote."""
+        if not self.is_voting or ask.epoch != self.epoch:
             return Refused(int(ResultCode.KEEPER_EPOCH), "", self.keepers)
-        numbers = [
-            number
+        places = [
+            parse_line_register(name)
             for name, state in self.registers.items()
             if state.accepted is not None
-            and (number := parse_configuration_register(name)) is not None
         ]
-        return Newest(self.configuration.version, max(numbers, default=0))
+        numbers = [p.version for p in places if p is not None and p.line is ask.line]
+        return Newest(self.decided[ask.line].version, max(numbers, default=0))
 
     def reset(self, identity: StoredIdentity) -> None:
         """Begin again as a new disk; what is decided for all stays."""
@@ -184,15 +196,14 @@
         if not ask.after:
             version = self.follower.version
             records.insert(0, StoredTable(version, self.follower.table.pack()))
-            records.insert(1, self.configuration)
+            records[1:1] = self.decided.values()
         return CopyPage(records, len(page) == len(names), page[-1] if page else "")
 
     def merge_copy(self, record: StoredRecord) -> list[StoredRecord]:
         """Take a copied record where it is newer than what is held."""
         match record:
             case StoredRegister(state):
-                number = parse_configuration_register(state.register)
-                if number is not None and number <= self.configuration.version:
+                if self._is_settled(state.register):
                     return []
                 held = self.registers.get(state.register)
                 if held is not None and _is_newer(held, state):
@@ -202,7 +213,7 @@
             case StoredTable(version, table):
                 return [record] if self.follower.install(version, table) else []
             case StoredConfiguration():
-                return self.learn_configuration(record)
+                return self.learn_decided(record)
             case _:
                 return []
 
@@ -220,8 +231,7 @@
         if self.keepers:
             records.append(StoredKeepers(self.keepers))
         records.append(StoredTable(self.follower.version, self.follower.table.pack()))
-        if self.configuration.version:
-            records.append(self.configuration)
+        records.extend(decided for decided in self.decided.values() if decided.version)
         records.extend(StoredRegister(state) for state in self.registers.values())
         return records
 
@@ -241,16 +251,25 @@
     return int(digits) if register.startswith(TABLE_PREFIX) and digits.isdigit() else None
 
 
-def name_configuration(version: int) -> RegisterName:
-    """Name the register that holds the configuration of a version."""
-    return RegisterName(f"{CONFIGURATION_PREFIX}{version}")
+@dataclass(frozen=True)
+class LinePlace:
+    """Name one version of a line."""
+
+    line: Line
+    version: int
+
+
+def name_line_register(place: LinePlace) -> RegisterName:
+    """Name the register that holds the content of one version of a line."""
+    return RegisterName(f"{place.line.value}/{place.version}")
 
 
-def parse_configuration_register(register: str) -> int | None:
-    """Return the version whose register this is, or None for another register."""
-    digits = register.removeprefix(CONFIGURATION_PREFIX)
-    is_named = register.startswith(CONFIGURATION_PREFIX) and digits.isdigit()
-    return int(digits) if is_named else None
+def parse_line_register(register: str) -> LinePlace | None:
+    """Return the place whose register this is, or None for another register."""
+    name, _, digits = register.partition("/")
+    if name not in _LINE_NAMES or not digits.isdigit():
+        return None
+    return LinePlace(Line(name), int(digits))
 
 
 def _is_expired(state: RegisterState, oldest_s: float, oldest_version: int) -> bool:
--- a/troutstand/core/choice.py
+++ b/troutstand/core/choice.py
@@ -51,6 +51,30 @@
             fitting, key=lambda state: pool.estimate_cost(state, waiting, now_s) + self._draw()
         )
 
+    def choose_canary(
+        self, pool: Pool, waiting: Waiting, canaries: list[TargetState], now_s: float
+    ) -> TargetState | None:
+        """Return the target on trial that a request is sampled for, or None.
+
+        Only first tries are sampled: one that failed at a target on trial goes to the
+        version in force. All targets on trial get as many, the slow ones too, since they
+        are judged together.
+        """
+        work = waiting.work
+        if not canaries or work.attempt > 1:
+            return None
+        if not pool.trial.is_due(work.route) and not pool.trial.outlasts(
+            pool.estimate_stay(work), now_s
+        ):
+            return None
+        fitting = [
+            t
+            for t in canaries
+            if t.has_memory(work, pool.memory_tokens) and self._is_reached(work, t, now_s)
+        ]
+        samples = pool.trial.samples
+        return min(fitting, key=lambda t: samples.get(t.listed.target, 0), default=None)
+
     def _list_fitting(
         self, pool: Pool, work: RoutedWork, open_: list[TargetState], now_s: float
     ) -> list[TargetState]:
--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -73,6 +73,8 @@
     CONFIGURATION_INVALID = 6009
     CONFIGURATION_STALE = 6010
     CONFIGURATION_UNKNOWN = 6011
+    ROLLOUT_UNDER_WAY = 6012
+    ROLLOUT_UNKNOWN = 6013
 
     LINK_REFUSED = 7001
     LINK_MALFORMED = 7002
@@ -153,6 +155,8 @@
     ResultCode.CONFIGURATION_UNKNOWN: Meaning(
         503, "the newest configuration cannot be told now", 62
     ),
+    ResultCode.ROLLOUT_UNDER_WAY: Meaning(409, "another rollout of the service runs", 66),
+    ResultCode.ROLLOUT_UNKNOWN: Meaning(404, "the service had no rollout", 64),
     ResultCode.LINK_REFUSED: Meaning(403, "a link's key, host or site is wrong", 70),
     ResultCode.LINK_MALFORMED: Meaning(400, "a message of a link cannot be read", 70),
     ResultCode.LINK_CLOSED: Meaning(503, "the link closed before the answer", 70),
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -9,16 +9,15 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from troutstand.core.choice import TargetChoice, find_way
 from troutstand.core.codes import ResultCode
 from troutstand.core.decision import Decision, PlacedInputs
 from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.reach import Reach
+from troutstand.core.siteview import SiteView
 from troutstand.core.targetstate import Running, TargetState, measure_service
-from troutstand.generated.messages import Declined, Ending, Hold, ListedState, Placed
+from troutstand.generated.messages import Declined, Ending, Placed
 
 if TYPE_CHECKING:
     import random
@@ -31,9 +30,7 @@
         Ended,
         FirstByte,
         ListedTarget,
-        PlacedWork,
         RoutedWork,
-        TargetSpeed,
     )
 
 # How many waiting requests an event may look at in vain.
@@ -59,7 +56,7 @@
 _get_rank = attrgetter("rank")
 
 
-class Dispatcher:
+class Dispatcher(SiteView):
     """Hold the queues and the targets of a whole site.
 
     Parameters
@@ -72,9 +69,9 @@
     def __init__(
         self, quotas: Quotas, retries: RetryBudget, spread: random.Random | None = None
     ) -> None:
+        super().__init__()
         self.quotas = quotas
         self.retries = retries
-        self.pools: dict[str, Pool] = {}
         self.reach = Reach()
         self._choice = TargetChoice(self.reach, spread)
         self._decisions: list[Decision] = []
@@ -89,83 +86,13 @@
     def use_table(self, table: RouteTable, now_s: float) -> None:
         """Take a configuration."""
         self.quotas.use_workspaces(table.configuration.workspaces, now_s)
-        engines = {name: s.engine for name, s in table.services.items() if s.engine is not None}
-        for pool in self.pools.values():
-            pool.memory_tokens = 0
-        for name, engine in engines.items():
-            pool = self.pools.setdefault(name, Pool())
-            pool.stride = engine.stride
-            pool.memory_tokens = engine.memory_tokens
+        self.use_services(table)
 
     def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
-        """Take a newer list of targets; what runs at those that are gone is forgotten."""
-        seen: set[tuple[str, str]] = set()
-        for entry in listed:
-            pool = self.pools.setdefault(entry.service, Pool())
-            seen.add((entry.service, entry.target))
-            held = pool.targets.get(entry.target)
-            if held is None:
-                pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
-            else:
-                held.listed = entry
-        for service, pool in self.pools.items():
-            for target in [t for t in pool.targets if (service, t) not in seen]:
-                del pool.targets[target]
-            pool.forget_typical()
-            self._serve_queue(pool, now_s)
-
-    def note_leaving(self, targets: Iterable[str]) -> None:
-        """Give no more work to targets that a newer list than one's own shows as leaving.
-
-        A target never stops leaving, so that the next list cannot contradict it.
-        """
-        leaving = set(targets)
+        """Take a newer list of targets, and give their slots to those that wait."""
+        super().use_targets(listed, now_s)
         for pool in self.pools.values():
-            for name in leaving & set(pool.targets):
-                state = pool.targets[name]
-                state.listed = msgspec.structs.replace(state.listed, state=ListedState.draining)
-
-    def adopt(self, placed: PlacedWork, owner: str, now_s: float) -> None:
-        """Count a request that another scheduler had placed."""
-        work = placed.work
-        pool = self.pools.setdefault(work.service, Pool())
-        state = pool.targets.get(placed.target)
-        if state is None or work.request in state.running:
-            return
-        run = Running(
-            work,
-            owner,
-            now_s - placed.elapsed_s,
-            # A prompt that is not read yet holds up those that come after it.
-            uncached_tokens=0.0 if placed.has_first else state.count_uncached(work),
-            expected_first_s=placed.elapsed_s + pool.estimate_first(state, work),
-            has_first=placed.has_first,
-        )
-        state.start(run)
-
-    def list_holds(self) -> list[Hold]:
-        """Return how long requests keep their slots, by service."""
-        return [
-            Hold(service, pool.hold_s)
-            for service, pool in self.pools.items()
-            if pool.hold_s is not None
-        ]
-
-    def inherit_holds(self, holds: Iterable[Hold]) -> None:
-        """Take over what another scheduler had learnt, where nothing was learnt here."""
-        for hold in holds:
-            pool = self.pools.setdefault(hold.service, Pool())
-            if pool.hold_s is None:
-                pool.hold_s = hold.hold_s
-
-    def inherit_speeds(self, speeds: Iterable[TargetSpeed]) -> None:
-        """Take in how fast a gateway saw the targets to be."""
-        for seen in speeds:
-            pool = self.pools.setdefault(seen.service, Pool())
-            state = pool.targets.get(seen.target)
-            if state is not None:
-                state.inherit_speed(seen, pool.know_reading(state))
-                pool.forget_typical()
+            self._serve_queue(pool, now_s)
 
     def drop_owner(self, owner: str, now_s: float) -> None:
         """Forget all requests of a gateway that is gone or asks another scheduler."""
@@ -259,6 +186,9 @@
         self, pool: Pool, state: TargetState, run: Running, ended: Ended, now_s: float
     ) -> None:
         self.reach.note_ending(find_way(run.work, state), ended, now_s)
+        if pool.trial.order is not None:
+            typical = pool.estimate_typical(run)
+            pool.trial.note_ended(run, ended, state.listed.version, typical, now_s)
         match ended.ending:
             case Ending.whole:
                 state.note_whole(now_s)
@@ -290,11 +220,17 @@
             return
         # Under load there is mostly nothing open, and every ending comes here.
         open_ = pool.list_open(now_s)
-        if not open_:
+        canaries = pool.list_canaries(now_s)
+        if not open_ and not canaries:
             return
         outlook = pool.describe_busy()
         passed = 0
         for waiting in sorted(pool.waiting.values(), key=_get_rank):
+            sample = self._choice.choose_canary(pool, waiting, canaries, now_s)
+            if sample is not None:
+                self._start(pool, sample, waiting, now_s)
+                canaries.remove(sample)
+                continue
             state = self._choice.choose(pool, waiting, open_, now_s)
             if state is None or pool.should_wait(state, waiting, outlook, now_s):
                 passed += 1
@@ -304,7 +240,7 @@
             self._start(pool, state, waiting, now_s)
             if not state.is_open(now_s):
                 open_.remove(state)
-            if not open_:
+            if not open_ and not canaries:
                 return
 
     def _start(self, pool: Pool, state: TargetState, waiting: Waiting, now_s: float) -> None:
@@ -325,6 +261,9 @@
         state.start(Running(work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead))
         state.note_connection(waiting.owner, now_s)
         self.reach.note_sent(find_way(work, state), now_s)
+        if work.attempt == 1:
+            is_sampled = pool.trial.is_on_trial(state.listed.version)
+            pool.trial.note_placed(work.route, state.listed.target, is_sampled)
         placed = Placed(
             work.request,
             state.listed.target,
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -7,11 +7,13 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from troutstand.core.rollouts.admission import Standing
+from troutstand.core.rollouts.trial import Trial, TypicalTimes
 from troutstand.core.speed import ReadingSpeed
 from troutstand.generated.messages import ListedState
 
 if TYPE_CHECKING:
-    from troutstand.core.targetstate import TargetState
+    from troutstand.core.targetstate import Running, TargetState
     from troutstand.generated.messages import RoutedWork
 
 # Guesses until something was measured, in seconds.
@@ -145,6 +147,7 @@
     targets: dict[str, TargetState] = field(default_factory=dict)
     waiting: dict[str, Waiting] = field(default_factory=dict)
     hold_s: float | None = None
+    trial: Trial = field(default_factory=Trial)
     # Tokens that one event of a stream carries.
     stride: int = 1
     # What a target's memory holds, in tokens of prompts and answers; 0 is no limit.
@@ -163,8 +166,30 @@
 
     def list_usable(self) -> list[TargetState]:
         """Return the targets that take new work at all."""
+        # Every placement comes here, so that it is one pass over the targets.
+        return [
+            t
+            for t in self.targets.values()
+            if t.listed.state is ListedState.ready and t.standing is Standing.OPEN
+        ]
+
+    def _list_ready(self) -> list[TargetState]:
         return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
 
+    def judge_versions(self) -> None:
+        """Find out anew which targets may get requests, by their versions."""
+        ready = self._list_ready()
+        standings = self.trial.judge_versions(t.listed.version for t in ready)
+        for target in ready:
+            target.standing = standings[target.listed.version]
+
+    def list_canaries(self, now_s: float) -> list[TargetState]:
+        """Return the targets of a version on trial that may be given work now."""
+        if self.trial.order is None:
+            return []
+        canaries = [t for t in self._list_ready() if t.standing is Standing.CANARY]
+        return [t for t in canaries if t.is_open(now_s)]
+
     def list_open(self, now_s: float) -> list[TargetState]:
         """Return the targets that may be given work now, among them those to be probed."""
         usable = self.list_usable()
@@ -242,7 +267,7 @@
         return self._typical_reading
 
     def _find_typical_reading(self) -> ReadingSpeed:
-        known = [t.reading.speed for t in self.targets.values() if t.reading is not None]
+        known = [t.reading.speed for t in self._list_models() if t.reading is not None]
         if not known:
             return _GUESS_READING
         return ReadingSpeed(
@@ -250,6 +275,29 @@
             median(speed.per_token_s for speed in known),
         )
 
+    def _list_models(self) -> list[TargetState]:
+        """Return the targets that show what is typical: not those of a version on trial."""
+        return [t for t in self.targets.values() if not self.trial.is_on_trial(t.listed.version)]
+
+    def estimate_stay(self, work: RoutedWork) -> float:
+        """Return how long a request stays at a typical target, in seconds."""
+        if not work.prompt_tokens:
+            return self._know_typical("service_s", _GUESS_SERVICE_S)
+        if self._typical_reading is None:
+            self._typical_reading = self._find_typical_reading()
+        first_s = self._typical_reading.estimate(work.prompt_tokens)
+        return first_s + work.output_tokens * self._know_typical("token_s", _GUESS_TOKEN_S)
+
+    def estimate_typical(self, run: Running) -> TypicalTimes:
+        """Return what a typical target of the version in force needs for a request."""
+        if not run.work.prompt_tokens:
+            return TypicalTimes(self._know_typical("service_s", _GUESS_SERVICE_S))
+        if self._typical_reading is None:
+            self._typical_reading = self._find_typical_reading()
+        to_read = run.uncached_tokens + run.tokens_ahead
+        token_s = self._know_typical("token_s", _GUESS_TOKEN_S)
+        return TypicalTimes(self._typical_reading.estimate(to_read), token_s * self.stride)
+
     def forget_typical(self) -> None:
         """Note that something was learnt of a target, so that the medians are old."""
         self._typical_reading = None
@@ -258,10 +306,11 @@
     def _know(self, state: TargetState, name: str, guess: float) -> float:
         """Return a target's learnt speed, or what its like show, or a guess."""
         own = getattr(state, name).value
-        if own is not None:
-            return own
+        return own if own is not None else self._know_typical(name, guess)
+
+    def _know_typical(self, name: str, guess: float) -> float:
         if name not in self._typical:
-            known = [v for t in self.targets.values() if (v := getattr(t, name).value) is not None]
+            known = [v for t in self._list_models() if (v := getattr(t, name).value) is not None]
             self._typical[name] = median(known) if known else None
         typical = self._typical[name]
         return typical if typical is not None else guess
--- /dev/null
+++ b/troutstand/core/siteview.py
@@ -0,0 +1,124 @@
+"""Keep what a decider knows of a site's services and targets, and take over what others know."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from troutstand.core.pool import Pool
+from troutstand.core.rollouts.trial import RolloutView
+from troutstand.core.targetstate import Running, TargetState
+from troutstand.generated.messages import Hold, ListedState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from troutstand.core.configuration import RouteTable
+    from troutstand.generated.messages import ListedTarget, PlacedWork, TargetSpeed
+
+
+class SiteView:
+    """Hold the services of a site with their targets."""
+
+    def __init__(self) -> None:
+        self.pools: dict[str, Pool] = {}
+        self._rollouts = RolloutView()
+
+    def use_services(self, table: RouteTable) -> None:
+        """Take what a configuration says of the services."""
+        engines = {name: s.engine for name, s in table.services.items() if s.engine is not None}
+        for pool in self.pools.values():
+            pool.memory_tokens = 0
+        for name, engine in engines.items():
+            pool = self.pools.setdefault(name, Pool())
+            pool.stride = engine.stride
+            pool.memory_tokens = engine.memory_tokens
+
+    def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
+        """Take a newer list of targets; what runs at those that are gone is forgotten."""
+        seen: set[tuple[str, str]] = set()
+        for entry in listed:
+            pool = self.pools.setdefault(entry.service, Pool())
+            seen.add((entry.service, entry.target))
+            held = pool.targets.get(entry.target)
+            if held is None:
+                pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
+            else:
+                held.listed = entry
+        for service, pool in self.pools.items():
+            for target in [t for t in pool.targets if (service, t) not in seen]:
+                del pool.targets[target]
+            self._apply_rollout(service, pool)
+
+    def use_rollouts(self, view: RolloutView) -> None:
+        """Take what is known of rollouts."""
+        if view == self._rollouts:
+            return
+        self._rollouts = view
+        for service, pool in self.pools.items():
+            self._apply_rollout(service, pool)
+
+    def _apply_rollout(self, service: str, pool: Pool) -> None:
+        pool.trial.follow(self._rollouts.describe(service), self._rollouts.bound)
+        pool.judge_versions()
+        pool.forget_typical()
+
+    def condemn(self, service: str) -> None:
+        """Send nothing more to the version on trial of a service."""
+        pool = self.pools[service]
+        pool.trial.condemn()
+        pool.judge_versions()
+
+    def note_leaving(self, targets: Iterable[str]) -> None:
+        """Give no more work to targets that a newer list than one's own shows as leaving.
+
+        A target never stops leaving, so that the next list cannot contradict it.
+        """
+        leaving = set(targets)
+        for pool in self.pools.values():
+            for name in leaving & set(pool.targets):
+                state = pool.targets[name]
+                state.listed = msgspec.structs.replace(state.listed, state=ListedState.draining)
+
+    def adopt(self, placed: PlacedWork, owner: str, now_s: float) -> None:
+        """Count a request that another scheduler had placed."""
+        work = placed.work
+        pool = self.pools.setdefault(work.service, Pool())
+        state = pool.targets.get(placed.target)
+        if state is None or work.request in state.running:
+            return
+        run = Running(
+            work,
+            owner,
+            now_s - placed.elapsed_s,
+            # A prompt that is not read yet holds up those that come after it.
+            uncached_tokens=0.0 if placed.has_first else state.count_uncached(work),
+            expected_first_s=placed.elapsed_s + pool.estimate_first(state, work),
+            has_first=placed.has_first,
+        )
+        state.start(run)
+
+    def list_holds(self) -> list[Hold]:
+        """Return how long requests keep their slots, by service."""
+        return [
+            Hold(service, pool.hold_s)
+            for service, pool in self.pools.items()
+            if pool.hold_s is not None
+        ]
+
+    def inherit_holds(self, holds: Iterable[Hold]) -> None:
+        """Take over what another scheduler had learnt, where nothing was learnt here."""
+        for hold in holds:
+            pool = self.pools.setdefault(hold.service, Pool())
+            if pool.hold_s is None:
+                pool.hold_s = hold.hold_s
+
+    def inherit_speeds(self, speeds: Iterable[TargetSpeed]) -> None:
+        """Take in how fast a gateway saw the targets to be."""
+        for seen in speeds:
+            pool = self.pools.setdefault(seen.service, Pool())
+            state = pool.targets.get(seen.target)
+            if state is not None:
+                state.inherit_speed(seen, pool.know_reading(state))
+                pool.forget_typical()
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from troutstand.core.rollouts.admission import Standing
 from troutstand.core.speed import ReadingFit, ReadingSpeed, ReadingSums, Speed
 
 if TYPE_CHECKING:
@@ -72,6 +73,8 @@
     last_sign_s: float = 0.0
     parts: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
     connections: dict[str, KeptConnections] = field(default_factory=dict)
+    # Which requests it may get, by the version that it runs.
+    standing: Standing = Standing.OPEN
 
     @property
     def free_slots(self) -> int:
--- a/troutstand/routing/control.py
+++ b/troutstand/routing/control.py
@@ -1,4 +1,4 @@
-"""Take operators' configurations and tell them the newest."""
+"""Take operators' configurations and rollouts, and tell them the newest."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 from troutstand.core.codes import ResultCode, describe_code
 from troutstand.core.errors import TroutstandError, flatten_group
+from troutstand.core.rollouts.book import find_rollout
 from troutstand.generated.messages import StoredConfiguration
 from troutstand.util.listening import listen
 
@@ -15,7 +16,8 @@
     from troutstand.generated.configuration import Configuration
     from troutstand.generated.settings import Address
     from troutstand.routing.dialect import Dialect
-    from troutstand.routing.line import ConfigurationLine
+    from troutstand.routing.line import DecidedLine
+    from troutstand.routing.rolloutline import RolloutLine
     from troutstand.util.events import EventBus
 
 MAX_BODY_BYTES = 64 << 20
@@ -36,8 +38,11 @@
 class Control:
     """Serve the operators' address of a keeper."""
 
-    def __init__(self, line: ConfigurationLine, dialect: Dialect, events: EventBus) -> None:
+    def __init__(
+        self, line: DecidedLine, rollouts: RolloutLine, dialect: Dialect, events: EventBus
+    ) -> None:
         self._line = line
+        self._rollouts = rollouts
         self._dialect = dialect
         self._events = events
         self._runner: web.AppRunner | None = None
@@ -47,6 +52,8 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route(*self._dialect.configuration_write, self._write)
         app.router.add_route(*self._dialect.configuration_read, self._read)
+        app.router.add_route(*self._dialect.rollout_begin, self._begin_rollout)
+        app.router.add_route(*self._dialect.rollout_read, self._read_rollout)
         self._runner = await listen(app, address, "control")
 
     async def stop(self) -> None:
@@ -89,3 +96,44 @@
         if not held.version:
             return _make_refusal([TroutstandError(ResultCode.CONFIGURATION_UNKNOWN, "none yet")])
         return web.Response(body=held.content, content_type="application/json")
+
+    # Rollouts
+
+    async def _begin_rollout(self, request: web.Request) -> web.Response:
+        try:
+            ask = self._dialect.decode_rollout(await request.read())
+            await self._check_service(ask.service)
+            await self._rollouts.begin(ask)
+        except TroutstandError as error:
+            self._events.emit("rollout_refused", code=error.code, detail=error.detail)
+            return _make_refusal([error])
+        self._events.emit(
+            "rollout_acknowledged",
+            service=ask.service,
+            target_version=ask.version,
+            duration_s=ask.duration_s,
+        )
+        return web.Response(status=200)
+
+    async def _check_service(self, service: str) -> None:
+        held = await self._line.read()
+        known: set[str] = set()
+        if held.version:
+            configuration = self._dialect.decode_configuration(held.content)
+            known = {entry.name for entry in configuration.services}
+        if service not in known:
+            detail = f"service {service!r} is not in configuration {held.version}"
+            raise TroutstandError(ResultCode.SERVICE_UNKNOWN, detail)
+
+    async def _read_rollout(self, request: web.Request) -> web.Response:
+        service = request.match_info["service"]
+        try:
+            book = await self._rollouts.read()
+        except TroutstandError as error:
+            self._events.emit("rollout_unread", code=error.code, service=service)
+            return _make_refusal([error])
+        rollout = find_rollout(book, service)
+        if rollout is None or rollout.order is None:
+            return _make_refusal([TroutstandError(ResultCode.ROLLOUT_UNKNOWN, service)])
+        body = self._dialect.encode_rollout(rollout.order)
+        return web.Response(body=body, content_type="application/json")
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -15,13 +15,20 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import check_configuration
 from troutstand.core.errors import TroutstandError
+from troutstand.core.rollouts.book import RolloutAsk
 from troutstand.generated.configuration import Configuration
-from troutstand.generated.messages import ListedTarget
+from troutstand.generated.messages import ListedTarget, RolloutOrder, RolloutState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
+# A version names software, such as a tag or a digest.
+_MAX_VERSION = 128
+# The longest time that an order may give, in seconds: a week.
+_MAX_DURATION_S = 604800.0
+
+
 @dataclass(frozen=True)
 class HeaderNames:
     """Name the headers of requests and answers, in lower case."""
@@ -87,6 +94,58 @@
     return "/targets" if token is None else f"/targets?page={quote(token)}"
 
 
+class _RolloutBody(msgspec.Struct, forbid_unknown_fields=True):
+    service: str
+    version: str
+    duration_s: float
+
+
+def decode_own_rollout(data: bytes) -> RolloutAsk:
+    """Decode an operator's order in the product's own form.
+
+    Raises
+    ------
+    TroutstandError
+        FIELD_INVALID.
+    """
+    try:
+        body = msgspec.json.decode(data, type=_RolloutBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise TroutstandError(ResultCode.FIELD_INVALID, f"rollout: {error}") from error
+    return check_rollout(RolloutAsk(body.service, body.version, body.duration_s))
+
+
+def check_rollout(ask: RolloutAsk) -> RolloutAsk:
+    """Return an order whose version and time can be used.
+
+    Raises
+    ------
+    TroutstandError
+        FIELD_INVALID.
+    """
+    if not 0 < len(ask.version) <= _MAX_VERSION:
+        detail = f"rollout: version {ask.version!r}, 1 to {_MAX_VERSION} characters are accepted"
+        raise TroutstandError(ResultCode.FIELD_INVALID, detail)
+    if not 0.0 < ask.duration_s <= _MAX_DURATION_S:
+        detail = (
+            f"rollout: {ask.duration_s} s, more than 0 and up to {_MAX_DURATION_S} are accepted"
+        )
+        raise TroutstandError(ResultCode.FIELD_INVALID, detail)
+    return ask
+
+
+def show_state(order: RolloutOrder) -> str:
+    """Return an order's state as operators see it: a switch is still in progress."""
+    is_switching = order.state is RolloutState.switching
+    return RolloutState.in_progress.value if is_switching else order.state.value
+
+
+def encode_own_rollout(order: RolloutOrder) -> bytes:
+    """Write how far an order has come in the product's own form."""
+    told = {"state": show_state(order), "version": order.version, "detail": order.detail}
+    return msgspec.json.encode(told)
+
+
 @dataclass(frozen=True)
 class Dialect:
     """Tell how a deployment writes what the processes exchange with others."""
@@ -95,6 +154,10 @@
     readiness_path: str = "/ready"
     configuration_write: tuple[str, str] = ("PUT", "/configuration")
     configuration_read: tuple[str, str] = ("GET", "/configuration")
+    rollout_begin: tuple[str, str] = ("POST", "/rollouts")
+    rollout_read: tuple[str, str] = ("GET", "/rollouts/{service}")
     decode_configuration: Callable[[bytes], Configuration] = decode_own_configuration
     name_targets_path: Callable[[str | None], str] = name_own_targets_path
     decode_targets: Callable[[bytes], TargetPage] = decode_own_targets
+    decode_rollout: Callable[[bytes], RolloutAsk] = decode_own_rollout
+    encode_rollout: Callable[[RolloutOrder], bytes] = encode_own_rollout
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from troutstand.core.acceptor import Acceptor
+from troutstand.core.acceptor import Acceptor, list_voters
+from troutstand.core.codec import encode_record
 from troutstand.core.codes import ResultCode
 from troutstand.core.compression import compress, expand
 from troutstand.core.errors import TroutstandError
@@ -27,21 +28,26 @@
     KeepersAsk,
     KeepersInstall,
     Learned,
+    Line,
     NewestAsk,
     PeerMessage,
     Prepare,
     ProcessState,
     Refused,
+    RolloutAdvance,
+    RolloutsTold,
     StoredConfiguration,
     StoredIdentity,
     StoredKeepers,
+    VersionsSeen,
 )
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.control import Control
 from troutstand.routing.journal import MendingJournal
-from troutstand.routing.line import ConfigurationLine
+from troutstand.routing.line import DecidedLine
 from troutstand.routing.node import RoutingNode, name_routing_process, parse_address
 from troutstand.routing.replacement import Replacement
+from troutstand.routing.rolloutline import RolloutLine, decode_book
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -56,6 +62,8 @@
 _REGISTER_S = 2.5
 _LINE_S = 2.5
 _HELD_UP_S = 1.0
+# A voter counts as heard for so long, in seconds: four of the pauses between contacts.
+_BACKED_S = 1.2
 _SNAPSHOT_BYTES = 8 << 20
 _DISK_ID_BYTES = 12
 _SHARED_ROLES = (RoutingRole.keeper.value, RoutingRole.scheduler.value)
@@ -111,17 +119,23 @@
             self.node.random.getrandbits(32),
         )
         self.registers.learn_keepers(self.acceptor.keepers)
-        self.line = ConfigurationLine(
-            self.ask_keeper, self.registers, self.learn, self._get_configuration, _LINE_S
-        )
+        self.line = self._make_line(Line.configuration)
+        self.rollouts = RolloutLine(self._make_line(Line.rollouts), self.node.events)
         self.replacement = Replacement(self)
         self._compressed = (0, b"")
         # The peers whose last content was broken.
         self._unreadable: set[ProcessId] = set()
-        self._control = Control(self.line, dialect, self.node.events)
+        self._control = Control(self.line, self.rollouts, dialect, self.node.events)
 
-    def _get_configuration(self) -> StoredConfiguration:
-        return self.acceptor.configuration
+    def _make_line(self, line: Line) -> DecidedLine:
+        return DecidedLine(
+            self.ask_keeper,
+            self.registers,
+            self.learn,
+            lambda: self.acceptor.decided[line],
+            _LINE_S,
+            line,
+        )
 
     def _collect_snapshot(self) -> list[StoredRecord]:
         return self.acceptor.collect_snapshot(time.time(), 0.0)
@@ -166,15 +180,19 @@
         match message:
             case Prepare() | Accept():
                 return self._handle_register(message)
-            case NewestAsk(epoch):
-                return self._describe_newest(epoch)
+            case NewestAsk():
+                return self._describe_newest(message)
             case ContactAsk():
                 return self._handle_contact(message)
-            case ConfigurationAsk():
-                held = self.acceptor.configuration
-                return Learned(held.version, held.content)
-            case Learned(version, content):
-                return self._learn_and_acknowledge(StoredConfiguration(version, content))
+            case ConfigurationAsk(line):
+                held = self.acceptor.decided[line]
+                return Learned(held.version, held.content, held.line)
+            case Learned(version, content, line):
+                return self._learn_and_acknowledge(StoredConfiguration(version, content, line))
+            case RolloutAdvance():
+                return self._answer_rollout(self.rollouts.advance(message))
+            case VersionsSeen():
+                return self._answer_rollout(self.rollouts.note_versions(message))
             case KeepersAsk():
                 return self.acceptor.describe_keepers()
             case KeepersInstall(keepers):
@@ -199,30 +217,37 @@
         await self.journal.write(records)
         return reply
 
-    def _describe_newest(self, epoch: int) -> PeerMessage:
+    def _describe_newest(self, ask: NewestAsk) -> PeerMessage:
         if self.journal.is_failed:
             return Refused(int(ResultCode.STORAGE_FAILED), "its disk refuses writes")
-        return self.acceptor.describe_newest(epoch)
+        return self.acceptor.describe_newest(ask)
+
+    async def _answer_rollout(self, change: Awaitable[RolloutsTold]) -> PeerMessage:
+        try:
+            return await change
+        except TroutstandError as error:
+            self.node.events.emit("rollout_unclear", code=error.code, detail=error.detail)
+            return Refused(int(error.code), error.detail)
 
     async def _install(self, keepers: object) -> PeerMessage:
         await self.replacement.install(keepers)  # type: ignore[arg-type]
         return Acknowledged()
 
-    # Configuration
+    # Decided contents
 
     async def learn(self, record: StoredConfiguration) -> None:
-        """Keep a decided configuration and tell the other keepers."""
+        """Keep the decided content of a line and tell the other keepers."""
         if not await self._keep(record):
             return
         for process in self.node.book.list_role(RoutingRole.keeper.value):
             if process != self.node.process:
-                self.node.send(process, Learned(record.version, record.content))
+                self.node.send(process, Learned(record.version, record.content, record.line))
 
     async def _keep(self, record: StoredConfiguration) -> bool:
-        records = self.acceptor.learn_configuration(record)
+        records = self.acceptor.learn_decided(record)
         if not records:
             return False
-        self.node.events.emit("configuration_learned", version=record.version)
+        self.node.events.emit(f"{record.line.value}_learned", version=record.version)
         # A majority holds it already; this copy need not be waited for.
         self.journal.write(records)
         return True
@@ -241,6 +266,7 @@
         self._hear(ask.contact, ask.known)
         held = self.acceptor.configuration
         is_behind = ask.contact.version < held.version
+        rollouts = self.acceptor.rollouts
         now_s = time.monotonic()
         digest = self.node.book.digest(_SHARED_ROLES)
         # Other keepers need the ages; the rest only whom there is.
@@ -251,8 +277,24 @@
             known_digest=digest,
             version=held.version if is_behind else 0,
             content=self._compress_held() if is_behind else b"",
+            rollouts_version=rollouts.version,
+            rollouts=decode_book(rollouts) if ask.rollouts_version < rollouts.version else None,
+            is_backed=self._is_backed(now_s),
         )
 
+    def _is_backed(self, now_s: float) -> bool:
+        """Tell whether a majority of voters was heard lately.
+
+        Any later decision is known to one of them, and came with its contact.
+        """
+        voters = list_voters(self.acceptor.keepers)
+        heard = [
+            voter
+            for voter in voters
+            if voter == self.node.process or self.node.book.measure_age(voter, now_s) < _BACKED_S
+        ]
+        return len(heard) > len(voters) // 2
+
     def _compress_held(self) -> bytes:
         """Compress the configuration once a version, however many processes ask."""
         held = self.acceptor.configuration
@@ -288,7 +330,11 @@
 
     async def _contact(self, process: ProcessId) -> None:
         now_s = time.monotonic()
-        ask = ContactAsk(self._describe(), self.node.book.export(_SHARED_ROLES, now_s))
+        ask = ContactAsk(
+            self._describe(),
+            self.node.book.export(_SHARED_ROLES, now_s),
+            rollouts_version=self.acceptor.rollouts.version,
+        )
         try:
             reply = await self.node.ask(process, ask, _ASK_S)
         except TroutstandError:
@@ -302,6 +348,9 @@
         self._hear(reply.contact, reply.known)
         if reply.version:
             await self._keep(StoredConfiguration(reply.version, content))
+        if reply.rollouts is not None:
+            book = encode_record(reply.rollouts)
+            await self._keep(StoredConfiguration(reply.rollouts_version, book, Line.rollouts))
         if reply.contact.epoch > self.acceptor.epoch:
             await self.replacement.fetch(process)
 
--- a/troutstand/routing/line.py
+++ b/troutstand/routing/line.py
@@ -1,8 +1,8 @@
-"""Read and replace the configuration by a majority of the keepers.
+"""Read and replace the content of a line by a majority of the keepers.
 
-Each version has a register of its own, so that one number can only ever have
-one content; the highest version decided is in force. A keeper that knows a
-version to be decided refuses all that is at or below it.
+A line is the configuration or the rollout book. Each version has a register of its
+own, so that one number can only ever have one content; the highest version decided is
+in force. A keeper that knows a version to be decided refuses all that is at or below it.
 """
 
 from __future__ import annotations
@@ -10,12 +10,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from troutstand.core.acceptor import list_voters, name_configuration
+from troutstand.core.acceptor import LinePlace, list_voters, name_line_register
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import (
     ConfigurationAsk,
     Learned,
+    Line,
     Newest,
     NewestAsk,
     PeerMessage,
@@ -36,7 +37,7 @@
 _PAUSE_S = 0.03
 
 
-class ConfigurationLine:
+class DecidedLine:
     """Drive reads and replacements from one keeper.
 
     Parameters
@@ -44,9 +45,11 @@
     ask
         Asks a keeper, which may be this one.
     learn
-        Makes a decided configuration known here and at the other keepers.
+        Makes a decided content known here and at the other keepers.
     held
-        Returns the newest configuration known to be decided here.
+        Returns the newest content known to be decided here.
+    line
+        Which line is read and replaced.
     timeout_s
         How long a read or a replacement may take.
     """
@@ -58,15 +61,17 @@
         learn: Learn,
         held: Callable[[], StoredConfiguration],
         timeout_s: float,
+        line: Line = Line.configuration,
     ) -> None:
         self._ask = ask
         self._registers = registers
         self._learn = learn
         self._held = held
         self._timeout_s = timeout_s
+        self._line = line
 
     async def read(self) -> StoredConfiguration:
-        """Return a configuration no older than any acknowledged before the call.
+        """Return a content no older than any acknowledged before the call.
 
         Raises
         ------
@@ -153,7 +158,7 @@
 
     async def _ask_voter(self, voter: ProcessId, epoch: int) -> tuple[ProcessId, Newest | None]:
         try:
-            reply = await self._ask(voter, NewestAsk(epoch), _ASK_S)
+            reply = await self._ask(voter, NewestAsk(epoch, self._line), _ASK_S)
         except TroutstandError:
             # A silent voter has no vote; a missed majority raises its own error.
             return voter, None
@@ -166,7 +171,7 @@
 
         Return whether the version is decided.
         """
-        register = name_configuration(version)
+        register = name_line_register(LinePlace(self._line, version))
         decision = asyncio.create_task(
             self._registers.read(register)
             if content is None
@@ -178,7 +183,7 @@
             decision.cancel()
         if decided is None:
             return self._held().version >= version
-        await self._learn(StoredConfiguration(version, decided))
+        await self._learn(StoredConfiguration(version, decided, self._line))
         return True
 
     async def _wait_decision(
@@ -209,9 +214,9 @@
 
     async def _fetch(self, keeper: ProcessId) -> None:
         try:
-            reply = await self._ask(keeper, ConfigurationAsk(), _ASK_S)
+            reply = await self._ask(keeper, ConfigurationAsk(self._line), _ASK_S)
         except TroutstandError:
             # The keeper has gone since it voted; the caller sees that nothing came.
             return
         if isinstance(reply, Learned):
-            await self._learn(StoredConfiguration(reply.version, reply.content))
+            await self._learn(StoredConfiguration(reply.version, reply.content, reply.line))
