Move a service to another version across the processes of a site

Change: operators order a rollout at any keeper and read how far it is; the scheduler that most gateways ask judges it and asks the keepers for each step. Followers learn the rollout book with the configuration, and hold a lease on it: without a keeper that heard a majority lately, nothing goes to a version on trial. A gateway that decides alone samples nothing.

--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -94,6 +94,7 @@
         return RoutedWork(
             request=self.request,
             service=self.service,
+            route=self.route.name,
             workspace=self.workspace.name if self.workspace else "",
             tier=self.tier,
             is_repeatable=self.is_repeatable,
--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -10,8 +10,10 @@
 from troutstand.core.compression import expand
 from troutstand.core.configuration import RouteTable
 from troutstand.core.errors import TroutstandError, flatten_group
+from troutstand.core.rollouts.admission import ExposureBound
 from troutstand.generated.messages import Contact, ContactAsk, ContactReply
 from troutstand.generated.routing import RoutingRole
+from troutstand.routing.knownrollouts import KnownRollouts
 from troutstand.routing.node import RoutingNode, parse_address
 
 if TYPE_CHECKING:
@@ -41,6 +43,9 @@
         self, node: RoutingNode, dialect: Dialect, on_table: Callable[[RouteTable], None]
     ) -> None:
         self.table: RouteTable | None = None
+        settings = node.settings
+        bound = ExposureBound(settings.exposure_share, settings.exposure_extra)
+        self.rollouts = KnownRollouts(node.events, settings.rollback_s, bound)
         self._node = node
         self._dialect = dialect
         self._on_table = on_table
@@ -92,7 +97,12 @@
             return False
         self._turn += 1
         keeper = keepers[self._turn % len(keepers)]
-        ask = ContactAsk(self._node.describe(self.version), known_digest=self._digest)
+        ask = ContactAsk(
+            self._node.describe(self.version),
+            known_digest=self._digest,
+            rollouts_version=self.rollouts.version,
+        )
+        asked_s = time.monotonic()
         try:
             reply = await self._node.ask(keeper, ask, self._patience_s)
         except TroutstandError as error:
@@ -106,6 +116,7 @@
             return False
         self._patience_s = _ASK_S
         self._hear(reply.contact, reply.known)
+        self.rollouts.hear(reply, asked_s)
         if reply.known_digest != self._digest:
             self._digest = reply.known_digest
             self._listed = [contact.process for contact in reply.known]
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -55,7 +55,7 @@
         self.node.metrics = self.metrics
         self.follower = Follower(self.node, dialect, self._use_table)
         self.targets = TargetList(settings.target_list, dialect)
-        self.placement = Placement(self.node, self.targets)
+        self.placement = Placement(self.node, self.targets, self.follower.rollouts)
         self.pool = ConnectionPool(_CONNECT_S)
         self.sender = Sender(self.pool, dialect.headers)
         self._busy: set[web.RequestHandler] = set()
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -46,6 +46,7 @@
     from troutstand.core.configuration import RouteTable
     from troutstand.core.ids import ProcessId
     from troutstand.generated.messages import PeerMessage
+    from troutstand.routing.knownrollouts import KnownRollouts
     from troutstand.routing.node import RoutingNode
     from troutstand.routing.targetlist import TargetList
 
@@ -70,9 +71,10 @@
 class Placement:
     """Ask for targets and tell how they did."""
 
-    def __init__(self, node: RoutingNode, targets: TargetList) -> None:
+    def __init__(self, node: RoutingNode, targets: TargetList, rollouts: KnownRollouts) -> None:
         self._node = node
         self._targets = targets
+        self._rollouts = rollouts
         self._table: RouteTable | None = None
         self._placing: dict[str, Placing] = {}
         self._held = HeldWork()
@@ -100,12 +102,20 @@
         for level in self._levels:
             quotas.inherit(level.workspace, level.taken, share, now_s)
         local.inherit_holds(self._holds)
+        self._follow_rollouts(local, now_s)
         local.use_targets(self._targets.targets, now_s)
         local.inherit_speeds(self._held.list_speeds(now_s))
         for run in self._held.list_running(now_s):
             local.adopt(run, self._node.process, now_s)
         return local
 
+    def _follow_rollouts(self, local: Dispatcher, now_s: float) -> None:
+        """Pass on what is known of rollouts.
+
+        A gateway that decides alone samples nothing: its evidence would reach nobody.
+        """
+        local.use_rollouts(self._rollouts.view(now_s, may_sample=False))
+
     @property
     def _current(self) -> Decider:
         return self._heartbeats.current
@@ -321,7 +331,9 @@
             await self._went_alone.wait()
             await asyncio.sleep(_TICK_S)
             if self._is_alone():
-                self._local.tick(time.monotonic())
+                now_s = time.monotonic()
+                self._follow_rollouts(self._local, now_s)
+                self._local.tick(now_s)
                 self._deliver_local()
             else:
                 self._went_alone.clear()
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -29,6 +29,7 @@
 from troutstand.routing.decisions import SCHEDULER, emit_decision, emit_way_changes
 from troutstand.routing.follower import Follower
 from troutstand.routing.node import RoutingNode
+from troutstand.routing.rolloutdriver import RolloutDriver
 from troutstand.routing.targetlist import ListUnreadError, TargetList
 
 if TYPE_CHECKING:
@@ -80,6 +81,7 @@
         self.dispatcher = Dispatcher(self.quotas, self.retries)
         self.follower = Follower(self.node, dialect, self._use_table)
         self.targets = TargetList(settings.target_list, dialect)
+        self.rollouts = RolloutDriver(self.node, self.dispatcher, self.follower, self._measure_lead)
         self._gateways: dict[ProcessId, GatewaySeen] = {}
         self._asked: Counter[str] = Counter()
         self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
@@ -98,6 +100,7 @@
         self.node.spawn(self.follower.run(), "follower")
         self.node.spawn(self._run_list(), "target list")
         self.node.spawn(self._run_ticks(), "ticks")
+        self.node.spawn(self.rollouts.run(), "rollouts")
 
     async def stop(self) -> None:
         """Send the gateways to another scheduler, then close."""
@@ -264,6 +267,10 @@
     def _count_attached(self) -> int:
         return sum(1 for seen in self._gateways.values() if seen.is_attached)
 
+    def _measure_lead(self) -> float:
+        """Return the share of the known gateways that ask this scheduler."""
+        return self._count_attached() / max(1, len(self._gateways))
+
     def _share(self) -> None:
         """Hold the share of limits that belongs to the gateways served here."""
         share = max(1, self._count_attached()) / max(1, len(self._gateways))
@@ -311,6 +318,7 @@
                     self.dispatcher.use_targets(self.targets.targets, time.monotonic())
                     self._deliver()
                 self._has_list = True
+                await self.rollouts.note_versions(self.targets.targets)
             except ListUnreadError as error:
                 self.node.events.emit("targets_unread", detail=str(error))
             is_busy = self._count_attached() > 0 or not self._has_list
@@ -331,6 +339,7 @@
                 self._forgive_silence(now_s)
             last_s = now_s
             self._drop_silent(now_s)
+            self.dispatcher.use_rollouts(self.follower.rollouts.view(now_s, may_sample=True))
             self.dispatcher.tick(now_s)
             self._deliver()
 
--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -22,6 +22,8 @@
     """Hold a routed site, its stand-ins and its caller, on a loop in a thread."""
 
     folder: Path
+    # Version of the targets' software; empty is not told.
+    version: str = ""
     background: BackgroundLoop = field(default_factory=BackgroundLoop)
     targets: list[StandInTarget] = field(default_factory=list)
 
@@ -31,8 +33,10 @@
 
     async def _open(self, subnet: str, is_configured: bool) -> None:
         for number in range(2):
-            self.targets.append(StandInTarget(f"plain-{number}", "work"))
-            self.targets.append(StandInTarget(f"engine-{number}", "engine", seed=number))
+            self.targets.append(StandInTarget(f"plain-{number}", "work", version=self.version))
+            self.targets.append(
+                StandInTarget(f"engine-{number}", "engine", seed=number, version=self.version)
+            )
         for target in self.targets:
             await target.start()
         self.list = StandInList(self.targets)
--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -214,6 +214,30 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
 
+    async def begin_rollout(
+        self, session: aiohttp.ClientSession, name: str, body: dict[str, object]
+    ) -> int:
+        """Send an order for a rollout to one keeper; 0 stands for no clear answer."""
+        url = f"http://{self.processes[name].settings.control}/rollouts"
+        try:
+            async with session.post(url, json=body, timeout=_limit(3.0)) as response:
+                await response.read()
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def read_rollout(
+        self, session: aiohttp.ClientSession, name: str, service: str
+    ) -> tuple[int, str]:
+        """Return the status and the state that one keeper tells of a rollout."""
+        url = f"http://{self.processes[name].settings.control}/rollouts/{service}"
+        try:
+            async with session.get(url, timeout=_limit(3.0)) as response:
+                told = await response.json()
+                return response.status, str(told.get("state", ""))
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, ""
+
     async def is_ready(self, session: aiohttp.ClientSession, name: str) -> bool:
         """Tell whether a gateway calls itself ready."""
         url = f"http://{self.processes[name].settings.readiness}/ready"
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -106,6 +106,7 @@
     continued: ContinuedAnswer | None = None
     answerer: Answerer | None = None
     is_draining: bool = False
+    version: str = ""
     address: str = ""
     runs: list[RunRecord] = field(default_factory=list)
     ended: dict[str, str] = field(default_factory=dict)
@@ -344,6 +345,7 @@
                 "failure_domain": "north",
                 "slots": target.slots,
                 "state": "draining" if target.is_draining else "ready",
+                "version": target.version,
             }
             for target in self.targets
         ]
