Rank requests for refusal apart from their placement

Cause: under overload the order of the workspace's tier before the route's decides both who gets a slot and who is refused, so that the lowest kind of a first-tier workspace is served while the highest kind of a second-tier one is refused.

Change: one function ranks a request by either tier; a setting chooses among workspace_first (as before, the default), route_first and shed_by_route, which places by the workspace's tier and refuses by the route's.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -54,6 +54,7 @@
 
 
 _get_rank = attrgetter("rank")
+_get_shed_rank = attrgetter("shed_rank")
 
 
 class Dispatcher(SiteView):
@@ -303,7 +304,7 @@
     def _judge_waiting(self, pool: Pool, now_s: float) -> None:
         """Refuse who can no longer be served in time, the later ones first."""
         has_targets = bool(pool.list_usable())
-        ordered = sorted(pool.waiting.values(), key=_get_rank)
+        ordered = sorted(pool.waiting.values(), key=_get_shed_rank)
         turn_s = pool.measure_turn()
         for ahead, waiting in reversed(list(enumerate(ordered))):
             waited_here_s = now_s - waiting.arrived_s
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -74,9 +74,17 @@
     # What sorts the queue: the tier, who can be in time, who is due first. It is kept,
     # since a long queue is sorted at every event.
     rank: tuple[int, bool, float] = field(init=False)
+    # What decides who is refused: the same, by another tier where the two differ.
+    shed_rank: tuple[int, bool, float] = field(init=False)
 
     def __post_init__(self) -> None:
-        self.rank = (self.work.tier, self.is_late, self.due_s)
+        self._rank()
+
+    def _rank(self) -> None:
+        work = self.work
+        shed_tier = work.tier if work.shed_tier is None else work.shed_tier
+        self.rank = (work.tier, self.is_late, self.due_s)
+        self.shed_rank = (shed_tier, self.is_late, self.due_s)
 
     @property
     def due_s(self) -> float:
@@ -90,7 +98,7 @@
     def mark_late(self) -> None:
         """Put the request behind those of its tier that can be in time."""
         self.is_late = True
-        self.rank = (self.work.tier, True, self.due_s)
+        self._rank()
 
 
 @dataclass(frozen=True)
@@ -366,9 +374,9 @@
         return self.know_reading(state).estimate(state.count_uncached(work))
 
     def count_ahead(self, waiting: Waiting) -> int:
-        """Return how many come before a request in the queue."""
-        rank = waiting.rank
-        return sum(1 for w in self.waiting.values() if w is not waiting and w.rank <= rank)
+        """Return how many of those that wait are refused after a request."""
+        rank = waiting.shed_rank
+        return sum(1 for w in self.waiting.values() if w is not waiting and w.shed_rank <= rank)
 
     def has_spare(self, now_s: float) -> bool:
         """Tell whether room is free that nobody who is owed it waits for."""
--- /dev/null
+++ b/troutstand/core/tiers.py
@@ -0,0 +1,43 @@
+"""Rank requests by the tier of their workspace and that of their route."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from troutstand.generated.routing import TierOrder
+
+_SPAN = 1000
+
+
+@dataclass(frozen=True)
+class Tiers:
+    """Hold a request's ranks; 0 is the highest.
+
+    Parameters
+    ----------
+    place
+        Who gets a free slot first.
+    shed
+        Who is refused last.
+    """
+
+    place: int
+    shed: int
+
+
+def rank_tiers(workspace_tier: int, route_tier: int, order: TierOrder) -> Tiers:
+    """Return the ranks of a request."""
+    by_workspace = _combine(workspace_tier, route_tier)
+    by_route = _combine(route_tier, workspace_tier)
+    match order:
+        case TierOrder.workspace_first:
+            return Tiers(by_workspace, by_workspace)
+        case TierOrder.route_first:
+            return Tiers(by_route, by_route)
+        case TierOrder.shed_by_route:
+            return Tiers(by_workspace, by_route)
+
+
+def _combine(first: int, second: int) -> int:
+    """Return one rank in which the second tier decides only among equals of the first."""
+    return first * _SPAN + min(second, _SPAN - 1)
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -9,8 +9,10 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import RouteTable, pick_service
 from troutstand.core.errors import TroutstandError
+from troutstand.core.tiers import Tiers, rank_tiers
 from troutstand.generated.configuration import Route, RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Part, RoutedWork
+from troutstand.generated.routing import TierOrder
 from troutstand.routing.relay import Outgoing, filter_headers
 
 if TYPE_CHECKING:
@@ -20,7 +22,6 @@
     from troutstand.routing.exchange import Headers
 
 _MAX_PARTS = 64
-_TIER_SPAN = 1000
 _MILLISECONDS = 1000.0
 
 
@@ -52,6 +53,7 @@
     parts: list[Part]
     arrived_s: float
     deadline_s: float
+    tier_order: TierOrder = TierOrder.workspace_first
 
     @property
     def is_repeatable(self) -> bool:
@@ -62,10 +64,10 @@
         return route.kind is RouteKind.idempotent
 
     @property
-    def tier(self) -> int:
-        """Return the tier: the workspace's goes first, then the route's."""
+    def tiers(self) -> Tiers:
+        """Return the request's ranks."""
         own = self.workspace.tier if self.workspace is not None else None
-        return (own or 0) * _TIER_SPAN + min(self.route.tier, _TIER_SPAN - 1)
+        return rank_tiers(own or 0, self.route.tier, self.tier_order)
 
     @property
     def objective_s(self) -> float:
@@ -96,7 +98,8 @@
             service=self.service,
             route=self.route.name,
             workspace=self.workspace.name if self.workspace else "",
-            tier=self.tier,
+            tier=self.tiers.place,
+            shed_tier=self.tiers.shed,
             is_repeatable=self.is_repeatable,
             objective_s=self.objective_s,
             pause_s=self.route.pause_ms / _MILLISECONDS,
@@ -145,7 +148,13 @@
     return number if number > 0 else None
 
 
-def read_call(table: RouteTable, names: HeaderNames, headers: Mapping[str, str], path: str) -> Call:
+def read_call(
+    table: RouteTable,
+    names: HeaderNames,
+    headers: Mapping[str, str],
+    path: str,
+    tier_order: TierOrder = TierOrder.workspace_first,
+) -> Call:
     """Find a request's route and workspace and read its headers.
 
     Raises
@@ -182,6 +191,7 @@
         parts=read_parts(headers.get(names.parts)),
         arrived_s=now_s,
         deadline_s=now_s + limit_ms / _MILLISECONDS,
+        tier_order=tier_order,
     )
 
 
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -211,7 +211,7 @@
         path = request.raw_path
         limit = table.configuration.limits.body_bytes
         try:
-            call = read_call(table, names, request.headers, path)
+            call = read_call(table, names, request.headers, path, self.settings.tier_order)
             body = await _read_body(request, limit)
         except TroutstandError as error:
             key = request.headers.get(names.request, "")
