--- a/troutstand/testing/models/catalogue.py
+++ b/troutstand/testing/models/catalogue.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING, Any
 
-from troutstand.testing.models import command, edit, register
+from troutstand.testing.models import command, edit, register, rollout
 from troutstand.testing.models.command import CommandModel
 from troutstand.testing.models.edit import EditModel, Operator
 from troutstand.testing.models.lease import LeaseModel
 from troutstand.testing.models.register import RegisterModel, make_bid
 from troutstand.testing.models.replacement import ReplacementModel
+from troutstand.testing.models.rollout import RolloutModel
 from troutstand.testing.models.succession import SuccessionModel
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
         "edit, later version": EditModel((Operator("a", 0), Operator("b", 1))).make_spec(),
         "lease, one keeper": LeaseModel(keepers=("k0",), end_s=4).make_spec(),
         "replacement of a keeper": ReplacementModel().make_spec(),
+        "rollout": RolloutModel(end_s=4).make_spec(),
     }
 
 
@@ -44,6 +46,7 @@
         "edit, three operators": EditModel(operators).make_spec(),
         "lease, one keeper, longer": LeaseModel(keepers=("k0",), end_s=5).make_spec(),
         "succession, two rivals": SuccessionModel().make_spec(),
+        "rollout, longer": RolloutModel(deciders=2, end_s=4).make_spec(),
     }
 
 
@@ -76,6 +79,8 @@
             keepers=("k0",), end_s=2, own_vote=False
         ).make_spec(),
         "replacement, no copy": ReplacementModel(copies=False).make_spec(),
+        "rollout, ends are overturned": RolloutModel(end_s=2, advance=rollout.overturn).make_spec(),
+        "rollout, without a lease": RolloutModel(has_lease=False).make_spec(),
         "replacement, copies from an older set": ReplacementModel(checks_epoch=False).make_spec(),
     }
 
--- a/troutstand/tests/models.feature
+++ b/troutstand/tests/models.feature
@@ -15,6 +15,7 @@
       | edit, later version                |
       | lease, one keeper                  |
       | replacement of a keeper            |
+      | rollout                            |
 
   Scenario Outline: Without its guard <model> fails
     When the model "<model>" is searched to its end
@@ -32,3 +33,5 @@
       | edit, base ignored                      | an edit follows its base           |
       | lease, a restarted voter votes at once  | one holder at a time               |
       | lease, a holder without its own vote    | one holder at a time               |
+      | rollout, ends are overturned            | one end at most                    |
+      | rollout, without a lease                | nothing goes to a version that was rolled back |
