--- a/troutstand/control/main.py
+++ b/troutstand/control/main.py
@@ -12,6 +12,8 @@
 from cyclopts import App, Parameter
 
 from troutstand.control.client import Operator, RefusedCall
+from troutstand.control.printing import AsJson, print_columns, print_json
+from troutstand.control.rollouts import rollout
 from troutstand.control.tablefiles import read_table, read_version, write_table
 from troutstand.control.timeline import Line, make_trace, merge_logs, read_logs
 from troutstand.control.walk import explain_request
@@ -27,13 +29,13 @@
 keepers = App(name="keepers", help="Form the keeper set, or replace a keeper that lost its disk.")
 app.command(table)
 app.command(keepers)
+app.command(rollout)
 
 TOKEN_VARIABLE = "TROUTSTAND_OPERATOR_TOKEN"
 SETTINGS_VARIABLE = "TROUTSTAND_CONTROL"
 _EDIT_BYTES = 9
 
 SettingsFile = Annotated[Path, Parameter(name="--settings", env_var=SETTINGS_VARIABLE)]
-AsJson = Annotated[bool, Parameter(name="--json", negative="")]
 
 
 def _read_settings(path: Path) -> ControlSettings:
@@ -54,17 +56,6 @@
     return Operator(admins, token)
 
 
-def _print_json(value: object) -> None:
-    print(msgspec.json.encode(value).decode())
-
-
-def _print_columns(rows: list[list[str]]) -> None:
-    widths = [max(len(row[index]) for row in rows) for index in range(len(rows[0]))]
-    for row in rows:
-        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
-        print("  ".join(cells).rstrip())
-
-
 def _collect_statuses(operator: Operator) -> list[StatusReport]:
     found = [operator.try_status(process) for process in operator.admins]
     statuses = [status for status in found if status is not None]
@@ -83,7 +74,7 @@
     operator = _make_operator(settings)
     statuses = _collect_statuses(operator)
     if json:
-        _print_json(statuses)
+        print_json(statuses)
         return
     newest = max(item.version for item in statuses)
     rows = [["PROCESS", "DOMAIN", "STATE", "VERSION", "EPOCH", "SCHEDULER", "RUN", "WAIT"]]
@@ -96,7 +87,7 @@
     for process in operator.admins:
         if process not in answered:
             rows.append([process, "-", "silent", "-", "-", "-", "-", "-"])
-    _print_columns(rows)
+    print_columns(rows)
 
 
 @app.command
@@ -105,14 +96,14 @@
     operator = _make_operator(settings)
     report = operator.read_status(process or _first_live(operator))
     if json:
-        _print_json(report.hosts)
+        print_json(report.hosts)
         return
     rows = [["PROCESS", "STATE", "VERSION", "HEARD", "SCHEDULER"]]
     for item in report.hosts:
         heard = "never" if item.heard_s is None else f"{item.heard_s:.1f} s ago"
         version = f"{item.version}{' (behind)' if item.is_behind else ''}"
         rows.append([item.process, item.state, version, heard, "yes" if item.scheduling else ""])
-    _print_columns(rows)
+    print_columns(rows)
 
 
 @app.command
@@ -122,7 +113,7 @@
     schedulers = sorted({s.scheduler for s in _collect_statuses(operator) if s.scheduler})
     reports = [operator.read_targets(name) for name in schedulers if name in operator.admins]
     if json:
-        _print_json(reports)
+        print_json(reports)
         return
     rows = [["DOMAIN", "TARGET", "STATE", "HEALTH", "RUNNING", "PREFILL/S", "DECODE/S"]]
     for report in reports:
@@ -131,7 +122,7 @@
             row += [f"{item.running}/{item.slots}"]
             row += [f"{item.prefill_tokens_per_s:.0f}", f"{item.decode_tokens_per_s:.0f}"]
             rows.append(row)
-    _print_columns(rows)
+    print_columns(rows)
 
 
 @app.command
@@ -150,7 +141,7 @@
         last = report
     ended = DrainReport("stopped", max(0, last.open))
     if json:
-        _print_json(ended)
+        print_json(ended)
     else:
         print(f"{process}: stopped")
 
@@ -232,7 +223,7 @@
 def _print_lines(lines: list[Line], as_json: bool) -> None:
     for line in lines:
         if as_json:
-            _print_json(line.fields)
+            print_json(line.fields)
         else:
             print(line.text)
 
@@ -260,7 +251,7 @@
     report = operator.read_table(_first_live(operator))
     differences = diff_rows({name_row(row): row for row in report.rows}, read_table(folder))
     if json:
-        _print_json([(d.name.kind, d.name.name, d.before, d.after) for d in differences])
+        print_json([(d.name.kind, d.name.name, d.before, d.after) for d in differences])
         return
     for item in differences:
         sign = "+" if item.before is None else "-" if item.after is None else "~"
@@ -294,7 +285,7 @@
     report = operator.send_change(process, change)
     write_table(folder, report.version, rows.values())
     if json:
-        _print_json(report)
+        print_json(report)
     else:
         print(f"accepted as version {report.version}")
 
@@ -322,7 +313,7 @@
 
 def _print_keepers(report: KeepersReport, as_json: bool) -> None:
     if as_json:
-        _print_json(report)
+        print_json(report)
         return
     print(f"epoch {report.epoch}")
     for member in report.members:
--- a/troutstand/core/rollouts/book.py
+++ b/troutstand/core/rollouts/book.py
@@ -111,6 +111,21 @@
     return _put(book, changed)
 
 
+def abort(book: RolloutBook, service: str) -> RolloutBook:
+    """Roll the order under way back, as an operator wishes.
+
+    Raises
+    ------
+    TroutstandError
+        ROLLOUT_UNKNOWN where no order is under way.
+    """
+    held = find_rollout(book, service)
+    if held is None or held.order is None or not is_active(held):
+        detail = f"service {service!r} has no rollout under way"
+        raise TroutstandError(ResultCode.ROLLOUT_UNKNOWN, detail)
+    return advance(book, service, held.order.number, RolloutState.rolled_back, "by the operator")
+
+
 def note_versions(book: RolloutBook, seen: Iterable[ServiceRollout]) -> RolloutBook:
     """Note which version serves, for services of which that is not known yet."""
     for entry in seen:
--- a/troutstand/routing/control.py
+++ b/troutstand/routing/control.py
@@ -10,10 +10,14 @@
 from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.core.rollouts.book import find_rollout
 from troutstand.generated.messages import StoredConfiguration
+from troutstand.routing.dialect import ROLLOUTS_PATH, encode_own_rollout
 from troutstand.util.listening import listen
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from troutstand.generated.configuration import Configuration
+    from troutstand.generated.messages import RolloutOrder
     from troutstand.generated.settings import Address
     from troutstand.routing.dialect import Dialect
     from troutstand.routing.line import DecidedLine
@@ -54,6 +58,9 @@
         app.router.add_route(*self._dialect.configuration_read, self._read)
         app.router.add_route(*self._dialect.rollout_begin, self._begin_rollout)
         app.router.add_route(*self._dialect.rollout_read, self._read_rollout)
+        # The operators' command line speaks the product's own form wherever it runs.
+        app.router.add_get(f"{ROLLOUTS_PATH}/{{service}}/evidence", self._show_rollout)
+        app.router.add_delete(f"{ROLLOUTS_PATH}/{{service}}", self._abort_rollout)
         self._runner = await listen(app, address, "control")
 
     async def stop(self) -> None:
@@ -126,6 +133,14 @@
             raise TroutstandError(ResultCode.SERVICE_UNKNOWN, detail)
 
     async def _read_rollout(self, request: web.Request) -> web.Response:
+        return await self._tell_rollout(request, self._dialect.encode_rollout)
+
+    async def _show_rollout(self, request: web.Request) -> web.Response:
+        return await self._tell_rollout(request, encode_own_rollout)
+
+    async def _tell_rollout(
+        self, request: web.Request, encode: Callable[[RolloutOrder], bytes]
+    ) -> web.Response:
         service = request.match_info["service"]
         try:
             book = await self._rollouts.read()
@@ -134,6 +149,16 @@
             return _make_refusal([error])
         rollout = find_rollout(book, service)
         if rollout is None or rollout.order is None:
-            return _make_refusal([TroutstandError(ResultCode.ROLLOUT_UNKNOWN, service)])
-        body = self._dialect.encode_rollout(rollout.order)
-        return web.Response(body=body, content_type="application/json")
+            detail = f"service {service!r} had no rollout"
+            return _make_refusal([TroutstandError(ResultCode.ROLLOUT_UNKNOWN, detail)])
+        return web.Response(body=encode(rollout.order), content_type="application/json")
+
+    async def _abort_rollout(self, request: web.Request) -> web.Response:
+        service = request.match_info["service"]
+        try:
+            await self._rollouts.abort(service)
+        except TroutstandError as error:
+            self._events.emit("rollout_refused", code=error.code, detail=error.detail)
+            return _make_refusal([error])
+        self._events.emit("rollout_aborted", service=service)
+        return web.Response(status=200)
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -23,6 +23,8 @@
     from collections.abc import Callable
 
 
+# Where operators order rollouts in the product's own form.
+ROLLOUTS_PATH = "/rollouts"
 # A version names software, such as a tag or a digest.
 _MAX_VERSION = 128
 # The longest time that an order may give, in seconds: a week.
@@ -154,8 +156,8 @@
     readiness_path: str = "/ready"
     configuration_write: tuple[str, str] = ("PUT", "/configuration")
     configuration_read: tuple[str, str] = ("GET", "/configuration")
-    rollout_begin: tuple[str, str] = ("POST", "/rollouts")
-    rollout_read: tuple[str, str] = ("GET", "/rollouts/{service}")
+    rollout_begin: tuple[str, str] = ("POST", ROLLOUTS_PATH)
+    rollout_read: tuple[str, str] = ("GET", f"{ROLLOUTS_PATH}/{{service}}")
     decode_configuration: Callable[[bytes], Configuration] = decode_own_configuration
     name_targets_path: Callable[[str | None], str] = name_own_targets_path
     decode_targets: Callable[[bytes], TargetPage] = decode_own_targets
--- a/troutstand/routing/rolloutline.py
+++ b/troutstand/routing/rolloutline.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codec import decode_record, encode_record
-from troutstand.core.rollouts.book import advance, begin, note_versions
+from troutstand.core.rollouts.book import abort, advance, begin, note_versions
 from troutstand.generated.messages import Line, RolloutBook, RolloutsTold, StoredConfiguration
 
 if TYPE_CHECKING:
@@ -54,6 +54,16 @@
         told = await self._change(lambda book, number: begin(book, ask, number, time.time()))
         return told.book
 
+    async def abort(self, service: str) -> RolloutBook:
+        """Roll the order under way back, as an operator wishes.
+
+        Raises
+        ------
+        TroutstandError
+            ROLLOUT_UNKNOWN where none is under way, or CONFIGURATION_UNKNOWN.
+        """
+        return (await self._change(lambda book, _: abort(book, service))).book
+
     async def advance(self, ask: RolloutAdvance) -> RolloutsTold:
         """Take an order to its next state and return the book, whatever it says then."""
         return await self._change(
--- a/troutstand/routing/startup.py
+++ b/troutstand/routing/startup.py
@@ -21,7 +21,7 @@
     RoutingRole.keeper: ("data_folder",),
 }
 _MOST_PORT = 65535
-_ADDRESS_ACCEPTED = f"IPv4:PORT or [IPv6]:PORT with a port from 1 to {_MOST_PORT} is accepted"
+ADDRESS_ACCEPTED = f"IPv4:PORT or [IPv6]:PORT with a port from 1 to {_MOST_PORT} is accepted"
 _IP_ACCEPTED = "an IPv4 or IPv6 number is accepted"
 
 
@@ -38,7 +38,8 @@
     return is_number and 1 <= int(text) <= _MOST_PORT
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Tell whether a text is IP:PORT."""
     ip, _, port = text.rpartition(":")
     if ip.startswith("[") and ip.endswith("]"):
         ip = ip[1:-1]
@@ -58,9 +59,9 @@
 
 def _check_addresses(settings: RoutingSettings) -> list[TroutstandError]:
     return [
-        TroutstandError(ResultCode.SETTINGS_INVALID, f"{field} {text!r}, {_ADDRESS_ACCEPTED}")
+        TroutstandError(ResultCode.SETTINGS_INVALID, f"{field} {text!r}, {ADDRESS_ACCEPTED}")
         for field, text in _list_addresses(settings)
-        if not _is_address(text)
+        if not is_address(text)
     ]
 
 
--- a/troutstand/tests/routedrollouts.feature
+++ b/troutstand/tests/routedrollouts.feature
@@ -51,3 +51,12 @@
       | no version            | {"service":"work","version":"","duration_s":5}        | 400    |
       | a field it can't have | {"service":"work","version":"v2","duration_s":5,"x":1} | 400   |
       | no order at all       | []                                                    | 400    |
+
+  Scenario: An operator follows a rollout by the command line and takes it back
+    Given a routed site whose targets run "v1"
+    When troutstandctl orders "work" to "v2" within 60 s
+    Then troutstandctl shows "v2" as in_progress
+    When troutstandctl aborts the rollout of "work"
+    Then troutstandctl shows "v2" as rolled_back
+    And troutstandctl refuses to abort it again with 6013
+    And troutstandctl refuses the keeper "nowhere" with 6006
--- a/troutstand/tests/steps/routedrollouts.py
+++ b/troutstand/tests/steps/routedrollouts.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import shutil
+import subprocess
+import sys
 import time
 from typing import TYPE_CHECKING
 
@@ -250,3 +252,53 @@
             return response.status
 
     assert scene.background.run(send()) == status
+
+
+# The command line
+
+
+def _list_keepers(context: Context) -> list[str]:
+    site = context.scene.site
+    return [p.settings.control for p in site.list_role(RoutingRole.keeper)]
+
+
+def _run_rollout(context: Context, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run troutstandctl; the first keeper that it is told of does not exist."""
+    site = context.scene.site
+    keepers = ["127.0.0.1:9", *_list_keepers(context)]
+    options = [part for keeper in keepers for part in ("--keeper", keeper)]
+    command = [sys.executable, "-m", "troutstand.control.main", "rollout", *arguments]
+    return subprocess.run(
+        [*command, *options], cwd=site.folder, capture_output=True, text=True, check=False
+    )
+
+
+@when('troutstandctl orders "{service}" to "{version}" within {within_s:d} s')
+def order_by_command(context: Context, service: str, version: str, within_s: int) -> None:
+    done = _run_rollout(context, "begin", service, version, "--within-s", str(within_s))
+    assert done.returncode == 0, done
+
+
+@then('troutstandctl shows "{version}" as {state}')
+def check_shown(context: Context, version: str, state: str) -> None:
+    done = _run_rollout(context, "status", "work", "--json")
+    assert done.returncode == 0, done
+    told = json.loads(done.stdout)
+    assert (told["version"], told["state"]) == (version, state), told
+
+
+@when('troutstandctl aborts the rollout of "{service}"')
+def abort_by_command(context: Context, service: str) -> None:
+    assert _run_rollout(context, "abort", service).returncode == 0
+
+
+@then("troutstandctl refuses to abort it again with {code:d}")
+def check_abort_refused(context: Context, code: int) -> None:
+    done = _run_rollout(context, "abort", "work")
+    assert done.returncode != 0 and str(code) in done.stderr + done.stdout, done
+
+
+@then('troutstandctl refuses the keeper "{keeper}" with {code:d}')
+def check_keeper_refused(context: Context, keeper: str, code: int) -> None:
+    done = _run_rollout(context, "status", "work", "--keeper", keeper)
+    assert done.returncode != 0 and str(code) in done.stderr + done.stdout, done
