--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -41,13 +41,16 @@
     return broken
 
 
-async def play_all(seeds: list[int], length_s: float, gateways: int, jobs: int) -> int:
+async def play_all(
+    seeds: list[int], length_s: float, gateways: int, jobs: int, rollouts: bool
+) -> int:
     """Play seeds, some side by side, and return how many broke a promise."""
     gate = asyncio.Semaphore(jobs)
 
     async def play_one(number: int, seed: int) -> bool:
         async with gate:
-            plan = SoakPlan(seed, length_s, gateways=gateways, subnet=f"90.{number % 250}")
+            subnet = f"90.{number % 250}"
+            plan = SoakPlan(seed, length_s, 1.2, gateways, subnet, rollouts)
             return bool(await play(plan))
 
     results = await asyncio.gather(*(play_one(n, seed) for n, seed in enumerate(seeds)))
@@ -61,11 +64,14 @@
     parser.add_argument("--seed", type=int, action="append", help="play this one instead")
     parser.add_argument("--seconds", type=float, default=20.0, help="length of a seed's faults")
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--rollouts", action="store_true", help="roll versions out as well")
     parser.add_argument("--jobs", type=int, default=2)
     arguments = parser.parse_args()
     seeds = arguments.seed or [secrets.randbits(_SEED_BITS) for _ in range(arguments.seeds)]
     began_s = time.monotonic()
-    broken = asyncio.run(play_all(seeds, arguments.seconds, arguments.gateways, arguments.jobs))
+    broken = asyncio.run(
+        play_all(seeds, arguments.seconds, arguments.gateways, arguments.jobs, arguments.rollouts)
+    )
     took_s = time.monotonic() - began_s
     print(f"{len(seeds)} seeds, {broken} with a broken promise, {took_s:.0f} s")
     return 1 if broken else 0
--- a/troutstand/routing/knownrollouts.py
+++ b/troutstand/routing/knownrollouts.py
@@ -59,11 +59,13 @@
         """Take a newer book."""
         if version <= self.version:
             return
-        self.book, self.version = book, version
         now_s = time.monotonic()
+        known = {entry.service: entry for entry in self.book.services}
         for entry in book.services:
             if entry.order is not None and entry.order.number not in self._orders:
                 self._orders[entry.order.number] = _hear_order(entry.order, now_s)
+            if known.get(entry.service) == entry:
+                continue
             self._events.emit(
                 "rollout_in_force",
                 service=entry.service,
@@ -72,6 +74,7 @@
                 state=entry.order.state.value if entry.order is not None else "none",
                 book=version,
             )
+        self.book, self.version = book, version
 
     def is_leased(self, now_s: float) -> bool:
         """Tell whether the book was confirmed lately enough to send to a version on trial."""
--- a/troutstand/testing/soak/check.py
+++ b/troutstand/testing/soak/check.py
@@ -20,6 +20,10 @@
 _READ_SLACK_S = 2.5
 _OK = 200
 _SERVED_SHARE = 0.9
+# After a version was told to be rolled back it gets nothing more within this time.
+_ROLLBACK_S = 5.0
+# An order ends within so long of its acknowledgement, faults and recovery included.
+_ROLLOUT_S = 40.0
 
 
 @dataclass(frozen=True)
@@ -60,6 +64,31 @@
     most: float
 
 
+@dataclass(frozen=True)
+class RolloutRead:
+    """Tell which state of a rollout was read."""
+
+    began_s: float
+    state: str
+
+
+@dataclass
+class RolloutSeen:
+    """Tell of one rollout, from its order on; times on the steady clock."""
+
+    version: str
+    is_bad: bool
+    ordered_s: float
+    acknowledged_s: float = float("inf")
+    ended_s: float = float("inf")
+    reads: list[RolloutRead] = field(default_factory=list)
+
+    @property
+    def end(self) -> str:
+        """Return the final state that was told, if any."""
+        return self.reads[-1].state if self.reads and self.ended_s < float("inf") else ""
+
+
 @dataclass
 class SoakRecord:
     """Hold all that was seen in one soak; times on one steady clock."""
@@ -72,6 +101,7 @@
     limits: list[LimitBound] = field(default_factory=list)
     exits: list[str] = field(default_factory=list)
     list_down: list[tuple[float, float]] = field(default_factory=list)
+    rollouts: list[RolloutSeen] = field(default_factory=list)
     events_a_stream: int = 4
     calm_from_s: float = float("inf")
 
@@ -91,6 +121,7 @@
         *_check_limits(record),
         *_check_reads(record),
         *_check_recovery(record),
+        *_check_rollouts(record),
         *(f"a process ended by itself: {line}" for line in record.exits),
     ]
 
@@ -209,3 +240,18 @@
     if record.calm_from_s < float("inf") and not calm:
         return ["no call was sent after the faults"]
     return []
+
+
+def _check_rollouts(record: SoakRecord) -> list[str]:
+    broken: list[str] = []
+    for seen in record.rollouts:
+        started = [run.started_s for run in record.runs if f"-{seen.version}-" in run.target]
+        if any(started_s < seen.ordered_s for started_s in started):
+            broken.append(f"{seen.version} got a request before it was ordered")
+        if seen.end == "rolled_back" and max(started, default=0.0) > seen.ended_s + _ROLLBACK_S:
+            broken.append(f"{seen.version} got a request after it was rolled back")
+        if seen.end == "completed" and seen.is_bad:
+            broken.append(f"{seen.version} fails half of its answers and was completed")
+        if not seen.end and record.calm_from_s > seen.acknowledged_s + _ROLLOUT_S:
+            broken.append(f"the rollout to {seen.version} did not end")
+    return broken
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -27,6 +27,7 @@
 )
 from troutstand.testing.soak.check import Drained, LimitBound, Read, Sent, SoakRecord
 from troutstand.testing.soak.plan import Event, Kind, draw_plan
+from troutstand.testing.soak.rollouts import FIRST_VERSION, SoakRollouts
 from troutstand.testing.standins import Fault, StandInList, StandInTarget
 
 if TYPE_CHECKING:
@@ -58,6 +59,8 @@
     per_s: float = 1.2
     gateways: int = 3
     subnet: str = "88.1"
+    # Whether versions are rolled out beside the faults.
+    rollouts: bool = False
 
 
 @dataclass
@@ -87,7 +90,9 @@
 
     async def _open(self) -> None:
         for number in range(3):
-            self.targets.append(StandInTarget(f"plain-{number}", "work", seed=number))
+            self.targets.append(
+                StandInTarget(f"plain-{number}", "work", seed=number, version=FIRST_VERSION)
+            )
             self.targets.append(StandInTarget(f"engine-{number}", "engine", seed=number))
         for target in self.targets:
             await target.start()
@@ -152,6 +157,8 @@
 
     async def _play(self) -> None:
         traffic = [self._spawn(self._call()), self._spawn(self._read_all())]
+        if self.plan.rollouts:
+            traffic.append(self._spawn(SoakRollouts(self, self.plan.seed).run()))
         began_s = time.monotonic()
         under_way: list[asyncio.Task[None]] = []
         for event in draw_plan(self.plan.seed, self.plan.length_s, self.plan.per_s):
--- a/troutstand/tests/soak.feature
+++ b/troutstand/tests/soak.feature
@@ -40,3 +40,8 @@
       | 477523074  |
       | 699416042  |
       | 1278125007 |
+
+  Scenario: A short soak with rollouts keeps every promise
+    When seed 11 is soaked for 12 s with rollouts
+    Then the checker finds nothing
+    And most calls were served
--- a/troutstand/tests/steps/soak.py
+++ b/troutstand/tests/steps/soak.py
@@ -129,6 +129,13 @@
     context.record = asyncio.run(Soak(plan, make_folder(context)).run())
 
 
+@when("seed {seed:d} is soaked for {length_s:d} s with rollouts")
+def soak_rollouts(context: Context, seed: int, length_s: int) -> None:
+    plan = SoakPlan(seed, float(length_s), gateways=2, subnet=next_subnet(context), rollouts=True)
+    context.record = asyncio.run(Soak(plan, make_folder(context)).run())
+    assert context.record.rollouts
+
+
 @then("most calls were served")
 def check_served(context: Context) -> None:
     calls = context.record.calls
