Note which versions serve without holding up the next list

Cause: read of the code. The scheduler's loop that reads the list of targets waited for the keepers' answer, up to 3 s where no majority answers, so that a leaving target would have got work for longer. Asked beside the loop now, one at a time.

--- a/troutstand/routing/rolloutdriver.py
+++ b/troutstand/routing/rolloutdriver.py
@@ -66,6 +66,7 @@
         self._asking: set[str] = set()
         self._logged_s: dict[str, float] = {}
         self._turn = 0
+        self._is_noting = False
 
     async def run(self) -> None:
         """Look at every rollout until the process stops."""
@@ -161,7 +162,7 @@
 
     # Which version serves
 
-    async def note_versions(self, listed: list[ListedTarget]) -> None:
+    def note_versions(self, listed: list[ListedTarget]) -> None:
         """Tell the keepers which version serves, where the book does not say so yet.
 
         Only a list read before any order can tell; from then on orders alone change it.
@@ -169,8 +170,16 @@
         if self._read_lead() <= 0.0 or not self._known.is_leased(time.monotonic()):
             return
         found = list_unknown(self._known, listed)
-        if found:
-            await self._ask(VersionsSeen(found))
+        if found and not self._is_noting:
+            # Reading the next list must not wait for the keepers.
+            self._is_noting = True
+            self._node.spawn(self._note(VersionsSeen(found)), "note versions")
+
+    async def _note(self, seen: VersionsSeen) -> None:
+        try:
+            await self._ask(seen)
+        finally:
+            self._is_noting = False
 
 
 def list_unknown(known: KnownRollouts, listed: list[ListedTarget]) -> list[ServiceRollout]:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -318,7 +318,7 @@
                     self.dispatcher.use_targets(self.targets.targets, time.monotonic())
                     self._deliver()
                 self._has_list = True
-                await self.rollouts.note_versions(self.targets.targets)
+                self.rollouts.note_versions(self.targets.targets)
             except ListUnreadError as error:
                 self.node.events.emit("targets_unread", detail=str(error))
             is_busy = self._count_attached() > 0 or not self._has_list
