--- a/troutstand/core/tiers.py
+++ b/troutstand/core/tiers.py
@@ -6,6 +6,8 @@
 
 from troutstand.generated.routing import TierOrder
 
+# As in the settings; routedstartup checks that the two agree.
+DEFAULT_ORDER = TierOrder.workspace_first
 _SPAN = 1000
 
 
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -9,15 +9,15 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import RouteTable, pick_service
 from troutstand.core.errors import TroutstandError
-from troutstand.core.tiers import Tiers, rank_tiers
+from troutstand.core.tiers import DEFAULT_ORDER, Tiers, rank_tiers
 from troutstand.generated.configuration import Route, RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Part, RoutedWork
-from troutstand.generated.routing import TierOrder
 from troutstand.routing.relay import Outgoing, filter_headers
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from troutstand.generated.routing import TierOrder
     from troutstand.routing.dialect import HeaderNames
     from troutstand.routing.exchange import Headers
 
@@ -53,7 +53,7 @@
     parts: list[Part]
     arrived_s: float
     deadline_s: float
-    tier_order: TierOrder = TierOrder.workspace_first
+    tier_order: TierOrder = DEFAULT_ORDER
 
     @property
     def is_repeatable(self) -> bool:
@@ -153,7 +153,7 @@
     names: HeaderNames,
     headers: Mapping[str, str],
     path: str,
-    tier_order: TierOrder = TierOrder.workspace_first,
+    tier_order: TierOrder = DEFAULT_ORDER,
 ) -> Call:
     """Find a request's route and workspace and read its headers.
 
--- a/troutstand/tests/dispatch.feature
+++ b/troutstand/tests/dispatch.feature
@@ -188,3 +188,9 @@
     And all but the third target lost their answers and the third is full
     When a request that may not be repeated arrives 0.3 s later, turned away by the third
     Then it has a target within 0.1 s
+
+  Scenario: Among requests of one route the workspace's tier goes first
+    Given every slot is taken
+    When a request of a second-tier workspace arrives, then one of a first-tier workspace on the same route
+    And a slot gets free
+    Then the request of the first-tier workspace has a target and the other waits
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -13,6 +13,7 @@
 from troutstand.core.retries import RetryBudget
 from troutstand.core.speed import ReadingFit, ReadingSpeed
 from troutstand.core.targetstate import TargetState
+from troutstand.core.tiers import DEFAULT_ORDER, rank_tiers
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.messages import (
     Declined,
@@ -163,6 +164,21 @@
     context.desk.end(context.first[0])
 
 
+@when(
+    "a request of a second-tier workspace arrives, then one of a first-tier workspace"
+    " on the same route"
+)
+def arrive_by_workspace(context: Context) -> None:
+    ranks = [rank_tiers(workspace, 1, DEFAULT_ORDER) for workspace in (1, 0)]
+    names = [context.desk.arrive(tier=r.place, shed_tier=r.shed) for r in ranks]
+    context.low, context.high = names
+
+
+@then("the request of the first-tier workspace has a target and the other waits")
+def check_workspace_order(context: Context) -> None:
+    check_order(context, 0, 1)
+
+
 @when("the first target breaks {count:d} answers")
 def break_answers(context: Context, count: int) -> None:
     desk = context.desk
