--- a/troutstand/core/tiers.py
+++ b/troutstand/core/tiers.py
@@ -7,7 +7,7 @@
 from troutstand.generated.routing import TierOrder
 
 # As in the settings; routedstartup checks that the two agree.
-DEFAULT_ORDER = TierOrder.workspace_first
+DEFAULT_ORDER = TierOrder.route_first
 _SPAN = 1000
 
 
