--- a/troutstand/tests/routedrollouts.feature
+++ b/troutstand/tests/routedrollouts.feature
@@ -26,6 +26,14 @@
     When the calls go on for 2 s
     Then targets of "v9" got no call
 
+  Scenario: A process that has just started lets in nothing that it does not know
+    Given a routed site whose targets run "v1"
+    And 2 targets of "work" that run "v9" are listed
+    And calls of /get/ and /do/ run all the time
+    When all schedulers and gateways are killed and start again
+    And the calls go on for 3 s
+    Then targets of "v9" got no call
+
   Scenario: An acknowledged order outlives the power of all keepers and a disk
     Given a routed site whose targets run "v1"
     When a rollout of "work" to "v2" within 60 s is ordered
--- a/troutstand/tests/steps/routedrollouts.py
+++ b/troutstand/tests/steps/routedrollouts.py
@@ -187,6 +187,16 @@
     assert not _list_starts(context, version)
 
 
+@when("all schedulers and gateways are killed and start again")
+def restart_others(context: Context) -> None:
+    site = context.scene.site
+    names = [p.name for p in site.processes.values() if p.settings.role is not RoutingRole.keeper]
+    for name in names:
+        site.kill(name)
+    for name in names:
+        site.start(name)
+
+
 @when("all keepers are killed, one loses its disk, and all start again")
 def restart_keepers(context: Context) -> None:
     site = context.scene.site
