Bring the rollout book to decisions before the list and the configuration

Cause: the decider followed the book at its ticks only, which a standby makes every 0.5 s; it was ready, and placed, before its first one.

Change: the book is followed with each list, configuration and take-over, at gateways with each configuration.

--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -133,7 +133,10 @@
     def use_table(self, table: RouteTable) -> None:
         """Take a configuration for decisions made alone."""
         self._table = table
-        self._local.use_table(table, time.monotonic())
+        now_s = time.monotonic()
+        # As at schedulers, so that versions that nobody ordered get nothing from the start.
+        self._follow_rollouts(self._local, now_s)
+        self._local.use_table(table, now_s)
 
     def start(self) -> None:
         """Begin to watch the schedulers."""
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -207,6 +207,7 @@
         if self._count_attached() <= 1:
             # A standby's list is old; the first gateway to come needs a new one.
             self._list_wanted.set()
+        self._follow_rollouts(now_s)
         self.dispatcher.note_leaving(ask.leaving)
         for run in ask.running:
             self.dispatcher.adopt(run, peer, now_s)
@@ -304,7 +305,14 @@
                     burst_tokens=limit[1],
                     version=table.version,
                 )
-        self.dispatcher.use_table(table, time.monotonic())
+        now_s = time.monotonic()
+        # A scheduler is ready once it has a configuration and a list. The rollout book came
+        # with the former; without it all versions of the list would be let in.
+        self._follow_rollouts(now_s)
+        self.dispatcher.use_table(table, now_s)
+
+    def _follow_rollouts(self, now_s: float) -> None:
+        self.dispatcher.use_rollouts(self.follower.rollouts.view(now_s, may_sample=True))
 
     async def _run_list(self) -> None:
         while True:
@@ -315,7 +323,9 @@
                         count=len(self.targets.targets),
                         version=self.targets.version,
                     )
-                    self.dispatcher.use_targets(self.targets.targets, time.monotonic())
+                    now_s = time.monotonic()
+                    self._follow_rollouts(now_s)
+                    self.dispatcher.use_targets(self.targets.targets, now_s)
                     self._deliver()
                 self._has_list = True
                 self.rollouts.note_versions(self.targets.targets)
@@ -339,7 +349,7 @@
                 self._forgive_silence(now_s)
             last_s = now_s
             self._drop_silent(now_s)
-            self.dispatcher.use_rollouts(self.follower.rollouts.view(now_s, may_sample=True))
+            self._follow_rollouts(now_s)
             self.dispatcher.tick(now_s)
             self._deliver()
 
