--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -23,6 +23,8 @@
     from collections.abc import Callable
 
 
+B = TypeVar("B")
+
 # Where operators order rollouts in the product's own form.
 ROLLOUTS_PATH = "/rollouts"
 # A version names software, such as a tag or a digest.
@@ -102,8 +104,8 @@
     duration_s: float
 
 
-def decode_own_rollout(data: bytes) -> RolloutAsk:
-    """Decode an operator's order in the product's own form.
+def decode_rollout_body(data: bytes, kind: type[B]) -> B:
+    """Decode an operator's order in one deployment's form.
 
     Raises
     ------
@@ -111,9 +113,20 @@
         FIELD_INVALID.
     """
     try:
-        body = msgspec.json.decode(data, type=_RolloutBody)
+        return msgspec.json.decode(data, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise TroutstandError(ResultCode.FIELD_INVALID, f"rollout: {error}") from error
+
+
+def decode_own_rollout(data: bytes) -> RolloutAsk:
+    """Decode an operator's order in the product's own form.
+
+    Raises
+    ------
+    TroutstandError
+        FIELD_INVALID.
+    """
+    body = decode_rollout_body(data, _RolloutBody)
     return check_rollout(RolloutAsk(body.service, body.version, body.duration_s))
 
 
--- a/troutstand/tests/platform.feature
+++ b/troutstand/tests/platform.feature
@@ -28,5 +28,10 @@
   Scenario: A page of the list comes over whole
     Then a page of the platform's list becomes targets and a token
 
+  Scenario: Orders for rollouts come over whole, and wrong ones are refused
+    Then the platform's order for a rollout becomes the product's
+    And a switch is told to the platform as in progress
+    And wrong orders are refused with 2003
+
   Scenario: The settings template fills to valid settings
     Then the filled template is valid for each role
--- a/troutstand/tests/steps/platform.py
+++ b/troutstand/tests/steps/platform.py
@@ -14,8 +14,9 @@
 from behave import given, then, when
 
 from troutstand.core.errors import TroutstandError, flatten_group
+from troutstand.core.rollouts.book import RolloutAsk
 from troutstand.generated.configuration import RouteKind
-from troutstand.generated.messages import ListedState
+from troutstand.generated.messages import ListedState, RolloutOrder, RolloutState
 from troutstand.generated.routing import RoutingRole, RoutingSettings
 from troutstand.routing.startup import check_routing_settings
 
@@ -215,14 +216,58 @@
 def check_page(context: Context) -> None:
     _, _, targets = load_folder()
     entry = {"id": "i-1", "service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
-    page = {"instances": [{**entry, "state": "ready"}, {**entry, "id": "i-2", "state": "draining"}]}
+    page = {
+        "instances": [
+            {**entry, "state": "ready", "version": "v2"},
+            {**entry, "id": "i-2", "state": "draining"},
+        ]
+    }
     decoded = targets.decode_targets(json.dumps({**page, "nextToken": "p 2"}).encode())
     assert [t.target for t in decoded.targets] == ["i-1", "i-2"]
     assert [t.state for t in decoded.targets] == [ListedState.ready, ListedState.draining]
     assert decoded.targets[0].failure_domain == "z"
+    assert [t.version for t in decoded.targets] == ["v2", ""]
     assert targets.name_targets_path(decoded.next_token).endswith("pageToken=p%202")
 
 
+@then("the platform's order for a rollout becomes the product's")
+def check_order(context: Context) -> None:
+    _, dialect, _ = load_folder()
+    body = {"service": "s", "targetVersion": "v2", "durationS": 12}
+    decoded = dialect.PLATFORM_DIALECT.decode_rollout(json.dumps(body).encode())
+    assert decoded == RolloutAsk("s", "v2", 12.0)
+
+
+@then("a switch is told to the platform as in progress")
+def check_told(context: Context) -> None:
+    _, dialect, _ = load_folder()
+    order = RolloutOrder(1, "v2", 12.0, 0.0, RolloutState.switching)
+    told = json.loads(dialect.PLATFORM_DIALECT.encode_rollout(order))
+    assert told == {"state": "in_progress", "targetVersion": "v2"}
+
+
+@then("wrong orders are refused with {code:d}")
+def check_wrong_orders(context: Context, code: int) -> None:
+    _, dialect, _ = load_folder()
+    whole = {"service": "s", "targetVersion": "v2", "durationS": 12}
+    wrong = [b"{", b"[]", *(json.dumps({**whole, **bad}).encode() for bad in _WRONG_ORDERS)]
+    for data in wrong:
+        try:
+            dialect.PLATFORM_DIALECT.decode_rollout(data)
+        except TroutstandError as error:
+            assert error.code == code, error
+        else:
+            raise AssertionError(data)
+
+
+_WRONG_ORDERS: list[dict[str, object]] = [
+    {"service": 5},
+    {"targetVersion": ""},
+    {"durationS": 0},
+    {"durationS": -1},
+    {"durationS": "long"},
+]
+
 _FIELDS = {
     "nodeName": "edge-1",
     "zone": "z",
