--- /dev/null
+++ b/troutstand/core/domainview.py
@@ -0,0 +1,82 @@
+"""Keep what a scheduler knows of its failure domain: tiers, workspaces, targets and their work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from troutstand.core.estimate import Running, TargetEstimate
+from troutstand.core.limits import WorkspaceUse
+from troutstand.core.load import RunningLoad
+from troutstand.generated.table import Target, Tier, Workspace
+
+if TYPE_CHECKING:
+    from troutstand.core.table import Table
+    from troutstand.generated.messages import PlacementAsk
+
+
+class DomainView:
+    """Follow the table and the platform's list for one failure domain."""
+
+    def __init__(self, failure_domain: str) -> None:
+        self.failure_domain = failure_domain
+        self.targets: dict[str, TargetEstimate] = {}
+        self._tiers: dict[str, Tier] = {}
+        self._workspaces: dict[str, WorkspaceUse] = {}
+        self._pools: dict[str, list[TargetEstimate]] = {}
+        self._load = RunningLoad()
+        self._leaving: frozenset[str] = frozenset()
+
+    def update_table(self, table: Table) -> None:
+        """Take a newer version of the table."""
+        self._tiers = table.select(Tier)
+        self._update_workspaces(table.select(Workspace))
+        self._update_targets(table.select(Target))
+
+    def update_leaving(self, names: frozenset[str]) -> None:
+        """Take the targets that the platform's list calls leaving."""
+        self._leaving = names
+        for name, target in self.targets.items():
+            target.listed_leaving = name in names
+
+    def _update_workspaces(self, rows: dict[str, Workspace]) -> None:
+        for name, row in rows.items():
+            use = self._workspaces.setdefault(name, WorkspaceUse(row))
+            use.row = row
+        for name in set(self._workspaces) - set(rows):
+            del self._workspaces[name]
+
+    def _update_targets(self, rows: dict[str, Target]) -> None:
+        own = {n: row for n, row in rows.items() if row.failure_domain == self.failure_domain}
+        for name, row in own.items():
+            known = self.targets.get(name)
+            if known is None:
+                self.targets[name] = TargetEstimate(row, name in self._leaving)
+            else:
+                known.row = row
+        for name in set(self.targets) - set(own):
+            for run in self.targets.pop(name).running.values():
+                self._note_run(run, -1)
+        self._pools = {}
+        for target in self.targets.values():
+            for serves in target.row.serves:
+                self._pools.setdefault(serves, []).append(target)
+
+    def _list_usable(self, ask: PlacementAsk) -> list[TargetEstimate]:
+        pool = self._pools.get(ask.serves, [])
+        excluded = ask.exclude
+        return [t for t in pool if not t.is_leaving and t.row.name not in excluded]
+
+    def _has_usable(self, ask: PlacementAsk) -> bool:
+        pool = self._pools.get(ask.serves, [])
+        return any(not t.is_leaving and t.row.name not in ask.exclude for t in pool)
+
+    def _find_rank(self, ask: PlacementAsk) -> int:
+        tier = self._tiers.get(ask.tier)
+        return tier.rank if tier else 0
+
+    def _note_run(self, run: Running, change: int) -> None:
+        """Count a granted request for its workspace and for its target's pools."""
+        use = self._workspaces.get(run.ask.workspace)
+        if use:
+            use.running += change
+        self._load.note(run, change)
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -12,10 +12,9 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.estimate import Running, TargetEstimate
+from troutstand.core.domainview import DomainView
 from troutstand.core.ids import RequestId
-from troutstand.core.limits import WorkspaceUse
-from troutstand.core.load import PoolKey, RunningLoad, TierCount
+from troutstand.core.load import PoolKey, TierCount
 from troutstand.core.policy import Choice, Policy, PolicyName
 from troutstand.core.prefix import Prefixes
 from troutstand.core.queue import FairQueue, Waiting
@@ -29,10 +28,10 @@
     Shed,
     Withdraw,
 )
-from troutstand.generated.table import Target, Tier, Workspace
 
 if TYPE_CHECKING:
-    from troutstand.core.table import Table
+    from troutstand.core.estimate import Running
+    from troutstand.generated.table import Tier
 
 _MILLISECONDS = 1000
 # Requests of one workspace that are tried for a free target before the next
@@ -56,7 +55,7 @@
     message: Grant | Shed | Preempt
 
 
-class Scheduler:
+class Scheduler(DomainView):
     """Hold the queue and the targets of one failure domain.
 
     Parameters
@@ -77,20 +76,14 @@
         started_s: float,
         policy: PolicyName = PolicyName.EARLIEST_FINISH,
     ) -> None:
-        self.failure_domain = failure_domain
-        self.targets: dict[str, TargetEstimate] = {}
+        super().__init__(failure_domain)
         self.inversions = 0
-        self._tiers: dict[str, Tier] = {}
-        self._workspaces: dict[str, WorkspaceUse] = {}
-        self._pools: dict[str, list[TargetEstimate]] = {}
         self._queues: dict[PoolKey, FairQueue] = {}
-        self._load = RunningLoad()
         self._waiting: dict[RequestId, Waiting] = {}
         self._waiting_limit = waiting_limit
         self._retry = RetrySpread(seed)
         self._policy = Policy(policy, seed)
         self._grants_from_s = started_s + REPORT_WAIT_S
-        self._leaving: frozenset[str] = frozenset()
 
     @property
     def waiting_count(self) -> int:
@@ -109,43 +102,6 @@
         """Tell whether a request waits here."""
         return RequestId(request) in self._waiting
 
-    # What the scheduler knows of the world
-
-    def update_table(self, table: Table) -> None:
-        """Take a newer version of the table."""
-        self._tiers = table.select(Tier)
-        self._update_workspaces(table.select(Workspace))
-        self._update_targets(table.select(Target))
-
-    def update_leaving(self, names: frozenset[str]) -> None:
-        """Take the targets that the platform's list calls leaving."""
-        self._leaving = names
-        for name, target in self.targets.items():
-            target.listed_leaving = name in names
-
-    def _update_workspaces(self, rows: dict[str, Workspace]) -> None:
-        for name, row in rows.items():
-            use = self._workspaces.setdefault(name, WorkspaceUse(row))
-            use.row = row
-        for name in set(self._workspaces) - set(rows):
-            del self._workspaces[name]
-
-    def _update_targets(self, rows: dict[str, Target]) -> None:
-        own = {n: row for n, row in rows.items() if row.failure_domain == self.failure_domain}
-        for name, row in own.items():
-            known = self.targets.get(name)
-            if known is None:
-                self.targets[name] = TargetEstimate(row, name in self._leaving)
-            else:
-                known.row = row
-        for name in set(self.targets) - set(own):
-            for run in self.targets.pop(name).running.values():
-                self._note_run(run, -1)
-        self._pools = {}
-        for target in self.targets.values():
-            for serves in target.row.serves:
-                self._pools.setdefault(serves, []).append(target)
-
     # Events
 
     def submit(self, process: str, ask: PlacementAsk, now_s: float) -> list[Send]:
@@ -388,15 +344,6 @@
         backlog_s = choice.target.estimate_prefill_s(0, now_s)
         return choice if backlog_s <= MAX_BACKLOG_S else None
 
-    def _list_usable(self, ask: PlacementAsk) -> list[TargetEstimate]:
-        pool = self._pools.get(ask.serves, [])
-        excluded = ask.exclude
-        return [t for t in pool if not t.is_leaving and t.row.name not in excluded]
-
-    def _has_usable(self, ask: PlacementAsk) -> bool:
-        pool = self._pools.get(ask.serves, [])
-        return any(not t.is_leaving and t.row.name not in ask.exclude for t in pool)
-
     def _grant(self, waiting: Waiting, choice: Choice, weight: float, now_s: float) -> Send:
         self._queues[PoolKey(waiting.rank, waiting.ask.serves)].charge(waiting, weight)
         self._dequeue(waiting)
@@ -418,10 +365,6 @@
         grant = Grant(waiting.ask.request, target.row.name, waited_ms, cached, reason)
         return Send(waiting.process, grant)
 
-    def _find_rank(self, ask: PlacementAsk) -> int:
-        tier = self._tiers.get(ask.tier)
-        return tier.rank if tier else 0
-
     def _enqueue(self, waiting: Waiting) -> None:
         key = PoolKey(waiting.rank, waiting.ask.serves)
         self._queues.setdefault(key, FairQueue()).push(waiting)
@@ -431,13 +374,6 @@
         self._queues[PoolKey(waiting.rank, waiting.ask.serves)].remove(waiting)
         del self._waiting[waiting.request]
 
-    def _note_run(self, run: Running, change: int) -> None:
-        """Count a granted request for its workspace and for its target's pools."""
-        use = self._workspaces.get(run.ask.workspace)
-        if use:
-            use.running += change
-        self._load.note(run, change)
-
 
 def _get_prefixes(ask: PlacementAsk) -> Prefixes:
     return Prefixes(ask.blocks, ask.block_tokens)
