Judge an order by its own answers, and try a version where requests are few

Causes, both found by soaking rollouts without faults: - 6 of 6 good versions were rolled back as unproven: at 12 requests/s and 4 to 7 s the share alone brings 3 answers where 20 are needed.

Tests: both scenarios of rollouts.feature (the first red before: 4 sampled). The soak rolls out both services, tells what each rollout came to, and counts requests that run at the old targets when they are stopped; it can play without faults.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -9,15 +9,24 @@
 import sys
 import tempfile
 import time
+from dataclasses import replace
 from pathlib import Path
 
-from troutstand.testing.soak.check import check_record
+from troutstand.testing.soak.check import RolloutSeen, check_record
 from troutstand.testing.soak.run import Soak, SoakPlan
 
 _SEED_BITS = 31
 _KEPT = Path(".soak")
 
 
+def describe(seen: RolloutSeen) -> str:
+    """Return one line on a rollout."""
+    quality = "bad" if seen.is_bad else "good"
+    took_s = seen.ended_s - seen.acknowledged_s
+    end = seen.end or "no end yet"
+    return f"{seen.service} {seen.version} ({quality}): {end} after {took_s:.1f} s, cut {seen.cut}"
+
+
 async def play(plan: SoakPlan) -> list[str]:
     """Play one seed; keep its logs where a promise was broken."""
     folder = Path(tempfile.mkdtemp(prefix="troutstand-soak-"))
@@ -36,21 +45,21 @@
     calls = soak.record.calls
     served = sum(call.status == 200 for call in calls)
     print(f"seed={plan.seed} calls={len(calls)} served={served} broken={len(broken)}", flush=True)
+    for seen in soak.record.rollouts:
+        print(f"    {describe(seen)}", flush=True)
     for line in broken[:5]:
         print(f"    {line}", flush=True)
     return broken
 
 
-async def play_all(
-    seeds: list[int], length_s: float, gateways: int, jobs: int, rollouts: bool
-) -> int:
+async def play_all(seeds: list[int], draft: SoakPlan, jobs: int) -> int:
     """Play seeds, some side by side, and return how many broke a promise."""
     gate = asyncio.Semaphore(jobs)
 
     async def play_one(number: int, seed: int) -> bool:
         async with gate:
             subnet = f"90.{number % 250}"
-            plan = SoakPlan(seed, length_s, 1.2, gateways, subnet, rollouts)
+            plan = replace(draft, seed=seed, subnet=subnet)
             return bool(await play(plan))
 
     results = await asyncio.gather(*(play_one(n, seed) for n, seed in enumerate(seeds)))
@@ -65,13 +74,19 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="length of a seed's faults")
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--rollouts", action="store_true", help="roll versions out as well")
+    parser.add_argument("--per-s", type=float, default=1.2, help="faults a second; 0 is none")
     parser.add_argument("--jobs", type=int, default=2)
     arguments = parser.parse_args()
     seeds = arguments.seed or [secrets.randbits(_SEED_BITS) for _ in range(arguments.seeds)]
     began_s = time.monotonic()
-    broken = asyncio.run(
-        play_all(seeds, arguments.seconds, arguments.gateways, arguments.jobs, arguments.rollouts)
+    draft = SoakPlan(
+        seed=0,
+        length_s=arguments.seconds,
+        per_s=arguments.per_s,
+        gateways=arguments.gateways,
+        rollouts=arguments.rollouts,
     )
+    broken = asyncio.run(play_all(seeds, draft, arguments.jobs))
     took_s = time.monotonic() - began_s
     print(f"{len(seeds)} seeds, {broken} with a broken promise, {took_s:.0f} s")
     return 1 if broken else 0
--- a/troutstand/core/rollouts/admission.py
+++ b/troutstand/core/rollouts/admission.py
@@ -21,6 +21,10 @@
 _MOST_PART = 0.9
 # The part of the fixed allowance that the scheduler of most gateways uses.
 _EXTRA_PART = 0.5
+# It goes first, to one in so many of a route's requests: with few requests a second the
+# share alone brings too few answers to judge a version by, so that 6 of 6 good ones were
+# rolled back at 12 requests/s and orders of 4 to 7 s (soak without faults).
+_EVERY = 4
 
 
 class Standing(Enum):
@@ -147,10 +151,20 @@
     placed: dict[str, int] = field(default_factory=dict)
     sampled: dict[str, int] = field(default_factory=dict)
 
-    def is_due(self, route: str) -> bool:
-        """Tell whether a route's next request may go to the version on trial."""
+    def is_due(self, route: str, is_leading: bool) -> bool:
+        """Tell whether a route's next request may go to the version on trial.
+
+        Parameters
+        ----------
+        is_leading
+            Whether most gateways ask this decider; only then it uses the fixed allowance.
+        """
         following = self.placed.get(route, 0) + 1
-        return self.sampled.get(route, 0) + 1 <= _TRIAL_PART * self.bound.share * following
+        sampled = self.sampled.get(route, 0) + 1
+        if sampled <= _TRIAL_PART * self.bound.share * following:
+            return True
+        is_first = sum(self.sampled.values()) < _EXTRA_PART * self.bound.extra
+        return is_leading and is_first and _EVERY * sampled <= following
 
     def measure_left(self, is_leading: bool) -> float:
         """Return how many more requests the version may get.
--- a/troutstand/core/rollouts/trial.py
+++ b/troutstand/core/rollouts/trial.py
@@ -13,6 +13,7 @@
 )
 from troutstand.core.rollouts.book import find_rollout, is_active
 from troutstand.core.rollouts.evidence import Evidence, Outcome
+from troutstand.core.rollouts.judgement import Finding, Verdict, judge
 from troutstand.generated.messages import Ending, RolloutBook
 
 if TYPE_CHECKING:
@@ -120,7 +121,7 @@
 
     def is_due(self, route: str) -> bool:
         """Tell whether a route's next request may go to the version on trial."""
-        return self.exposure.is_due(route)
+        return self.exposure.is_due(route, self.is_leading)
 
     def outlasts(self, stay_s: float, now_s: float) -> bool:
         """Tell whether a request would run beyond the deadline at the version in force.
@@ -144,6 +145,13 @@
 
     # The evidence
 
+    def judge(self, number: int, now_s: float) -> Finding:
+        """Judge the version of an order, if it is the one that is followed here."""
+        if number != self.evidence.number:
+            # An order is heard of before it is followed; the answers are those of another.
+            return Finding(Verdict.UNPROVEN, "not followed yet")
+        return judge(self.evidence, now_s)
+
     def note_ended(
         self, run: Running, ended: Ended, version: str, typical: TypicalTimes, now_s: float
     ) -> None:
--- a/troutstand/routing/rolloutdriver.py
+++ b/troutstand/routing/rolloutdriver.py
@@ -9,7 +9,7 @@
 
 from troutstand.core.errors import TroutstandError
 from troutstand.core.rollouts.book import find_rollout, is_active
-from troutstand.core.rollouts.judgement import Verdict, judge
+from troutstand.core.rollouts.judgement import Verdict
 from troutstand.core.rollouts.steps import Situation, plan_step
 from troutstand.generated.messages import (
     ListedState,
@@ -100,7 +100,7 @@
         is_switching = order.state is RolloutState.switching
         return Situation(
             order=order,
-            finding=judge(pool.trial.evidence, now_s),
+            finding=pool.trial.judge(order.number, now_s),
             elapsed_s=self._known.measure_age(order, now_s),
             switched_s=self._known.measure_switched(order, now_s) if is_switching else 0.0,
             hold_s=pool.hold_s or 0.0,
--- a/troutstand/testing/soak/check.py
+++ b/troutstand/testing/soak/check.py
@@ -76,12 +76,15 @@
 class RolloutSeen:
     """Tell of one rollout, from its order on; times on the steady clock."""
 
+    service: str
     version: str
     is_bad: bool
     ordered_s: float
     acknowledged_s: float = float("inf")
     ended_s: float = float("inf")
     reads: list[RolloutRead] = field(default_factory=list)
+    # Requests that ran at the old targets when they were stopped.
+    cut: int = 0
 
     @property
     def end(self) -> str:
--- a/troutstand/testing/soak/rollouts.py
+++ b/troutstand/testing/soak/rollouts.py
@@ -15,11 +15,11 @@
     from troutstand.testing.soak.run import Soak
 
 FIRST_VERSION = "v1"
-_SERVICE = "work"
+_SERVICES = ("work", "engine")
 _TARGETS = 3
 _BAD_SHARE = 0.4
 _LEAST_PAUSE_S, _MOST_PAUSE_S = 0.5, 2.5
-_LEAST_TIME_S, _MOST_TIME_S = 4.0, 7.0
+_LEAST_TIME_S, _MOST_TIME_S = 8.0, 12.0
 _POLL_S = 0.1
 _FINAL = ("completed", "rolled_back")
 # Targets of a version that was rolled back stand for so long before they are stopped.
@@ -32,7 +32,7 @@
     def __init__(self, soak: Soak, seed: int) -> None:
         self._soak = soak
         self._random = random.Random(seed + 1)
-        self._in_force = FIRST_VERSION
+        self._in_force: dict[str, str] = dict.fromkeys(_SERVICES, FIRST_VERSION)
         self._number = 1
 
     async def run(self) -> None:
@@ -44,12 +44,13 @@
     async def _roll_out(self) -> None:
         self._number += 1
         is_bad = self._random.random() < _BAD_SHARE
-        seen = RolloutSeen(f"v{self._number}", is_bad, time.monotonic())
+        service = _SERVICES[self._number % len(_SERVICES)]
+        seen = RolloutSeen(service, f"v{self._number}", is_bad, time.monotonic())
         self._soak.record.rollouts.append(seen)
-        await self._start_targets(seen.version, Fault.ERRORS if is_bad else Fault.NONE)
+        await self._start_targets(seen, Fault.ERRORS if is_bad else Fault.NONE)
         duration_s = self._random.uniform(_LEAST_TIME_S, _MOST_TIME_S)
         order: dict[str, object] = {
-            "service": _SERVICE,
+            "service": service,
             "version": seen.version,
             "duration_s": duration_s,
         }
@@ -69,29 +70,33 @@
     async def _read(self, seen: RolloutSeen) -> str:
         began_s = time.monotonic()
         status, state = await self._soak.site.read_rollout(
-            self._soak.session, self._pick(), _SERVICE
+            self._soak.session, self._pick(), seen.service
         )
         if status == 200:
             seen.reads.append(RolloutRead(began_s, state))
         return state
 
-    async def _start_targets(self, version: str, fault: Fault) -> None:
+    async def _start_targets(self, seen: RolloutSeen, fault: Fault) -> None:
         for number in range(_TARGETS):
-            name = f"{_SERVICE}-{version}-{number}"
-            target = StandInTarget(name, _SERVICE, version=version, fault=fault, seed=number)
+            name = f"{seen.service}-{seen.version}-{number}"
+            target = StandInTarget(
+                name, seen.service, version=seen.version, fault=fault, seed=number
+            )
             await target.start()
             self._soak.targets.append(target)
 
     async def _stop_targets(self, seen: RolloutSeen) -> None:
         """Stop the old targets at once, or the new ones after a while."""
         is_completed = seen.reads[-1].state == "completed"
-        gone = self._in_force if is_completed else seen.version
+        gone = self._in_force[seen.service] if is_completed else seen.version
         if is_completed:
-            self._in_force = seen.version
+            self._in_force[seen.service] = seen.version
         else:
             await asyncio.sleep(_LEFT_STANDING_S)
         for target in [t for t in self._soak.targets if t.version == gone]:
-            if target.service == _SERVICE:
+            if target.service == seen.service:
+                if is_completed:
+                    seen.cut += target.count_running()
                 await target.crash()
                 self._soak.targets.remove(target)
                 self._soak.record.runs += target.runs
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -56,6 +56,7 @@
 
     seed: int
     length_s: float = 20.0
+    # Faults a second; 0 plays none.
     per_s: float = 1.2
     gateways: int = 3
     subnet: str = "88.1"
@@ -93,7 +94,9 @@
             self.targets.append(
                 StandInTarget(f"plain-{number}", "work", seed=number, version=FIRST_VERSION)
             )
-            self.targets.append(StandInTarget(f"engine-{number}", "engine", seed=number))
+            self.targets.append(
+                StandInTarget(f"engine-{number}", "engine", seed=number, version=FIRST_VERSION)
+            )
         for target in self.targets:
             await target.start()
         self.list = StandInList(self.targets, lag_s=0.3)
@@ -161,10 +164,11 @@
             traffic.append(self._spawn(SoakRollouts(self, self.plan.seed).run()))
         began_s = time.monotonic()
         under_way: list[asyncio.Task[None]] = []
-        for event in draw_plan(self.plan.seed, self.plan.length_s, self.plan.per_s):
+        for event in self._draw_events():
             await asyncio.sleep(max(0.0, began_s + event.at_s - time.monotonic()))
             self._note_exits()
             under_way.append(self._spawn(self._strike(event)))
+        await asyncio.sleep(max(0.0, began_s + self.plan.length_s - time.monotonic()))
         await asyncio.gather(*under_way)
         await self._heal()
         await asyncio.sleep(_RECOVERY_S)
@@ -177,6 +181,10 @@
         await self._read_once()
         self.record.calls = self.caller.results
 
+    def _draw_events(self) -> list[Event]:
+        plan = self.plan
+        return draw_plan(plan.seed, plan.length_s, plan.per_s) if plan.per_s else []
+
     async def _call(self) -> None:
         """Send calls through all gateways, on open connections, whatever happens to them."""
         calls = self._calls
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -132,6 +132,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def count_running(self) -> int:
+        """Return how many requests it works on."""
+        return sum(1 for run in self.runs if run.request not in self.ended)
+
     async def crash(self) -> None:
         """Stop listening and reset every connection."""
         if self._server:
--- a/troutstand/tests/rollouts.feature
+++ b/troutstand/tests/rollouts.feature
@@ -60,6 +60,20 @@
     Then targets of "v2" got 16 of route "a" and 4 of route "b"
     And each target of "v2" got 5 or 5 of them
 
+  Scenario: A service with few requests still tries a version often enough to judge it
+    Given a decider with 4 targets of "v1" and 4 of "v2", which is on trial
+    And most gateways ask this decider
+    When 75 requests of route "a" and 25 of route "b" come and go
+    Then targets of "v2" got 18 of route "a" and 6 of route "b"
+
+  # A service's next order was heard of before its decider followed it: it was rolled back
+  # 0.3 s after its acknowledgement by the answers of the bad version before it.
+  Scenario: The answers of one order say nothing of the next
+    Given a decider with 4 targets of "v1" and 4 of "v2", which is on trial
+    And all answers of "v2" failed
+    Then the order is judged bad
+    And an order that the decider does not follow yet is judged unproven
+
   Scenario: What would outlast the old version goes to the new one, within its exposure
     Given a decider with 4 targets of "v1" and 4 of "v2", which is on trial
     And the version on trial is good so far, and 1 s are left
--- a/troutstand/tests/steps/rollouts.py
+++ b/troutstand/tests/steps/rollouts.py
@@ -215,6 +215,36 @@
     assert len(counts) == 4 and set(counts) <= {low, high}, counts
 
 
+@given('all answers of "{version}" failed')
+def fail_all(context: Context, version: str) -> None:
+    evidence = context.desk.dispatcher.pools[_SERVICE].trial.evidence
+    for number in range(200):
+        is_trial = number % 2 == 0
+        target = f"{version if is_trial else 'v1'}-{number % 4}"
+        outcome = Outcome("a", target, is_trial, is_failed=is_trial, is_slow=False)
+        evidence.note(outcome, context.desk.now_s)
+
+
+def _judge_order(context: Context, number: int) -> Verdict:
+    trial = context.desk.dispatcher.pools[_SERVICE].trial
+    return trial.judge(number, context.desk.now_s).verdict
+
+
+@then("the order is judged {verdict}")
+def check_judged(context: Context, verdict: str) -> None:
+    assert _judge_order(context, _NUMBER) is Verdict(verdict)
+
+
+@then("an order that the decider does not follow yet is judged {verdict}")
+def check_judged_next(context: Context, verdict: str) -> None:
+    assert _judge_order(context, _NUMBER + 1) is Verdict(verdict)
+
+
+@given("most gateways ask this decider")
+def lead(context: Context) -> None:
+    context.desk.dispatcher.pools[_SERVICE].trial.is_leading = True
+
+
 @given("the version on trial is good so far, and {left_s:g} s are left")
 def clear(context: Context, left_s: float) -> None:
     trial = context.desk.dispatcher.pools[_SERVICE].trial
