Leave a bad version bad where a soak heals its targets

Trace: the version was ordered 1.5 s before the soak healed all targets, and all its 92 answers were whole. A stand-in's own fault outlives that now; the check stays as it was.

--- a/troutstand/testing/soak/rollouts.py
+++ b/troutstand/testing/soak/rollouts.py
@@ -80,7 +80,12 @@
         for number in range(_TARGETS):
             name = f"{seen.service}-{seen.version}-{number}"
             target = StandInTarget(
-                name, seen.service, version=seen.version, fault=fault, seed=number
+                name,
+                seen.service,
+                version=seen.version,
+                fault=fault,
+                own_fault=fault,
+                seed=number,
             )
             await target.start()
             self._soak.targets.append(target)
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -366,7 +366,7 @@
         else:
             target.fault = _FAULTS[event.other % len(_FAULTS)]
             await asyncio.sleep(event.length_s)
-            target.fault = Fault.NONE
+            target.fault = target.own_fault
 
     async def _configure(self, event: Event) -> None:
         version = next(self._versions)
@@ -390,7 +390,7 @@
             proxy.heal()
         self.list.is_down = False
         for target in self.targets:
-            target.fault, target.is_draining = Fault.NONE, False
+            target.fault, target.is_draining = target.own_fault, False
             if target._server is None:
                 await target.start()
         for process in list(self.site.processes.values()):
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -103,6 +103,8 @@
     work_s: float = 0.02
     events: int = 4
     fault: Fault = Fault.NONE
+    # What its software does wrong by itself, whatever else is switched on and off.
+    own_fault: Fault = Fault.NONE
     continued: ContinuedAnswer | None = None
     answerer: Answerer | None = None
     is_draining: bool = False
