Bring an order for a service without targets to its end

Cause: the deciding scheduler passed over services that it had no targets of, so that such an order stayed under way and every other one was refused. The scenario was red before: not rolled back within 5 s of an order of 3 s.

--- a/troutstand/routing/rolloutdriver.py
+++ b/troutstand/routing/rolloutdriver.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.errors import TroutstandError
+from troutstand.core.pool import Pool
 from troutstand.core.rollouts.book import find_rollout, is_active
 from troutstand.core.rollouts.judgement import Verdict
 from troutstand.core.rollouts.steps import Situation, plan_step
@@ -25,7 +26,6 @@
     from collections.abc import Callable
 
     from troutstand.core.dispatch import Dispatcher
-    from troutstand.core.pool import Pool
     from troutstand.core.rollouts.steps import Step
     from troutstand.generated.messages import ListedTarget, PeerMessage, RolloutOrder
     from troutstand.routing.follower import Follower
@@ -76,8 +76,10 @@
             if self._read_lead() <= 0.0:
                 continue
             for entry in self._known.book.services:
-                pool = self._dispatcher.pools.get(entry.service)
-                if entry.order is not None and is_active(entry) and pool is not None:
+                if entry.order is not None and is_active(entry):
+                    # A service that no target was ever listed for has no pool yet; its order
+                    # must come to an end as well.
+                    pool = self._dispatcher.pools.setdefault(entry.service, Pool())
                     self._look_at(entry.service, entry.order, pool, now_s)
 
     def _look_at(self, service: str, order: RolloutOrder, pool: Pool, now_s: float) -> None:
--- a/troutstand/tests/routedrollouts.feature
+++ b/troutstand/tests/routedrollouts.feature
@@ -42,6 +42,12 @@
     And the same order is acknowledged again at each keeper
     And an order to "v3" is refused with 409 at each keeper
 
+  Scenario: An order for a service without any target comes to its end as well
+    Given a routed site whose targets run "v1"
+    And a service "empty" without targets
+    When a rollout of "empty" to "v2" within 3 s is ordered
+    Then the rollout of "empty" is rolled_back within 5 s
+
   Scenario: A keeper that reaches no majority does not tell how far a rollout is
     Given a routed site whose targets run "v1"
     When a rollout of "work" to "v2" within 60 s is ordered
--- a/troutstand/tests/steps/routedrollouts.py
+++ b/troutstand/tests/steps/routedrollouts.py
@@ -15,7 +15,7 @@
 
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.routedscene import Scene
-from troutstand.testing.routedsite import wait_until
+from troutstand.testing.routedsite import ConfigurationPlan, wait_until
 from troutstand.testing.standins import Fault, StandInTarget
 from troutstand.tests.environment import make_folder, next_subnet
 
@@ -138,6 +138,24 @@
     assert done_s - context.ordered_s < limit_s, done_s - context.ordered_s
 
 
+@given('a service "{service}" without targets')
+def add_service(context: Context, service: str) -> None:
+    scene = context.scene
+    body = ConfigurationPlan(2, services=("work", "engine", service)).encode()
+    scene.background.run(scene.site.write_anywhere(scene.session, body))
+
+
+@then('the rollout of "{service}" is {state} within {limit_s:d} s')
+def check_end(context: Context, service: str, state: str, limit_s: int) -> None:
+    scene = context.scene
+
+    async def is_there() -> bool:
+        _, told = await scene.site.read_rollout(scene.session, "keeper-2", service)
+        return told == state
+
+    scene.background.run(wait_until(is_there, f"the rollout is {state}", limit_s))
+
+
 @then("no call was lost")
 def check_none_lost(context: Context) -> None:
     time.sleep(2.0)
