--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -5,9 +5,9 @@
 not found bad or suspect 2.5 s before the end counts as a false completion; so does a good
 one that is as a false roll-back.
 
-Before, a fixed difference of 0.15 in rates from 20 answers on, 50 draws a case: 17 of 800
-bad versions completed, 18 of 400 good ones rolled back. Now, odds of 1,000 (50 at the end):
-15 and 24, with a verdict 0 to 2.4 s sooner on versions bad from the start.
+Before, a fixed difference of 0.15 in rates from 20 answers on, 200 draws a case: 80 of
+3,200 bad versions completed, 67 of 1,600 good ones rolled back. Now, odds of 1,000 (50 at
+the end): 59 and 112, with a verdict 0 to 2.5 s sooner on versions bad from the start.
 """
 
 from __future__ import annotations
--- a/troutstand/core/rollouts/judgement.py
+++ b/troutstand/core/rollouts/judgement.py
@@ -15,10 +15,10 @@
 from troutstand.core.rollouts.evidence import Evidence, Tallies, Tally, TallyKey
 
 # How much more likely the answers must be if the versions differ than if they do not, for a
-# roll-back at any moment of the trial. Of 800 drawn bad versions 15 were completed, of 400
-# good ones 24 rolled back, all but two beside unlike hardware; 12 to 18 answers were lost
-# before the verdict on versions bad from the start. A fixed difference of 0.15 in rates had
-# 17 and 18 such errors and lost 13 to 40 answers (`benchmarks/rollouts.py`).
+# roll-back at any moment of the trial. Of 3,200 drawn bad versions 59 were completed, of
+# 1,600 good ones 112 rolled back, 99 of them beside unlike hardware; 12 to 18 answers were
+# lost before the verdict on versions bad from the start. A fixed difference of 0.15 in
+# rates had 80 and 67 such errors and lost 13 to 43 answers (`benchmarks/rollouts.py`).
 _BAD_ODDS = 1000.0
 # The same at the end of the trial, where a version that is under suspicion is not completed.
 _SUSPECT_ODDS = 50.0
