--- a/troutstand/core/rollouts/judgement.py
+++ b/troutstand/core/rollouts/judgement.py
@@ -220,8 +220,9 @@
     """Return the odds that the trial's rate is the higher one (a Bayes factor).
 
     Rates of their own are weighed against one rate for both, each drawn evenly from 0 to 1.
-    The chance that the odds ever reach a bound although both rates are the same is at most
-    one over that bound, at whatever moments it is looked at.
+    For two such rates alone the chance that the odds ever reach a bound, although the rates
+    are the same, is at most one over that bound. With targets left out by their answers,
+    several routes and the last seconds judged apart that is no bound any more.
     """
     if trial.share < in_force.share + _LEAST_DIFFERENCE:
         return 0.0
--- a/troutstand/tests/worstload.feature
+++ b/troutstand/tests/worstload.feature
@@ -1,7 +1,7 @@
 Feature: Under the worst recorded load the higher kinds of requests are served first
 
-  # Ten seconds recorded at 73 gateways: 9,785 requests in three bursts, two in five of a
-  # second and third kind, while a quarter of 45 engines of four slots is dark and a third is
+  # Ten seconds recorded at 73 gateways: 9,785 requests in three bursts, a fifth of
+  # the highest kind and half of the lowest, while a quarter of 45 engines of four slots is dark and a third is
   # 4.4 times slower than the others.
 
   Scenario: Higher kinds are refused last, whatever their workspace
