Tell in the log which requests are the same, and whether a target ended

Each call is one request id, so that the same body coming again was not to be seen; a broken attempt looked the same whether a connection or the whole target had gone; and a request sent again on a new connection was not told from one never sent.

Change: a digest of workspace, method, host, path and body (fingerprint) in the lines of placements, failed attempts and ends; target_gone, from one connection to the address after an answer broke off; resent. No decision changes. Stand-in targets can end under a body and come back.

--- a/troutstand/core/decision.py
+++ b/troutstand/core/decision.py
@@ -36,6 +36,8 @@
         Targets that could have been given the request.
     workspace, charge
         Whose limit was charged, and with how many tokens.
+    fingerprint
+        The same for all requests of a caller with one path and body.
     """
 
     expected_first_s: float
@@ -45,3 +47,4 @@
     open_targets: int
     workspace: str
     charge: float
+    fingerprint: str
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -276,6 +276,7 @@
             open_targets=open_targets,
             workspace=work.workspace,
             charge=work.charge,
+            fingerprint=work.fingerprint,
         )
         state.start(Running(work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead))
         state.note_connection(waiting.owner, now_s)
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import RouteTable, pick_service
 from troutstand.core.errors import TroutstandError
+from troutstand.core.fingerprint import take_fingerprint
 from troutstand.core.tiers import DEFAULT_ORDER, Tiers, rank_tiers
 from troutstand.generated.configuration import Route, RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Part, RoutedWork
@@ -54,6 +55,8 @@
     arrived_s: float
     deadline_s: float
     tier_order: TierOrder = DEFAULT_ORDER
+    # The same for all requests of a caller with one path and body.
+    fingerprint: str = ""
 
     @property
     def is_repeatable(self) -> bool:
@@ -114,6 +117,7 @@
             excluded=excluded,
             is_sticky=self.route.sticky,
             failure_domain=failure_domain,
+            fingerprint=self.fingerprint,
         )
 
 
@@ -195,6 +199,12 @@
     )
 
 
+def identify(call: Call, method: str, host: str, path: str, body: bytes) -> Call:
+    """Return a call that tells which others ask for the same."""
+    workspace = call.workspace.name if call.workspace is not None else ""
+    return replace(call, fingerprint=take_fingerprint(workspace, method, host, path, body))
+
+
 def make_outgoing(
     call: Call, names: HeaderNames, method: str, path: str, headers: Headers, body: bytes
 ) -> Outgoing:
--- a/troutstand/routing/decisions.py
+++ b/troutstand/routing/decisions.py
@@ -71,6 +71,7 @@
         open=inputs.open_targets,
         workspace=inputs.workspace,
         charge=inputs.charge,
+        fingerprint=inputs.fingerprint,
         decider=decider,
         list=targets_version[:8],
         version=version,
--- a/troutstand/routing/exchange.py
+++ b/troutstand/routing/exchange.py
@@ -30,6 +30,9 @@
 _IDLE_SHARE = 0.6
 _MAX_HEAD_BYTES = 64 << 10
 _FIRST_FINAL_STATUS = 200
+# How long a look at a target's address may take, in seconds: a refusal takes one round
+# trip, and a request that is sent again waits for it (chosen, not measured).
+_LOOK_S = 0.1
 _BODILESS = frozenset({204, 304})
 
 
@@ -42,12 +45,21 @@
         Whether any byte of the request may have reached the target.
     was_stale
         Whether a kept connection failed before the first byte of an answer.
+    is_refused
+        Whether the address refused the connection, so that nothing listens there.
     """
 
-    def __init__(self, detail: str, was_written: bool, was_stale: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        was_written: bool,
+        was_stale: bool = False,
+        is_refused: bool = False,
+    ) -> None:
         super().__init__(detail)
         self.was_written = was_written
         self.was_stale = was_stale
+        self.is_refused = is_refused
 
 
 @dataclass
@@ -300,6 +312,7 @@
         self.counts = PoolCounts()
         self._connect_s = connect_s
         self._idle: dict[str, list[TargetConnection]] = {}
+        self._looks: dict[str, asyncio.Task[bool]] = {}
 
     async def acquire(self, address: str, max_idle_s: float | None = None) -> TargetConnection:
         """Return a kept connection, or a new one.
@@ -338,15 +351,44 @@
                     lambda: TargetConnection(address), place.ip, place.port
                 )
         except (OSError, TimeoutError) as error:
-            raise ExchangeError(f"no connection: {type(error).__name__}", False) from error
+            detail = f"no connection: {type(error).__name__}"
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise ExchangeError(detail, False, is_refused=is_refused) from error
         self.counts.opened += 1
         return connection
 
+    async def is_gone(self, address: str) -> bool:
+        """Tell whether a target's process has ended, by whether its address refuses connections.
+
+        Those that ask at once share one connection.
+        """
+        look = self._looks.get(address)
+        if look is None:
+            look = asyncio.create_task(self._look(address))
+            self._looks[address] = look
+            look.add_done_callback(lambda _: self._looks.pop(address, None))
+        return await asyncio.shield(look)
+
+    async def _look(self, address: str) -> bool:
+        try:
+            async with asyncio.timeout(_LOOK_S):
+                connection = await self._connect(address)
+        except ExchangeError as error:
+            return error.is_refused
+        except TimeoutError:
+            # Neither refused nor accepted in time: nothing is known.
+            return False
+        self._rest(connection)
+        return False
+
     def release(self, connection: TargetConnection) -> None:
         """Keep a connection whose answer is whole, or drop it."""
         if not connection.can_be_kept():
             connection.abort()
             return
+        self._rest(connection)
+
+    def _rest(self, connection: TargetConnection) -> None:
         connection.rest()
         self._idle.setdefault(connection.address, []).append(connection)
 
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -12,7 +12,7 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import ProcessState
-from troutstand.routing.calls import make_outgoing, read_call
+from troutstand.routing.calls import identify, make_outgoing, read_call
 from troutstand.routing.exchange import ConnectionPool
 from troutstand.routing.follower import Follower
 from troutstand.routing.handling import Handling
@@ -213,6 +213,7 @@
         try:
             call = read_call(table, names, request.headers, path, self.settings.tier_order)
             body = await _read_body(request, limit)
+            call = identify(call, request.method, request.headers.get("host", ""), path, body)
         except TroutstandError as error:
             key = request.headers.get(names.request, "")
             self.node.events.emit(
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -120,19 +120,29 @@
     async def _attempt(self, placed: Placed) -> web.StreamResponse:
         started_s = time.monotonic()
         ending = Ending.left
+        is_gone = False
         try:
             response, ending = await self._exchange(placed)
         except SendError as error:
             ending = error.ending
+            if ending is Ending.broken and not error.is_target_gone:
+                error.is_target_gone = await self._gateway.sender.is_gone(placed.address)
+            is_gone = error.is_target_gone
             raise
         finally:
-            self._end(placed, ending, started_s)
+            self._end(placed, ending, started_s, is_gone)
         return response
 
-    def _end(self, placed: Placed, ending: Ending, started_s: float) -> None:
+    def _end(self, placed: Placed, ending: Ending, started_s: float, is_gone: bool) -> None:
         total_s = time.monotonic() - started_s
         ended = Ended(
-            self._call.request, placed.target, ending, self._first_s, total_s, self._produced
+            self._call.request,
+            placed.target,
+            ending,
+            self._first_s,
+            total_s,
+            self._produced,
+            is_target_gone=is_gone,
         )
         self._gateway.placement.end(ended)
         self._gateway.metrics.endings.labels(ending.value).inc()
@@ -217,6 +227,9 @@
             ending=error.ending.value,
             detail=error.detail,
             status=error.status,
+            target_gone=error.is_target_gone,
+            resent=error.was_resent,
+            fingerprint=self._call.fingerprint,
             begun_ms=self._measure_begun(),
             arrivals=self._arrivals,
         )
@@ -388,6 +401,7 @@
             begun_ms=self._measure_begun(),
             arrivals=self._arrivals,
             decider=self._gateway.placement.decider,
+            fingerprint=call.fingerprint,
             **fields,
         )
 
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -69,13 +69,26 @@
         What became of it at the target.
     status
         The status with which the target answered, where it did.
+    is_target_gone
+        Whether the target's address refuses connections.
+    was_resent
+        Whether a kept connection failed first, and the request was sent on a new one.
     """
 
-    def __init__(self, ending: Ending, detail: str, status: int | None = None) -> None:
+    def __init__(
+        self,
+        ending: Ending,
+        detail: str,
+        status: int | None = None,
+        is_target_gone: bool = False,
+        was_resent: bool = False,
+    ) -> None:
         super().__init__(detail)
         self.ending = ending
         self.detail = detail
         self.status = status
+        self.is_target_gone = is_target_gone
+        self.was_resent = was_resent
 
     @property
     def has_arrived(self) -> bool:
@@ -141,10 +154,15 @@
                 return await self._send_once(outgoing, placed, deadline_s, max_idle_s)
             except ExchangeError as error:
                 if not error.was_written and not error.was_stale:
-                    raise SendError(Ending.unsent, str(error)) from error
+                    raise SendError(
+                        Ending.unsent,
+                        str(error),
+                        is_target_gone=error.is_refused,
+                        was_resent=fresh,
+                    ) from error
                 repeats = outgoing.is_repeatable or not error.was_written
                 if not (error.was_stale and repeats and not fresh):
-                    raise SendError(Ending.broken, str(error)) from error
+                    raise SendError(Ending.broken, str(error), was_resent=fresh) from error
                 # The target had forgotten the connection; a new one tells more.
                 fresh = True
 
@@ -222,6 +240,10 @@
         self._pool.release(sent.connection)
         return b"".join(chunks)
 
+    async def is_gone(self, address: str) -> bool:
+        """Tell whether a target's process has ended."""
+        return await self._pool.is_gone(address)
+
     def release(self, sent: Sent) -> None:
         """Keep the connection of an answer that was read to its end."""
         self._pool.release(sent.connection)
--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -24,6 +24,7 @@
     folder: Path
     # Version of the targets' software; empty is not told.
     version: str = ""
+    engines: int = 2
     background: BackgroundLoop = field(default_factory=BackgroundLoop)
     targets: list[StandInTarget] = field(default_factory=list)
 
@@ -34,6 +35,7 @@
     async def _open(self, subnet: str, is_configured: bool) -> None:
         for number in range(2):
             self.targets.append(StandInTarget(f"plain-{number}", "work", version=self.version))
+        for number in range(self.engines):
             self.targets.append(
                 StandInTarget(f"engine-{number}", "engine", seed=number, version=self.version)
             )
@@ -68,7 +70,7 @@
     async def _close(self) -> None:
         await self.session.close()
         for target in self.targets:
-            await target.crash()
+            await target.close()
         await self.list.stop()
 
     def call_gateways(self, route: str, key: str = KEY) -> list[CallResult]:
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -107,6 +107,10 @@
     own_fault: Fault = Fault.NONE
     continued: ContinuedAnswer | None = None
     answerer: Answerer | None = None
+    # The body that ends the process as it runs it; it is back after so many seconds, under
+    # another name.
+    deadly_body: bytes = b""
+    back_s: float = 1.5
     is_draining: bool = False
     version: str = ""
     address: str = ""
@@ -121,6 +125,9 @@
     _random: random.Random = field(init=False)
     # Apart, so that which answers break off does not hang on who goes on with them.
     _resumed_random: random.Random = field(init=False)
+    # When it ended under the deadly body, and the lives that it began since.
+    crashed_s: list[float] = field(default_factory=list)
+    _restarts: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self._busy = asyncio.Semaphore(self.slots)
@@ -138,6 +145,24 @@
         """Return how many requests it works on."""
         return sum(1 for run in self.runs if run.request not in self.ended)
 
+    async def _crash_for_a_while(self) -> None:
+        self.crashed_s.append(time.monotonic())
+        await self.crash()
+        restart = asyncio.create_task(self._restart())
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.back_s)
+        self.target = f"{self.target.partition('@')[0]}@{len(self.crashed_s)}"
+        await self.start()
+
+    async def close(self) -> None:
+        """End for good."""
+        for restart in list(self._restarts):
+            restart.cancel()
+        await self.crash()
+
     async def crash(self) -> None:
         """Stop listening and reset every connection."""
         if self._server:
@@ -205,6 +230,9 @@
             self.ended[request] = "left"
             return False
         await _stop_watching(leaving)
+        if self.deadly_body and body == self.deadly_body:
+            await self._crash_for_a_while()
+            return False
         if self.fault is Fault.RESET and self._random.random() < 0.5:
             reset_connection(writer)
             return False
