Add two failing tests: a body that ends targets, and an attempt that a crash took

Cause under test: each call is new to the product, so that a body which ends the targets that run it is sent to more of them each time it comes; and an attempt whose kept connection the end of its target broke counts as never sent.

The attempt on a kept connection ends as unsent.

--- a/troutstand/testing/scripted.py
+++ b/troutstand/testing/scripted.py
@@ -23,6 +23,8 @@
     KEEP = "keep"
     END = "end"
     RESET = "reset"
+    # The process ends: nothing listens any more, and the connection is reset.
+    GONE = "gone"
     SILENT = "silent"
 
 
@@ -104,6 +106,9 @@
                 return True
             case Close.SILENT:
                 await reader.read()
+            case Close.GONE:
+                await self.stop()
+                reset_connection(writer)
             case Close.RESET:
                 reset_connection(writer)
             case Close.END:
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -125,7 +125,8 @@
     _random: random.Random = field(init=False)
     # Apart, so that which answers break off does not hang on who goes on with them.
     _resumed_random: random.Random = field(init=False)
-    # When it ended under the deadly body, and the lives that it began since.
+    # When the deadly body came, run or not, and when the process ended under it.
+    deadly_s: list[float] = field(default_factory=list)
     crashed_s: list[float] = field(default_factory=list)
     _restarts: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -189,6 +190,8 @@
             data = await reader.readuntil(_HEAD_END)
         head = parse_head(data[: -len(_HEAD_END)])
         body = await reader.readexactly(int(head.headers.get("content-length", 0)))
+        if self.deadly_body and body == self.deadly_body:
+            self.deadly_s.append(time.monotonic())
         if head.headers.get("x-expected-target", self.target) != self.target:
             writer.write(_ELSEWHERE)
             return True
--- a/troutstand/tests/crashers.feature
+++ b/troutstand/tests/crashers.feature
@@ -1,5 +1,23 @@
 Feature: A request that ends the targets that run it
 
+  # One caller sent a body that ended every target that began to run it, and sent it again
+  # every few hundred milliseconds, each time as a request of its own. A request was known
+  # by its id alone, so that each of these was new, got every attempt of its route, and took
+  # as many targets with it. Sixteen of them ended within 11 s under the one body. 10 s after
+  # the first, the scheduler still logged "event=request_placed waited_ms=0 running=1", the
+  # gateway 88 ms later "event=attempt_failed ending=broken arrivals=1", the scheduler 1 ms
+  # after that another "event=request_placed", and the gateway "arrivals=2" 90 ms on.
+  # A sound request that stood beside it was logged as "ending=unsent arrivals=0", although
+  # its target had received it: its kept connection failed, the new one was refused, and
+  # only the refusal counted.
+
+  Scenario: A body that ended three targets is sent to no more of them
+    Given a routed site with 6 engines that one body ends
+    When for 8 s that body is called each 0.25 s beside 20 sound ones a second
+    Then at most 3 of its arrivals come later than 3 s after its third target ended
+    And at least 0.9 of the sound calls are answered
+    And the sound bodies that stood beside it are answered afterwards
+
   Scenario: The logs tell which calls are the same, and that their targets ended
     Given a routed site with 6 engines that one body ends
     When the deadly body is called once at each gateway
--- a/troutstand/tests/relay.feature
+++ b/troutstand/tests/relay.feature
@@ -42,6 +42,11 @@
     When two repeatable requests are sent one after the other
     Then both outcomes are whole and came on 2 connections
 
+  Scenario: A request that took its target down on a kept connection counts as sent
+    Given a target that answers in full, ends at the next request
+    When two repeatable requests are sent one after the other
+    Then the second outcome is broken, since the target is gone
+
   Scenario: An unrepeatable request is not sent twice on a forgotten connection
     Given a target that answers in full, resets at the next request, then answers in full
     When two unrepeatable requests are sent one after the other
--- a/troutstand/tests/steps/crashers.py
+++ b/troutstand/tests/steps/crashers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 import re
+import time
 from typing import TYPE_CHECKING
 
 from behave import given, then, when
@@ -15,8 +18,13 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from troutstand.testing.routedcaller import CallResult
+
 DEADLY = b"deadly"
 _ROUTE = "/stream/resume/"
+_SOUND_BODIES = 20
+# The deadly body ends a target for the third time before this rank of its ends.
+_THIRD = 2
 
 
 def open_deadly(context: Context, engines: int) -> Scene:
@@ -95,3 +103,64 @@
     calls = {fields["request"] for fields in failed}
     assert len({fields["fingerprint"] for fields in failed}) == len(calls), failed
     assert all(fields["target_gone"] == "False" for fields in failed), failed
+
+
+# The same body, again and again
+
+
+async def _call_each(scene: Scene, body_of: itertools.cycle[bytes], period_s: float, end_s: float):
+    """Call at a steady pace, at the gateways in turn, and return what came of each call."""
+    gateways = itertools.cycle(scene.site.list_role(RoutingRole.gateway))
+    calls: list[asyncio.Task[CallResult]] = []
+    while time.monotonic() < end_s:
+        calls.append(asyncio.create_task(scene.caller.call(next(gateways), _ROUTE, next(body_of))))
+        # The pace of the callers, no wait for anything.
+        await asyncio.sleep(period_s)
+    return await asyncio.gather(*calls)
+
+
+def _list_sound() -> list[bytes]:
+    return [f"sound {number}".encode() for number in range(_SOUND_BODIES)]
+
+
+@when(
+    "for {length_s:g} s that body is called each {period_s:g} s beside {rate:d} sound ones a second"
+)
+def call_beside(context: Context, length_s: float, period_s: float, rate: int) -> None:
+    scene = context.scene
+
+    async def call() -> list[CallResult]:
+        end_s = time.monotonic() + length_s
+        deadly = _call_each(scene, itertools.cycle([DEADLY]), period_s, end_s)
+        sound = _call_each(scene, itertools.cycle(_list_sound()), 1.0 / rate, end_s)
+        return (await asyncio.gather(deadly, sound))[1]
+
+    context.sound = scene.background.run(call())
+
+
+@then("at most {most:d} of its arrivals come later than {after_s:g} s after its third target ended")
+def check_arrivals(context: Context, most: int, after_s: float) -> None:
+    targets = context.scene.targets
+    crashed_s = sorted(at_s for target in targets for at_s in target.crashed_s)
+    assert len(crashed_s) > _THIRD, crashed_s
+    end_s = crashed_s[_THIRD] + after_s
+    late = [at_s for target in targets for at_s in target.deadly_s if at_s > end_s]
+    assert len(late) <= most, f"{len(late)} late arrivals, {len(crashed_s)} targets ended"
+
+
+@then("at least {share:g} of the sound calls are answered")
+def check_sound(context: Context, share: float) -> None:
+    answered = sum(1 for result in context.sound if result.status == 200)
+    assert answered >= share * len(context.sound), f"{answered} of {len(context.sound)}"
+
+
+@then("the sound bodies that stood beside it are answered afterwards")
+def check_afterwards(context: Context) -> None:
+    scene = context.scene
+
+    async def call() -> list[CallResult]:
+        gateway = scene.site.list_role(RoutingRole.gateway)[0]
+        return [await scene.caller.call(gateway, _ROUTE, body) for body in _list_sound()]
+
+    results = scene.background.run(call())
+    assert all(result.status == 200 for result in results), results
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -66,6 +66,7 @@
         Reply(b"", Close.RESET),
         _FULL,
     ],
+    "in full, ends at the next request": [_FULL, Reply(b"", Close.GONE)],
     "before it reads the body": [Reply(make_answer(), is_early=True)],
 }
 
@@ -115,6 +116,7 @@
             context.outcomes.append("whole")
         except SendError as error:
             context.outcomes.append(error.ending.value)
+            context.is_target_gone = error.is_target_gone
     if target is not None:
         await _wait_bodies(target.received, [len(outgoing.body) for outgoing in outgoings])
         await target.stop()
@@ -263,3 +265,9 @@
 @then("it stands within an event")
 def check_within(context: Context) -> None:
     assert not context.end.is_between_events
+
+
+@then("the second outcome is {outcome}, since the target is gone")
+def check_second_gone(context: Context, outcome: str) -> None:
+    assert context.outcomes == ["whole", outcome], context.outcomes
+    assert context.is_target_gone
