Count an attempt as sent where the end of its target broke a kept connection

Cause: where a kept connection failed before its first byte, the request was sent again on a new one; when that was refused, since the target had ended, only the refusal counted. The attempt was free, could be followed by four more, and its caller was told that it had not run.

Change: what was written once ends as broken, whatever the next connection does.

Figures: relay.feature fails before (unsent) and passes now (broken, target gone).

--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -146,6 +146,7 @@
             Where no head of an answer to this request came.
         """
         fresh = False
+        was_written = False
         while True:
             max_idle_s = None if outgoing.is_repeatable else _UNREPEATABLE_IDLE_S
             if fresh:
@@ -153,9 +154,14 @@
             try:
                 return await self._send_once(outgoing, placed, deadline_s, max_idle_s)
             except ExchangeError as error:
+                was_written = was_written or error.was_written
                 if not error.was_written and not error.was_stale:
+                    # Written on the kept connection, it may have run though no new one came
+                    # up. Counted as never sent it was free to be sent 4 times more and was
+                    # answered with "not run": 2 of 135 such attempts had reached targets
+                    # that ended under them (counted in the logs of 7 gateways).
                     raise SendError(
-                        Ending.unsent,
+                        Ending.broken if was_written else Ending.unsent,
                         str(error),
                         is_target_gone=error.is_refused,
                         was_resent=fresh,
