Let both schedulers use the book of requests that end targets

Cause: the book knew the routed site's messages and pools, so that the domain scheduler could not use it.

Change: it takes plain values, and says why a request is refused; the routed dispatcher makes its own message of that.

Checks: crashes.feature and dispatch.feature, 50 passed.

--- a/troutstand/core/choice.py
+++ b/troutstand/core/choice.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     import random
 
+    from troutstand.core.crashes import CrashBook
     from troutstand.core.pool import Pool, Waiting
     from troutstand.core.reach import Reach
     from troutstand.core.targetstate import TargetState
@@ -19,6 +20,9 @@
 # requests stay in their own. Without it 40 deciders send 40 requests of equal costs to one
 # of 16 targets; with it the busiest gets 5 in the median of 200 draws, 11 at most.
 _SPREAD_S = 0.02
+# A target that lost an answer is left out of trials for so long, in seconds: the list still
+# shows those that have ended, and a trial there would show nothing.
+_SETTLED_S = 5.0
 
 
 def find_way(work: RoutedWork, state: TargetState) -> Way:
@@ -36,8 +40,9 @@
         taken.
     """
 
-    def __init__(self, reach: Reach, spread: random.Random | None) -> None:
+    def __init__(self, reach: Reach, spread: random.Random | None, crashes: CrashBook) -> None:
         self._reach = reach
+        self._crashes = crashes
         self._spread = spread
 
     def choose(
@@ -51,6 +56,24 @@
             fitting, key=lambda state: pool.estimate_cost(state, waiting, now_s) + self._draw()
         )
 
+    def list_trial(
+        self, pool: Pool, work: RoutedWork, open_: list[TargetState], now_s: float
+    ) -> list[TargetState]:
+        """Return the open targets at which a request on trial for ending targets may run.
+
+        It runs once at a time, and where no other request under suspicion does, so that the
+        target's end tells of this one.
+        """
+        runs = [run for t in pool.targets.values() for run in t.running.values()]
+        if any(run.work.fingerprint == work.fingerprint for run in runs):
+            return []
+        return [
+            t
+            for t in open_
+            if (not t.strikes or now_s - t.lost_s > _SETTLED_S)
+            and self._crashes.suits_trial(run.work.fingerprint for run in t.running.values())
+        ]
+
     def choose_canary(
         self, pool: Pool, waiting: Waiting, canaries: list[TargetState], now_s: float
     ) -> TargetState | None:
--- a/troutstand/core/crashes.py
+++ b/troutstand/core/crashes.py
@@ -14,16 +14,11 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
-from troutstand.core.codes import ResultCode
-from troutstand.generated.messages import CrashHistory, Declined, Ending, TargetCrash
+from troutstand.generated.messages import CrashHistory, TargetCrash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from troutstand.core.pool import Pool
-    from troutstand.core.targetstate import TargetState
-    from troutstand.generated.messages import Ended, RoutedWork
-
 # After so many ends of targets a request runs apart from others under suspicion, and after
 # so many it is refused. With one less, sound requests that shared a target with the same
 # other one twice would be refused; each more costs another target.
@@ -40,9 +35,9 @@
 _TOGETHER_S = 2.0
 # Ends of one target that are told this close to each other are one, in seconds.
 _SAME_END_S = 1.0
-# A target that lost an answer is left out of trials for so long, in seconds: the list still
-# shows those that have ended, and a trial there would show nothing.
-_SETTLED_S = 5.0
+# Requests alike that may run or wait while they are on trial; one runs at a time. More would
+# fill the queue before sound ones (chosen, not measured).
+MAX_ALIKE = 3
 # The newest ends kept of a request.
 _MAX_ENDS = 8
 _MAX_HISTORIES = 2000
@@ -71,6 +66,15 @@
     blame: Blame
 
 
+@dataclass(frozen=True)
+class Quarantine:
+    """Say why a request is refused, and for how long, in seconds."""
+
+    wait_s: float
+    reason: str
+    history: CrashHistory
+
+
 @dataclass
 class _End:
     """Hold one target's end; the time in seconds."""
@@ -125,18 +129,16 @@
         """Tell whether a target ended under a request, with no answer to it since."""
         return fingerprint in self._ends
 
-    def decline(self, work: RoutedWork, now_s: float) -> Declined:
-        """Write the refusal of a request that is quarantined."""
-        ends = self._ends[work.fingerprint]
+    def suits_trial(self, running: Iterable[str]) -> bool:
+        """Tell whether a request on trial may run beside others, so that an end tells of it."""
+        return not any(fingerprint in self._ends for fingerprint in running)
+
+    def explain(self, fingerprint: str, now_s: float) -> Quarantine:
+        """Return why a request is refused that is quarantined, or has others like it on trial."""
+        ends = self._ends[fingerprint]
         wait_s = max(_TRIAL_RETRY_S, _find_release(ends) - now_s)
-        reason = f"fingerprint={work.fingerprint} targets_ended={len(ends)}"
-        return Declined(
-            work.request,
-            int(ResultCode.REQUEST_QUARANTINED),
-            wait_s,
-            reason,
-            crashes=[_describe(work.fingerprint, ends, now_s)],
-        )
+        reason = f"fingerprint={fingerprint} targets_ended={len(ends)}"
+        return Quarantine(wait_s, reason, _describe(fingerprint, ends, now_s))
 
     def take_changes(self) -> list[BlameChange]:
         """Return the changes since the last call."""
@@ -145,13 +147,22 @@
 
     # What happens
 
-    def note_ended(self, ended: Ended, now_s: float) -> None:
-        """Learn from how a request ended at a target."""
-        if ended.ending is Ending.broken and ended.fingerprint:
-            started_s = now_s - max(0.0, ended.total_s)
-            self._note_broken(_Broken(ended.fingerprint, started_s, now_s), ended.target)
-        if ended.is_target_gone:
-            self._note_gone(ended.target, now_s)
+    def note_broken(self, fingerprint: str, target: str, run_s: float, now_s: float) -> None:
+        """Learn that a target's answer broke off after the request had run for so long."""
+        broken = _Broken(fingerprint, now_s - max(0.0, run_s), now_s)
+        recent = self._find_recent(target, now_s)
+        if now_s - recent.gone_s <= _TOGETHER_S:
+            self._count(broken, target)
+        else:
+            recent.broken.append(broken)
+
+    def note_gone(self, target: str, now_s: float) -> None:
+        """Learn that a target's address refuses connections."""
+        recent = self._find_recent(target, now_s)
+        recent.gone_s = now_s
+        for broken in recent.broken:
+            self._count(broken, target)
+        recent.broken.clear()
 
     def note_survived(self, fingerprint: str) -> None:
         """Clear a request to which a target gave an answer of its own."""
@@ -162,21 +173,6 @@
             self._changes.append(BlameChange(fingerprint, "", len(ends), Blame.NONE))
         self._forget(fingerprint)
 
-    def _note_broken(self, broken: _Broken, target: str) -> None:
-        recent = self._find_recent(target, broken.at_s)
-        if broken.at_s - recent.gone_s <= _TOGETHER_S:
-            self._count(broken, target)
-        else:
-            recent.broken.append(broken)
-
-    def _note_gone(self, target: str, now_s: float) -> None:
-        recent = self._find_recent(target, now_s)
-        recent.gone_s = now_s
-        for broken in recent.broken:
-            if now_s - broken.at_s <= _TOGETHER_S:
-                self._count(broken, target)
-        recent.broken.clear()
-
     def _find_recent(self, target: str, now_s: float) -> _Recent:
         if len(self._recent) > _MAX_RECENT:
             kept = {t: r for t, r in self._recent.items() if now_s - r.told_s <= _TOGETHER_S}
@@ -250,32 +246,6 @@
         self.inherit(histories, now_s)
 
 
-def list_trial_targets(
-    book: CrashBook, pool: Pool, work: RoutedWork, open_: list[TargetState], now_s: float
-) -> list[TargetState]:
-    """Return the open targets at which a request on trial may run.
-
-    It runs once at a time, and where no other request under suspicion does, so that the
-    target's end tells of this one.
-    """
-    runs = [run for t in pool.targets.values() for run in t.running.values()]
-    if any(run.work.fingerprint == work.fingerprint for run in runs):
-        return []
-    return [
-        t
-        for t in open_
-        if (not t.strikes or now_s - t.lost_s > _SETTLED_S)
-        and not any(book.is_blamed(run.work.fingerprint) for run in t.running.values())
-    ]
-
-
-def count_alike(pool: Pool, work: RoutedWork) -> int:
-    """Return how many requests with the same fingerprint run or wait."""
-    waiting = [w.work for w in pool.waiting.values()]
-    running = [run.work for t in pool.targets.values() for run in t.running.values()]
-    return sum(1 for other in [*waiting, *running] if other.fingerprint == work.fingerprint)
-
-
 def _find_release(ends: list[_End]) -> float:
     """Return until when a request is refused; with too few ends that is past."""
     if len(ends) < _QUARANTINE_ENDS:
--- a/troutstand/core/decision.py
+++ b/troutstand/core/decision.py
@@ -5,8 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from troutstand.core.codes import ResultCode
+from troutstand.generated.messages import Declined
+
 if TYPE_CHECKING:
-    from troutstand.generated.messages import Declined, Placed
+    from troutstand.core.crashes import Quarantine
+    from troutstand.generated.messages import Placed
 
 
 @dataclass(frozen=True)
@@ -48,3 +52,14 @@
     workspace: str
     charge: float
     fingerprint: str
+
+
+def decline_quarantined(request: str, quarantine: Quarantine) -> Declined:
+    """Write the refusal of a request under which targets ended."""
+    return Declined(
+        request,
+        int(ResultCode.REQUEST_QUARANTINED),
+        quarantine.wait_s,
+        quarantine.reason,
+        crashes=[quarantine.history],
+    )
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -11,8 +11,8 @@
 
 from troutstand.core.choice import TargetChoice, find_way
 from troutstand.core.codes import ResultCode
-from troutstand.core.crashes import Blame, CrashBook, count_alike, list_trial_targets
-from troutstand.core.decision import Decision, PlacedInputs
+from troutstand.core.crashes import MAX_ALIKE, Blame, CrashBook
+from troutstand.core.decision import Decision, PlacedInputs, decline_quarantined
 from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.reach import Reach
@@ -53,10 +53,6 @@
 # as overtaken, since the estimate moves with every arrival (chosen, not measured).
 _OVERTAKEN_MARGIN = 0.2
 
-# Requests alike that may run or wait while they are on trial; one runs at a time. More would
-# fill the queue before sound ones (chosen, not measured).
-_MAX_ALIKE = 3
-
 
 _get_rank = attrgetter("rank")
 _get_shed_rank = attrgetter("shed_rank")
@@ -86,7 +82,7 @@
         self.retries = retries
         self.reach = Reach()
         self.crashes = CrashBook() if crashes is None else crashes
-        self._choice = TargetChoice(self.reach, spread)
+        self._choice = TargetChoice(self.reach, spread, self.crashes)
         self._decisions: list[Decision] = []
 
     def take_decisions(self) -> list[Decision]:
@@ -123,7 +119,7 @@
         """Take a request in: give it a target, let it wait, or refuse it."""
         pool = self.pools.setdefault(work.service, Pool())
         if self._is_kept_back(pool, work, now_s):
-            self._decisions.append(Decision(owner, self.crashes.decline(work, now_s)))
+            self._quarantine(work, owner, now_s)
             return
         if work.attempt > 1:
             if not self.retries.take(work.service, now_s):
@@ -158,7 +154,7 @@
             case Blame.QUARANTINED:
                 return True
             case Blame.ON_TRIAL:
-                return count_alike(pool, work) >= _MAX_ALIKE
+                return pool.count_alike(work) >= MAX_ALIKE
             case _:
                 return False
 
@@ -188,8 +184,10 @@
 
     def end(self, ended: Ended, now_s: float) -> None:
         """Free a request's slot and learn from how it ended."""
-        self.crashes.note_ended(ended, now_s)
+        if ended.ending is Ending.broken and ended.fingerprint:
+            self.crashes.note_broken(ended.fingerprint, ended.target, ended.total_s, now_s)
         if ended.is_target_gone:
+            self.crashes.note_gone(ended.target, now_s)
             self._refuse_quarantined(now_s)
         for pool in self.pools.values():
             state = pool.targets.get(ended.target)
@@ -282,7 +280,7 @@
             blame = self.crashes.judge(waiting.work.fingerprint, now_s)
             suitable = open_
             if blame is Blame.ON_TRIAL:
-                suitable = list_trial_targets(self.crashes, pool, waiting.work, open_, now_s)
+                suitable = self._choice.list_trial(pool, waiting.work, open_, now_s)
                 if not suitable:
                     # It waits for its trial, and those behind it need not.
                     continue
@@ -353,8 +351,11 @@
                 work = waiting.work
                 if self.crashes.judge(work.fingerprint, now_s) is Blame.QUARANTINED:
                     self._leave_queue(pool, work.request, now_s)
-                    declined = self.crashes.decline(work, now_s)
-                    self._decisions.append(Decision(waiting.owner, declined))
+                    self._quarantine(work, waiting.owner, now_s)
+
+    def _quarantine(self, work: RoutedWork, owner: str, now_s: float) -> None:
+        declined = decline_quarantined(work.request, self.crashes.explain(work.fingerprint, now_s))
+        self._decisions.append(Decision(owner, declined))
 
     def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
         if not pool.list_usable():
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -385,6 +385,12 @@
         ranks = [w.rank for w in self.waiting.values() if w is not waiting]
         return sum(map(waiting.rank.__ge__, ranks))
 
+    def count_alike(self, work: RoutedWork) -> int:
+        """Return how many requests with the same fingerprint run or wait."""
+        waiting = [w.work for w in self.waiting.values()]
+        running = [run.work for t in self.targets.values() for run in t.running.values()]
+        return sum(1 for other in [*waiting, *running] if other.fingerprint == work.fingerprint)
+
     def has_spare(self, now_s: float) -> bool:
         """Tell whether room is free that nobody who is owed it waits for."""
         if self.waiting:
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -17,6 +17,7 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.crashes import Blame, CrashBook
+from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
 from troutstand.core.quota import QuotaBounds, Quotas
@@ -153,7 +154,8 @@
         now_s = time.monotonic()
         if self._crashes.judge(work.fingerprint, now_s) is Blame.QUARANTINED:
             # Known here, be it that the decider has just started and knows nothing yet.
-            return self._crashes.decline(work, now_s)
+            quarantine = self._crashes.explain(work.fingerprint, now_s)
+            return decline_quarantined(work.request, quarantine)
         loop = asyncio.get_running_loop()
         placing = Placing(work, time.monotonic(), loop.create_future())
         self._placing[work.request] = placing
--- a/troutstand/tests/steps/crashes.py
+++ b/troutstand/tests/steps/crashes.py
@@ -239,15 +239,9 @@
     book = context.book = CrashBook()
     for number in range(count):
         for turn in range(1 + number % 2):
-            ended = Ended(
-                f"r{number}",
-                f"t{number}.{turn}",
-                Ending.broken,
-                total_s=0.0,
-                is_target_gone=True,
-                fingerprint=f"f{number}",
-            )
-            book.note_ended(ended, 0.001 * number + 0.0001 * turn)
+            now_s = 0.001 * number + 0.0001 * turn
+            book.note_broken(f"f{number}", f"t{number}.{turn}", 0.0, now_s)
+            book.note_gone(f"t{number}.{turn}", now_s)
 
 
 @then("at most {most:d} bodies are kept, and at most {told:d} are told to others")
