Keep requests that end engines from more of them in a failure domain as well

Change: the scheduler keeps the same book, by a digest of workspace, path and body; entry processes look whether a target that broke an answer off is gone, and hand what callers were refused for to the next scheduler. A target that is gone is held off. An answer that had begun ends as cut, not as unreachable.

--- a/troutstand/backends/base.py
+++ b/troutstand/backends/base.py
@@ -84,6 +84,10 @@
     async def request(self, call: Call) -> Reply:
         """Send a call and return its whole answer."""
 
+    @abstractmethod
+    async def is_gone(self) -> bool:
+        """Tell whether the target's process has ended: its address refuses connections."""
+
     @abstractmethod
     async def cancel(self, request: str) -> None:
         """Stop a running request."""
--- a/troutstand/backends/http.py
+++ b/troutstand/backends/http.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import abstractmethod
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import TYPE_CHECKING
 
 import aiohttp
+from yarl import URL
 
 from troutstand.backends.base import Backend, Call, Reply
 from troutstand.core.codes import ResultCode, Run
@@ -20,6 +22,9 @@
 # Connections are checked for reuse by request, never shared, so that a late
 # answer of one request cannot be read as another's.
 CONNECT_TIMEOUT_S = 2.0
+# How long a look at a target's address may take, in seconds: a refusal takes one round
+# trip, and a request that is sent again waits for it (chosen, not measured).
+_LOOK_S = 0.1
 
 
 def make_session() -> aiohttp.ClientSession:
@@ -71,5 +76,19 @@
         async with self._open(call) as response:
             return Reply(response.status, response.content_type, await response.read())
 
+    async def is_gone(self) -> bool:
+        """Tell whether the target's process has ended: its address refuses connections."""
+        url = URL(self.row.url)
+        try:
+            async with asyncio.timeout(_LOOK_S):
+                _, writer = await asyncio.open_connection(url.host, url.port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            # Neither refused nor accepted: nothing is known.
+            return False
+        writer.close()
+        return False
+
     def _open(self, call: Call) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         return open_call(self._session, self.row.url, call, self.make_headers(call))
--- a/troutstand/core/estimate.py
+++ b/troutstand/core/estimate.py
@@ -133,7 +133,7 @@
     def finish(self, done: Finished, now_s: float) -> Running | None:
         """Note a request's end and learn from it."""
         run = self.running.pop(RequestId(done.request), None)
-        if done.fault:
+        if done.fault or done.is_target_gone:
             self._distrust(now_s)
         elif done.ok:
             self._trust()
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -12,7 +12,9 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
+from troutstand.core.crashes import MAX_ALIKE, Blame, CrashBook
 from troutstand.core.domainview import DomainView
+from troutstand.core.estimate import Health
 from troutstand.core.ids import RequestId
 from troutstand.core.load import PoolKey, TierCount
 from troutstand.core.policy import Choice, Policy, PolicyName
@@ -30,7 +32,7 @@
 )
 
 if TYPE_CHECKING:
-    from troutstand.core.estimate import Running
+    from troutstand.core.estimate import Running, TargetEstimate
     from troutstand.generated.table import Tier
 
 _MILLISECONDS = 1000
@@ -78,6 +80,7 @@
     ) -> None:
         super().__init__(failure_domain)
         self.inversions = 0
+        self.crashes = CrashBook()
         self._queues: dict[PoolKey, FairQueue] = {}
         self._waiting: dict[RequestId, Waiting] = {}
         self._waiting_limit = waiting_limit
@@ -131,7 +134,28 @@
         run = target.finish(finished, now_s) if target else None
         if run:
             self._note_run(run, -1)
-        return self._place(now_s)
+        sends = self._note_crash(finished, now_s)
+        return sends + self._place(now_s)
+
+    def _note_crash(self, finished: Finished, now_s: float) -> list[Send]:
+        """Learn whether a target ended under a request; shed those alike that wait."""
+        fingerprint, target = finished.fingerprint, finished.target
+        if finished.ok and fingerprint:
+            self.crashes.note_survived(fingerprint)
+        if finished.is_broken_off and fingerprint:
+            run_s = finished.total_ms / _MILLISECONDS
+            self.crashes.note_broken(fingerprint, target, run_s, now_s)
+        if not finished.is_target_gone:
+            return []
+        self.crashes.note_gone(target, now_s)
+        refused = [
+            waiting
+            for waiting in self._waiting.values()
+            if self.crashes.judge(waiting.ask.fingerprint, now_s) is Blame.QUARANTINED
+        ]
+        for waiting in refused:
+            self._dequeue(waiting)
+        return [self._quarantine(waiting, now_s) for waiting in refused]
 
     def take_report(self, report: RunningReport, now_s: float) -> list[Send]:
         """Take over what an entry process runs by an earlier scheduler's grants."""
@@ -144,6 +168,7 @@
             )
             target.start(RequestId(item.ask.request), run, _get_prefixes(item.ask))
             self._note_run(run, 1)
+        self.crashes.inherit(report.crashes, now_s)
         return self._place(now_s)
 
     def drop_process(self, process: str, now_s: float) -> list[Send]:
@@ -185,6 +210,8 @@
 
     def _check_admission(self, waiting: Waiting, now_s: float) -> Send | None:
         ask = waiting.ask
+        if self._is_kept_back(ask, now_s):
+            return self._quarantine(waiting, now_s)
         if not self._has_usable(ask):
             return self._shed(waiting, ResultCode.NO_TARGET, MIN_RETRY_S, "no live target")
         use = self._workspaces.get(ask.workspace)
@@ -196,6 +223,38 @@
             return self._shed(waiting, ResultCode.WORKSPACE_LIMIT, retry_s, detail)
         return None
 
+    def _is_kept_back(self, ask: PlacementAsk, now_s: float) -> bool:
+        """Tell whether a request is refused for the targets that ended under others like it.
+
+        Each time that it comes it would take as many targets with it as it has tries: 5 of 5
+        engines ended under 8 calls of one prompt, and 3 with this (`domaincrashes.feature`).
+        """
+        match self.crashes.judge(ask.fingerprint, now_s):
+            case Blame.QUARANTINED:
+                return True
+            case Blame.ON_TRIAL:
+                waiting = (item.ask.fingerprint for item in self._waiting.values())
+                alike = [*waiting, *self._list_running()].count(ask.fingerprint)
+                return alike >= MAX_ALIKE
+            case _:
+                return False
+
+    def _list_running(self) -> list[str]:
+        """Return the fingerprints of what runs."""
+        runs = (run for target in self.targets.values() for run in target.running.values())
+        return [run.ask.fingerprint for run in runs]
+
+    def _quarantine(self, waiting: Waiting, now_s: float) -> Send:
+        quarantine = self.crashes.explain(waiting.ask.fingerprint, now_s)
+        shed = Shed(
+            waiting.ask.request,
+            int(ResultCode.REQUEST_QUARANTINED),
+            _to_ms(quarantine.wait_s),
+            quarantine.reason,
+            crashes=[quarantine.history],
+        )
+        return Send(waiting.process, shed)
+
     def _make_room(self, waiting: Waiting, now_s: float) -> list[Send]:
         """Shed where the queue is full or the newcomer cannot start in time."""
         if len(self._waiting) > self._waiting_limit:
@@ -338,12 +397,25 @@
         here, where the next higher tier still comes first.
         """
         free = [t for t in self._list_usable(waiting.ask) if t.count_free(now_s) > 0]
+        if self.crashes.judge(waiting.ask.fingerprint, now_s) is Blame.ON_TRIAL:
+            free = self._list_trial(waiting.ask, free)
         if not free:
             return None
         choice = self._policy.choose(free, waiting.ask, waiting.prefixes, now_s)
         backlog_s = choice.target.estimate_prefill_s(0, now_s)
         return choice if backlog_s <= MAX_BACKLOG_S else None
 
+    def _list_trial(self, ask: PlacementAsk, free: list[TargetEstimate]) -> list[TargetEstimate]:
+        """Return the targets whose end would tell of a request on trial, one at a time."""
+        if ask.fingerprint in self._list_running():
+            return []
+        return [
+            target
+            for target in free
+            if target.health is Health.TRUSTED
+            and self.crashes.suits_trial(run.ask.fingerprint for run in target.running.values())
+        ]
+
     def _grant(self, waiting: Waiting, choice: Choice, weight: float, now_s: float) -> Send:
         self._queues[PoolKey(waiting.rank, waiting.ask.serves)].charge(waiting, weight)
         self._dequeue(waiting)
--- a/troutstand/daemon/engines.py
+++ b/troutstand/daemon/engines.py
@@ -109,7 +109,8 @@
             self._entry.events.emit(
                 "target_failed", grant.request, error.code, target=grant.target, detail=error.detail
             )
-            self._finish(attempt, grant, relay, error)
+            is_gone = error.code is ResultCode.ANSWER_CUT and await backend.is_gone()
+            self._finish(attempt, grant, relay, error, is_gone=is_gone)
             return await self._decide_again(attempt, error)
         except BaseException:
             self._finish(attempt, grant, relay, None, cancelled=True)
@@ -161,6 +162,7 @@
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
             exclude=sorted({*attempt.tried, *attempt.excluded})[:MAX_TARGETS],
+            fingerprint=request.fingerprint,
         )
         try:
             return await self._entry.placement.place(ask, attempt.preempt)
@@ -227,6 +229,7 @@
         relay: EngineRelay,
         error: TroutstandError | None,
         cancelled: bool = False,
+        is_gone: bool = False,
     ) -> None:
         progress, usage = relay.progress, relay.progress.usage
         fault = error.code.name.lower() if error and error.code in _STALLS else ""
@@ -241,6 +244,9 @@
             first_token_ms=progress.first_token_ms(),
             total_ms=progress.total_ms(),
             fault=fault,
+            fingerprint=attempt.request.fingerprint,
+            is_broken_off=error is not None and error.code is ResultCode.ANSWER_CUT,
+            is_target_gone=is_gone,
         )
         self._entry.placement.finish(finished)
         self._entry.events.emit(
@@ -258,6 +264,8 @@
             first_token_ms=finished.first_token_ms,
             total_ms=finished.total_ms,
             resumes=progress.resumes,
+            target_gone=is_gone,
+            fingerprint=attempt.request.fingerprint,
         )
 
 
--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
+from troutstand.core.crashes import CrashBook
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId
 from troutstand.generated.messages import (
@@ -60,6 +62,8 @@
     events: EventBus
     deliver: Deliver
     scheduler: ProcessId | None = None
+    # What callers here were refused for, so that it outlives the scheduler.
+    _crashes: CrashBook = field(default_factory=CrashBook)
     _pending: dict[str, _Pending] = field(default_factory=dict)
     _running: dict[str, _Running] = field(default_factory=dict)
 
@@ -85,7 +89,8 @@
     def report(self) -> None:
         """Tell the scheduler everything that runs and waits here."""
         running = [run.item for run in self._running.values()]
-        self._send(RunningReport(self.process, running))
+        crashes = self._crashes.list_histories(time.monotonic())
+        self._send(RunningReport(self.process, running, crashes=crashes))
         for pending in self._pending.values():
             self._send(pending.ask)
 
@@ -152,6 +157,7 @@
         pending.answer.set_result(grant)
 
     def _take_shed(self, shed: Shed) -> None:
+        self._crashes.inherit(shed.crashes, time.monotonic())
         pending = self._pending.get(shed.request)
         if pending is None or pending.answer.done():
             return
--- a/troutstand/daemon/relay.py
+++ b/troutstand/daemon/relay.py
@@ -116,10 +116,19 @@
                     )
             except TroutstandError as error:
                 if not self._may_resume(error):
-                    raise
+                    raise self._tell_begun(error) from error
                 self.progress.resumes += 1
                 self.stream.restart()
 
+    def _tell_begun(self, error: TroutstandError) -> TroutstandError:
+        """Return the error as one of an answer that had begun, where it had.
+
+        The target that refuses the connection now had run the request before.
+        """
+        if error.code is not ResultCode.TARGET_UNREACHABLE or self.stream.last_number < 0:
+            return error
+        return TroutstandError(ResultCode.ANSWER_CUT, error.detail, Run.UNKNOWN)
+
     def _may_resume(self, error: TroutstandError) -> bool:
         if not self._backend.row.resumes or self.stream.last_number < 0:
             return False
--- a/troutstand/daemon/requests.py
+++ b/troutstand/daemon/requests.py
@@ -13,6 +13,7 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
+from troutstand.core.fingerprint import take_fingerprint
 from troutstand.core.prefix import Prefixes, count_tokens, hash_prefixes
 from troutstand.daemon.refusals import KEY_HEADER
 from troutstand.generated.table import Model, Service, Target, Tier, Workspace
@@ -89,6 +90,11 @@
         """Return the key that names the request within its workspace."""
         return f"{self.caller.workspace.name}/{self.key}"
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same for all requests of the workspace with one path and body."""
+        return take_fingerprint(self.caller.workspace.name, "POST", "", self.path, self.body)
+
 
 @dataclass
 class Directory:
--- a/troutstand/daemon/services.py
+++ b/troutstand/daemon/services.py
@@ -16,6 +16,7 @@
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.command import UNKNOWN_OUTCOME, make_not_run
 from troutstand.core.errors import TroutstandError
+from troutstand.core.fingerprint import take_fingerprint
 from troutstand.core.ids import CommandKey
 from troutstand.daemon.refusals import KEY_HEADER
 from troutstand.generated.messages import Finished, Grant, Outcome, OutcomeKind, PlacementAsk
@@ -56,6 +57,12 @@
         """Return the key that names the command within its workspace."""
         return CommandKey(f"{self.caller.workspace.name}/{self.key}")
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same for all calls of the workspace with one path and body."""
+        workspace = self.caller.workspace.name
+        return take_fingerprint(workspace, self.method, "", self.path, self.body)
+
     def digest(self) -> str:
         """Return a digest that tells this call from others of its key."""
         parts = [self.service.name, self.method, self.path, self.content_type]
@@ -154,15 +161,16 @@
             wait_ms=int(wait_s * _MILLISECONDS),
             protocol="service",
             exclude=exclude,
+            fingerprint=call.fingerprint,
         )
         return await self._entry.placement.place(ask, lambda _: None)
 
     async def _request(self, call: ServiceCall, grant: Grant, request: str) -> Reply:
         started_s = time.monotonic()
-        ok = False
+        ok = is_cut = is_gone = False
         fault = ""
+        backend = self._entry.find_backend(grant.target)
         try:
-            backend = self._entry.find_backend(grant.target)
             if backend is None:
                 raise TroutstandError(ResultCode.TARGET_UNREACHABLE, f"{grant.target} has gone")
             reply = await backend.request(
@@ -180,6 +188,8 @@
             return reply
         except TroutstandError as error:
             fault = error.code.name.lower()
+            is_cut = error.code is ResultCode.ANSWER_CUT
+            is_gone = is_cut and backend is not None and await backend.is_gone()
             self._entry.events.emit(
                 "target_failed", grant.request, error.code, target=grant.target, detail=error.detail
             )
@@ -187,7 +197,16 @@
         finally:
             total_ms = int((time.monotonic() - started_s) * _MILLISECONDS)
             self._entry.placement.finish(
-                Finished(grant.request, grant.target, ok, total_ms=total_ms, fault=fault)
+                Finished(
+                    grant.request,
+                    grant.target,
+                    ok,
+                    total_ms=total_ms,
+                    fault=fault,
+                    fingerprint=call.fingerprint,
+                    is_broken_off=is_cut,
+                    is_target_gone=is_gone,
+                )
             )
 
 
--- a/troutstand/testing/engine.py
+++ b/troutstand/testing/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -49,6 +50,8 @@
     shuffle: bool = False
     foreign: bool = False
     duplicate: bool = False
+    # A prompt that holds this text ends the process as it begins to run.
+    deadly_text: str = ""
 
 
 class EngineRecord(msgspec.Struct, frozen=True):
@@ -163,6 +166,8 @@
                 nonce=stream.nonce,
             )
         )
+        if self.fault.deadly_text and self.fault.deadly_text in text:
+            os._exit(1)
         if self.fault.stall:
             await asyncio.sleep(3600)
         async with self._prefill:
