Take a refused connection as a sign that its way is open

Cause: two sends that found no connection closed the way to a failure domain for a second, also where the targets' own hosts refused them since the targets had ended.

Change: an ending that tells that its target is gone counts as a sign of its way.

--- a/troutstand/core/reach.py
+++ b/troutstand/core/reach.py
@@ -75,7 +75,11 @@
 
     def note_ending(self, way: Way, ended: Ended, now_s: float) -> None:
         """Take what the end of a request tells of its way."""
-        if ended.ending in _UNREACHED:
+        if ended.is_target_gone:
+            # A refused connection comes from the target's own host. Taken for a way that is
+            # cut, the ends of five engines closed ways 12 times in 7 s (from the logs).
+            self.note_sign(way)
+        elif ended.ending in _UNREACHED:
             self.note_unreached(way, ended.target, now_s)
         elif ended.ending in _REACHED:
             self.note_sign(way)
