--- a/troutstand/tests/steps/reach.py
+++ b/troutstand/tests/steps/reach.py
@@ -72,9 +72,7 @@
         answers = [d.answer for d in self.dispatcher.take_decisions()]
         return [a.target for a in answers if isinstance(a, Placed)]
 
-    def send(
-        self, source: str, target: str, ending: Ending, is_target_gone: bool = False
-    ) -> None:
+    def send(self, source: str, target: str, ending: Ending, is_target_gone: bool = False) -> None:
         """Send a request to one target, with the end that it gets."""
         others = [t for t in self.dispatcher.pools[_SERVICE].targets if t != target]
         request, got = self.place(source, others)
