Judge each entry of the list of targets by itself

Cause: a page was decoded as a whole, so that one entry of another writer took the whole list with it; what could be decoded was a target, also with an empty id, an address that is none or no slots.

Change: entries are decoded one by one, also of a page that is no JSON as a whole; each spoiled one is logged once with its cause, the sound ones serve. An entry with a state that is not known is no target. A target whose entry cannot be read stays known for 2 s: without new work where the entry can be told to be its, as it was where it cannot. The log tells the held list's age where none can be read.

--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -18,6 +18,7 @@
 from troutstand.core.rollouts.book import RolloutAsk
 from troutstand.generated.configuration import Configuration
 from troutstand.generated.messages import ListedTarget, RolloutOrder, RolloutState
+from troutstand.routing.targetpages import PageForm, TargetPage, decode_page
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,17 +54,7 @@
     reserved: frozenset[str] = frozenset({"x-target-order"})
 
 
-@dataclass(frozen=True)
-class TargetPage:
-    """Hold one page of the list of targets and the token of the next."""
-
-    targets: list[ListedTarget]
-    next_token: str | None
-
-
-class _Page(msgspec.Struct):
-    targets: list[ListedTarget]
-    next: str | None = None
+OWN_PAGE = PageForm(entries="targets", next_token="next", target="target")
 
 
 def decode_own_configuration(data: bytes) -> Configuration:
@@ -86,11 +77,7 @@
 
 def decode_own_targets(data: bytes) -> TargetPage:
     """Decode a page of the list of targets in the product's own form."""
-    try:
-        page = msgspec.json.decode(data, type=_Page)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise TroutstandError(ResultCode.FIELD_INVALID, str(error)) from error
-    return TargetPage(page.targets, page.next)
+    return decode_page(data, OWN_PAGE, ListedTarget, lambda target: target)
 
 
 def name_own_targets_path(token: str | None) -> str:
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -370,8 +370,10 @@
             try:
                 changed = await self._targets.read()
             except ListUnreadError as error:
-                self._node.events.emit("targets_unread", detail=str(error))
+                age_s = self._targets.age_s
+                self._node.events.emit("targets_unread", detail=str(error), age_s=age_s)
                 continue
+            self._targets.emit_spoiled(self._node.events)
             if changed and self._is_alone():
                 self._local.use_targets(self._targets.targets, time.monotonic())
                 self._deliver_local()
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -339,10 +339,12 @@
                     self._follow_rollouts(now_s)
                     self.dispatcher.use_targets(self.targets.targets, now_s)
                     self._deliver()
+                self.targets.emit_spoiled(self.node.events)
                 self._has_list = True
                 self.rollouts.note_versions(self.targets.targets)
             except ListUnreadError as error:
-                self.node.events.emit("targets_unread", detail=str(error))
+                age_s = self.targets.age_s
+                self.node.events.emit("targets_unread", detail=str(error), age_s=age_s)
             is_busy = self._count_attached() > 0 or not self._has_list
             period_s = _LIST_S if is_busy else _STANDBY_LIST_S
             # Running out of time is how the pause usually ends.
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -3,22 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import ListedState
 from troutstand.routing.exchange import ConnectionPool, ExchangeError, write_head
+from troutstand.routing.targetpages import SoundEntries, SpoiledEntry, TargetPage
 
 if TYPE_CHECKING:
     from troutstand.generated.messages import ListedTarget
     from troutstand.routing.dialect import Dialect
+    from troutstand.util.events import EventBus
 
 _TIMEOUT_S = 1.0
 _CONNECT_S = 0.5
 _STATUS_OK = 200
 _MAX_PAGES = 1000
+# Lines about spoiled entries that one read may cause.
+_MAX_LINES = 20
 
 
 class ListUnreadError(Exception):
@@ -34,6 +40,10 @@
         self._address = address
         self._dialect = dialect
         self._pool = ConnectionPool(_CONNECT_S)
+        self._sound = SoundEntries()
+        self._spoiled: frozenset[SpoiledEntry] = frozenset()
+        self._spoiled_news: list[SpoiledEntry] = []
+        self._read_s = time.monotonic()
 
     def install(self, targets: list[ListedTarget], version: str) -> None:
         """Take a list that another process has read."""
@@ -53,24 +63,49 @@
         """
         try:
             async with asyncio.timeout(_TIMEOUT_S):
-                targets = await self._read_pages()
+                pages = await self._read_pages()
         except (TimeoutError, ExchangeError, TroutstandError) as error:
             raise ListUnreadError(str(error) or type(error).__name__) from error
+        self._read_s = time.monotonic()
+        self._note_spoiled(pages)
+        targets = self._sound.merge(pages, self._read_s)
         targets.sort(key=lambda entry: entry.target)
         version = _digest(targets)
         changed = version != self.version
         self.install(targets, version)
         return changed
 
-    async def _read_pages(self) -> list[ListedTarget]:
-        targets: list[ListedTarget] = []
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the list was read here, in seconds."""
+        return time.monotonic() - self._read_s
+
+    def _note_spoiled(self, pages: list[TargetPage]) -> None:
+        spoiled = frozenset(entry for page in pages for entry in page.spoiled)
+        self._spoiled_news.extend(spoiled - self._spoiled)
+        self._spoiled = spoiled
+
+    def emit_spoiled(self, events: EventBus) -> None:
+        """Write a line for each spoiled entry that the list before did not hold."""
+        news, self._spoiled_news = self._spoiled_news, []
+        for entry in news[:_MAX_LINES]:
+            events.emit(
+                "target_entry_spoiled",
+                code=ResultCode.FIELD_INVALID,
+                target=entry.target or None,
+                cause=entry.cause,
+                entries=len(self._spoiled),
+            )
+
+    async def _read_pages(self) -> list[TargetPage]:
+        pages: list[TargetPage] = []
         token: str | None = None
         for _ in range(_MAX_PAGES):
             page = self._dialect.decode_targets(await self._get(token))
-            targets.extend(page.targets)
+            pages.append(page)
             token = page.next_token
             if token is None:
-                return targets
+                return pages
         raise ListUnreadError(f"more than {_MAX_PAGES} pages")
 
     async def _get(self, token: str | None) -> bytes:
--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -26,6 +26,7 @@
     version: str = ""
     engines: int = 2
     plain: int = 2
+    odd_entries: list[bytes] = field(default_factory=list)
     background: BackgroundLoop = field(default_factory=BackgroundLoop)
     targets: list[StandInTarget] = field(default_factory=list)
 
@@ -43,6 +44,7 @@
         for target in self.targets:
             await target.start()
         self.list = StandInList(self.targets)
+        self.list.odd_entries = self.odd_entries
         await self.list.start()
         self.site = RoutedSite(self.folder, RoutedPlan(subnet=subnet), self.list)
         self.site.lay_out()
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -354,6 +354,8 @@
         self.address = ""
         self.reads = 0
         self.is_down = False
+        # Written as they are between the sound entries.
+        self.odd_entries: list[bytes] = []
         self._lag_s = lag_s
         self._history: deque[tuple[float, bytes]] = deque()
         self._runner: web.AppRunner | None = None
@@ -388,7 +390,8 @@
             }
             for target in self.targets
         ]
-        return json.dumps({"targets": entries}).encode()
+        sound = [json.dumps(entry).encode() for entry in entries]
+        return b'{"targets":[' + b",".join([*self.odd_entries, *sound]) + b'],"next":null}'
 
     async def _answer(self, request: web.Request) -> web.Response:
         self.reads += 1
--- /dev/null
+++ b/troutstand/tests/steps/targetpages.py
@@ -0,0 +1,278 @@
+"""Spoil entries of the list of targets."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import given as draw
+from hypothesis import strategies as st
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.errors import TroutstandError
+from troutstand.generated.messages import ListedState, ListedTarget
+from troutstand.generated.routing import RoutingRole
+from troutstand.routing.dialect import OWN_PAGE, decode_own_targets
+from troutstand.routing.targetpages import PageForm, SoundEntries, SpoiledEntry, TargetPage
+from troutstand.testing.routedscene import Scene
+from troutstand.testing.routedsite import wait_until
+from troutstand.tests.environment import make_folder, next_subnet
+from troutstand.tests.steps.platform import load_folder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from behave.runner import Context
+
+_OWN = {
+    "target": "a",
+    "service": "work",
+    "address": "127.0.0.1:80",
+    "failure_domain": "north",
+    "slots": 2,
+    "state": "ready",
+}
+
+
+_PLATFORMS = {
+    "id": "a",
+    "service": "work",
+    "address": "127.0.0.1:80",
+    "zone": "north",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+}
+
+
+class PageWriter:
+    """Write pages in one deployment's form."""
+
+    def __init__(self, form: str) -> None:
+        targets = load_folder()[2]
+        is_own = form == "own"
+        self.entry: dict[str, object] = dict(_OWN if is_own else _PLATFORMS)
+        self.form: PageForm = OWN_PAGE if is_own else targets.FORM
+        self.decode: Callable[[bytes], TargetPage]
+        self.decode = decode_own_targets if is_own else targets.decode_targets
+
+    def make(self, **fields: object) -> dict[str, object]:
+        """Make a sound entry with other values."""
+        return {**self.entry, **fields}
+
+    def write(self, entries: list[bytes], token: str | None = "p-2") -> bytes:
+        """Write a page."""
+        listed = b",".join(entries)
+        tail = json.dumps({self.form.next_token: token})[1:].encode()
+        return b'{"' + self.form.entries.encode() + b'":[' + listed + b"]," + tail
+
+    def write_between(self, odd: bytes) -> bytes:
+        """Write a page with something between two sound entries."""
+        return self.write([self.encode("a"), odd, self.encode("b")])
+
+    def encode(self, name: str) -> bytes:
+        """Write a sound entry."""
+        return json.dumps(self.make(**{self.form.target: name})).encode()
+
+
+def _spoil(writer: PageWriter, fault: str) -> bytes:
+    entry = writer.make(**{writer.form.target: "odd"})
+    match fault:
+        case "a missing field":
+            del entry["address"]
+        case "slots as a text":
+            entry["slots"] = "two"
+        case "no slots":
+            entry["slots"] = 0
+        case "an unknown state":
+            entry["state"] = "resting"
+        case "an empty id":
+            entry[writer.form.target] = ""
+        case "an address that is none":
+            entry["address"] = "nowhere"
+        case "bytes that are no text":
+            return json.dumps(entry).encode().replace(b"odd", b"\xff\xfe")
+        case "a number in its place":
+            return b"17"
+        case "null in its place":
+            return b"null"
+        case "a list in its place":
+            return b"[]"
+        case "its end cut off":
+            return json.dumps(entry).encode()[:-9]
+        case _:
+            raise AssertionError(fault)
+    return json.dumps(entry).encode()
+
+
+@given("a page in the {form} form with two sound entries")
+def use_form(context: Context, form: str) -> None:
+    context.writer = PageWriter(form)
+
+
+@when("an entry with {fault} stands between them")
+def write_fault(context: Context, fault: str) -> None:
+    context.page = context.writer.write_between(_spoil(context.writer, fault))
+
+
+@then("the page names the two sound targets, and one spoiled entry")
+def check_page(context: Context) -> None:
+    page = context.writer.decode(context.page)
+    assert [entry.target for entry in page.targets] == ["a", "b"], page
+    assert len(page.spoiled) == 1 and page.spoiled[0].cause, page
+    assert page.next_token == "p-2", page
+
+
+# Drawn entries
+
+
+def _make_settings(count: int) -> settings:
+    """Make settings that draw the same cases in each run."""
+    return settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+_PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@st.composite
+def draw_entry(draw_one: Any, entry: dict[str, object], name: str) -> dict[str, object]:
+    """Draw an entry of which a field is missing or has another value."""
+    odd = {**entry, name: "odd"}
+    for key in draw_one(st.lists(st.sampled_from(sorted(odd)), min_size=1, max_size=4)):
+        if draw_one(st.booleans()):
+            odd.pop(key, None)
+        else:
+            odd[key] = draw_one(_PLAIN)
+    return odd
+
+
+@then("{count:d} pages with drawn entries between sound ones name the sound ones and the next page")
+def check_drawn(context: Context, count: int) -> None:
+    writer = context.writer
+
+    @_make_settings(count)
+    @draw(st.lists(draw_entry(writer.entry, writer.form.target) | _PLAIN, min_size=1, max_size=4))
+    def check(odd: list[object]) -> None:
+        entries = [json.dumps(value, allow_nan=False, default=str) for value in _drop_nan(odd)]
+        data = writer.write(
+            [writer.encode("a"), *(e.encode() for e in entries), writer.encode("b")]
+        )
+        page = writer.decode(data)
+        names = [entry.target for entry in page.targets]
+        assert names[0] == "a" and names[-1] == "b", page
+        assert page.next_token == "p-2", page
+        assert len(page.targets) + len(page.spoiled) == len(entries) + 2, page
+        for entry in page.targets[1:-1]:
+            assert entry.target and entry.service and entry.slots >= 1, entry
+            assert isinstance(entry.state, ListedState), entry
+
+    check()
+
+
+def _drop_nan(values: list[object]) -> list[object]:
+    """Return values that JSON can hold: what is no number becomes null."""
+    return json.loads(re.sub(r"-?Infinity|NaN", "null", json.dumps(values)))
+
+
+@then("{count:d} drawn pieces of bytes are a page or are refused with {code:d}")
+def check_bytes(context: Context, count: int, code: int) -> None:
+    writers = [PageWriter("own"), PageWriter("platform's")]
+    start = writers[0].write([writers[0].encode("a")])
+
+    @_make_settings(count)
+    @draw(st.binary(max_size=60), st.integers(0, len(start)), st.integers(0, 20))
+    def check(piece: bytes, position: int, length: int) -> None:
+        spoiled = start[:position] + piece + start[position + length :]
+        for data in (piece, spoiled):
+            for writer in writers:
+                try:
+                    page = writer.decode(data)
+                except TroutstandError as error:
+                    assert error.code == ResultCode(code), error
+                else:
+                    assert isinstance(page, TargetPage)
+
+    check()
+
+
+# What stays known
+
+
+def _list_entry(name: str) -> ListedTarget:
+    return ListedTarget(name, "work", "127.0.0.1:80", "north", 2, ListedState.ready)
+
+
+@given("a list that named the targets a and b")
+def make_list(context: Context) -> None:
+    context.sound = SoundEntries()
+    both = TargetPage([_list_entry("a"), _list_entry("b")], None)
+    listed = context.sound.merge([both], 100.0)
+    assert [entry.target for entry in listed] == ["a", "b"]
+
+
+@when("the entry of a {fault}")
+def spoil_entry(context: Context, fault: str) -> None:
+    spoiled = {
+        "is unreadable": [SpoiledEntry("", "cut")],
+        "has an unknown state": [SpoiledEntry("a", "state")],
+        "is gone": [],
+    }[fault]
+    context.page = TargetPage([_list_entry("b")], None, spoiled)
+
+
+def _find_a(context: Context, now_s: float) -> ListedState | None:
+    listed = context.sound.merge([context.page], now_s)
+    assert "b" in {entry.target for entry in listed}
+    return next((entry.state for entry in listed if entry.target == "a"), None)
+
+
+@then("a is listed as {state} for {length_s:d} s, and no longer")
+def check_held(context: Context, state: str, length_s: int) -> None:
+    assert _find_a(context, 100.9) is ListedState[state]
+    assert _find_a(context, 100.0 + length_s) is ListedState[state]
+    assert _find_a(context, 100.1 + length_s) is None
+
+
+@then("a is not listed")
+def check_gone(context: Context) -> None:
+    assert _find_a(context, 100.9) is None
+
+
+# Real processes
+
+
+@given("a routed site whose list holds {count:d} spoiled entries beside its targets")
+def open_spoiled(context: Context, count: int) -> None:
+    odd = [b'{"target":"odd-1"}', b"17", b'{"target":"\xff"}'][:count]
+    scene = Scene(make_folder(context), odd_entries=odd)
+    context.scene = scene
+    context.sites.append(scene)
+    scene.open(next_subnet(context))
+
+
+@then("the scheduler's log tells of {count:d} spoiled entries with their causes, each once")
+def check_told(context: Context, count: int) -> None:
+    scene = context.scene
+
+    async def is_read_again() -> bool:
+        return scene.list.reads > 10
+
+    scene.background.run(wait_until(is_read_again, "the list is read some times"))
+    for scheduler in scene.site.list_role(RoutingRole.scheduler):
+        lines = scheduler.log.read_text().splitlines()
+        told = [line for line in lines if "event=target_entry_spoiled" in line]
+        assert len(told) == count, told
+        assert all("cause=" in line for line in told), told
--- /dev/null
+++ b/troutstand/tests/targetpages.feature
@@ -0,0 +1,64 @@
+Feature: An entry of the list of targets that cannot be used spoils itself only
+
+  Scenario Outline: One spoiled entry between two sound ones
+    Given a page in the <form> form with two sound entries
+    When an entry with <fault> stands between them
+    Then the page names the two sound targets, and one spoiled entry
+
+    Examples:
+      | form       | fault                        |
+      | own        | a missing field              |
+      | own        | slots as a text              |
+      | own        | no slots                     |
+      | own        | an unknown state             |
+      | own        | an empty id                  |
+      | own        | an address that is none      |
+      | own        | bytes that are no text       |
+      | own        | a number in its place        |
+      | own        | null in its place            |
+      | own        | a list in its place          |
+      | own        | its end cut off              |
+      | platform's | a missing field              |
+      | platform's | slots as a text              |
+      | platform's | no slots                     |
+      | platform's | an unknown state             |
+      | platform's | an empty id                  |
+      | platform's | an address that is none      |
+      | platform's | bytes that are no text       |
+      | platform's | a number in its place        |
+      | platform's | null in its place            |
+      | platform's | a list in its place          |
+      | platform's | its end cut off              |
+
+  Scenario Outline: Whatever stands between sound entries, these are named and nothing else
+    Given a page in the <form> form with two sound entries
+    Then 500 pages with drawn entries between sound ones name the sound ones and the next page
+
+    Examples:
+      | form       |
+      | own        |
+      | platform's |
+
+  Scenario: Bytes that are no page are refused as a whole
+    Then 500 drawn pieces of bytes are a page or are refused with 2003
+
+  Scenario: A target whose entry cannot be told apart stays for two seconds
+    Given a list that named the targets a and b
+    When the entry of a is unreadable
+    Then a is listed as ready for 2 s, and no longer
+
+  Scenario: A target whose entry is spoiled gets nothing new, and is known for two seconds
+    Given a list that named the targets a and b
+    When the entry of a has an unknown state
+    Then a is listed as draining for 2 s, and no longer
+
+  Scenario: A target that is gone from a sound list is gone at once
+    Given a list that named the targets a and b
+    When the entry of a is gone
+    Then a is not listed
+
+  Scenario: A site serves beside spoiled entries, and its log tells of each once
+    Given a routed site whose list holds 3 spoiled entries beside its targets
+    Then a call of /do/ through each gateway gets 200
+    And a call of /stream/ through each gateway gets 200
+    And the scheduler's log tells of 3 spoiled entries with their causes, each once
