Wait in a test until an engine listens before it is told to misbehave

Cause: serving.feature failed once at a load of 17 on 8 processors: an engine of the site that had just started refused the connection by which the test gives it its fault. The site serves as soon as others listen.

Change: the step tries until the engine answers.

Checks: serving.feature passes.

--- a/troutstand/tests/steps/serving.py
+++ b/troutstand/tests/steps/serving.py
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from troutstand.control.client import Fetched
+
 _ALWAYS = 10**6
 _PROMPT = "what to water "
 
@@ -78,10 +80,18 @@
     data = (site.folder / f"{engine}.json").read_bytes()
     settings = msgspec.json.decode(data, type=EngineSettings)
     address = Address(settings.ip, settings.port)
-    fetched = fetch(address, "POST", "/test/fault", msgspec.json.encode(fault))
+    # On a busy machine the site serves before an engine that nobody asked yet listens.
+    fetched = wait_for(lambda: _try_fetch(address, fault), f"{engine} to listen")
     assert fetched.status == 200, fetched
 
 
+def _try_fetch(address: Address, fault: Fault) -> Fetched | None:
+    try:
+        return fetch(address, "POST", "/test/fault", msgspec.json.encode(fault))
+    except ConnectionError:
+        return None
+
+
 @when("every engine breaks off after {count:d} events, {often}")
 def break_all(context: Context, count: int, often: str) -> None:
     times = 1 if often == "once" else _ALWAYS
