--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -174,7 +174,7 @@
             if state is not None and run is not None and not run.has_first:
                 state.note_first(run, now_s)
                 self.reach.note_sign(find_way(run.work, state))
-                if run.work.prompt_tokens:
+                if run.work.prompt_tokens and first.first_s >= 0.0:
                     state.learn_reading(run, first.first_s, pool.know_reading(state))
                     pool.forget_typical()
                 state.remember(run.work.model, run.work.parts)
@@ -230,6 +230,9 @@
         match ended.ending:
             case Ending.whole:
                 state.note_whole(now_s)
+                if ended.total_s < 0.0:
+                    # Nothing was measured, since the gateway's host was suspended.
+                    return
                 pool.learn_hold(ended.total_s)
                 pool.forget_typical()
                 if run.work.prompt_tokens and ended.produced_events > 1:
--- a/troutstand/daemon/admin.py
+++ b/troutstand/daemon/admin.py
@@ -5,7 +5,6 @@
 import hashlib
 import hmac
 import resource
-import time
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -29,6 +28,7 @@
 from troutstand.daemon.entry import EntryProcess
 from troutstand.daemon.keeper import KeeperProcess
 from troutstand.daemon.refusals import make_refusal
+from troutstand.util.clock import read_clock_s
 from troutstand.util.events import format_event
 
 if TYPE_CHECKING:
@@ -122,7 +122,7 @@
             epoch=process.registers.epoch,
             sent_messages=traffic.messages,
             sent_bytes=traffic.bytes,
-            uptime_s=time.monotonic() - node.started_s,
+            uptime_s=read_clock_s() - node.started_s,
             processor_s=_read_processor_s(),
             resident_bytes=_read_resident_bytes(),
             hosts=self._list_hosts(version),
@@ -153,7 +153,7 @@
                     process=peer,
                     state=beat.state.value,
                     version=beat.version,
-                    heard_s=time.monotonic() - item.at_s,
+                    heard_s=read_clock_s() - item.at_s,
                     scheduling=beat.scheduling,
                     is_behind=beat.version < newest,
                 )
--- a/troutstand/daemon/commands.py
+++ b/troutstand/daemon/commands.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import secrets
-import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
@@ -34,6 +33,7 @@
 )
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import Claim, Outcome, OutcomeAsk, OutcomeReply, PeerMessage
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.ids import CommandKey, ProcessId
@@ -155,10 +155,10 @@
 
     async def ask_owner(self, action: AskOwner, wait_s: float) -> Event:
         """Ask the claim's owner how the attempt ended, as long as it answers."""
-        end_s = time.monotonic() + wait_s
+        end_s = read_clock_s() + wait_s
         while True:
             # Short asks tell a frozen owner from one that waits for its target.
-            slice_s = min(self._node.settings.limits.lease_s, end_s - time.monotonic())
+            slice_s = min(self._node.settings.limits.lease_s, end_s - read_clock_s())
             ask = OutcomeAsk(action.register, action.nonce, int(max(0, slice_s) * _MILLISECONDS))
             try:
                 reply = await self._ask_once(action.owner, ask)
@@ -167,7 +167,7 @@
                 return OwnerGone()
             if not isinstance(reply, OutcomeReply) or not reply.known:
                 return OwnerGone()
-            if reply.outcome is not None or time.monotonic() >= end_s:
+            if reply.outcome is not None or read_clock_s() >= end_s:
                 return OwnerAnswered(reply.outcome)
 
     async def _ask_once(self, owner: ProcessId, ask: OutcomeAsk) -> PeerMessage:
--- a/troutstand/daemon/engines.py
+++ b/troutstand/daemon/engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from troutstand.daemon.relay import EngineRelay, assemble_answer
 from troutstand.daemon.tried import MAX_TARGETS
 from troutstand.generated.messages import Finished, Grant, PlacementAsk
+from troutstand.util.clock import LEAST_SUSPEND_S, read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.daemon.entry import EntryProcess
@@ -66,7 +66,7 @@
             Where nothing was sent to the caller yet.
         """
         tier = request.caller.tier
-        deadline_s = time.monotonic() + tier.deadline_s
+        deadline_s = read_clock_s() + tier.deadline_s
         attempt = _Try(request, deadline_s, asyncio.current_task())
         if not request.minted:
             self._exclude(attempt, await self._entry.tried.collect(request.tried_key))
@@ -144,7 +144,7 @@
             attempt.dispatched = True
         error.run = Run.UNKNOWN if attempt.dispatched else Run.NO
         attempt.last_error = error
-        has_time = time.monotonic() < attempt.deadline_s
+        has_time = read_clock_s() < attempt.deadline_s
         may_again = attempt.response is None and error.code in _AGAIN
         if may_again and has_time and len(attempt.tried) < MAX_TRIES:
             return None
@@ -152,7 +152,7 @@
 
     async def _place(self, attempt: _Try) -> Grant:
         request = attempt.request
-        wait_ms = int(max(0.0, attempt.deadline_s - time.monotonic()) * _MILLISECONDS)
+        wait_ms = int(max(0.0, attempt.deadline_s - read_clock_s()) * _MILLISECONDS)
         ask = PlacementAsk(
             request=request.request,
             workspace=request.caller.workspace.name,
@@ -236,6 +236,8 @@
         progress, usage = relay.progress, relay.progress.usage
         fault = error.code.name.lower() if error and error.code in _STALLS else ""
         ok = error is None and not cancelled
+        # What was measured while this host was suspended says nothing of the target.
+        is_measured = progress.suspends.take_suspended_s() < LEAST_SUSPEND_S
         finished = Finished(
             request=grant.request,
             target=grant.target,
@@ -243,8 +245,8 @@
             answer_tokens=relay.stream.token_events,
             prompt_tokens=usage.prompt_tokens if usage else 0,
             cached_tokens=_get_cached(relay),
-            first_token_ms=progress.first_token_ms(),
-            total_ms=progress.total_ms(),
+            first_token_ms=progress.first_token_ms() if is_measured else 0,
+            total_ms=progress.total_ms() if is_measured else 0,
             fault=fault,
             fingerprint=attempt.request.fingerprint,
             is_broken_off=error is not None and error.code is ResultCode.ANSWER_CUT,
--- a/troutstand/daemon/entry.py
+++ b/troutstand/daemon/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from troutstand.backends.engine import EngineBackend
@@ -43,6 +42,7 @@
     Withdraw,
 )
 from troutstand.generated.table import Protocol
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -116,8 +116,8 @@
         self.events.emit("drain_started", running=self.running_calls)
         self.node.send_heartbeats()
         self.scheduling.step_down()
-        end_s = time.monotonic() + self.settings.limits.drain_s
-        while self.count_open() and time.monotonic() < end_s:
+        end_s = read_clock_s() + self.settings.limits.drain_s
+        while self.count_open() and read_clock_s() < end_s:
             await asyncio.sleep(_DRAIN_POLL_S)
         left = self.count_open()
         self.events.emit("drain_ended", left=left)
@@ -238,7 +238,7 @@
             self.events.emit("catch_up_waits", code=error.code, detail=error.detail)
 
     async def _read_own_keeper(self) -> bool:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         lease_s = self.settings.limits.lease_s
         for keeper in self.node.peers.domain_keepers:
             heard = self.node.peers.heard.get(keeper)
--- a/troutstand/daemon/keeper.py
+++ b/troutstand/daemon/keeper.py
@@ -40,6 +40,7 @@
     StoredChange,
     StoredTable,
 )
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -96,7 +97,7 @@
             self._persist_change,
             self._persist_table,
         )
-        self.voter = LeaseVoter(time.monotonic() + limits.lease_s)
+        self.voter = LeaseVoter(read_clock_s() + limits.lease_s)
         self.membership = Membership(self)
         self.node.make_heartbeat = self._make_heartbeat
         self.is_complete = False
@@ -106,7 +107,7 @@
         self.is_checked = self.node.peers.keepers == {self.node.process}
         self._is_outdated = False
         self._seen: dict[ProcessId, Seen] = {}
-        self._last_beat_s = time.monotonic()
+        self._last_beat_s = read_clock_s()
 
     async def start(self) -> None:
         """Open the links and begin the heartbeat."""
@@ -143,7 +144,7 @@
                 if self.node.peers.is_refused(peer):
                     return Refused(int(ResultCode.LINK_CLOSED), "the asker has ended")
                 self._drop_dead_votes()
-                return self.voter.handle_ask(message, time.monotonic())
+                return self.voter.handle_ask(message, read_clock_s())
             case LeaseRelease():
                 self.voter.handle_release(message)
                 return Acknowledged()
@@ -207,7 +208,7 @@
     async def _beat(self) -> None:
         limits = self.node.settings.limits
         while True:
-            now_s = time.monotonic()
+            now_s = read_clock_s()
             if now_s - self._last_beat_s > limits.lease_s:
                 # This process was frozen; the others may have gone on.
                 self.is_complete = False
--- a/troutstand/daemon/main.py
+++ b/troutstand/daemon/main.py
@@ -22,6 +22,7 @@
 from troutstand.daemon.storage import format_folder, read_identity
 from troutstand.generated.messages import StoredIdentity
 from troutstand.generated.settings import Role, Settings
+from troutstand.util.clock import ClockLoop
 from troutstand.util.listening import Waits, listen
 
 app = App(name="troutstandd", help="Run one process of troutstand.")
@@ -127,7 +128,8 @@
             _check_data_folder(loaded)
             print(f"{settings.name}: in order")
         else:
-            exit_code = asyncio.run(_run_process(loaded))
+            with asyncio.Runner(loop_factory=ClockLoop) as runner:
+                exit_code = runner.run(_run_process(loaded))
     except* TroutstandError as group:
         exit_code = _report(group)
     sys.exit(exit_code)
--- a/troutstand/daemon/node.py
+++ b/troutstand/daemon/node.py
@@ -14,6 +14,7 @@
 from troutstand.daemon.links import Identity, LinkServer
 from troutstand.daemon.peers import Heard, Peers
 from troutstand.generated.messages import Heartbeat, Outcome, ProcessState
+from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_log
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
         self.incarnation = Incarnation(secrets.token_hex(_INCARNATION_BYTES))
         self.seed = secrets.randbits(32)
         self.state = ProcessState.starting
-        self.started_s = time.monotonic()
+        self.started_s = read_clock_s()
         self.events = EventBus(self.process, HybridClock(time.time))
         self.identity = Identity(settings.site, self.process, bytes.fromhex(settings.link_key_hex))
         self.peers = Peers(settings, self.identity, self.events)
@@ -61,8 +62,12 @@
             raise TroutstandError(ResultCode.ADDRESS_IN_USE, address) from error
         for task in self.peers.list_runs():
             self.keep_task(task)
+        self.spawn(watch_suspends(self._note_suspended), "suspends")
         self.events.emit("process_started", incarnation=self.incarnation)
 
+    def _note_suspended(self, length_s: float) -> None:
+        self.events.emit("host_suspended", length_s=length_s)
+
     def spawn(self, coroutine: Coroutine[None, None, None], name: str) -> None:
         """Run a coroutine until the process stops."""
         self.keep_task(asyncio.create_task(coroutine, name=name))
@@ -113,4 +118,4 @@
     def hear(self, heartbeat: Heartbeat) -> None:
         """Note a peer's heartbeat."""
         process = ProcessId(heartbeat.process)
-        self.peers.heard[process] = Heard(heartbeat, time.monotonic())
+        self.peers.heard[process] = Heard(heartbeat, read_clock_s())
--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -23,6 +22,7 @@
     Shed,
     Withdraw,
 )
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.util.events import EventBus
@@ -89,7 +89,7 @@
     def report(self) -> None:
         """Tell the scheduler everything that runs and waits here."""
         running = [run.item for run in self._running.values()]
-        crashes = self._crashes.list_histories(time.monotonic())
+        crashes = self._crashes.list_histories(read_clock_s())
         self._send(RunningReport(self.process, running, crashes=crashes))
         for pending in self._pending.values():
             self._send(pending.ask)
@@ -157,7 +157,7 @@
         pending.answer.set_result(grant)
 
     def _take_shed(self, shed: Shed) -> None:
-        self._crashes.inherit(shed.crashes, time.monotonic())
+        self._crashes.inherit(shed.crashes, read_clock_s())
         pending = self._pending.get(shed.request)
         if pending is None or pending.answer.done():
             return
--- a/troutstand/daemon/relay.py
+++ b/troutstand/daemon/relay.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +13,7 @@
 from troutstand.core.answer import AnswerEvent, AnswerStream
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.errors import TroutstandError
+from troutstand.util.clock import SuspendWatch, read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -58,6 +58,7 @@
     first_token_s: float | None = None
     usage: Usage | None = None
     resumes: int = 0
+    suspends: SuspendWatch = field(default_factory=SuspendWatch)
 
     def first_token_ms(self) -> int:
         """Return the time to the first token in milliseconds."""
@@ -67,7 +68,7 @@
 
     def total_ms(self) -> int:
         """Return the time since the start in milliseconds."""
-        return int((time.monotonic() - self.started_s) * _MILLISECONDS)
+        return int((read_clock_s() - self.started_s) * _MILLISECONDS)
 
 
 class EngineRelay:
@@ -87,7 +88,7 @@
         expected_first_s: float,
         limit_bytes: int,
     ) -> None:
-        self.progress = Progress(time.monotonic())
+        self.progress = Progress(read_clock_s())
         self._backend = backend
         self._request = request
         self._deadline_s = deadline_s
@@ -161,7 +162,7 @@
 
     def _note(self, events: list[AnswerEvent]) -> list[AnswerEvent]:
         if self.progress.first_token_s is None:
-            self.progress.first_token_s = time.monotonic()
+            self.progress.first_token_s = read_clock_s()
         if events[-1].is_usage:
             try:
                 decoded = msgspec.json.decode(events[-1].data, type=UsageEvent)
@@ -171,7 +172,7 @@
         return events
 
     def _make_call(self) -> Call:
-        remaining_s = max(0.05, self._deadline_s - time.monotonic())
+        remaining_s = max(0.05, self._deadline_s - read_clock_s())
         number = self.stream.last_number
         return Call(
             request=self._request.request,
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -26,6 +25,7 @@
     Shed,
     Withdraw,
 )
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     import aiohttp
@@ -55,7 +55,7 @@
         self._session = session
         self._domain = node.settings.failure_domain
         self._lease_s = node.settings.limits.lease_s
-        self._voter = LeaseVoter(time.monotonic() + self._lease_s)
+        self._voter = LeaseVoter(read_clock_s() + self._lease_s)
         self._holder = LeaseHolder(
             node.process,
             self._lease_s,
@@ -70,14 +70,14 @@
     @property
     def is_held(self) -> bool:
         """Tell whether this process is the scheduler now."""
-        return self.scheduler is not None and self._holder.is_held(time.monotonic())
+        return self.scheduler is not None and self._holder.is_held(read_clock_s())
 
     # The lease
 
     def handle_ask(self, peer: ProcessId, ask: LeaseAsk) -> LeaseVote:
         """Vote for a peer that wants to be scheduler."""
         self._voter.drop_holders(self._node.peers.is_refused)
-        return self._voter.handle_ask(ask, time.monotonic())
+        return self._voter.handle_ask(ask, read_clock_s())
 
     def handle_release(self, release: LeaseRelease) -> None:
         """Take a vote back."""
@@ -98,7 +98,7 @@
             if self.scheduler and not self.is_held:
                 self._update_role()
             if self.scheduler:
-                self._dispatch(self.scheduler.tick(time.monotonic()))
+                self._dispatch(self.scheduler.tick(read_clock_s()))
                 self._drop_lost_processes()
 
     async def run_gauges(self) -> None:
@@ -131,7 +131,7 @@
             return False
         if self.scheduler is not None:
             return True
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         peers = self._node.peers
         live = [
             peer
@@ -146,7 +146,7 @@
         return all(self._node.process < peer for peer in live)
 
     async def _ask_votes(self) -> None:
-        asked_s = time.monotonic()
+        asked_s = read_clock_s()
         lease_ms = int(self._lease_s * _MILLISECONDS)
         ask = LeaseAsk(self._resource, self._node.process, self._node.incarnation, lease_ms)
         own = self.handle_ask(self._node.process, ask)
@@ -173,7 +173,7 @@
             self._holder.count_vote(peer, vote, asked_s)
 
     def _update_role(self) -> None:
-        is_held = self._holder.is_held(time.monotonic())
+        is_held = self._holder.is_held(read_clock_s())
         if is_held and self.scheduler is None:
             self._begin()
         elif not is_held and self.scheduler is not None:
@@ -182,7 +182,7 @@
             self._placement.follow(self._find_scheduler())
 
     def _find_scheduler(self) -> ProcessId | None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         peers = self._node.peers
         found = [
             peer
@@ -199,7 +199,7 @@
             self._placement.follow(self._find_scheduler())
 
     def _make_scheduler(self) -> Scheduler:
-        settings, seed, now_s = self._node.settings, self._node.seed, time.monotonic()
+        settings, seed, now_s = self._node.settings, self._node.seed, read_clock_s()
         limit = settings.limits.waiting_requests
         if settings.trace_file is None:
             return Scheduler(self._domain, limit, seed, now_s)
@@ -242,7 +242,7 @@
         """Hand an entry process's message to the scheduler; tell whether it is here."""
         if self.scheduler is None or not self.is_held:
             return False
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         match message:
             case PlacementAsk():
                 sends = self.scheduler.submit(peer, message, now_s)
@@ -291,4 +291,4 @@
         assert self.scheduler is not None
         for peer in self._node.peers.domain_entries:
             if self._node.peers.is_refused(peer):
-                self._dispatch(self.scheduler.drop_process(peer, time.monotonic()))
+                self._dispatch(self.scheduler.drop_process(peer, read_clock_s()))
--- a/troutstand/daemon/services.py
+++ b/troutstand/daemon/services.py
@@ -5,7 +5,6 @@
 import asyncio
 import fnmatch
 import secrets
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +19,7 @@
 from troutstand.core.ids import CommandKey
 from troutstand.daemon.refusals import KEY_HEADER
 from troutstand.generated.messages import Finished, Grant, Outcome, OutcomeKind, PlacementAsk
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.daemon.entry import EntryProcess
@@ -96,7 +96,7 @@
     async def _run_command(self, call: ServiceCall) -> Outcome:
         request = f"c-{secrets.token_hex(_REQUEST_BYTES)}"
         self._entry.events.emit("command_received", request, key=call.command_key)
-        started_s = time.monotonic()
+        started_s = read_clock_s()
         try:
             outcome = await self._entry.commands.run(
                 call.command_key,
@@ -111,7 +111,7 @@
                 "command_refused", request, error.code, key=call.command_key, run=error.run.value
             )
             raise
-        total_ms = int((time.monotonic() - started_s) * _MILLISECONDS)
+        total_ms = int((read_clock_s() - started_s) * _MILLISECONDS)
         self._entry.events.emit(
             "command_done", request, key=call.command_key, target=outcome.target, total_ms=total_ms
         )
@@ -166,7 +166,7 @@
         return await self._entry.placement.place(ask, lambda _: None)
 
     async def _request(self, call: ServiceCall, grant: Grant, request: str) -> Reply:
-        started_s = time.monotonic()
+        started_s = read_clock_s()
         ok = is_cut = is_gone = False
         fault = ""
         backend = self._entry.find_backend(grant.target)
@@ -196,7 +196,7 @@
             )
             raise
         finally:
-            total_ms = int((time.monotonic() - started_s) * _MILLISECONDS)
+            total_ms = int((read_clock_s() - started_s) * _MILLISECONDS)
             self._entry.placement.finish(
                 Finished(
                     grant.request,
--- a/troutstand/daemon/tried.py
+++ b/troutstand/daemon/tried.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import TriedAsk, TriedReply
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.ids import ProcessId
@@ -73,6 +73,6 @@
 
     def _list_live(self) -> list[ProcessId]:
         peers, lease_s = self._node.peers, self._node.settings.limits.lease_s
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         others = peers.domain_entries - {self._node.process}
         return [peer for peer in others if peers.is_live(peer, now_s, lease_s)]
--- a/troutstand/routing/calleranswer.py
+++ b/troutstand/routing/calleranswer.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from troutstand.util.clock import read_clock_s
 from troutstand.util.listening import break_off
 
 if TYPE_CHECKING:
@@ -58,7 +58,7 @@
             response.force_close()
         await response.prepare(self._request)
         self._response = response
-        self._begun_s = time.monotonic()
+        self._begun_s = read_clock_s()
 
     async def write(self, data: bytes) -> None:
         """Write a piece of the body."""
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from troutstand.generated.configuration import Route, RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Part, RoutedWork
 from troutstand.routing.relay import Outgoing, filter_headers
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -166,7 +166,7 @@
     TroutstandError
         PATH_UNKNOWN, TOKEN_UNKNOWN or FIELD_INVALID.
     """
-    now_s = time.monotonic()
+    now_s = read_clock_s()
     host = headers.get("host", "")
     route = table.find_route(host, path.partition("?")[0])
     if route is None:
--- a/troutstand/routing/exchange.py
+++ b/troutstand/routing/exchange.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -17,6 +16,7 @@
 import httptools
 
 from troutstand.routing.node import parse_address
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -282,7 +282,7 @@
     def rest(self) -> None:
         """Wait for the next request."""
         self._expects = False
-        self.idle_since_s = time.monotonic()
+        self.idle_since_s = read_clock_s()
 
     def abort(self) -> None:
         """Drop the connection at once, which cancels the request at the target."""
@@ -328,7 +328,7 @@
             Where none comes up; nothing was written then.
         """
         idle = self._idle.get(address, [])
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         while idle:
             connection = idle.pop()
             rested_s = now_s - connection.idle_since_s
@@ -394,7 +394,7 @@
 
     def prune(self) -> None:
         """Close connections that rested for too long."""
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         for address, idle in list(self._idle.items()):
             kept: list[TargetConnection] = []
             for connection in idle:
--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
@@ -15,6 +14,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.knownrollouts import KnownRollouts
 from troutstand.routing.node import RoutingNode, parse_address
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,7 +50,7 @@
         self._dialect = dialect
         self._on_table = on_table
         self._turn = node.random.randrange(1 << 16)
-        self._answered_s = time.monotonic()
+        self._answered_s = read_clock_s()
         self._is_lost = False
         self._patience_s = _ASK_S
         self._unreadable_version = 0
@@ -62,17 +62,22 @@
         """Return the version in force here; 0 before there is one."""
         return self.table.version if self.table else 0
 
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether a keeper answered since the host was last suspended."""
+        return self._answered_s >= self._node.woken_s
+
     async def run(self) -> None:
         """Stay in touch until cancelled."""
         while True:
-            self._node.forget_silent(time.monotonic())
+            self._node.forget_silent(read_clock_s())
             answered = await self.ask_next()
             self._note_touch(answered)
             pause_s = _PERIOD_S * (0.75 + 0.5 * self._node.random.random())
             await asyncio.sleep(pause_s if answered else pause_s / 6)
 
     def _note_touch(self, answered: bool) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         if answered:
             self._answered_s = now_s
             if self._is_lost:
@@ -102,7 +107,7 @@
             known_digest=self._digest,
             rollouts_version=self.rollouts.version,
         )
-        asked_s = time.monotonic()
+        asked_s = read_clock_s()
         try:
             reply = await self._node.ask(keeper, ask, self._patience_s)
         except TroutstandError as error:
@@ -120,13 +125,13 @@
         if reply.known_digest != self._digest:
             self._digest = reply.known_digest
             self._listed = [contact.process for contact in reply.known]
-        self._node.book.refresh(self._listed, time.monotonic())
+        self._node.book.refresh(self._listed, read_clock_s())
         if reply.version > self.version:
             self._use(reply.version, reply.content)
         return True
 
     def _revive_seeds(self) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         for seed in self._node.settings.seeds:
             process = self._node.name_peer(RoutingRole.keeper, parse_address(seed).ip)
             if self._node.book.find(process) is None:
@@ -142,7 +147,7 @@
                 self._node.book.hear(contact, now_s)
 
     def _hear(self, contact: Contact, known: list[Contact]) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         for heard in (contact, *known):
             if heard.process != self._node.process and self._node.book.hear(heard, now_s):
                 self._node.events.emit("contact_found", peer=heard.process, host=heard.host)
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -22,6 +21,7 @@
 from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import Sender
 from troutstand.routing.targetlist import TargetList
+from troutstand.util.clock import read_clock_s
 from troutstand.util.listening import MAX_HEADER_BYTES, listen, write_whole_answer
 
 if TYPE_CHECKING:
@@ -113,7 +113,7 @@
     def is_ready(self) -> bool:
         """Tell whether new callers should come here."""
         knows = self.follower.table is not None and self.placement.is_served
-        return knows and not self.is_stopping
+        return knows and self.follower.is_fresh and not self.is_stopping
 
     async def _tell_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.is_ready else 503)
@@ -125,7 +125,7 @@
 
     async def stop(self) -> None:
         """Let others take new callers, finish what is open, then end."""
-        started_s = time.monotonic()
+        started_s = read_clock_s()
         self.is_stopping = True
         self.node.state = ProcessState.draining
         self.node.events.emit("stop_started", open=self.open_requests)
@@ -146,9 +146,9 @@
 
     async def _wait_quiet(self, end_s: float) -> None:
         """Wait until no request was open for a while: one may be on its way here."""
-        busy_s = time.monotonic()
-        while time.monotonic() < end_s:
-            now_s = time.monotonic()
+        busy_s = read_clock_s()
+        while read_clock_s() < end_s:
+            now_s = read_clock_s()
             self._close_idle()
             if self.open_requests:
                 busy_s = now_s
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -19,6 +18,7 @@
 from troutstand.routing.refusals import make_refusal
 from troutstand.routing.relay import SendError, Sent, filter_headers
 from troutstand.routing.streams import EventEnd, EventSplitter
+from troutstand.util.clock import LEAST_SUSPEND_S, SuspendWatch, read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.routing.calls import Call
@@ -58,6 +58,7 @@
         self._produced = 0
         self._waited_ms = 0.0
         self._longest_pause_s = 0.0
+        self._suspends = SuspendWatch()
 
     @property
     def _can_repeat(self) -> bool:
@@ -66,7 +67,7 @@
     async def run(self) -> web.StreamResponse:
         """Return the answer, at the latest when the request's time is up."""
         call = self._call
-        left_s = call.deadline_s - time.monotonic()
+        left_s = call.deadline_s - read_clock_s()
         try:
             async with asyncio.timeout(left_s):
                 response = await self._attempt_all()
@@ -100,7 +101,7 @@
 
     async def _place(self) -> Placed | Declined:
         work = self._call.describe_work(
-            time.monotonic(),
+            read_clock_s(),
             self._arrivals + 1,
             self._excluded,
             not self._has_placed,
@@ -118,11 +119,12 @@
         return self._call.route.kind.value, str(self._call.route.tier)
 
     async def _attempt(self, placed: Placed) -> web.StreamResponse:
-        started_s = time.monotonic()
+        started_s = read_clock_s()
         ending = Ending.left
         is_gone = False
         self._first_s = -1.0
         self._produced = 0
+        self._suspends = SuspendWatch()
         try:
             response, ending = await self._exchange(placed)
         except SendError as error:
@@ -136,12 +138,14 @@
         return response
 
     def _end(self, placed: Placed, ending: Ending, started_s: float, is_gone: bool) -> None:
+        # What was measured while this host was suspended says nothing of the target.
+        is_measured = self._suspends.take_suspended_s() < LEAST_SUSPEND_S
         ended = Ended(
             self._call.request,
             placed.target,
             ending,
-            first_s=self._first_s,
-            total_s=time.monotonic() - started_s,
+            first_s=self._first_s if is_measured else -1.0,
+            total_s=read_clock_s() - started_s if is_measured else -1.0,
             longest_pause_s=self._longest_pause_s,
             produced_events=self._produced,
             is_target_gone=is_gone,
@@ -213,7 +217,9 @@
 
     def _note_first(self, sent: Sent, first_s: float) -> None:
         self._first_s = first_s
-        self._gateway.placement.note_first(self._call.request, first_s)
+        is_measured = self._suspends.peek_suspended_s() < LEAST_SUSPEND_S
+        told_s = first_s if is_measured else -1.0
+        self._gateway.placement.note_first(self._call.request, told_s)
 
     def _note_failure(self, placed: Placed, error: SendError) -> None:
         if error.has_arrived:
@@ -256,7 +262,7 @@
         return web.Response(status=sent.head.status, headers=self._make_headers(sent), body=body)
 
     def _finish(self, response: web.StreamResponse, sent: Sent) -> web.StreamResponse:
-        first_s = time.monotonic() - self._call.arrived_s
+        first_s = read_clock_s() - self._call.arrived_s
         self._gateway.metrics.first_s.labels(*self._labels()).observe(first_s)
         self._emit("request_answered", ResultCode.OK, response.status, target=sent.placed.target)
         return response
@@ -268,16 +274,16 @@
         chunks = sent.connection.receive_chunks()
         try:
             while True:
-                asked_s = time.monotonic()
+                asked_s = read_clock_s()
                 chunk = await self._next_chunk(chunks)
                 if chunk is None:
                     break
                 if began:
-                    pause_s = time.monotonic() - asked_s
+                    pause_s = read_clock_s() - asked_s
                     self._longest_pause_s = max(self._longest_pause_s, pause_s)
                 if not began:
                     began = True
-                    self._note_first(sent, time.monotonic() - sent.started_s)
+                    self._note_first(sent, read_clock_s() - sent.started_s)
                 self._produced += chunk.count(b"\n\n")
                 end.feed(chunk)
                 data = splitter.feed(chunk) if splitter else chunk
@@ -385,7 +391,7 @@
 
     def _emit(self, name: str, code: ResultCode, status: int, **fields: str) -> None:
         call = self._call
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         self._gateway.metrics.answers.labels(*self._labels(), str(int(code))).inc()
         self._gateway.node.events.emit(
             name,
--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import time
 from typing import TYPE_CHECKING, Protocol
 
 from troutstand.core.errors import TroutstandError
@@ -21,6 +20,7 @@
     choose_decider,
     space_standbys,
 )
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.ids import ProcessId
@@ -64,10 +64,10 @@
         self._node.spawn(self._run(), "watch schedulers")
 
     async def _run(self) -> None:
-        last_s = time.monotonic()
+        last_s = read_clock_s()
         while True:
-            self._forgive_stall(time.monotonic() - last_s - _WATCH_S)
-            last_s = time.monotonic()
+            self._forgive_stall(read_clock_s() - last_s - _WATCH_S)
+            last_s = read_clock_s()
             self._follow_known()
             decider = choose_decider(self._watches, self.current, last_s)
             if decider != self.current:
@@ -120,7 +120,7 @@
 
     def _is_live(self, process: ProcessId) -> bool:
         watch = self._watches.get(process)
-        return watch is not None and watch.is_live(time.monotonic())
+        return watch is not None and watch.is_live(read_clock_s())
 
     def miss(self, process: ProcessId) -> None:
         """Take a scheduler for lost until it answers again."""
@@ -143,7 +143,7 @@
         """Note that a scheduler was asked something."""
         watch = self._watches.get(process)
         if watch is not None:
-            watch.note_asked(time.monotonic())
+            watch.note_asked(read_clock_s())
 
     def note_answered(self, process: ProcessId) -> None:
         """Take a scheduler's answer as a sign of life."""
@@ -187,7 +187,7 @@
         ask = self._listener.describe_attachment(is_attached, is_first)
         watch.is_attached = is_attached
         if is_attached:
-            watch.note_asked(time.monotonic())
+            watch.note_asked(read_clock_s())
         try:
             reply = await self._node.ask(process, ask, SILENT_S if is_attached else BEAT_S)
         except TroutstandError:
@@ -209,5 +209,5 @@
             if watch.is_attached:
                 watch.is_attached = False
                 self._listener.ask_again(process)
-        watch.hear(reply, time.monotonic())
+        watch.hear(reply, read_clock_s())
         self._listener.hear(process, reply)
--- a/troutstand/routing/heldwork.py
+++ b/troutstand/routing/heldwork.py
@@ -45,14 +45,14 @@
         if held is None:
             return None
         held.has_first = True
-        if held.work.prompt_tokens:
+        if held.work.prompt_tokens and first_s >= 0.0:
             self._seen.note_first(held.work.service, held.target, held.to_read, first_s, now_s)
         return FirstByte(request, held.target, first_s)
 
     def end(self, ended: Ended, table: RouteTable | None, now_s: float) -> None:
         """Forget a request, and learn from a whole answer how fast its target is."""
         held = self._held.pop(ended.request, None)
-        if held is None or ended.ending is not Ending.whole:
+        if held is None or ended.ending is not Ending.whole or ended.total_s < 0.0:
             return
         service = held.work.service
         if not held.work.prompt_tokens:
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -48,6 +48,7 @@
 from troutstand.routing.node import RoutingNode, name_routing_process, parse_address
 from troutstand.routing.replacement import Replacement
 from troutstand.routing.rolloutline import RolloutLine, decode_book
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -267,7 +268,7 @@
         held = self.acceptor.configuration
         is_behind = ask.contact.version < held.version
         rollouts = self.acceptor.rollouts
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         digest = self.node.book.digest(_SHARED_ROLES)
         # Other keepers need the ages; the rest only whom there is.
         is_known = digest == ask.known_digest
@@ -303,15 +304,15 @@
         return self._compressed[1]
 
     def _hear(self, contact: Contact, known: list[Contact]) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         for heard in (contact, *known):
             if heard.process != self.node.process and self.node.book.hear(heard, now_s):
                 self.node.events.emit("contact_found", peer=heard.process, host=heard.host)
 
     async def _run_contacts(self) -> None:
-        last_s = time.monotonic()
+        last_s = read_clock_s()
         while True:
-            now_s = time.monotonic()
+            now_s = read_clock_s()
             if now_s - last_s > _HELD_UP_S:
                 self.replacement.restart_watch()
             last_s = now_s
@@ -329,7 +330,7 @@
         return (seeds | known) - {self.node.process}
 
     async def _contact(self, process: ProcessId) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         ask = ContactAsk(
             self._describe(),
             self.node.book.export(_SHARED_ROLES, now_s),
--- a/troutstand/routing/knownrollouts.py
+++ b/troutstand/routing/knownrollouts.py
@@ -8,6 +8,7 @@
 
 from troutstand.core.rollouts.trial import RolloutView
 from troutstand.generated.messages import RolloutBook
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.rollouts.admission import ExposureBound
@@ -59,7 +60,7 @@
         """Take a newer book."""
         if version <= self.version:
             return
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         known = {entry.service: entry for entry in self.book.services}
         for entry in book.services:
             if entry.order is not None and entry.order.number not in self._orders:
--- a/troutstand/routing/main.py
+++ b/troutstand/routing/main.py
@@ -12,6 +12,7 @@
 from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.startup import load_routing_settings
+from troutstand.util.clock import ClockLoop
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -113,7 +114,8 @@
         settings = load_routing_settings(path)
         process = make_process(settings, dialect)
         gc.enable()
-        asyncio.run(_run(process, path))
+        with asyncio.Runner(loop_factory=ClockLoop) as runner:
+            runner.run(_run(process, path))
     except* TroutstandError as group:
         exit_code = _report_errors(group)
     if exit_code:
--- a/troutstand/routing/metrics.py
+++ b/troutstand/routing/metrics.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from troutstand.util.clock import read_clock_s
 from troutstand.util.listening import listen
 
 if TYPE_CHECKING:
@@ -49,9 +49,9 @@
     async def watch_loop(self) -> None:
         """Measure by how much the loop wakes late, until cancelled."""
         while True:
-            before_s = time.monotonic()
+            before_s = read_clock_s()
             await asyncio.sleep(_LAG_S)
-            self.loop_lag_s.observe(max(0.0, time.monotonic() - before_s - _LAG_S))
+            self.loop_lag_s.observe(max(0.0, read_clock_s() - before_s - _LAG_S))
 
     async def serve(self, address: Address) -> web.AppRunner:
         """Serve the figures at an address."""
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -19,6 +19,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.generated.settings import Address, Limits
 from troutstand.routing.metrics import NodeMetrics
+from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_standard_output
 
 if TYPE_CHECKING:
@@ -77,6 +78,8 @@
         self._links: dict[ProcessId, tuple[Link, asyncio.Task[None]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: LinkServer | None = None
+        # When the host was last seen to be awake again after it was suspended.
+        self.woken_s = float("-inf")
 
     def name_peer(self, role: RoutingRole, ip: str) -> ProcessId:
         """Name the process that plays a role at an IP number."""
@@ -107,11 +110,16 @@
     async def open_metrics(self) -> None:
         """Serve metrics, where the settings name a port."""
         self.spawn(self.metrics.watch_loop(), "loop lag")
+        self.spawn(watch_suspends(self._note_suspended), "suspends")
         port = self.settings.metrics_port
         if port:
             address = Address(self.settings.bind_ip or self.settings.ip, port)
             self._metrics_runner = await self.metrics.serve(address)
 
+    def _note_suspended(self, length_s: float) -> None:
+        self.woken_s = read_clock_s()
+        self.events.emit("host_suspended", length_s=length_s)
+
     async def listen(self, handler: Handler) -> None:
         """Take links from the other processes."""
         self._server = LinkServer(self.identity, None, _LINK_LIMITS, self.events, handler)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -43,6 +42,7 @@
     Decider,
 )
 from troutstand.routing.targetlist import ListUnreadError
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
@@ -99,7 +99,7 @@
         retries = RetryBudget(settings.retry_ratio, settings.retry_extra, settings.retry_window_s)
         quotas.share = retries.share = share
         local = Dispatcher(quotas, retries, self._node.random, self._crashes)
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         if self._table is not None:
             local.use_table(self._table, now_s)
         for level in self._levels:
@@ -136,7 +136,7 @@
     def use_table(self, table: RouteTable) -> None:
         """Take a configuration for decisions made alone."""
         self._table = table
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         # As at schedulers, so that versions that nobody ordered get nothing from the start.
         self._follow_rollouts(self._local, now_s)
         self._local.use_table(table, now_s)
@@ -151,13 +151,13 @@
 
     async def place(self, work: RoutedWork) -> Placed | Declined:
         """Return a request's target, or its refusal."""
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         if self._crashes.judge(work.fingerprint, now_s) is Blame.QUARANTINED:
             # Known here, be it that the decider has just started and knows nothing yet.
             quarantine = self._crashes.explain(work.fingerprint, now_s)
             return decline_quarantined(work.request, quarantine)
         loop = asyncio.get_running_loop()
-        placing = Placing(work, time.monotonic(), loop.create_future())
+        placing = Placing(work, read_clock_s(), loop.create_future())
         self._placing[work.request] = placing
         self._ask(placing)
         try:
@@ -169,7 +169,7 @@
             self._placing.pop(work.request, None)
             if placing.task is not None:
                 placing.task.cancel()
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         match answer:
             case Placed():
                 self._held.start(work, answer, now_s)
@@ -185,10 +185,10 @@
             placing.task.cancel()
             placing.task = None
         placing.asked = self._current
-        spent_s = time.monotonic() - placing.since_s
+        spent_s = read_clock_s() - placing.since_s
         work = _shorten(placing.work, spent_s)
         if isinstance(self._current, Alone):
-            self._local.place(work, self._node.process, time.monotonic())
+            self._local.place(work, self._node.process, read_clock_s())
             self._deliver_local()
             return
         placing.task = asyncio.create_task(self._ask_scheduler(placing, self._current, work))
@@ -236,26 +236,26 @@
     def _withdraw(self, placing: Placing) -> None:
         request = placing.work.request
         if placing.asked is None or isinstance(placing.asked, Alone):
-            self._local.abandon(request, time.monotonic())
+            self._local.abandon(request, read_clock_s())
         else:
             self._node.send(placing.asked, Abandon(request))
 
     def note_first(self, request: str, first_s: float) -> None:
         """Tell that a target began to answer."""
-        first = self._held.note_first(request, first_s, time.monotonic())
+        first = self._held.note_first(request, first_s, read_clock_s())
         if first is None:
             return
         if isinstance(self._current, Alone):
-            self._local.note_first(first, time.monotonic())
+            self._local.note_first(first, read_clock_s())
             self._deliver_local()
         else:
             self._node.send(self._current, first)
 
     def end(self, ended: Ended) -> None:
         """Tell how a request ended at its target."""
-        self._held.end(ended, self._table, time.monotonic())
+        self._held.end(ended, self._table, read_clock_s())
         if isinstance(self._current, Alone):
-            self._local.end(ended, time.monotonic())
+            self._local.end(ended, read_clock_s())
             self._deliver_local()
         else:
             self._node.send(self._current, ended)
@@ -264,7 +264,7 @@
 
     def describe_attachment(self, is_attached: bool, is_first: bool) -> AttachAsk:
         """Write a heartbeat; the first one to a scheduler tells all that it must know."""
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         return AttachAsk(
             process=self._node.process,
             incarnation=self._node.incarnation,
@@ -286,14 +286,14 @@
         """Take a scheduler's answer to a heartbeat."""
         if reply.has_targets and (process == self._current or self._is_alone()):
             self._targets.install(reply.targets, reply.targets_version)
-            self._local.use_targets(reply.targets, time.monotonic())
+            self._local.use_targets(reply.targets, read_clock_s())
             self._deliver_local()
         if process == self._current:
             self._gateways = reply.gateways
             self._levels = reply.levels
             self._holds = reply.holds
             if reply.crashes_version != self._crashes.version:
-                self._crashes.follow(reply.crashes, time.monotonic())
+                self._crashes.follow(reply.crashes, read_clock_s())
 
     def _is_alone(self) -> bool:
         return isinstance(self._current, Alone)
@@ -302,7 +302,7 @@
         """Ask the present decider from now on, also what waits already."""
         if isinstance(before, Alone):
             # What this gateway took alone counts at the scheduler that it asks next.
-            held = self._local.quotas.list_taken(time.monotonic())
+            held = self._local.quotas.list_taken(read_clock_s())
             self._levels = [Level(name, parts) for name, parts in held.items()]
         self._attachment += 1
         if isinstance(self._current, Alone):
@@ -345,7 +345,7 @@
             if placing is not None and not placing.answer.done():
                 placing.answer.set_result(answer)
             elif isinstance(answer, Placed):
-                self._local.abandon(answer.request, time.monotonic())
+                self._local.abandon(answer.request, read_clock_s())
             version = self._table.version if self._table is not None else 0
             emit_decision(self._node.events, decision, ALONE, version, self._targets.version)
 
@@ -354,7 +354,7 @@
             await self._went_alone.wait()
             await asyncio.sleep(_TICK_S)
             if self._is_alone():
-                now_s = time.monotonic()
+                now_s = read_clock_s()
                 self._follow_rollouts(self._local, now_s)
                 self._local.tick(now_s)
                 self._deliver_local()
@@ -375,7 +375,7 @@
                 continue
             self._targets.emit_spoiled(self._node.events)
             if changed and self._is_alone():
-                self._local.use_targets(self._targets.targets, time.monotonic())
+                self._local.use_targets(self._targets.targets, read_clock_s())
                 self._deliver_local()
 
 
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from troutstand.generated.messages import Ending
 from troutstand.routing.exchange import ExchangeError, write_head
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.generated.messages import Placed
@@ -176,7 +176,7 @@
         self, outgoing: Outgoing, placed: Placed, deadline_s: float, max_idle_s: float | None
     ) -> Sent:
         connection = await self._pool.acquire(placed.address, max_idle_s)
-        started_s = time.monotonic()
+        started_s = read_clock_s()
         try:
             head = self._write_head(outgoing, placed, deadline_s - started_s)
             connection.send(head, outgoing.body, outgoing.method == "HEAD")
@@ -184,7 +184,7 @@
         except BaseException:
             connection.abort()
             raise
-        sent = Sent(placed, connection, answer, started_s, time.monotonic() - started_s)
+        sent = Sent(placed, connection, answer, started_s, read_clock_s() - started_s)
         try:
             self._check_head(outgoing, answer)
         except SendError as error:
--- a/troutstand/routing/replacement.py
+++ b/troutstand/routing/replacement.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from troutstand.core.acceptor import list_voters
@@ -31,6 +30,7 @@
     MemberState,
     Refused,
 )
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.ids import ProcessId
@@ -45,11 +45,11 @@
 
     def __init__(self, keeper: RoutingKeeper) -> None:
         self._keeper = keeper
-        self._watching_since_s = time.monotonic()
+        self._watching_since_s = read_clock_s()
 
     def restart_watch(self) -> None:
         """Note that this process was held up, so that silence proves nothing yet."""
-        self._watching_since_s = time.monotonic()
+        self._watching_since_s = read_clock_s()
 
     async def run_once(self) -> None:
         """Take the next step that the set needs, if it is this keeper's to take."""
@@ -66,7 +66,7 @@
 
     def _is_first_voter(self, keepers: KeeperSet) -> bool:
         """Tell whether no live voter stands before this one; rivals are harmless but slow."""
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         for member in sorted(keepers.members, key=lambda member: member.process):
             if member.process == self._keeper.node.process:
                 return True
@@ -83,7 +83,7 @@
 
     async def _change(self, keepers: KeeperSet) -> None:
         size = 2 * self._keeper.node.settings.disks_lost + 1
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         book = self._keeper.node.book
         following = plan_change(
             keepers, self._keeper.node.process, book, now_s, self._watching_since_s, size
--- a/troutstand/routing/rolloutdriver.py
+++ b/troutstand/routing/rolloutdriver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -21,6 +20,7 @@
     VersionsSeen,
 )
 from troutstand.generated.routing import RoutingRole
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,7 +72,7 @@
         """Look at every rollout until the process stops."""
         while True:
             await asyncio.sleep(_PERIOD_S)
-            now_s = time.monotonic()
+            now_s = read_clock_s()
             if self._read_lead() <= 0.0:
                 continue
             for entry in self._known.book.services:
@@ -169,7 +169,7 @@
 
         Only a list read before any order can tell; from then on orders alone change it.
         """
-        if self._read_lead() <= 0.0 or not self._known.is_leased(time.monotonic()):
+        if self._read_lead() <= 0.0 or not self._known.is_leased(read_clock_s()):
             return
         found = list_unknown(self._known, listed)
         if found and not self._is_noting:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -36,6 +35,7 @@
 from troutstand.routing.node import RoutingNode
 from troutstand.routing.rolloutdriver import RolloutDriver
 from troutstand.routing.targetlist import ListUnreadError, TargetList
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -126,7 +126,7 @@
         self, peer: ProcessId, message: PeerMessage
     ) -> PeerMessage | Awaitable[PeerMessage | None] | None:
         """Answer a gateway."""
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         match message:
             case Place(work):
                 future: asyncio.Future[PeerMessage | None] = (
@@ -158,7 +158,7 @@
         return True
 
     def _deliver(self) -> None:
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         emit_way_changes(self.node.events, self.dispatcher.reach.take_changes(), SCHEDULER)
         emit_blame_changes(self.node.events, self.dispatcher.crashes.take_changes(), SCHEDULER)
         for decision in self.dispatcher.take_decisions():
@@ -317,7 +317,7 @@
                     burst_tokens=limit[1],
                     version=table.version,
                 )
-        now_s = time.monotonic()
+        now_s = read_clock_s()
         # A scheduler is ready once it has a configuration and a list. The rollout book came
         # with the former; without it all versions of the list would be let in.
         self._follow_rollouts(now_s)
@@ -335,7 +335,7 @@
                         count=len(self.targets.targets),
                         version=self.targets.version,
                     )
-                    now_s = time.monotonic()
+                    now_s = read_clock_s()
                     self._follow_rollouts(now_s)
                     self.dispatcher.use_targets(self.targets.targets, now_s)
                     self._deliver()
@@ -354,10 +354,10 @@
             self._list_wanted.clear()
 
     async def _run_ticks(self) -> None:
-        last_s = time.monotonic()
+        last_s = read_clock_s()
         while True:
             await asyncio.sleep(_TICK_S if self._count_attached() else _STANDBY_TICK_S)
-            now_s = time.monotonic()
+            now_s = read_clock_s()
             if now_s - last_s > _SILENT_S:
                 # This process stood still, so that the gateways' silence is its own.
                 self._forgive_silence(now_s)
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -13,6 +12,7 @@
 from troutstand.generated.messages import ListedState
 from troutstand.routing.exchange import ConnectionPool, ExchangeError, write_head
 from troutstand.routing.targetpages import SoundEntries, SpoiledEntry, TargetPage
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.generated.messages import ListedTarget
@@ -43,7 +43,7 @@
         self._sound = SoundEntries()
         self._spoiled: frozenset[SpoiledEntry] = frozenset()
         self._spoiled_news: list[SpoiledEntry] = []
-        self._read_s = time.monotonic()
+        self._read_s = read_clock_s()
 
     def install(self, targets: list[ListedTarget], version: str) -> None:
         """Take a list that another process has read."""
@@ -66,7 +66,7 @@
                 pages = await self._read_pages()
         except (TimeoutError, ExchangeError, TroutstandError) as error:
             raise ListUnreadError(str(error) or type(error).__name__) from error
-        self._read_s = time.monotonic()
+        self._read_s = read_clock_s()
         self._note_spoiled(pages)
         targets = self._sound.merge(pages, self._read_s)
         targets.sort(key=lambda entry: entry.target)
@@ -78,7 +78,7 @@
     @property
     def age_s(self) -> float:
         """Return how long ago the list was read here, in seconds."""
-        return time.monotonic() - self._read_s
+        return read_clock_s() - self._read_s
 
     def _note_spoiled(self, pages: list[TargetPage]) -> None:
         spoiled = frozenset(entry for page in pages for entry in page.spoiled)
--- /dev/null
+++ b/troutstand/tests/steps/clock.py
@@ -0,0 +1,165 @@
+"""Suspend a host by two clocks that part."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from behave import given, then, when
+
+from troutstand.core.ids import ProcessId
+from troutstand.core.lease import LeaseHolder
+from troutstand.generated.messages import Ended, Ending, LeaseVote
+from troutstand.routing.follower import Follower
+from troutstand.tests.steps.platform import ROOT
+from troutstand.util import clock
+from troutstand.util.clock import LEAST_SUSPEND_S, ClockLoop, SuspendWatch
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_OWN = ROOT / "troutstand" / "util" / "clock.py"
+_PRODUCT = ("backends", "control", "core", "daemon", "routing", "util")
+_STEADY = re.compile(r"\bmonotonic\b|CLOCK_MONOTONIC|perf_counter|loop\.time\(")
+
+
+class TwoClocks:
+    """Hold both clocks of a host, which run on by themselves."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+        self.passed_s = 0.0
+
+    def read_awake_s(self) -> float:
+        """Return the steady clock."""
+        return time.monotonic() + self.passed_s
+
+    def read_clock_s(self) -> float:
+        """Return the clock that counts suspends."""
+        return self.read_awake_s() + self.suspended_s
+
+
+@then("no other module of the product reads a steady clock")
+def check_reads(context: Context) -> None:
+    paths = [path for name in _PRODUCT for path in (ROOT / "troutstand" / name).rglob("*.py")]
+    paths += list((ROOT / "platform").glob("*.py"))
+    assert len(paths) > 100, paths
+    found = [str(p) for p in paths if p != _OWN and _STEADY.search(p.read_text())]
+    assert not found, found
+
+
+@given("a clock that others can suspend")
+def use_clocks(context: Context) -> None:
+    clocks = context.clocks = TwoClocks()
+    for name in ("read_awake_s", "read_clock_s"):
+        patch = mock.patch.object(clock, name, getattr(clocks, name))
+        patch.start()
+        context.add_cleanup(patch.stop)
+    context.watch = SuspendWatch()
+    context.began_s = clock.read_clock_s()
+
+
+@when("the host is suspended for {length_s:d} s")
+def suspend(context: Context, length_s: int) -> None:
+    context.clocks.suspended_s += length_s
+
+
+@when("{length_s:d} s pass while the host is awake")
+def pass_awake(context: Context, length_s: int) -> None:
+    context.clocks.passed_s += length_s
+
+
+@then("{length_s:d} s have passed, and a suspend of {told_s:d} s is told once")
+def check_told(context: Context, length_s: int, told_s: int) -> None:
+    assert length_s <= clock.read_clock_s() - context.began_s < length_s + 1
+    assert abs(context.watch.take_suspended_s() - told_s) < LEAST_SUSPEND_S
+    assert context.watch.take_suspended_s() < LEAST_SUSPEND_S
+
+
+@then("{length_s:d} s have passed, and no suspend is told")
+def check_untold(context: Context, length_s: int) -> None:
+    assert length_s <= clock.read_clock_s() - context.began_s < length_s + 1
+    assert context.watch.take_suspended_s() < LEAST_SUSPEND_S
+
+
+@when("a timer of {timer_s:d} s is set and the host is suspended for {length_s:d} s")
+def set_timer(context: Context, timer_s: int, length_s: int) -> None:
+    context.fired = []
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(timer_s, context.fired.append, timer_s)
+        loop.call_later(2 * timer_s, context.fired.append, 2 * timer_s)
+        loop.call_later(0.01, suspend, context, length_s)
+        # The next step of a busy process; no wait for anything.
+        await asyncio.sleep(0.02)
+
+    with asyncio.Runner(loop_factory=ClockLoop) as runner:
+        began_s = time.monotonic()
+        runner.run(run())
+        context.took_s = time.monotonic() - began_s
+
+
+@then("it fires within {limit_s:d} s, and one of {late_s:d} s does not")
+def check_fired(context: Context, limit_s: int, late_s: int) -> None:
+    assert context.fired and late_s not in context.fired, context.fired
+    assert context.took_s < limit_s, context.took_s
+
+
+@given("a holder of a lease of {lease_s:d} s")
+def hold_lease(context: Context, lease_s: int) -> None:
+    voters = frozenset({ProcessId("a.keeper")})
+    own = ProcessId("a.entry")
+    context.holder = LeaseHolder(own, float(lease_s), voters, frozenset({own}))
+    now_s = clock.read_clock_s()
+    for voter in (*voters, own):
+        context.holder.count_vote(voter, LeaseVote(True, own, 0), now_s)
+    context.steady_s = clock.read_awake_s() - now_s
+    assert context.holder.is_held(clock.read_clock_s())
+
+
+@then("the lease is not held by the clock, though the steady one says so")
+def check_lease(context: Context) -> None:
+    assert not context.holder.is_held(clock.read_clock_s())
+    assert context.holder.is_held(clock.read_awake_s() - context.steady_s)
+
+
+@given("a process that has just heard of a keeper")
+def hear_keeper(context: Context) -> None:
+    follower = context.follower = Follower.__new__(Follower)
+    follower._node = SimpleNamespace(woken_s=float("-inf"), events=mock.Mock())  # type: ignore[assignment]
+    follower._is_lost = False
+    follower.table = None
+    _answer(context)
+    assert follower.is_fresh
+
+
+def _answer(context: Context) -> None:
+    with mock.patch("troutstand.routing.follower.read_clock_s", clock.read_clock_s):
+        context.follower._note_touch(True)
+
+
+@then("what it knows is not fresh until a keeper answers")
+def check_fresh(context: Context) -> None:
+    context.follower._node.woken_s = clock.read_clock_s()
+    assert not context.follower.is_fresh
+    _answer(context)
+    assert context.follower.is_fresh
+
+
+@when("a request ends whole after {total_s:g} s, and one of which nothing was measured")
+def end_both(context: Context, total_s: float) -> None:
+    desk = context.desk
+    desk.end(desk.arrive(), total_s=total_s)
+    request = desk.arrive()
+    target = desk.placed.pop(request)
+    desk.dispatcher.end(Ended(request, target, Ending.whole), desk.now_s)
+
+
+@then("requests are taken to hold their slot for {hold_s:g} s")
+def check_hold(context: Context, hold_s: float) -> None:
+    assert context.desk.dispatcher.pools["work"].hold_s == hold_s
