Forget what is known of a target when it starts again under its id

Cause: a target may start again under the id that it had, and then holds and knows nothing of before. Its running requests, prompt parts, strikes, speeds and connections stayed as they were.

Change: the list's time of start tells lives apart, by comparison only; not told, or no whole number, it is unknown and nothing is forgotten. A new life begins with a new state, at every decider; a peer's list that lags brings no earlier one back; a run or a speed that a gateway brings counts for the life that it was measured at.

No promise of the routed site leans on a target's memory: what may not be repeated is sent once, by the gateway. In a failure domain which targets had a keyed request is kept by entry processes, commands by the keepers.

A rollout's samples of an earlier life still count.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -97,9 +97,11 @@
         self.quotas.use_workspaces(table.configuration.workspaces, now_s)
         self.use_services(table)
 
-    def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
+    def use_targets(
+        self, listed: Iterable[ListedTarget], now_s: float, is_from_peer: bool = False
+    ) -> None:
         """Take a newer list of targets, and give their slots to those that wait."""
-        super().use_targets(listed, now_s)
+        super().use_targets(listed, now_s, is_from_peer)
         for pool in self.pools.values():
             self._serve_queue(pool, now_s)
 
@@ -337,6 +339,7 @@
             state.listed.address,
             1000.0 * (now_s - waiting.arrived_s),
             uncached + ahead,
+            born_ms=state.listed.born_ms,
         )
         self._decisions.append(Decision(waiting.owner, placed, inputs))
 
--- a/troutstand/core/seenspeeds.py
+++ b/troutstand/core/seenspeeds.py
@@ -20,6 +20,8 @@
     """Hold what one process saw of one target."""
 
     service: str
+    # When the target says that it began; 0 is not told.
+    born_ms: int = 0
     seen_s: float = 0.0
     reading: ReadingSums = field(default_factory=ReadingSums)
     token_s: Speed = field(default_factory=Speed)
@@ -32,27 +34,39 @@
     def __init__(self) -> None:
         self._seen: OrderedDict[str, SeenSpeed] = OrderedDict()
 
-    def _touch(self, service: str, target: str, now_s: float) -> SeenSpeed:
-        seen = self._seen.setdefault(target, SeenSpeed(service))
+    def _touch(self, service: str, target: str, born_ms: int, now_s: float) -> SeenSpeed:
+        seen = self._seen.get(target)
+        if seen is None or seen.born_ms != born_ms:
+            seen = self._seen[target] = SeenSpeed(service, born_ms)
         seen.seen_s = now_s
         self._seen.move_to_end(target)
         return seen
 
     def note_first(
-        self, service: str, target: str, tokens: float, first_s: float, now_s: float
+        self,
+        service: str,
+        target: str,
+        born_ms: int,
+        tokens: float,
+        first_s: float,
+        now_s: float,
     ) -> None:
         """Note a first byte, and the prompt tokens that the target read until then."""
-        seen = self._touch(service, target, now_s)
+        seen = self._touch(service, target, born_ms, now_s)
         seen.reading.scale(_KEPT_WEIGHT)
         seen.reading.add(tokens, first_s)
 
-    def note_token(self, service: str, target: str, token_s: float, now_s: float) -> None:
+    def note_token(
+        self, service: str, target: str, born_ms: int, token_s: float, now_s: float
+    ) -> None:
         """Note the seconds between two tokens of a whole answer."""
-        self._touch(service, target, now_s).token_s.learn(token_s)
+        self._touch(service, target, born_ms, now_s).token_s.learn(token_s)
 
-    def note_service(self, service: str, target: str, total_s: float, now_s: float) -> None:
+    def note_service(
+        self, service: str, target: str, born_ms: int, total_s: float, now_s: float
+    ) -> None:
         """Note the seconds that a target took for a whole answer without a prompt."""
-        self._touch(service, target, now_s).service_s.learn(total_s)
+        self._touch(service, target, born_ms, now_s).service_s.learn(total_s)
 
     def list_fresh(self, now_s: float) -> list[TargetSpeed]:
         """Return what was seen lately, the latest first; forget what is old."""
@@ -71,4 +85,5 @@
         token_samples=seen.token_s.samples,
         service_s=seen.service_s.value or 0.0,
         service_samples=seen.service_s.samples,
+        born_ms=seen.born_ms,
     )
--- a/troutstand/core/siteview.py
+++ b/troutstand/core/siteview.py
@@ -35,8 +35,14 @@
             pool.stride = engine.stride
             pool.memory_tokens = engine.memory_tokens
 
-    def use_targets(self, listed: Iterable[ListedTarget], now_s: float) -> None:
-        """Take a newer list of targets; what runs at those that are gone is forgotten."""
+    def use_targets(
+        self, listed: Iterable[ListedTarget], now_s: float, is_from_peer: bool = False
+    ) -> None:
+        """Take a newer list of targets; what runs at those that are gone is forgotten.
+
+        So is all that is known of a target that began anew under its id. A peer's list may
+        lag, so that an earlier life in it is over.
+        """
         seen: set[tuple[str, str]] = set()
         for entry in listed:
             pool = self.pools.setdefault(entry.service, Pool())
@@ -44,8 +50,11 @@
             held = pool.targets.get(entry.target)
             if held is None:
                 pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
-            else:
-                held.listed = entry
+            elif _is_same_life(held.listed.born_ms, entry.born_ms):
+                born_ms = entry.born_ms or held.listed.born_ms
+                held.listed = msgspec.structs.replace(entry, born_ms=born_ms)
+            elif not (is_from_peer and entry.born_ms < held.listed.born_ms):
+                pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
         for service, pool in self.pools.items():
             for target in [t for t in pool.targets if (service, t) not in seen]:
                 del pool.targets[target]
@@ -89,6 +98,8 @@
         state = pool.targets.get(placed.target)
         if state is None or work.request in state.running:
             return
+        if not _is_same_life(state.listed.born_ms, placed.born_ms):
+            return
         run = Running(
             work,
             owner,
@@ -120,6 +131,14 @@
         for seen in speeds:
             pool = self.pools.setdefault(seen.service, Pool())
             state = pool.targets.get(seen.target)
-            if state is not None:
+            if state is not None and _is_same_life(state.listed.born_ms, seen.born_ms):
                 state.inherit_speed(seen, pool.know_reading(state))
                 pool.forget_typical()
+
+
+def _is_same_life(known_ms: int, told_ms: int) -> bool:
+    """Tell whether two times of start may be of one life; 0 is not told.
+
+    They are compared only: the target's time of day may have jumped.
+    """
+    return not known_ms or not told_ms or known_ms == told_ms
--- a/troutstand/routing/heldwork.py
+++ b/troutstand/routing/heldwork.py
@@ -23,6 +23,8 @@
     # Prompt tokens that the target had to read before its first byte.
     to_read: float = 0.0
     has_first: bool = False
+    # When the target says that it began; 0 is not told.
+    born_ms: int = 0
 
 
 class HeldWork:
@@ -37,7 +39,9 @@
 
     def start(self, work: RoutedWork, placed: Placed, now_s: float) -> None:
         """Note that a request was given a target."""
-        self._held[work.request] = Held(work, placed.target, now_s, placed.to_read)
+        self._held[work.request] = Held(
+            work, placed.target, now_s, placed.to_read, born_ms=placed.born_ms
+        )
 
     def note_first(self, request: str, first_s: float, now_s: float) -> FirstByte | None:
         """Note that a target began to answer, and return what the decider is told."""
@@ -46,7 +50,9 @@
             return None
         held.has_first = True
         if held.work.prompt_tokens and first_s >= 0.0:
-            self._seen.note_first(held.work.service, held.target, held.to_read, first_s, now_s)
+            self._seen.note_first(
+                held.work.service, held.target, held.born_ms, held.to_read, first_s, now_s
+            )
         return FirstByte(request, held.target, first_s)
 
     def end(self, ended: Ended, table: RouteTable | None, now_s: float) -> None:
@@ -56,16 +62,16 @@
             return
         service = held.work.service
         if not held.work.prompt_tokens:
-            self._seen.note_service(service, held.target, ended.total_s, now_s)
+            self._seen.note_service(service, held.target, held.born_ms, ended.total_s, now_s)
         elif ended.produced_events > 1 and ended.first_s >= 0.0:
             tokens = ended.produced_events * _find_stride(table, service)
             token_s = (ended.total_s - ended.first_s) / tokens
-            self._seen.note_token(service, held.target, token_s, now_s)
+            self._seen.note_token(service, held.target, held.born_ms, token_s, now_s)
 
     def list_running(self, now_s: float) -> list[PlacedWork]:
         """Return what runs, for a decider that does not know it."""
         return [
-            PlacedWork(held.work, held.target, now_s - held.started_s, held.has_first)
+            PlacedWork(held.work, held.target, now_s - held.started_s, held.has_first, held.born_ms)
             for held in self._held.values()
         ]
 
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -286,7 +286,7 @@
         """Take a scheduler's answer to a heartbeat."""
         if reply.has_targets and (process == self._current or self._is_alone()):
             self._targets.install(reply.targets, reply.targets_version)
-            self._local.use_targets(reply.targets, read_clock_s())
+            self._local.use_targets(reply.targets, read_clock_s(), is_from_peer=True)
             self._deliver_local()
         if process == self._current:
             self._gateways = reply.gateways
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -132,6 +132,7 @@
 
 def _digest(targets: list[ListedTarget]) -> str:
     text = "\n".join(
-        f"{t.target} {t.service} {t.address} {t.slots} {t.state.value} {t.version}" for t in targets
+        f"{t.target} {t.service} {t.address} {t.slots} {t.state.value} {t.version} {t.born_ms}"
+        for t in targets
     )
     return xxhash.xxh3_64_hexdigest(text.encode())
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -135,7 +135,7 @@
 def _see(target: str, token_s: float) -> SeenSpeeds:
     seen = SeenSpeeds()
     for tokens in (500.0, 1000.0, 2000.0, 4000.0):
-        seen.note_first(_SERVICE, target, tokens, 0.05 + token_s * tokens, _NOW_S)
+        seen.note_first(_SERVICE, target, 0, tokens, 0.05 + token_s * tokens, _NOW_S)
     return seen
 
 
@@ -172,7 +172,7 @@
     context.speeds = SeenSpeeds()
     for number in range(count):
         seen_s = _NOW_S - age_s if number < old else _NOW_S
-        context.speeds.note_service(_SERVICE, f"t{number}", 0.1, seen_s)
+        context.speeds.note_service(_SERVICE, f"t{number}", 0, 0.1, seen_s)
 
 
 @then("it passes {count:d} of them on, the latest first")
