Add two failing tests: requests that may have run are told that they have not

Cause under test: after an attempt that a target may have run, a repeatable request that finds no further target is refused as any other, with 429 or 503; and one whose time ends at a target is told run=no in the body of its 504.

--- a/troutstand/tests/crashers.feature
+++ b/troutstand/tests/crashers.feature
@@ -64,3 +64,15 @@
       | route |
       | /do/  |
       | /get/ |
+
+  # A caller that is told 429 or 503 may take its request as not run. One whose only target
+  # had ended while it ran the request was told "status=429 code=3001 arrivals=1".
+  Scenario: A request that a target may have run is not refused as if it had not
+    Given a routed site with 1 plain targets that one body ends
+    When the deadly body is called 1 times as /get/
+    Then the caller is told 502 and that it may have run
+
+  Scenario: A request whose time ends at a target may have run
+    Given a routed site whose targets work for 5 s
+    When a call of /do/ has a deadline of 0.5 s
+    Then the caller is told 504 and that it may have run
--- a/troutstand/tests/steps/crashers.py
+++ b/troutstand/tests/steps/crashers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 import re
 import time
 from typing import TYPE_CHECKING
@@ -267,3 +268,17 @@
 def check_ended(context: Context, count: int) -> None:
     ended = sum(len(target.crashed_s) for target in context.scene.targets)
     assert ended == count, ended
+
+
+@when("a call of {route} has a deadline of {deadline_s:g} s")
+def call_short(context: Context, route: str, deadline_s: float) -> None:
+    scene = context.scene
+    gateway = _list_gateways(scene)[0]
+    scene.background.run(scene.caller.call(gateway, route, b"x", deadline_s=deadline_s))
+
+
+@then("the caller is told {status:d} and that it may have run")
+def check_may_have_run(context: Context, status: int) -> None:
+    result = context.scene.caller.results[-1]
+    assert result.status == status, result
+    assert json.loads(result.body)["run"] == "unknown", result
