Refuse a request as not run only where no target may have run it

Cause: a declined request was refused by its decline's code whatever its earlier attempts had done, and one out of time by whether one of them had failed yet.

Change: after an attempt that may have run, a repeatable request ends with 5003 (502), and with the time to come back that it was given; one whose time ends after it was placed is told that it may have run.

--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -351,6 +351,10 @@
             return self._last_fault
         if self._may_have_run and not self._call.is_repeatable:
             return self._refuse(ResultCode.TARGET_UNREACHABLE, declined.reason, None)
+        if self._may_have_run:
+            # A refusal for want of a target says that the request has not run.
+            reason = f"{declined.reason}, after an attempt"
+            return self._refuse(ResultCode.ANSWER_CUT, reason, declined.retry_after_s)
         return self._refuse(ResultCode(declined.code), declined.reason, declined.retry_after_s)
 
     def _refuse_failed(self, error: SendError) -> web.StreamResponse:
@@ -367,6 +371,8 @@
         if self._answer.has_begun:
             return self._break_off(ResultCode.TARGET_TIMEOUT, "the request's time is up")
         if self._has_placed:
+            # Its target may work on it now.
+            self._may_have_run = True
             return self._refuse(ResultCode.TARGET_TIMEOUT, "the request's time is up", None)
         return self._refuse(ResultCode.SHED_DEADLINE, "no target in time", _RETRY_SOON_S)
 
