Suspend hosts in the model of the lease

Cause: the model's candidates read one clock that never stands still, so that it could not tell whether a holder that sleeps past its lease keeps it.

Change: a step in which a candidate's host is suspended while a second passes, with a clock that counts it and, as a broken model, with one that does not.

--- a/troutstand/testing/models/catalogue.py
+++ b/troutstand/testing/models/catalogue.py
@@ -30,6 +30,9 @@
         "edit, equal versions": EditModel().make_spec(),
         "edit, later version": EditModel((Operator("a", 0), Operator("b", 1))).make_spec(),
         "lease, one keeper": LeaseModel(keepers=("k0",), end_s=4).make_spec(),
+        "lease, a host is suspended": LeaseModel(
+            keepers=("k0",), end_s=4, suspended=("a",)
+        ).make_spec(),
         "replacement of a keeper": ReplacementModel().make_spec(),
         "rollout": RolloutModel(end_s=4).make_spec(),
     }
@@ -75,6 +78,9 @@
         "lease, a restarted voter votes at once": LeaseModel(
             keepers=("k0",), end_s=3, silence=False
         ).make_spec(),
+        "lease, a clock that a suspend stops": LeaseModel(
+            keepers=("k0",), end_s=3, suspended=("a",), counts_suspends=False
+        ).make_spec(),
         "lease, a holder without its own vote": LeaseModel(
             keepers=("k0",), end_s=2, own_vote=False
         ).make_spec(),
--- a/troutstand/testing/models/lease.py
+++ b/troutstand/testing/models/lease.py
@@ -1,4 +1,4 @@
-"""Model the scheduler's lease: candidates, voters that restart, and slow answers."""
+"""Model the scheduler's lease: candidates that are suspended, voters that restart, slow answers."""
 
 from __future__ import annotations
 
@@ -32,6 +32,12 @@
     counted: frozenset[tuple[str, str, float]] = frozenset()
     asked: frozenset[tuple[str, int]] = frozenset()
     restarts: int = 0
+    # By how many seconds each candidate's own clock is behind, since it stood still.
+    behind: tuple[tuple[str, int], ...] = ()
+
+    def read_clock(self, name: str) -> int:
+        """Return the time by a candidate's own clock."""
+        return self.now_s - dict(self.behind).get(name, 0)
 
 
 @dataclass(frozen=True)
@@ -44,6 +50,10 @@
         Whether a voter that restarted keeps silent for a lease's length.
     own_vote
         Whether a holder needs its own vote.
+    suspended
+        Candidates whose hosts may be suspended for any time.
+    counts_suspends
+        Whether the clock that candidates go by counts that time.
     """
 
     keepers: tuple[str, ...] = ("k0", "k1", "k2")
@@ -52,6 +62,8 @@
     restarts: int = 1
     silence: bool = True
     own_vote: bool = True
+    suspended: tuple[str, ...] = ()
+    counts_suspends: bool = True
 
     def make_spec(self) -> ModelSpec[World]:
         """Make the specification to check."""
@@ -69,7 +81,7 @@
     def _is_held(self, world: World, name: str) -> bool:
         votes = {ProcessId(voter): until for who, voter, until in world.counted if who == name}
         if not self.own_vote:
-            votes[ProcessId(name)] = world.now_s + 1
+            votes[ProcessId(name)] = world.read_clock(name) + 1
         holder = LeaseHolder(
             ProcessId(name),
             _LEASE_S,
@@ -77,15 +89,16 @@
             frozenset(map(ProcessId, self.entries)),
             votes,
         )
-        return holder.is_held(world.now_s)
+        return holder.is_held(world.read_clock(name))
 
     def _list_steps(self, world: World) -> list[Step[World]]:
         steps: list[Step[World]] = []
         if world.now_s < self.end_s:
             steps.append(Step("time passes", _advance(world)))
+            steps += [self._suspend(world, name) for name in self.suspended]
         for candidate in self.entries:
             if not any(who == candidate for who, _ in world.asked):
-                asked = world.asked | {(candidate, world.now_s)}
+                asked = world.asked | {(candidate, world.read_clock(candidate))}
                 steps.append(Step(f"{candidate} asks", replace(world, asked=asked)))
         for candidate, asked_s in world.asked:
             steps += [self._vote(world, candidate, asked_s, name) for name, _ in world.voters]
@@ -93,6 +106,13 @@
             steps += [self._restart(world, name) for name in self.keepers]
         return steps
 
+    def _suspend(self, world: World, name: str) -> Step[World]:
+        """Let a second pass in which a candidate's host is suspended."""
+        if not self.counts_suspends:
+            behind = {**dict(world.behind), name: dict(world.behind).get(name, 0) + 1}
+            world = replace(world, behind=tuple(sorted(behind.items())))
+        return Step(f"{name} is suspended while time passes", _advance(world))
+
     def _vote(self, world: World, candidate: str, asked_s: int, name: str) -> Step[World]:
         """Let a voter take an ask, however late, and the candidate its answer."""
         voter = LeaseVoter(0.0)
@@ -137,6 +157,7 @@
 def _advance(world: World) -> World:
     """Let a second pass, and forget what has run out."""
     now_s = world.now_s + 1
-    counted = frozenset(c for c in world.counted if c[2] > now_s)
-    asked = frozenset(a for a in world.asked if a[1] + _LEASE_S > now_s)
-    return replace(world, now_s=now_s, counted=counted, asked=asked)
+    after = replace(world, now_s=now_s)
+    counted = frozenset(c for c in world.counted if c[2] > after.read_clock(c[0]))
+    asked = frozenset(a for a in world.asked if a[1] + _LEASE_S > after.read_clock(a[0]))
+    return replace(after, counted=counted, asked=asked)
--- a/troutstand/tests/models.feature
+++ b/troutstand/tests/models.feature
@@ -14,6 +14,7 @@
       | edit, equal versions               |
       | edit, later version                |
       | lease, one keeper                  |
+      | lease, a host is suspended         |
       | replacement of a keeper            |
       | rollout                            |
 
@@ -33,5 +34,6 @@
       | edit, base ignored                      | an edit follows its base           |
       | lease, a restarted voter votes at once  | one holder at a time               |
       | lease, a holder without its own vote    | one holder at a time               |
+      | lease, a clock that a suspend stops     | one holder at a time               |
       | rollout, ends are overturned            | one end at most                    |
       | rollout, without a lease                | nothing goes to a version that was rolled back |
