Count an end of a target that is told after later ones

Cause: an engine that ends resets its connections a moment before its address refuses others, so that the look found it open; the refusal that told of its end came after two later ends, and counted for nothing since its run had begun before them.

Change: two ends of a request count as one where their runs overlapped, whichever is told first.

--- a/troutstand/core/crashes.py
+++ b/troutstand/core/crashes.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from hashlib import blake2b
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from troutstand.generated.messages import CrashHistory, TargetCrash
@@ -47,6 +48,9 @@
 _VERSION_BYTES = 8
 
 
+_get_time = attrgetter("at_s")
+
+
 class Blame(Enum):
     """Say how far a request is held to end targets."""
 
@@ -77,10 +81,11 @@
 
 @dataclass
 class _End:
-    """Hold one target's end; the time in seconds."""
+    """Hold one target's end, and since when the request had run; times in seconds."""
 
     target: str
     at_s: float
+    started_s: float
 
 
 @dataclass
@@ -184,11 +189,14 @@
 
     def _count(self, broken: _Broken, target: str) -> None:
         ends = self._ends.setdefault(broken.fingerprint, [])
-        if ends and broken.started_s <= ends[-1].at_s:
-            # Begun before its last end, as where many targets end at once under a body that
-            # many callers ask for: it tells nothing that the last one did not.
+        end = _End(target, broken.at_s, broken.started_s)
+        if any(_overlaps(end, other) for other in ends):
+            # Both runs were under way at once, as where many targets end at once under a
+            # body that many callers ask for: it tells nothing that the other did not.
             return
-        ends.append(_End(target, broken.at_s))
+        # An end may be told after later ones, once its address refuses connections.
+        ends.append(end)
+        ends.sort(key=_get_time)
         del ends[:-_MAX_ENDS]
         self._ends.move_to_end(broken.fingerprint)
         self._bound_size()
@@ -231,10 +239,11 @@
                 continue
             known = self._ends.setdefault(history.fingerprint, [])
             for crash in history.crashes:
-                end = _End(crash.target, now_s - crash.age_s)
+                at_s = now_s - crash.age_s
+                end = _End(crash.target, at_s, started_s=at_s)
                 if not any(_is_same(end, other) for other in known):
                     known.append(end)
-            known.sort(key=lambda end: end.at_s)
+            known.sort(key=_get_time)
             del known[:-_MAX_ENDS]
             self._bound_size()
             self._version = None
@@ -258,6 +267,10 @@
     return CrashHistory(fingerprint, crashes)
 
 
+def _overlaps(end: _End, other: _End) -> bool:
+    return end.started_s <= other.at_s and other.started_s <= end.at_s
+
+
 def _is_same(end: _End, other: _End) -> bool:
     return end.target == other.target and abs(end.at_s - other.at_s) < _SAME_END_S
 
--- a/troutstand/tests/steps/crashes.py
+++ b/troutstand/tests/steps/crashes.py
@@ -271,3 +271,20 @@
     request = _arrive(desk, body)
     assert request in desk.placed, desk.declined
     _end(desk, request, body, Ending.left, is_gone=False)
+
+
+@when("an answer to the body {body} breaks off, and {count:d} targets end in turn under it")
+def break_then_end(context: Context, body: str, count: int) -> None:
+    desk = context.desk
+    request = _run(desk, body)
+    context.target = desk.placed[request]
+    _end(desk, request, body, Ending.broken, is_gone=False)
+    for _ in range(count):
+        desk.pass_time(0.1)
+        _end(desk, _run(desk, body), body, Ending.broken, is_gone=True)
+
+
+@when("the first target refuses a connection {wait_s:g} s later")
+def refuse_later(context: Context, wait_s: float) -> None:
+    context.desk.pass_time(wait_s)
+    _refuse_connection(context.desk, context.target)
