--- a/troutstand/core/crashes.py
+++ b/troutstand/core/crashes.py
@@ -2,7 +2,7 @@
 
 A request is known by its fingerprint, whoever sends it and however often. A target's end
 speaks against all that ran there, the sound ones too. So it counts only against those that
-were begun after their last one, the second one makes a request run apart from others under
+had no other end at the time, the second one makes a request run apart from others under
 suspicion, and a single answer clears it.
 """
 
