Log how long a target that turns a request away wants rest

Cause: attempt_failed did not tell what the answer asked for, so that the hypotheses could not be told apart. Change: the header is read and logged (rest_s, leaving); no decision changes. Ruled out nothing yet.

--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -50,6 +50,8 @@
     expected_target: str = "x-expected-target"
     not_run: str = "x-not-run"
     seal: str = "x-answer-seal"
+    # Says in any answer that its target takes no new work.
+    leaving: str = "x-target-leaving"
     # Orders to a target, such as to reserve memory: what a caller writes there is dropped.
     reserved: frozenset[str] = frozenset({"x-target-order"})
 
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -238,6 +238,8 @@
             status=error.status,
             target_gone=error.is_target_gone,
             resent=error.was_resent,
+            rest_s=error.notice.rest_s or None,
+            leaving=error.notice.is_leaving or None,
             fingerprint=self._call.fingerprint,
             begun_ms=self._measure_begun(),
             arrivals=self._arrivals,
--- /dev/null
+++ b/troutstand/routing/notices.py
@@ -0,0 +1,54 @@
+"""Read what a target's answer says of the target itself."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from troutstand.routing.dialect import HeaderNames
+    from troutstand.routing.exchange import AnswerHead
+
+_LEAVING = "1"
+# A longer rest is cut to this, in seconds: a slip of the target would leave it out for good
+# (chosen, not measured).
+MAX_REST_S = 3600.0
+
+
+@dataclass(frozen=True)
+class AnswerNotice:
+    """Tell what an answer says of its target.
+
+    Parameters
+    ----------
+    rest_s
+        How long the target wants no request from this host, in seconds; 0 is not asked.
+    is_leaving
+        Whether the target takes no new work for the rest of its life.
+    """
+
+    rest_s: float = 0.0
+    is_leaving: bool = False
+
+
+def read_notice(head: AnswerHead, names: HeaderNames) -> AnswerNotice:
+    """Read the headers in which a target speaks of itself."""
+    is_leaving = (head.get(names.leaving) or "").strip() == _LEAVING
+    return AnswerNotice(_read_rest(head, names), is_leaving)
+
+
+def _read_rest(head: AnswerHead, names: HeaderNames) -> float:
+    """Return the seconds of rest that a refusal asks for; what cannot be read asks for none."""
+    is_not_run = head.get(names.not_run) is not None
+    is_refusal = head.status == HTTPStatus.SERVICE_UNAVAILABLE or (
+        head.status == HTTPStatus.TOO_MANY_REQUESTS and is_not_run
+    )
+    if not is_refusal:
+        return 0.0
+    try:
+        rest_s = float(head.get("retry-after") or 0.0)
+    except ValueError:
+        return 0.0
+    return min(MAX_REST_S, rest_s) if math.isfinite(rest_s) and rest_s > 0.0 else 0.0
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -13,6 +13,7 @@
 
 from troutstand.generated.messages import Ending
 from troutstand.routing.exchange import ExchangeError, write_head
+from troutstand.routing.notices import AnswerNotice, read_notice
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -73,6 +74,8 @@
         Whether the target's address refuses connections.
     was_resent
         Whether a kept connection failed first, and the request was sent on a new one.
+    notice
+        What the target's answer says of the target, where one came.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         status: int | None = None,
         is_target_gone: bool = False,
         was_resent: bool = False,
+        notice: AnswerNotice | None = None,
     ) -> None:
         super().__init__(detail)
         self.ending = ending
@@ -89,6 +93,7 @@
         self.status = status
         self.is_target_gone = is_target_gone
         self.was_resent = was_resent
+        self.notice = notice or AnswerNotice()
 
     @property
     def has_arrived(self) -> bool:
@@ -208,7 +213,9 @@
         if echo and echo != outgoing.request:
             raise SendError(Ending.broken, f"the answer is for request {echo!r}", head.status)
         if head.status == MISDIRECTED or head.get(self._names.not_run) is not None:
-            raise SendError(Ending.turned_away, "the target did not run it", head.status)
+            notice = read_notice(head, self._names)
+            detail = "the target did not run it"
+            raise SendError(Ending.turned_away, detail, head.status, notice=notice)
         if head.get(self._names.seal) is None or not echo:
             raise SendError(Ending.broken, "the target's seal is missing", head.status)
         if head.get("content-encoding") is not None:
