Keep to what a target says of itself in its answers

Cause: a turning-away held a target off for 50 ms, for all gateways alike, and what the answer asked for was not read; with nothing running such a target looked the best of all. The same class: the header by which a target says that it leaves was not read either, so that only the list of targets, which lags, told of it. Ruled out: that it was learnt and lost, that attempts do not pass the decider (every attempt has its own request_placed).

Change: the gateway reads both at the head of any answer, tells its decider at once and each decider that it asks later, and keeps them for itself: right before a request is written it is asked once more (ending kept_back). Deciders bind the gateway that was asked; for the others a resting target is doubted until it answers a request sent since, and gets single tries. Where all targets want rest for longer than there is time, the request is refused at once (3013).

--- a/troutstand/core/choice.py
+++ b/troutstand/core/choice.py
@@ -49,7 +49,7 @@
         self, pool: Pool, waiting: Waiting, open_: list[TargetState], now_s: float
     ) -> TargetState | None:
         """Return the best of the open targets for a request, or None where none fits."""
-        fitting = self._list_fitting(pool, waiting.work, open_, now_s)
+        fitting = self._list_fitting(pool, waiting, open_, now_s)
         if not fitting:
             return None
         return min(
@@ -93,22 +93,21 @@
         fitting = [
             t
             for t in canaries
-            if t.has_memory(work, pool.memory_tokens) and self._is_reached(work, t, now_s)
+            if self._may_get(pool, waiting, t, now_s) and not t.rest.is_doubted(now_s)
         ]
         samples = pool.trial.samples
         return min(fitting, key=lambda t: samples.get(t.listed.target, 0), default=None)
 
     def _list_fitting(
-        self, pool: Pool, work: RoutedWork, open_: list[TargetState], now_s: float
+        self, pool: Pool, waiting: Waiting, open_: list[TargetState], now_s: float
     ) -> list[TargetState]:
-        fitting = [
-            t
-            for t in open_
-            if t.has_memory(work, pool.memory_tokens) and self._is_reached(work, t, now_s)
-        ]
+        work = waiting.work
+        fitting = [t for t in open_ if self._may_get(pool, waiting, t, now_s)]
         tried = work.excluded
         if tried and any(t.listed.target not in tried for t in pool.list_usable()):
             fitting = [t for t in fitting if t.listed.target not in tried]
+        if now_s < pool.rests_until_s:
+            fitting = self._prefer_trusted(pool, waiting, fitting, now_s)
         sound = [t for t in fitting if not t.is_held_off(now_s)]
         has_probes = len(sound) < len(fitting)
         if has_probes and not work.is_repeatable and self._has_sound(pool, work, now_s):
@@ -116,6 +115,42 @@
             return sound
         return fitting
 
+    def _may_get(self, pool: Pool, waiting: Waiting, state: TargetState, now_s: float) -> bool:
+        """Tell whether a target has room for a request, can be reached and may be asked."""
+        return (
+            state.has_memory(waiting.work, pool.memory_tokens)
+            and self._is_reached(waiting.work, state, now_s)
+            and not state.rest.binds(waiting.owner, now_s)
+        )
+
+    def _prefer_trusted(
+        self, pool: Pool, waiting: Waiting, fitting: list[TargetState], now_s: float
+    ) -> list[TargetState]:
+        """Leave targets that asked other gateways for rest to single tries.
+
+        A target that turns everything away has nothing running and would be the best choice
+        of all: two of five engines got 147 requests in vain within 5 s, and 2 with this
+        (real processes, `resting.feature`). A try may cost a request its last attempt, so
+        that one without another to spend waits for a trusted target.
+        """
+        trusted = [t for t in fitting if not t.rest.is_doubted(now_s)]
+        if trusted:
+            return trusted
+        work = waiting.work
+        if work.attempt >= work.attempts and self._has_trusted(pool, waiting, now_s):
+            return []
+        return [t for t in fitting if t.may_try_doubted(now_s)]
+
+    def _has_trusted(self, pool: Pool, waiting: Waiting, now_s: float) -> bool:
+        """Tell whether a target without doubt is left to try, be it busy or not."""
+        return any(
+            not t.rest.is_doubted(now_s)
+            and not t.rest.binds(waiting.owner, now_s)
+            and t.listed.target not in waiting.work.excluded
+            and self._is_reached(waiting.work, t, now_s)
+            for t in pool.list_usable()
+        )
+
     def _is_reached(self, work: RoutedWork, state: TargetState, now_s: float) -> bool:
         return self._reach.is_open(find_way(work, state), now_s)
 
--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -50,6 +50,7 @@
     HISTORY_UNKNOWN = 3010
     RETRY_BUDGET = 3011
     REQUEST_QUARANTINED = 3012
+    TARGETS_RESTING = 3013
 
     COMMAND_UNAVAILABLE = 4001
     COMMAND_OUTCOME_UNKNOWN = 4002
@@ -136,6 +137,9 @@
     ResultCode.REQUEST_QUARANTINED: Meaning(
         503, "targets ended one after the other as they ran this request", 31
     ),
+    ResultCode.TARGETS_RESTING: Meaning(
+        503, "all targets that serve this asked this host not to send for a while", 31
+    ),
     ResultCode.COMMAND_UNAVAILABLE: Meaning(503, "no majority of keepers can be reached", 40),
     ResultCode.COMMAND_OUTCOME_UNKNOWN: Meaning(409, "the command may have run; it is final", 41),
     ResultCode.COMMAND_NOT_RUN: Meaning(503, "the command was not run; it may be sent again", 42),
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -229,6 +229,7 @@
             pool.trial.note_ended(run, ended, state.listed.version, typical, now_s)
         if ended.ending in (Ending.whole, Ending.failed):
             self.crashes.note_survived(run.work.fingerprint)
+            state.rest.note_answer(run.started_s)
         match ended.ending:
             case Ending.whole:
                 state.note_whole(now_s)
@@ -248,7 +249,7 @@
                 state.note_lost(run, now_s)
             case Ending.turned_away:
                 state.note_turned_away(now_s)
-            case Ending.left:
+            case Ending.left | Ending.kept_back:
                 pass
 
     def _serve_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
@@ -279,7 +280,7 @@
         canaries = pool.list_canaries(now_s)
         if not open_ and not canaries:
             return
-        outlook = pool.describe_busy()
+        outlook = pool.describe_busy(now_s)
         passed = 0
         for waiting in ordered:
             blame = self.crashes.judge(waiting.work.fingerprint, now_s)
@@ -368,12 +369,14 @@
         if not pool.list_usable():
             return
         pool.judge_time(waiting)
-        wait_s = pool.estimate_wait(pool.count_ahead(waiting))
+        if self._refuse_resting(pool, waiting, now_s):
+            return
+        wait_s = pool.estimate_wait(pool.count_ahead(waiting), now_s)
         if wait_s <= waiting.patience_s:
             return
         # Too late for its objective, so that it goes behind those that can make theirs.
         waiting.mark_late()
-        wait_s = pool.estimate_wait(pool.count_ahead(waiting))
+        wait_s = pool.estimate_wait(pool.count_ahead(waiting), now_s)
         most_s = min(
             _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
         )
@@ -383,11 +386,22 @@
         if wait_s > most_s:
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
 
+    def _refuse_resting(self, pool: Pool, waiting: Waiting, now_s: float) -> bool:
+        """Refuse who must leave all targets alone for longer than there is time.
+
+        Otherwise the request is held until it is late and then refused all the same.
+        """
+        rest_s = pool.measure_rest(waiting.owner, now_s)
+        if rest_s <= 0.0 or waiting.can_be_in_time(now_s + rest_s):
+            return False
+        self._refuse(pool, waiting, ResultCode.TARGETS_RESTING, rest_s, now_s)
+        return True
+
     def _judge_waiting(self, pool: Pool, now_s: float) -> None:
         """Refuse who can no longer be served in time, the later ones first."""
         has_targets = bool(pool.list_usable())
         ordered = sorted(pool.waiting.values(), key=_get_shed_rank)
-        turn_s = pool.measure_turn()
+        turn_s = pool.measure_turn(now_s)
         for ahead, waiting in reversed(list(enumerate(ordered))):
             waited_here_s = now_s - waiting.arrived_s
             waited_s = waited_here_s + waiting.work.spent_s
@@ -397,6 +411,8 @@
             elif not has_targets:
                 if waited_here_s > _NO_TARGET_WAIT_S:
                     self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
+            elif self._refuse_resting(pool, waiting, now_s):
+                continue
             elif not waiting.is_late and waiting.can_be_in_time(now_s):
                 self._judge_overtaken(pool, waiting, wait_s, now_s)
             elif waiting.is_late and waited_s > _MAX_LATE_WAIT * waiting.work.objective_s:
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -167,6 +167,8 @@
     _typical_reading: ReadingSpeed | None = None
     # Which targets take new work: several steps of each decision ask for them.
     _usable: list[TargetState] | None = None
+    # Until when a target may want rest, in seconds: mostly none does, and none is asked.
+    rests_until_s: float = float("-inf")
     _typical: dict[str, float | None] = field(default_factory=dict)
 
     def learn_hold(self, sample_s: float) -> None:
@@ -181,7 +183,11 @@
         return self._usable
 
     def _list_ready(self) -> list[TargetState]:
-        return [t for t in self.targets.values() if t.listed.state is ListedState.ready]
+        return [
+            t
+            for t in self.targets.values()
+            if t.listed.state is ListedState.ready and not t.is_leaving
+        ]
 
     def judge_versions(self) -> None:
         """Find out anew which targets may get requests, by the list and their versions."""
@@ -214,17 +220,31 @@
         ready = [target for target in held if target.may_probe(now_s)]
         return sorted(ready, key=_get_lost)[: max(0, excess)]
 
-    def measure_turn(self) -> float:
+    def _list_sound(self, now_s: float) -> list[TargetState]:
+        """Return the targets that are expected to answer what they are sent."""
+        sound = [t for t in self.list_usable() if not t.strikes]
+        if now_s >= self.rests_until_s:
+            return sound
+        return [t for t in sound if not t.rest.is_doubted(now_s)]
+
+    def measure_rest(self, gateway: str, now_s: float) -> float:
+        """Return the seconds until a gateway may send to any target; 0 where it may now."""
+        if now_s >= self.rests_until_s:
+            return 0.0
+        ends_s = min((t.rest.find_end(gateway) for t in self.list_usable()), default=now_s)
+        return max(0.0, ends_s - now_s)
+
+    def measure_turn(self, now_s: float) -> float:
         """Return the seconds between two slots that become free."""
         if self.hold_s is None:
             # A guess must not refuse anybody; the first ending tells.
             return 0.0
-        slots = sum(t.listed.slots for t in self.list_usable() if not t.strikes)
+        slots = sum(t.listed.slots for t in self._list_sound(now_s))
         return self.hold_s / max(1, slots)
 
-    def estimate_wait(self, ahead: int) -> float:
+    def estimate_wait(self, ahead: int, now_s: float) -> float:
         """Return the seconds until a request with some ahead of it gets a slot."""
-        return (ahead + 1) * self.measure_turn()
+        return (ahead + 1) * self.measure_turn(now_s)
 
     def estimate_first(self, state: TargetState, work: RoutedWork) -> float:
         """Return the seconds until a target's first byte for a request."""
@@ -327,9 +347,9 @@
         typical = self._typical[name]
         return typical if typical is not None else guess
 
-    def describe_busy(self) -> BusyTargets:
+    def describe_busy(self, now_s: float) -> BusyTargets:
         """Describe the targets that have no free slot, as whoever waits for one sees them."""
-        busy = [t for t in self.list_usable() if not t.strikes and not t.free_slots]
+        busy = [t for t in self._list_sound(now_s) if not t.free_slots]
         slots = sum(t.listed.slots for t in busy)
         hold_s = self.hold_s or _GUESS_HOLD_S
         return BusyTargets(
@@ -364,7 +384,8 @@
     def judge_time(self, waiting: Waiting) -> None:
         """Estimate how long a request may wait and still be in time."""
         work = waiting.work
-        least = [self._estimate_firsts(t, work) for t in self.list_usable() if not t.strikes]
+        sound = self._list_sound(waiting.arrived_s)
+        least = [self._estimate_firsts(t, work) for t in sound]
         first_s = min((first_s for first_s, _ in least), default=0.0)
         waiting.full_patience_s = max(0.0, _IN_TIME_SHARE * work.objective_s - first_s)
         waiting.patience_s = max(0.0, waiting.full_patience_s - work.spent_s)
@@ -399,6 +420,7 @@
         """Tell whether room is free that nobody who is owed it waits for."""
         if self.waiting:
             return False
-        slots = sum(t.listed.slots for t in self.list_usable())
-        free = sum(t.free_slots for t in self.list_usable() if t.is_open(now_s))
+        trusted = [t for t in self.list_usable() if not t.rest.is_doubted(now_s)]
+        slots = sum(t.listed.slots for t in trusted)
+        free = sum(t.free_slots for t in trusted if t.is_open(now_s))
         return free > _SPARE_SHARE * slots
--- a/troutstand/core/rollouts/trial.py
+++ b/troutstand/core/rollouts/trial.py
@@ -169,7 +169,7 @@
 
 def _is_slow(ended: Ended, typical: TypicalTimes) -> bool:
     """Tell whether an answer, or what came of it, took several times what is typical."""
-    if ended.ending in (Ending.unsent, Ending.turned_away):
+    if ended.ending in (Ending.unsent, Ending.turned_away, Ending.kept_back):
         return False
     limit_s = max(_LEAST_SLOW_S, _SLOW_FACTOR * typical.first_s)
     has_first = typical.event_s > 0.0 and ended.first_s >= 0.0
--- a/troutstand/core/siteview.py
+++ b/troutstand/core/siteview.py
@@ -15,7 +15,12 @@
     from collections.abc import Iterable
 
     from troutstand.core.configuration import RouteTable
-    from troutstand.generated.messages import ListedTarget, PlacedWork, TargetSpeed
+    from troutstand.generated.messages import (
+        ListedTarget,
+        PlacedWork,
+        TargetNotice,
+        TargetSpeed,
+    )
 
 
 class SiteView:
@@ -52,6 +57,10 @@
                 pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
             elif _is_same_life(held.listed.born_ms, entry.born_ms):
                 born_ms = entry.born_ms or held.listed.born_ms
+                was_draining = held.listed.state is ListedState.draining
+                if was_draining and entry.state is ListedState.ready and not is_from_peer:
+                    # It is back in service under its name.
+                    held.is_leaving = False
                 held.listed = msgspec.structs.replace(entry, born_ms=born_ms)
             elif not (is_from_peer and entry.born_ms < held.listed.born_ms):
                 pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
@@ -87,10 +96,27 @@
         leaving = set(targets)
         for pool in self.pools.values():
             for name in leaving & set(pool.targets):
-                state = pool.targets[name]
-                state.listed = msgspec.structs.replace(state.listed, state=ListedState.draining)
+                pool.targets[name].is_leaving = True
             pool.judge_versions()
 
+    def note_notices(self, gateway: str, notices: Iterable[TargetNotice], now_s: float) -> None:
+        """Take what targets said of themselves to a gateway."""
+        told = {notice.target: notice for notice in notices}
+        for pool in self.pools.values():
+            for name in told.keys() & pool.targets.keys():
+                self._note_notice(pool, gateway, told[name], now_s)
+
+    def _note_notice(self, pool: Pool, gateway: str, notice: TargetNotice, now_s: float) -> None:
+        state = pool.targets[notice.target]
+        if not _is_same_life(state.listed.born_ms, notice.born_ms):
+            return
+        if notice.is_leaving and not state.is_leaving:
+            state.is_leaving = True
+            pool.judge_versions()
+        if notice.rest_s > 0.0:
+            state.rest.ask(gateway, notice.rest_s, now_s)
+            pool.rests_until_s = max(pool.rests_until_s, now_s + notice.rest_s)
+
     def adopt(self, placed: PlacedWork, owner: str, now_s: float) -> None:
         """Count a request that another scheduler had placed."""
         work = placed.work
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from troutstand.core.rest import Rest
 from troutstand.core.rollouts.admission import Standing
 from troutstand.core.speed import ReadingFit, ReadingSpeed, ReadingSums, Speed
 
@@ -75,6 +76,9 @@
     connections: dict[str, KeptConnections] = field(default_factory=dict)
     # Which requests it may get, by the version that it runs.
     standing: Standing = Standing.OPEN
+    rest: Rest = field(default_factory=Rest)
+    # Whether an answer or another list said that it leaves, whatever the list here shows.
+    is_leaving: bool = False
 
     @property
     def free_slots(self) -> int:
@@ -101,6 +105,13 @@
         """Tell whether a target that is held off may be given a probe now."""
         return self.free_slots > 0 and now_s - self.lost_s >= _PROBE_AFTER_S
 
+    def may_try_doubted(self, now_s: float) -> bool:
+        """Tell whether the target, doubted for a rest, may be given one request now."""
+        is_tried = any(
+            not r.has_first and self.rest.is_since(r.started_s) for r in self.running.values()
+        )
+        return not is_tried and self.rest.may_try(now_s)
+
     def start(self, run: Running) -> None:
         """Count a request that the target was given."""
         self.running[run.work.request] = run
@@ -202,6 +213,7 @@
             self.backlog -= run.uncached_tokens
         run.has_first = True
         self.last_sign_s = now_s
+        self.rest.note_answer(run.started_s)
 
     def note_whole(self, now_s: float) -> None:
         """Take a whole answer as a sign of health."""
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -114,6 +114,7 @@
             model=self.model,
             parts=self.parts,
             attempt=attempt,
+            attempts=self.route.attempts,
             excluded=excluded,
             is_sticky=self.route.sticky,
             failure_domain=failure_domain,
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -57,7 +57,7 @@
         self.targets = TargetList(settings.target_list, dialect)
         self.placement = Placement(self.node, self.targets, self.follower.rollouts)
         self.pool = ConnectionPool(_CONNECT_S)
-        self.sender = Sender(self.pool, dialect.headers)
+        self.sender = Sender(self.pool, dialect.headers, self.placement)
         self._busy: set[web.RequestHandler] = set()
         self.is_stopping = False
         # Whether a planned stop has come to its end: what is still open is cut now.
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -19,6 +19,7 @@
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
+from troutstand.core.noticebook import KeptBack, NoticeBook
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
@@ -27,11 +28,13 @@
     Attached,
     Declined,
     Ended,
+    Ending,
     Hold,
     Level,
     Place,
     Placed,
     RoutedWork,
+    TargetNotices,
 )
 from troutstand.routing.decisions import ALONE, emit_blame_changes, emit_decision, emit_way_changes
 from troutstand.routing.heartbeats import Heartbeats
@@ -50,6 +53,7 @@
     from troutstand.generated.messages import PeerMessage
     from troutstand.routing.knownrollouts import KnownRollouts
     from troutstand.routing.node import RoutingNode
+    from troutstand.routing.notices import AnswerNotice
     from troutstand.routing.targetlist import TargetList
 
 _TICK_S = 0.05
@@ -88,6 +92,7 @@
         self._levels: list[Level] = []
         self._holds: list[Hold] = []
         self._crashes = CrashBook()
+        self._notices = NoticeBook()
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
@@ -107,6 +112,7 @@
         local.inherit_holds(self._holds)
         self._follow_rollouts(local, now_s)
         local.use_targets(self._targets.targets, now_s)
+        local.note_notices(self._node.process, self._notices.list_notices(now_s), now_s)
         local.inherit_speeds(self._held.list_speeds(now_s))
         for run in self._held.list_running(now_s):
             local.adopt(run, self._node.process, now_s)
@@ -253,6 +259,9 @@
 
     def end(self, ended: Ended) -> None:
         """Tell how a request ended at its target."""
+        if ended.ending is Ending.kept_back:
+            # Its decider did not know, or it would not have chosen this target.
+            self._tell_notice(ended.target)
         self._held.end(ended, self._table, read_clock_s())
         if isinstance(self._current, Alone):
             self._local.end(ended, read_clock_s())
@@ -260,6 +269,36 @@
         else:
             self._node.send(self._current, ended)
 
+    # What targets say of themselves
+
+    def judge_target(self, placed: Placed) -> KeptBack | None:
+        """Return why nothing may be sent to a request's target now, or None."""
+        return self._notices.judge(placed.target, placed.born_ms, read_clock_s())
+
+    def hear_target(self, request: str, placed: Placed, notice: AnswerNotice) -> None:
+        """Take what a target's answer says of the target, and tell the decider at once."""
+        is_news = self._notices.note(
+            placed.target, placed.born_ms, notice.is_leaving, notice.rest_s, read_clock_s()
+        )
+        if not is_news:
+            return
+        self._node.events.emit(
+            "target_notice_heard",
+            request,
+            target=placed.target,
+            leaving=notice.is_leaving,
+            rest_s=notice.rest_s,
+        )
+        self._tell_notice(placed.target)
+
+    def _tell_notice(self, target: str) -> None:
+        now_s = read_clock_s()
+        notices = [self._notices.describe(target, now_s)]
+        if isinstance(self._current, Alone):
+            self._local.note_notices(self._node.process, notices, now_s)
+        else:
+            self._node.send(self._current, TargetNotices(notices))
+
     # Schedulers
 
     def describe_attachment(self, is_attached: bool, is_first: bool) -> AttachAsk:
@@ -280,12 +319,14 @@
             crashes_version=self._crashes.version,
             speeds=self._held.list_speeds(now_s) if is_first else [],
             leaving=self._targets.list_leaving() if is_first else [],
+            notices=self._notices.list_notices(now_s) if is_first else [],
         )
 
     def hear(self, process: ProcessId, reply: Attached) -> None:
         """Take a scheduler's answer to a heartbeat."""
         if reply.has_targets and (process == self._current or self._is_alone()):
             self._targets.install(reply.targets, reply.targets_version)
+            self._notices.follow_list(reply.targets, read_clock_s())
             self._local.use_targets(reply.targets, read_clock_s(), is_from_peer=True)
             self._deliver_local()
         if process == self._current:
@@ -374,6 +415,7 @@
                 self._node.events.emit("targets_unread", detail=str(error), age_s=age_s)
                 continue
             self._targets.emit_spoiled(self._node.events)
+            self._notices.follow_list(self._targets.targets, read_clock_s())
             if changed and self._is_alone():
                 self._local.use_targets(self._targets.targets, read_clock_s())
                 self._deliver_local()
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from troutstand.generated.messages import Ending
 from troutstand.routing.exchange import ExchangeError, write_head
@@ -17,6 +17,7 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
+    from troutstand.core.noticebook import KeptBack
     from troutstand.generated.messages import Placed
     from troutstand.routing.dialect import HeaderNames
     from troutstand.routing.exchange import (
@@ -29,6 +30,7 @@
 MISDIRECTED = 421
 _FIRST_FAILURE = 300
 _FIRST_SUCCESS = 200
+_UNSENT = frozenset({Ending.unsent, Ending.kept_back})
 # A target may have forgotten a kept connection; what may not be repeated goes
 # only on one that was used a moment ago, or on a new one.
 _UNREPEATABLE_IDLE_S = 2.0
@@ -98,12 +100,12 @@
     @property
     def has_arrived(self) -> bool:
         """Tell whether the target may have seen the request."""
-        return self.ending is not Ending.unsent
+        return self.ending not in _UNSENT
 
     @property
     def may_have_run(self) -> bool:
         """Tell whether the target may have worked on the request."""
-        return self.ending not in (Ending.unsent, Ending.turned_away)
+        return self.has_arrived and self.ending is not Ending.turned_away
 
 
 def filter_headers(headers: Headers, drop: frozenset[str]) -> Headers:
@@ -135,12 +137,24 @@
         return _FIRST_SUCCESS <= self.head.status < _FIRST_FAILURE
 
 
+class TargetWatch(Protocol):
+    """Know which targets want to be left alone."""
+
+    def judge_target(self, placed: Placed) -> KeptBack | None:
+        """Return why nothing may be sent to a request's target now, or None."""
+        ...
+
+    def hear_target(self, request: str, placed: Placed, notice: AnswerNotice) -> None:
+        """Take what a target's answer says of the target."""
+
+
 class Sender:
     """Send requests to targets."""
 
-    def __init__(self, pool: ConnectionPool, names: HeaderNames) -> None:
+    def __init__(self, pool: ConnectionPool, names: HeaderNames, watch: TargetWatch) -> None:
         self._pool = pool
         self._names = names
+        self._watch = watch
 
     async def send(self, outgoing: Outgoing, placed: Placed, deadline_s: float) -> Sent:
         """Send a request and return its answer's head.
@@ -180,6 +194,9 @@
     async def _send_once(
         self, outgoing: Outgoing, placed: Placed, deadline_s: float, max_idle_s: float | None
     ) -> Sent:
+        kept_back = self._watch.judge_target(placed)
+        if kept_back is not None:
+            raise SendError(Ending.kept_back, f"the target is {kept_back.value}")
         connection = await self._pool.acquire(placed.address, max_idle_s)
         started_s = read_clock_s()
         try:
@@ -189,6 +206,7 @@
         except BaseException:
             connection.abort()
             raise
+        self._watch.hear_target(outgoing.request, placed, read_notice(answer, self._names))
         sent = Sent(placed, connection, answer, started_s, read_clock_s() - started_s)
         try:
             self._check_head(outgoing, answer)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -24,6 +24,7 @@
     Placed,
     ProcessState,
     Refused,
+    TargetNotices,
 )
 from troutstand.routing.decisions import (
     SCHEDULER,
@@ -42,6 +43,7 @@
 
     from troutstand.core.configuration import RouteTable
     from troutstand.core.ids import ProcessId
+    from troutstand.generated.messages import TargetNotice
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.dialect import Dialect
 
@@ -140,6 +142,8 @@
                 self.dispatcher.note_first(message, now_s)
             case Ended():
                 self.dispatcher.end(message, now_s)
+            case TargetNotices(notices):
+                self._note_notices(peer, notices, now_s)
             case Abandon(request):
                 self.dispatcher.abandon(request, now_s)
                 self._settle(peer, request, None)
@@ -150,6 +154,17 @@
         self._deliver()
         return None
 
+    def _note_notices(self, peer: ProcessId, notices: list[TargetNotice], now_s: float) -> None:
+        self.dispatcher.note_notices(peer, notices, now_s)
+        for notice in notices:
+            self.node.events.emit(
+                "target_notice_taken",
+                target=notice.target,
+                peer=peer,
+                leaving=notice.is_leaving,
+                rest_s=notice.rest_s,
+            )
+
     def _settle(self, owner: str, request: str, answer: PeerMessage | None) -> bool:
         future = self._pending.pop((owner, request), None)
         if future is None or future.done():
@@ -215,6 +230,7 @@
             self._list_wanted.set()
         self._follow_rollouts(now_s)
         self.dispatcher.note_leaving(ask.leaving)
+        self._note_notices(peer, ask.notices, now_s)
         for run in ask.running:
             self.dispatcher.adopt(run, peer, now_s)
         # Each gateway brings its part of the limits, and what was taken of it elsewhere.
