Let checks of rests and leavings place several requests at once

Cause: one request at a time went to the target with a kept connection in any case, so that 3 scenarios passed without the change that they are for.

--- a/troutstand/tests/steps/rest.py
+++ b/troutstand/tests/steps/rest.py
@@ -21,6 +21,8 @@
 
 _BEGAN_S = 100.0
 _PACE_S = 0.02
+# So many requests at once spread over three targets.
+_TOGETHER = 3
 _NEW_LIFE_MS = 1_768_089_512_914
 
 
@@ -156,7 +158,7 @@
     owner = GATEWAY if gateway == "that gateway" else gateway
     end_s = desk.now_s + length_s
     while desk.now_s < end_s:
-        found = _place_some(desk, owner, 1)
+        found = _place_some(desk, owner, _TOGETHER)
         assert set(found) <= set(targets.split(", ")) and found, (desk.now_s, found)
         desk.now_s += _PACE_S
         desk.dispatcher.tick(desk.now_s)
