--- a/troutstand/testing/engine.py
+++ b/troutstand/testing/engine.py
@@ -52,6 +52,8 @@
     duplicate: bool = False
     # A prompt that holds this text ends the process as it begins to run.
     deadly_text: str = ""
+    # Turns every request away and asks for so many seconds of rest; 0 turns none away.
+    rest_s: float = 0.0
 
 
 class EngineRecord(msgspec.Struct, frozen=True):
@@ -123,6 +125,9 @@
         """Answer a completion, from its start or from where it broke off."""
         plain: dict[str, Any] = msgspec.json.decode(await http.read())
         request = http.headers.get("X-Request-Id", "none")
+        if self.fault.rest_s:
+            self.record(EngineRecord(time.time(), request, "turned_away"))
+            return web.Response(status=503, headers={"Retry-After": f"{self.fault.rest_s:g}"})
         last = http.headers.get("Last-Event-ID")
         if last is not None and request in self.known:
             stream = self.known[request]
--- a/troutstand/testing/service.py
+++ b/troutstand/testing/service.py
@@ -28,6 +28,8 @@
     record_file: str
     run_s: float = 0.002
     checks_keys: bool = False
+    # Turns every call away and asks for so many seconds of rest; 0 turns none away.
+    rest_s: float = 0.0
 
 
 class ServiceRecord(msgspec.Struct, frozen=True):
@@ -68,9 +70,11 @@
         body = (await http.read()).decode(errors="replace")
         if self._settings.checks_keys and key in self._keys:
             return web.Response(status=409)
-        self._keys.add(key)
         record = ServiceRecord(time.time(), self._settings.name, key, http.path, body)
         self._records.write(msgspec.json.encode(record) + b"\n")
+        if self._settings.rest_s:
+            return web.Response(status=503, headers={"Retry-After": f"{self._settings.rest_s:g}"})
+        self._keys.add(key)
         await asyncio.sleep(self._settings.run_s)
         answer = ServiceAnswer(key, http.path, body)
         return web.Response(body=msgspec.json.encode(answer), content_type="application/json")
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -101,6 +101,8 @@
     drain_s: float = 20.0
     deadline_s: float = 30.0
     service_run_s: float = 0.002
+    # How long the first service worker asks callers, whom it all turns away, to rest.
+    service_rest_s: float = 0.0
     is_relayed: bool = False
     body_s: float = 30.0
 
@@ -291,6 +293,7 @@
             record_file=str(self.folder / f"{name}.records"),
             checks_keys=self.plan.checks_keys,
             run_s=self.plan.service_run_s,
+            rest_s=self.plan.service_rest_s if name.endswith("-0") else 0.0,
         )
         self._add_stand_in(name, "service", msgspec.json.encode(settings))
         self.rows.append(
--- /dev/null
+++ b/troutstand/tests/steps/domainrests.py
@@ -0,0 +1,112 @@
+"""Let targets of a failure domain ask for rest."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import msgspec
+from behave import given, then, when
+
+from troutstand.control.client import fetch
+from troutstand.testing.engine import EngineRecord, Fault
+from troutstand.testing.service import ServiceRecord
+from troutstand.testing.site import LOOKUP, Site, SitePlan
+from troutstand.tests.environment import start_site
+from troutstand.tests.steps.callers import make_chat
+from troutstand.tests.steps.serving import list_engines, set_fault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from behave.runner import Context
+
+    from troutstand.control.client import Fetched
+
+_TOKEN = "token-counter"
+_CALLERS = 8
+
+
+@given(
+    "a site of {engines:d} engines of which {resting:d} turns requests away "
+    "and asks for {rest_s:g} s of rest"
+)
+def open_engines(context: Context, engines: int, resting: int, rest_s: float) -> None:
+    context.site = start_site(context, SitePlan(engine_speeds=(1.0,) * engines))
+    context.site.find_scheduler("north")
+    context.resting = list_engines(context.site)[:resting]
+    for engine in context.resting:
+        set_fault(context.site, engine, Fault(rest_s=rest_s))
+
+
+@given("a site whose first service worker turns calls away and asks for {rest_s:g} s of rest")
+def open_services(context: Context, rest_s: float) -> None:
+    context.site = start_site(context, SitePlan(services=3, service_rest_s=rest_s))
+    context.site.find_scheduler("north")
+
+
+def _call_for(length_s: float, rate: int, call: Callable[[int], Fetched]) -> list[Fetched]:
+    """Call at a steady pace and return what came of each call."""
+    pending = []
+    with ThreadPoolExecutor(_CALLERS) as pool:
+        end_s = time.monotonic() + length_s
+        while time.monotonic() < end_s:
+            pending.append(pool.submit(call, len(pending)))
+            # The pace of the callers, no wait for anything.
+            time.sleep(1.0 / rate)
+        return [future.result() for future in pending]
+
+
+def _find_entry(site: Site, number: int):
+    return site.callers[site.entries[number % len(site.entries)]]
+
+
+@when("for {length_s:g} s {rate:d} prompts a second are asked for")
+def ask_for(context: Context, length_s: float, rate: int) -> None:
+    def ask(number: int) -> Fetched:
+        body = make_chat(messages=[{"role": "user", "content": f"prompt {number}"}])
+        entry = _find_entry(context.site, number)
+        return fetch(entry, "POST", "/v1/chat/completions", body, _TOKEN)
+
+    context.answers = _call_for(length_s, rate, ask)
+
+
+@when("for {length_s:g} s {rate:d} calls a second are made")
+def call_for(context: Context, length_s: float, rate: int) -> None:
+    def call(number: int) -> Fetched:
+        entry = _find_entry(context.site, number)
+        return fetch(entry, "GET", f"/services/{LOOKUP}/item-{number}", b"", _TOKEN)
+
+    context.answers = _call_for(length_s, rate, call)
+
+
+def _check_times(times: list[float], most: int) -> None:
+    assert times, "nothing came to the target"
+    late = [at_s for at_s in times if at_s > times[0] + 0.5]
+    assert len(late) <= most, f"{len(late)} of {len(times)} came later"
+
+
+@then("that engine got at most {most:d} requests later than 0.5 s after its first")
+def check_engine(context: Context, most: int) -> None:
+    for engine in context.resting:
+        lines = (context.site.folder / f"{engine}.records").read_bytes().splitlines()
+        records = [msgspec.json.decode(line, type=EngineRecord) for line in lines]
+        _check_times([r.at_s for r in records if r.event == "turned_away"], most)
+
+
+@then("that worker got at most {most:d} calls later than 0.5 s after its first")
+def check_worker(context: Context, most: int) -> None:
+    lines = (context.site.folder / "north-service-0.records").read_bytes().splitlines()
+    _check_times([msgspec.json.decode(li, type=ServiceRecord).at_s for li in lines], most)
+
+
+@then("every prompt is answered")
+def check_prompts(context: Context) -> None:
+    check_calls(context, 1.0)
+
+
+@then("at least {share:g} of the calls are answered with 200")
+def check_calls(context: Context, share: float) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert statuses.count(200) >= share * len(statuses), statuses
