--- a/benchmarks/decider.py
+++ b/benchmarks/decider.py
@@ -14,13 +14,13 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import aiohttp
 
 from benchmarks.report import report
 from troutstand.core.clock import HybridClock
 from troutstand.core.errors import TroutstandError
-from troutstand.core.ids import ProcessId
 from troutstand.daemon.links import Identity, Link, Traffic
 from troutstand.generated.messages import (
     AttachAsk,
@@ -46,6 +46,9 @@
 from troutstand.testing.standins import StandInList, StandInTarget
 from troutstand.util.events import EventBus
 
+if TYPE_CHECKING:
+    from troutstand.core.ids import ProcessId
+
 _SERVICE = "engine"
 _SUBNET = "91.7"
 _TARGETS = 45
--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -6,12 +6,13 @@
 import itertools
 import random
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from troutstand.core.estimate import Running, TargetEstimate
 from troutstand.core.ids import RequestId
 from troutstand.core.policy import Policy, PolicyName
 from troutstand.core.prefix import PrefixCache, Prefixes, count_tokens, hash_prefixes
-from troutstand.core.scheduler import Scheduler, Send
+from troutstand.core.scheduler import Scheduler
 from troutstand.core.table import Table, name_row
 from troutstand.generated.messages import Finished, Grant, PlacementAsk, Preempt, Shed
 from troutstand.generated.table import Model, Protocol, Target, Tier, Workspace
@@ -19,6 +20,9 @@
 from troutstand.testing.score import take_percentile
 from troutstand.testing.site import MODEL
 
+if TYPE_CHECKING:
+    from troutstand.core.shedding import Send
+
 _TICK_S = 0.05
 _REPORT_S = 2.0
 _MILLISECONDS = 1000
--- /dev/null
+++ b/troutstand/core/shedding.py
@@ -0,0 +1,172 @@
+"""Keep a failure domain's queue, and shed from it the lowest tier first."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.domainview import DomainView
+from troutstand.core.ids import RequestId
+from troutstand.core.load import PoolKey, TierCount
+from troutstand.core.queue import FairQueue, Waiting
+from troutstand.core.retry import RetrySpread
+from troutstand.generated.messages import Grant, Preempt, Shed
+
+if TYPE_CHECKING:
+    from troutstand.core.estimate import Running
+
+_MILLISECONDS = 1000
+# A waiting request may take the slot of a lower tier this long before its
+# latest start.
+PREEMPT_MARGIN_S = 0.25
+
+
+@dataclass(frozen=True)
+class Send:
+    """Send a message to an entry process."""
+
+    process: str
+    message: Grant | Shed | Preempt
+
+
+class SheddingQueue(DomainView):
+    """Hold the requests that wait in one failure domain.
+
+    Parameters
+    ----------
+    seed
+        Spreads the times at which refused callers come back.
+    """
+
+    def __init__(self, failure_domain: str, seed: int) -> None:
+        super().__init__(failure_domain)
+        self.inversions = 0
+        self._queues: dict[PoolKey, FairQueue] = {}
+        self._waiting: dict[RequestId, Waiting] = {}
+        self._retry = RetrySpread(seed)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def count_tiers(self) -> list[TierCount]:
+        """Count what waits and runs of each tier."""
+        waiting = Counter(item.ask.tier for item in self._waiting.values())
+        running = Counter(
+            run.ask.tier for target in self.targets.values() for run in target.running.values()
+        )
+        return [TierCount(name, waiting[name], running[name]) for name in self._tiers]
+
+    def is_waiting(self, request: str) -> bool:
+        """Tell whether a request waits here."""
+        return RequestId(request) in self._waiting
+
+    def _enqueue(self, waiting: Waiting) -> None:
+        key = PoolKey(waiting.rank, waiting.ask.serves)
+        self._queues.setdefault(key, FairQueue()).push(waiting)
+        self._waiting[waiting.request] = waiting
+
+    def _dequeue(self, waiting: Waiting) -> None:
+        self._queues[PoolKey(waiting.rank, waiting.ask.serves)].remove(waiting)
+        del self._waiting[waiting.request]
+
+    def _estimate_wait_s(self, waiting: Waiting, now_s: float) -> float:
+        """Estimate the wait behind everything of the same or a higher tier."""
+        pool = self._pools.get(waiting.ask.serves, [])
+        ahead = [
+            queue
+            for key, queue in self._queues.items()
+            if key.rank <= waiting.rank and key.serves == waiting.ask.serves
+        ]
+        free = sum(target.count_free(now_s) for target in pool)
+        if sum(len(queue) for queue in ahead) <= free:
+            return 0.0
+        work_s = sum(queue.expected_s for queue in ahead)
+        work_s += self._load.estimate_left_s(waiting.ask.serves, waiting.rank, now_s)
+        return work_s / max(1, sum(target.row.slots for target in pool))
+
+    # Shedding, the lowest tier first
+
+    def _shed_lowest(self, waiting: Waiting, code: ResultCode, now_s: float) -> list[Send]:
+        """Cancel lower running work for a request; shed it only where there is none.
+
+        Lower waiting work gives way before it, the lowest first. None of it is
+        shed while still lower work runs, which would turn the order round.
+        """
+        run = self._find_lower_running(waiting)
+        if run:
+            return [self._preempt(run, now_s)]
+        lower = sorted(self._find_lower_waiting(waiting), key=lambda item: -item.rank)
+        if code is ResultCode.QUEUE_FULL and lower:
+            return [self._drop(lower[0], ResultCode.SHED_OVERLOAD, now_s)]
+        if self._list_lower_running(waiting):
+            self.inversions += 1
+        sends = [self._drop(item, ResultCode.SHED_OVERLOAD, now_s) for item in lower]
+        return [*sends, self._drop(waiting, code, now_s)]
+
+    def _find_lower_waiting(self, waiting: Waiting) -> list[Waiting]:
+        if all(key.rank <= waiting.rank for key, queue in self._queues.items() if queue):
+            return []
+        usable = {target.row.name for target in self._list_usable(waiting.ask)}
+        return [
+            item
+            for item in self._waiting.values()
+            if item.rank > waiting.rank
+            and any(target.row.name in usable for target in self._list_usable(item.ask))
+        ]
+
+    def _list_lower_running(self, waiting: Waiting) -> list[Running]:
+        return [
+            run
+            for target in self._list_usable(waiting.ask)
+            for run in target.running.values()
+            if run.rank > waiting.rank and not run.preempted
+        ]
+
+    def _find_lower_running(self, waiting: Waiting) -> Running | None:
+        lower = [
+            run for run in self._list_lower_running(waiting) if self.targets[run.target].row.cancels
+        ]
+        return max(lower, key=lambda run: (run.rank, run.granted_s), default=None)
+
+    def _preempt(self, run: Running, now_s: float) -> Send:
+        run.preempted = True
+        retry_s = self._retry.spread_s(run.expected_s)
+        return Send(run.process, Preempt(run.ask.request, to_ms(retry_s)))
+
+    def _press(self, waiting: Waiting, now_s: float) -> list[Send]:
+        if now_s >= waiting.latest_start_s:
+            return self._shed_lowest(waiting, self._explain_wait(waiting), now_s)
+        run = self._find_lower_running(waiting)
+        pending = any(
+            other.preempted
+            for target in self._list_usable(waiting.ask)
+            for other in target.running.values()
+        )
+        if run is None or pending:
+            return []
+        return [self._preempt(run, now_s)]
+
+    def _explain_wait(self, waiting: Waiting) -> ResultCode:
+        use = self._workspaces.get(waiting.ask.workspace)
+        if use and use.is_full():
+            return ResultCode.WORKSPACE_LIMIT
+        return ResultCode.SHED_DEADLINE
+
+    def _drop(self, waiting: Waiting, code: ResultCode, now_s: float) -> Send:
+        self._dequeue(waiting)
+        retry_s = self._estimate_wait_s(waiting, now_s)
+        waited_ms = to_ms(now_s - waiting.submitted_s)
+        return self._shed(waiting, code, retry_s, f"tier={waiting.ask.tier} waited_ms={waited_ms}")
+
+    def _shed(self, waiting: Waiting, code: ResultCode, retry_s: float, detail: str) -> Send:
+        retry_ms = to_ms(self._retry.spread_s(retry_s))
+        return Send(waiting.process, Shed(waiting.ask.request, int(code), retry_ms, detail))
+
+
+def to_ms(seconds: float) -> int:
+    """Return whole milliseconds, none below 0."""
+    return max(0, int(seconds * _MILLISECONDS))
--- a/troutstand/core/trace.py
+++ b/troutstand/core/trace.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 import msgspec
 
-from troutstand.core.scheduler import Scheduler, Send
+from troutstand.core.scheduler import Scheduler
 from troutstand.core.table import Table
 from troutstand.generated.messages import (
     Finished,
@@ -18,6 +19,9 @@
     Withdraw,
 )
 
+if TYPE_CHECKING:
+    from troutstand.core.shedding import Send
+
 SchedulerMessage = PlacementAsk | Withdraw | Finished | RunningReport
 
 
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -10,7 +10,7 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.core.lease import LeaseHolder, LeaseVoter
-from troutstand.core.scheduler import Scheduler, Send
+from troutstand.core.scheduler import Scheduler
 from troutstand.core.trace import SchedulerMessage, TracedScheduler
 from troutstand.generated.messages import (
     Finished,
@@ -32,6 +32,7 @@
 
     from troutstand.core.follower import Follower
     from troutstand.core.ids import ProcessId
+    from troutstand.core.shedding import Send
     from troutstand.daemon.node import Node
     from troutstand.daemon.placement import Placement
 
--- a/troutstand/tests/steps/scheduler.py
+++ b/troutstand/tests/steps/scheduler.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from troutstand.core.prefix import hash_prefixes
-from troutstand.core.scheduler import Scheduler, Send
+from troutstand.core.scheduler import Scheduler
 from troutstand.core.table import Row, Table, name_row
 from troutstand.generated.messages import Finished, Grant, PlacementAsk, Preempt, Shed
 from troutstand.generated.table import (
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from troutstand.core.shedding import Send
+
 _MODEL = "m"
 _SEED = 5
 
