Log ticks of a scheduler that hold up its decisions

A tick that looks at 266 waiting requests while 15 open targets suit none of them takes 17 ms here (a dispatcher alone). The line tells whether that is it.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -90,6 +90,10 @@
         taken, self._decisions = self._decisions, []
         return taken
 
+    def count_waiting(self) -> int:
+        """Return how many requests wait for a target."""
+        return sum(len(pool.waiting) for pool in self.pools.values())
+
     # What is known of the site
 
     def use_table(self, table: RouteTable, now_s: float) -> None:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -49,6 +49,9 @@
 
 _TICK_S = 0.05
 _STANDBY_TICK_S = 0.5
+# A tick that takes this share of the time between two is logged, in seconds.
+_SLOW_TICK_S = 0.2 * _TICK_S
+_SLOW_TICK_EVERY_S = 1.0
 # Summing up the windows of all limits takes as long as a few placements.
 _LEVELS_S = 0.1
 _LIST_S = 0.9
@@ -96,6 +99,7 @@
         self._levels: tuple[float, list[Level]] = (float("-inf"), [])
         self._is_leaving = False
         self._has_list = False
+        self._slow_tick_s = float("-inf")
         self._list_wanted = asyncio.Event()
 
     async def start(self) -> None:
@@ -381,8 +385,18 @@
             self._drop_silent(now_s)
             self._follow_rollouts(now_s)
             self.dispatcher.tick(now_s)
+            self._note_tick(read_clock_s() - now_s, now_s)
             self._deliver()
 
+    def _note_tick(self, took_s: float, now_s: float) -> None:
+        """Log a tick that held up the decisions, once a second at most."""
+        if took_s < _SLOW_TICK_S or now_s - self._slow_tick_s < _SLOW_TICK_EVERY_S:
+            return
+        self._slow_tick_s = now_s
+        self.node.events.emit(
+            "tick_slow", took_ms=took_s * _THOUSANDTHS, waiting=self.dispatcher.count_waiting()
+        )
+
     def _forgive_silence(self, now_s: float) -> None:
         for seen in self._gateways.values():
             seen.heard_s = now_s
