Look at 64 waiting requests a tick, at the next ones each time

Cause: a tick of the decider looked at every waiting request, also where the open targets suit none of them (slow ones, or without memory): 17 ms for 266 and 15 open engines, each 50 ms, on two thirds of a processor. Ruled out: the processor's limit (0.41 of 0.65), the heartbeats (0.08 of a core at 73 gateways, alone).

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -36,6 +36,8 @@
 
 # How many waiting requests an event may look at in vain.
 _MAX_PASSED = 8
+# How many of them a tick looks at: each costs up to 0.07 ms with 15 open targets.
+_MAX_LOOKED = 64
 # How long a request that comes too late may wait, as a multiple of its objective.
 _LATE_PATIENCE = 0.0
 # The share of its time left that a request may wait for (chosen, not measured).
@@ -212,7 +214,7 @@
             for state in pool.targets.values():
                 if now_s >= state.blocked_until_s or state.is_probed():
                     self._judge_silence(state, now_s)
-            self._serve_queue(pool, now_s, most_passed=len(pool.waiting) + 1)
+            self._serve_next(pool, now_s)
             self._judge_waiting(pool, now_s)
 
     def _judge_silence(self, state: TargetState, now_s: float) -> None:
@@ -267,17 +269,28 @@
         if pool.count_before(waiting) < _MAX_PASSED:
             self._serve(pool, [waiting], now_s, _MAX_PASSED)
 
-    def _serve_queue(self, pool: Pool, now_s: float, most_passed: int = _MAX_PASSED) -> None:
+    def _serve_queue(self, pool: Pool, now_s: float) -> None:
         """Give free slots to those who wait, in the queue's order.
 
-        Parameters
-        ----------
-        most_passed
-            After so many that no open target suits, the others wait for the next tick.
+        After a few that no open target suits, the others wait for the next ticks.
         """
         if pool.waiting:
             ordered = sorted(pool.waiting.values(), key=_get_rank)
-            self._serve(pool, ordered, now_s, most_passed)
+            self._serve(pool, ordered, now_s, _MAX_PASSED)
+
+    def _serve_next(self, pool: Pool, now_s: float) -> None:
+        """Give free slots to some of those who wait, to the next ones at each tick.
+
+        The first of the queue are looked at with every event. With all of 266 looked at
+        each 50 ms while 15 open engines suited none, a tick took 17 ms, and 4.5 ms with
+        this (virtual clock, no load beside).
+        """
+        ordered = sorted(pool.waiting.values(), key=_get_rank)
+        first = pool.next_looked if pool.next_looked < len(ordered) else 0
+        pool.next_looked = first + _MAX_LOOKED
+        some = ordered[first : pool.next_looked]
+        if some:
+            self._serve(pool, some, now_s, len(some) + 1)
 
     def _serve(self, pool: Pool, ordered: list[Waiting], now_s: float, most_passed: int) -> None:
         # Under load there is mostly nothing open, and every ending comes here.
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -167,6 +167,8 @@
     _typical_reading: ReadingSpeed | None = None
     # Which targets take new work: several steps of each decision ask for them.
     _usable: list[TargetState] | None = None
+    # The place in the queue from which the next tick looks.
+    next_looked: int = 0
     # Until when a target may be doubted, in seconds: mostly none is, and none is looked at.
     doubts_until_s: float = float("-inf")
     _typical: dict[str, float | None] = field(default_factory=dict)
