Let the soak's targets ask for rest and say that they leave, and check that it is kept to

Targets that turn away ask for as long as they do; those that drain say so in their answers and begin a new life afterwards. The checker names more than two requests of a gateway within a rest, and requests later than 4 s after a target said that it leaves; a freeze or restart of the gateway excuses both, as does a new life.

--- a/troutstand/testing/arrivals.py
+++ b/troutstand/testing/arrivals.py
@@ -26,6 +26,8 @@
         How long the target asked the gateway not to send; 0 where it took the request.
     tells_leaving
         Whether the target's answer said that it leaves.
+    born_ms
+        When the target says that it was born; tells its lives apart.
     """
 
     request: str
@@ -33,6 +35,7 @@
     at_s: float
     rest_s: float = 0.0
     tells_leaving: bool = False
+    born_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -42,17 +45,30 @@
     gateway: str
     target: str
     asked_s: float
+    rest_s: float
     arrivals: int
 
 
+@dataclass(frozen=True)
+class _Sender:
+    """Name a gateway and one life of the target that it sent to."""
+
+    gateway: str
+    target: str
+    born_ms: int
+
+
 def _group(
     arrivals: Iterable[Arrival], results: Mapping[str, CallResult]
-) -> dict[tuple[str, str], list[Arrival]]:
+) -> dict[_Sender, list[Arrival]]:
     """Return the arrivals by gateway and target."""
-    grouped: dict[tuple[str, str], list[Arrival]] = {}
+    grouped: dict[_Sender, list[Arrival]] = {}
     for arrival in arrivals:
-        gateway = results[arrival.request].gateway
-        grouped.setdefault((gateway, arrival.target), []).append(arrival)
+        if arrival.request not in results:
+            # Its caller was still waiting when the record was closed.
+            continue
+        sender = _Sender(results[arrival.request].gateway, arrival.target, arrival.born_ms)
+        grouped.setdefault(sender, []).append(arrival)
     return grouped
 
 
@@ -61,12 +77,14 @@
 ) -> list[Crowded]:
     """Return the rests in which a gateway sent more requests than it may."""
     found: list[Crowded] = []
-    for (gateway, target), group in _group(arrivals, results).items():
+    for sender, group in _group(arrivals, results).items():
         for asked in (arrival for arrival in group if arrival.rest_s):
             first_s, last_s = asked.at_s + _ON_ITS_WAY_S, asked.at_s + asked.rest_s
             count = sum(1 for arrival in group if first_s < arrival.at_s < last_s)
             if count > most:
-                found.append(Crowded(gateway, target, asked.at_s, count))
+                found.append(
+                    Crowded(sender.gateway, sender.target, asked.at_s, asked.rest_s, count)
+                )
     return found
 
 
--- a/troutstand/testing/soak/check.py
+++ b/troutstand/testing/soak/check.py
@@ -9,14 +9,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from troutstand.testing.arrivals import find_crowded, find_late
 from troutstand.testing.standins import make_body, make_event
 
 if TYPE_CHECKING:
+    from troutstand.testing.arrivals import Arrival
     from troutstand.testing.routedcaller import CallResult
     from troutstand.testing.standins import RunRecord
 
 REFUSALS = (408, 421, 429, 503)
 _DRAIN_S = 4.0
+# For so long after a freeze or a restart a process may act on what it held before, in seconds.
+_SETTLED_S = 0.5
 _READ_SLACK_S = 2.5
 _OK = 200
 _SERVED_SHARE = 0.9
@@ -55,6 +59,15 @@
     to_s: float
 
 
+@dataclass(frozen=True)
+class Disturbed:
+    """Tell from when to when a process was frozen or restarted."""
+
+    process: str
+    from_s: float
+    to_s: float
+
+
 @dataclass(frozen=True)
 class LimitBound:
     """Tell what a workspace may take in any window."""
@@ -101,6 +114,8 @@
     sent: list[Sent] = field(default_factory=list)
     reads: list[Read] = field(default_factory=list)
     drained: list[Drained] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    disturbed: list[Disturbed] = field(default_factory=list)
     limits: list[LimitBound] = field(default_factory=list)
     exits: list[str] = field(default_factory=list)
     list_down: list[tuple[float, float]] = field(default_factory=list)
@@ -121,6 +136,8 @@
         *_check_refusals(record),
         *_check_answers(record),
         *_check_draining(record),
+        *_check_rests(record),
+        *_check_leaving(record),
         *_check_limits(record),
         *_check_reads(record),
         *_check_recovery(record),
@@ -187,6 +204,41 @@
     ]
 
 
+def _was_disturbed(record: SoakRecord, process: str, from_s: float, to_s: float) -> bool:
+    """Tell whether a process was frozen or restarted within a span, or just before it."""
+    return any(
+        disturbed.process == process
+        and disturbed.from_s < to_s
+        and disturbed.to_s > from_s - _SETTLED_S
+        for disturbed in record.disturbed
+    )
+
+
+def _check_rests(record: SoakRecord) -> list[str]:
+    results = {call.request: call for call in record.calls}
+    return [
+        f"{rest.gateway} sent {rest.arrivals} to {rest.target} in {rest.rest_s:.1f} s of rest"
+        for rest in find_crowded(record.arrivals, results)
+        if not _was_disturbed(record, rest.gateway, rest.asked_s, rest.asked_s + rest.rest_s)
+    ]
+
+
+def _check_leaving(record: SoakRecord) -> list[str]:
+    results = {call.request: call for call in record.calls}
+    told_s = {
+        (results[a.request].gateway, a.target, a.born_ms): a.at_s
+        for a in reversed(record.arrivals)
+        if a.tells_leaving and a.request in results
+    }
+    broken: list[str] = []
+    for late in find_late(record.arrivals, results, _DRAIN_S):
+        gateway = results[late.request].gateway
+        since_s = told_s[gateway, late.target, late.born_ms]
+        if not _was_disturbed(record, gateway, since_s, late.at_s):
+            broken.append(f"{gateway} sent {late.request} to {late.target} that had said it leaves")
+    return broken
+
+
 def _measure_down(record: SoakRecord, from_s: float, to_s: float) -> float:
     """Return for how long of a span nobody could read the list."""
     return sum(
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -25,10 +25,11 @@
     RoutedSite,
     wait_until,
 )
-from troutstand.testing.soak.check import Drained, LimitBound, Read, Sent, SoakRecord
+from troutstand.testing.soak.check import Disturbed, LimitBound, Read, Sent, SoakRecord
 from troutstand.testing.soak.plan import Event, Kind, draw_plan
 from troutstand.testing.soak.rollouts import FIRST_VERSION, SoakRollouts
-from troutstand.testing.standins import Fault, StandInList, StandInTarget
+from troutstand.testing.soak.targets import heal_target, trouble_target
+from troutstand.testing.standins import StandInList, StandInTarget
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -47,7 +48,6 @@
 _LIMIT_BURST = 400.0
 _LIMIT_WINDOW_S = 8.0
 _ROUTES = ("/get/", "/do/", "/do/", "/stream/", "/stream/resume/", "/stream/resume-once/")
-_FAULTS = [fault for fault in Fault if fault is not Fault.NONE]
 
 
 @dataclass(frozen=True)
@@ -148,6 +148,7 @@
         for target in self.targets:
             await target.crash()
             self.record.runs += target.runs
+            self.record.arrivals += target.arrivals
         await self.list.stop()
 
     def _spawn(self, coroutine) -> asyncio.Task[None]:  # type: ignore[no-untyped-def]
@@ -268,7 +269,8 @@
             case Kind.CUT_LINK | Kind.CUT_ONE_WAY | Kind.DELAY_LINK | Kind.RESET_LINKS:
                 await self._trouble_link(event)
             case Kind.TARGET_FAULT | Kind.TARGET_CRASH | Kind.TARGET_DRAIN:
-                await self._trouble_target(event)
+                target = self.targets[event.pick % len(self.targets)]
+                await trouble_target(target, event, self.record)
             case Kind.LIST_DOWN:
                 self.list.is_down, from_s = True, time.monotonic()
                 await asyncio.sleep(event.length_s)
@@ -280,11 +282,14 @@
                 await self._leave(event)
 
     async def _freeze(self, process: HostProcess, length_s: float) -> None:
+        began_s = time.monotonic()
         self.site.send_signal(process.name, signal.SIGSTOP)
         await asyncio.sleep(length_s)
         self.site.send_signal(process.name, signal.SIGCONT)
+        self.record.disturbed.append(Disturbed(process.name, began_s, time.monotonic()))
 
     async def _restart(self, processes: list[HostProcess], number: signal.Signals) -> None:
+        began_s = time.monotonic()
         mine = [p for p in processes if p.name not in self._expected_down]
         self._expected_down.update(process.name for process in mine)
         for process in mine:
@@ -295,6 +300,7 @@
         await asyncio.sleep(_RESTART_S)
         for process in mine:
             self._start(process)
+            self.record.disturbed.append(Disturbed(process.name, began_s, time.monotonic()))
 
     async def _wait_gone(self, process: HostProcess) -> None:
         async def is_gone() -> bool:
@@ -351,23 +357,6 @@
         proxy.set_way(source, True, Way())
         proxy.set_way(source, False, Way())
 
-    async def _trouble_target(self, event: Event) -> None:
-        target = self.targets[event.pick % len(self.targets)]
-        if event.kind is Kind.TARGET_CRASH:
-            await target.crash()
-            await asyncio.sleep(event.length_s)
-            if target._server is None:
-                await target.start()
-        elif event.kind is Kind.TARGET_DRAIN:
-            target.is_draining, from_s = True, time.monotonic()
-            await asyncio.sleep(event.length_s + 3.0)
-            self.record.drained.append(Drained(target.target, from_s, time.monotonic()))
-            target.is_draining = False
-        else:
-            target.fault = _FAULTS[event.other % len(_FAULTS)]
-            await asyncio.sleep(event.length_s)
-            target.fault = target.own_fault
-
     async def _configure(self, event: Event) -> None:
         version = next(self._versions)
         keepers = [process.name for process in self.site.list_role(RoutingRole.keeper)]
@@ -390,7 +379,7 @@
             proxy.heal()
         self.list.is_down = False
         for target in self.targets:
-            target.fault, target.is_draining = target.own_fault, False
+            heal_target(target)
             if target._server is None:
                 await target.start()
         for process in list(self.site.processes.values()):
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -120,6 +120,8 @@
     is_draining: bool = False
     version: str = ""
     address: str = ""
+    # When it says that it was born, in Unix milliseconds; 0 is not told.
+    born_ms: int = 0
     runs: list[RunRecord] = field(default_factory=list)
     ended: dict[str, str] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
@@ -214,7 +216,7 @@
     def _note_arrival(self, head: Head, rest_s: float) -> None:
         request = head.headers.get("x-request-id", "")
         now_s = time.monotonic()
-        arrival = Arrival(request, self.target, now_s, rest_s, self.tells_leaving)
+        arrival = Arrival(request, self.target, now_s, rest_s, self.tells_leaving, self.born_ms)
         self.arrivals.append(arrival)
 
     def _turn_away(self, head: Head, writer: asyncio.StreamWriter) -> None:
@@ -410,6 +412,7 @@
                 "slots": target.slots,
                 "state": "draining" if target.is_draining else "ready",
                 "version": target.version,
+                "born_ms": target.born_ms,
             }
             for target in self.targets
         ]
--- a/troutstand/tests/soak.feature
+++ b/troutstand/tests/soak.feature
@@ -19,6 +19,8 @@
       | a stream with an event twice       | got another answer  |
       | an answer whose bytes are no HTTP  | is no HTTP          |
       | a run at a leaving target          | after the list      |
+      | three runs within a rest           | of rest             |
+      | a run after a target said it leaves | had said it leaves |
       | a limit that is passed             | in a window         |
       | a configuration that went back     | was taken           |
       | a content that nobody sent         | nobody sent         |
@@ -26,6 +28,17 @@
       | no calls after the faults          | no call was sent    |
       | a process that ended by itself     | ended by itself     |
 
+  Scenario Outline: The checker allows <case>
+    Given the record of a sound soak
+    When it is doctored with <case>
+    Then the checker finds nothing
+
+    Examples:
+      | case                                      |
+      | two runs within a rest                    |
+      | three runs within a rest over a restart   |
+      | a run at a new life of a target that left |
+
   Scenario: A plan is the same for the same seed, and others differ
     Then seed 7 draws one plan twice and seed 8 another
 
--- a/troutstand/tests/steps/soak.py
+++ b/troutstand/tests/steps/soak.py
@@ -8,8 +8,10 @@
 
 from behave import given, then, when
 
+from troutstand.testing.arrivals import Arrival
 from troutstand.testing.routedcaller import CallResult
 from troutstand.testing.soak.check import (
+    Disturbed,
     Drained,
     LimitBound,
     Read,
@@ -67,6 +69,24 @@
     )
 
 
+def _arrive(record: SoakRecord, at_s: float, **fields: object) -> None:
+    """Record a call that reached a target, whether or not it ran there."""
+    request = f"a{len(record.arrivals)}"
+    record.calls.append(make_call(request, "/get/", 503, b"", at_s))
+    record.arrivals.append(Arrival(request, "t9", at_s, **fields))  # type: ignore[arg-type]
+
+
+def _rest(record: SoakRecord, arrivals: int) -> None:
+    _arrive(record, 10.0, rest_s=3.0)
+    for number in range(arrivals):
+        _arrive(record, 11.0 + 0.1 * number)
+
+
+def _leave(record: SoakRecord, born_ms: int) -> None:
+    _arrive(record, 10.0, tells_leaving=True)
+    _arrive(record, 15.0, born_ms=born_ms)
+
+
 @when("it is doctored with {fault}")
 def doctor(context: Context, fault: str) -> None:
     record = context.record
@@ -101,6 +121,17 @@
             del record.calls[4], record.runs[4]
         case "a process that ended by itself":
             record.exits.append("gateway-1 with 1")
+        case "three runs within a rest":
+            _rest(record, arrivals=3)
+        case "two runs within a rest":
+            _rest(record, arrivals=2)
+        case "three runs within a rest over a restart":
+            _rest(record, arrivals=3)
+            record.disturbed.append(Disturbed("gateway-1", 10.5, 11.0))
+        case "a run after a target said it leaves":
+            _leave(record, born_ms=0)
+        case "a run at a new life of a target that left":
+            _leave(record, born_ms=5)
         case _:
             raise AssertionError(fault)
 
