--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -170,3 +170,39 @@
     order = [Verdict.OWED, Verdict.SPARE, Verdict.REFUSED]
     assert verdicts == sorted(verdicts, key=order.index), verdicts
     assert set(verdicts) == set(order), verdicts
+
+
+# Many small amounts
+
+
+@when("{count:d} requests come within {length_s:d} s, and half of them give back what they took")
+def take_many(context: Context, count: int, length_s: int) -> None:
+    quotas = _make_quotas(context, 0.0)
+    context.kept = []
+    for number in range(count):
+        now_s = number * length_s / count
+        judged = quotas.take("w", 100.0, now_s)
+        assert judged.verdict is not Verdict.REFUSED, judged
+        if number % 2:
+            quotas.give_back("w", 100.0, now_s, now_s + 0.3 * (number % 3))
+        else:
+            context.kept.append(now_s)
+    context.window = quotas._limits["w"].window
+
+
+@then("the window holds at most {most:d} amounts")
+def check_amounts(context: Context, most: int) -> None:
+    assert len(context.window) <= most, len(context.window)
+
+
+@then("it holds what was taken and not given back, to the token")
+def check_total(context: Context) -> None:
+    assert abs(context.window.total - 100.0 * len(context.kept)) < 1e-6, context.window.total
+
+
+@then("nothing leaves it sooner than {length_s:g} s after it was taken")
+def check_leaving(context: Context, length_s: float) -> None:
+    for now_s in (9.0, 10.0, 12.0, 16.0):
+        context.window.advance(now_s)
+        owed = 100.0 * sum(1 for at_s in context.kept if at_s > now_s - length_s)
+        assert context.window.total >= owed - 1e-6, (now_s, context.window.total, owed)
