--- a/troutstand/tests/steps/worstload.py
+++ b/troutstand/tests/steps/worstload.py
@@ -5,10 +5,13 @@
 from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from behave import given, then, when
 
+from troutstand.core.targetstate import TargetState
 from troutstand.core.tiers import DEFAULT_ORDER
+from troutstand.generated.messages import Ended, Ending, FirstByte
 from troutstand.generated.routing import RoutingSettings, TierOrder
 from troutstand.testing.worstload import Replay, read_arrivals
 from troutstand.tests.steps.dispatch import Desk
@@ -17,7 +20,7 @@
     from behave.runner import Context
 
     from troutstand.core.pool import Pool, Waiting
-    from troutstand.core.targetstate import TargetState
+    from troutstand.generated.messages import RoutedWork
 
 _TRACE = Path(__file__).resolve().parents[3] / "traces" / "worst-load.csv"
 _ENGINES = 45
@@ -137,3 +140,33 @@
 def check_last(context: Context, ticks: int) -> None:
     context.desk.pass_time(ticks * 0.05)
     assert context.last in context.desk.placed
+
+
+@when("a request begins to answer at one of the open engines, and one ends there")
+def happen(context: Context) -> None:
+    desk = context.desk
+    pool = desk.dispatcher.pools["work"]
+    state = pool.list_open(desk.now_s)[0]
+    (request,) = state.running
+    fits = TargetState.has_memory
+    looked: list[str] = []
+
+    def note(self: TargetState, work: RoutedWork, memory_tokens: int) -> bool:
+        looked.append(self.listed.target)
+        return fits(self, work, memory_tokens)
+
+    with patch.object(TargetState, "has_memory", note):
+        desk.dispatcher.note_first(FirstByte(request, state.listed.target, 0.1), desk.now_s)
+        context.after_first = list(looked)
+        looked.clear()
+        small = desk.placed.pop(request)
+        desk.dispatcher.end(Ended(request, small, Ending.turned_away), desk.now_s)
+    context.after_end = looked
+    context.target = state.listed.target
+
+
+@then("no other engine was looked at, and that one at most {most:d} times for each")
+def check_one(context: Context, most: int) -> None:
+    for looked in (context.after_first, context.after_end):
+        assert set(looked) <= {context.target}, Counter(looked)
+        assert len(looked) <= most, len(looked)
