Look only at the target at which something happened

Cause: each first byte, end and withdrawal made the decider look at the first 8 of its queue and all open targets, also those at which nothing had happened since the last look: 0.46 ms with 249 waiting and 15 open engines that suit none, 0.11 ms with this. Ticks still look at all.

A target that leaves while requests end there gives its places to nobody (two rows of rest.feature, red without the check).

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -16,6 +16,7 @@
 from troutstand.core.pool import Pool, Waiting
 from troutstand.core.quota import Judgement, Verdict
 from troutstand.core.reach import Reach
+from troutstand.core.rollouts.admission import Standing
 from troutstand.core.siteview import SiteView
 from troutstand.core.targetstate import Running, TargetState, measure_service
 from troutstand.generated.messages import Declined, Ending, Placed
@@ -172,7 +173,7 @@
             self._leave_queue(pool, request, now_s)
             for state in pool.targets.values():
                 if state.finish(request) is not None:
-                    self._serve_queue(pool, now_s)
+                    self._serve_from(pool, state, now_s)
 
     def note_first(self, first: FirstByte, now_s: float) -> None:
         """Learn that a target began to answer."""
@@ -186,9 +187,8 @@
                     state.learn_reading(run, first.first_s, pool.know_reading(state))
                     pool.forget_typical()
                 state.remember(run.work.model, run.work.parts)
-                if state.is_open(now_s):
-                    # It has less to read now, and suits some that would not have it before.
-                    self._serve_queue(pool, now_s)
+                # It has less to read now, and suits some that would not have it before.
+                self._serve_from(pool, state, now_s)
 
     def end(self, ended: Ended, now_s: float) -> None:
         """Free a request's slot and learn from how it ended."""
@@ -206,7 +206,7 @@
                 is_kept = ended.ending in (Ending.whole, Ending.failed)
                 state.note_released(run.owner, is_kept, now_s)
                 self._learn_ending(pool, state, run, ended, now_s)
-            self._serve_queue(pool, now_s)
+            self._serve_from(pool, state, now_s)
 
     def tick(self, now_s: float) -> None:
         """Do what time alone brings about."""
@@ -278,6 +278,24 @@
             ordered = sorted(pool.waiting.values(), key=_get_rank)
             self._serve(pool, ordered, now_s, _MAX_PASSED)
 
+    def _serve_from(self, pool: Pool, state: TargetState, now_s: float) -> None:
+        """Give the free slots of a target at which something happened to those who wait.
+
+        The other open ones were looked at when something happened there, and are by the
+        ticks. Looked at each time, 15 open engines that suited nobody took 0.46 ms of each
+        first byte and each end, and 0.11 ms with this (249 waiting, virtual clock).
+        """
+        if not pool.waiting or not state.is_ready or not state.is_open(now_s):
+            return
+        ordered = sorted(pool.waiting.values(), key=_get_rank)
+        match state.standing:
+            case Standing.OPEN:
+                self._serve_open(pool, ordered, [state], [], now_s, _MAX_PASSED)
+            case Standing.CANARY:
+                self._serve_open(pool, ordered, [], [state], now_s, _MAX_PASSED)
+            case Standing.CLOSED:
+                pass
+
     def _serve_next(self, pool: Pool, now_s: float) -> None:
         """Give free slots to some of those who wait, to the next ones at each tick.
 
@@ -293,11 +311,21 @@
             self._serve(pool, some, now_s, len(some) + 1)
 
     def _serve(self, pool: Pool, ordered: list[Waiting], now_s: float, most_passed: int) -> None:
-        # Under load there is mostly nothing open, and every ending comes here.
         open_ = pool.list_open(now_s)
         canaries = pool.list_canaries(now_s)
-        if not open_ and not canaries:
-            return
+        if open_ or canaries:
+            self._serve_open(pool, ordered, open_, canaries, now_s, most_passed)
+
+    def _serve_open(
+        self,
+        pool: Pool,
+        ordered: list[Waiting],
+        open_: list[TargetState],
+        canaries: list[TargetState],
+        now_s: float,
+        most_passed: int,
+    ) -> None:
+        """Give free slots of some targets to those who wait, in their order."""
         outlook = pool.describe_busy(now_s)
         passed = 0
         for waiting in ordered:
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -10,7 +10,6 @@
 from troutstand.core.rollouts.admission import Standing
 from troutstand.core.rollouts.trial import Trial, TypicalTimes
 from troutstand.core.speed import ReadingSpeed
-from troutstand.generated.messages import ListedState
 
 if TYPE_CHECKING:
     from troutstand.core.targetstate import Running, TargetState
@@ -185,11 +184,7 @@
         return self._usable
 
     def _list_ready(self) -> list[TargetState]:
-        return [
-            t
-            for t in self.targets.values()
-            if t.listed.state is ListedState.ready and not t.is_leaving
-        ]
+        return [t for t in self.targets.values() if t.is_ready]
 
     def judge_versions(self) -> None:
         """Find out anew which targets may get requests, by the list and their versions."""
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -9,6 +9,7 @@
 from troutstand.core.rest import Rest
 from troutstand.core.rollouts.admission import Standing
 from troutstand.core.speed import ReadingFit, ReadingSpeed, ReadingSums, Speed
+from troutstand.generated.messages import ListedState
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -80,6 +81,11 @@
     # Whether an answer or another list said that it leaves, whatever the list here shows.
     is_leaving: bool = False
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the target takes new work at all, as far as is known."""
+        return self.listed.state is ListedState.ready and not self.is_leaving
+
     @property
     def free_slots(self) -> int:
         """Return how many more requests the target works on at once."""
--- a/troutstand/tests/rest.feature
+++ b/troutstand/tests/rest.feature
@@ -93,6 +93,18 @@
     And the list of targets is read again
     Then requests of gateway-2 go to t2, t3 only for 2.9 s
 
+  Scenario Outline: What ends at a target that leaves makes room for nobody
+    Given every target is full
+    And a request of gateway-1 waits
+    When <leaving>
+    And a request at t1 ends whole
+    Then the one that waits has no target
+
+    Examples:
+      | leaving                                    |
+      | t1 tells gateway-1 that it leaves          |
+      | the list of targets shows t1 as draining   |
+
   Scenario: A target that was shown as leaving and is ready again gets work
     When t1 tells gateway-1 that it leaves
     And the list of targets shows t1 as draining, then as ready
--- a/troutstand/tests/steps/rest.py
+++ b/troutstand/tests/steps/rest.py
@@ -110,14 +110,30 @@
     desk.dispatcher.use_targets([first, *before[1:]], desk.now_s)
 
 
-@when("the list of targets shows t1 as draining, then as ready")
-def read_back(context: Context) -> None:
+@when("the list of targets shows t1 as draining")
+def read_draining(context: Context) -> None:
     desk = context.desk
     first = msgspec.structs.replace(desk.listed[0], state=ListedState.draining)
     desk.dispatcher.use_targets([first, *desk.listed[1:]], desk.now_s)
+
+
+@when("the list of targets shows t1 as draining, then as ready")
+def read_back(context: Context) -> None:
+    read_draining(context)
     read_again(context)
 
 
+@when("a request at t1 ends whole")
+def end_one(context: Context) -> None:
+    desk = context.desk
+    desk.end(next(name for name, target in desk.placed.items() if target == "t1"))
+
+
+@then("the one that waits has no target")
+def check_unplaced(context: Context) -> None:
+    assert context.request not in context.desk.placed
+
+
 @when("a gateway that attaches brings that t1 leaves and t2 wants {rest_s:g} s of rest")
 def attach(context: Context, rest_s: float) -> None:
     notices = [TargetNotice("t1", is_leaving=True), TargetNotice("t2", rest_s=rest_s)]
--- a/troutstand/tests/worstload.feature
+++ b/troutstand/tests/worstload.feature
@@ -37,8 +37,8 @@
     Then it has an engine within 5 ticks
 
   # Each first byte and each end made the decider look at the first 8 of the queue and all open
-  # engines, which nothing had happened to: with 15 of them 0.7 ms each. 700 ends and 700 first
-  # bytes a second took longer than a second, in which its log had gaps of 84 ms.
+  # engines, which nothing had happened to: with 15 of them 0.46 ms each, so that 700 ends and
+  # 700 first bytes a second take two thirds of a processor, which is all that a decider has.
   Scenario: What happens at one engine makes nobody look at the others again
     Given 266 requests wait, and 15 engines are open that suit none of them
     When a request begins to answer at one of the open engines, and one ends there
