--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -154,8 +154,9 @@
             process.settings = msgspec.structs.replace(process.settings, first_start=False)
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
-        """Signal a process that this site started."""
-        child = self.processes[name].child
+        """Signal a process that this site started, if it is still one of the site's."""
+        process = self.processes.get(name)
+        child = process.child if process is not None else None
         if child is not None and child.poll() is None:
             child.send_signal(number)
 
