--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -24,6 +24,23 @@
     When a answers
     Then a gateway that asks a asks a
 
+  # A scheduler was frozen amid a burst, and 43 of 73 gateways moved to the next one within
+  # 0.4 s. It took them in, with what they brought and what had waited, for more than 0.3 s.
+  # 17 gateways found it silent meanwhile and moved to a third: for 1.5 s two schedulers filled
+  # the same targets, unheard of each other ("gateway_attached" of 23 gateways at the one and
+  # of 8 at the other in one tenth of a second, "asks another scheduler" 0.06 s later).
+  Scenario: A scheduler that was just moved to is given time to take all gateways in
+    Given schedulers a, b and c that answered 9, 0.6 and 0.1 s ago
+    And b was moved to 0.6 s ago and has not answered for 0.6 s
+    Then a gateway that asks b asks b
+    When b was moved to 1.1 s ago and has not answered for 1.1 s
+    Then a gateway that asks b asks c
+
+  Scenario: A scheduler that was moved to long ago is left as soon as any other
+    Given schedulers a, b and c that answered 9, 0.6 and 0.1 s ago
+    And b was moved to 3 s ago and has not answered for 0.5 s
+    Then a gateway that asks b asks c
+
   Scenario: A gateway that stood still does not take it for the silence of a scheduler
     Given schedulers a, b and c that answered 2, 2 and 2 s ago
     And a is heard every 0.7 s and has not answered for 2 s
--- a/troutstand/tests/steps/schedulerwatch.py
+++ b/troutstand/tests/steps/schedulerwatch.py
@@ -66,6 +66,16 @@
     watch.note_asked(_NOW_S - silent_s)
 
 
+@given("{name} was moved to {moved_s:g} s ago and has not answered for {silent_s:g} s")
+@when("{name} was moved to {moved_s:g} s ago and has not answered for {silent_s:g} s")
+def set_moved(context: Context, name: str, moved_s: float, silent_s: float) -> None:
+    watch = context.watches[ProcessId(name)]
+    watch.heard_s = _NOW_S - silent_s
+    watch.note_moved(_NOW_S - moved_s)
+    watch.note_answered()
+    watch.note_asked(_NOW_S - silent_s)
+
+
 @when("{name} answers")
 def answer(context: Context, name: str) -> None:
     context.watches[ProcessId(name)].note_answered()
