--- a/troutstand/tests/platform.feature
+++ b/troutstand/tests/platform.feature
@@ -7,6 +7,10 @@
   Scenario: No module elsewhere knows a name of the platform
     Then no source outside platform/ and deploy/ holds a name that the translation knows
 
+  Scenario: A worker's own header for leaving is read
+    When a worker's answer says in the platform's words that it leaves
+    Then it is read as a target that leaves
+
   Scenario: A configuration comes over whole
     Given the platform's example configuration
     Then its routes, services, workspaces and limits are the product's
--- a/troutstand/tests/rest.feature
+++ b/troutstand/tests/rest.feature
@@ -174,6 +174,3 @@
       | answer                             |
       | that it is full and wants rest     |
       | in full and that it leaves         |
-
-  Scenario: The platform's own names for these are read
-    Then the platform's answers tell of leaving by server-leaving
--- a/troutstand/tests/steps/platform.py
+++ b/troutstand/tests/steps/platform.py
@@ -18,6 +18,8 @@
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import ListedState, RolloutOrder, RolloutState
 from troutstand.generated.routing import RoutingRole, RoutingSettings
+from troutstand.routing.exchange import AnswerHead
+from troutstand.routing.notices import read_notice
 from troutstand.routing.startup import check_routing_settings
 
 if TYPE_CHECKING:
@@ -165,6 +167,18 @@
     assert not found, found
 
 
+@when("a worker's answer says in the platform's words that it leaves")
+def read_leaving(context: Context) -> None:
+    names = load_folder()[1].PLATFORM_DIALECT.headers
+    index = {"server-leaving": "1"}
+    context.notice = read_notice(AnswerHead(200, list(index.items()), index), names)
+
+
+@then("it is read as a target that leaves")
+def check_leaving(context: Context) -> None:
+    assert context.notice.is_leaving
+
+
 @given("the platform's example configuration")
 def use_example(context: Context) -> None:
     context.body = copy.deepcopy(_EXAMPLE)
--- a/troutstand/tests/steps/rest.py
+++ b/troutstand/tests/steps/rest.py
@@ -14,7 +14,6 @@
 from troutstand.routing.exchange import AnswerHead
 from troutstand.routing.notices import read_notice
 from troutstand.tests.steps.dispatch import GATEWAY, Desk
-from troutstand.tests.steps.platform import load_folder
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -333,8 +332,3 @@
 def check_kept_back(context: Context) -> None:
     assert context.outcomes[1] == "kept_back", context.outcomes
     assert len(context.target.received) == 1
-
-
-@then("the platform's answers tell of leaving by {name}")
-def check_name(context: Context, name: str) -> None:
-    assert load_folder()[1].PLATFORM_DIALECT.headers.leaving == name
