Count a request as sent that was written before its target asked for rest

Cause: found in a read of the change: where a kept connection failed after the request was written, and its target had asked for rest meanwhile, the request counted as kept back, so that it could be refused as not run. A scenario failed before (kept_back) and passes now (broken). What gateways bring of notices when they attach is counted in gateway_attached, not logged one by one.

--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -167,6 +167,7 @@
         fresh = False
         was_written = False
         while True:
+            self._check_may_send(placed, was_written)
             max_idle_s = None if outgoing.is_repeatable else _UNREPEATABLE_IDLE_S
             if fresh:
                 max_idle_s = 0.0
@@ -191,12 +192,19 @@
                 # The target had forgotten the connection; a new one tells more.
                 fresh = True
 
+    def _check_may_send(self, placed: Placed, was_written: bool) -> None:
+        """Keep a request back from a target that wants to be left alone.
+
+        Written on a kept connection that failed, it may have run all the same.
+        """
+        kept_back = self._watch.judge_target(placed)
+        if kept_back is not None:
+            ending = Ending.broken if was_written else Ending.kept_back
+            raise SendError(ending, f"the target is {kept_back.value}", was_resent=was_written)
+
     async def _send_once(
         self, outgoing: Outgoing, placed: Placed, deadline_s: float, max_idle_s: float | None
     ) -> Sent:
-        kept_back = self._watch.judge_target(placed)
-        if kept_back is not None:
-            raise SendError(Ending.kept_back, f"the target is {kept_back.value}")
         connection = await self._pool.acquire(placed.address, max_idle_s)
         started_s = read_clock_s()
         try:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -234,7 +234,7 @@
             self._list_wanted.set()
         self._follow_rollouts(now_s)
         self.dispatcher.note_leaving(ask.leaving)
-        self._note_notices(peer, ask.notices, now_s)
+        self.dispatcher.note_notices(peer, ask.notices, now_s)
         for run in ask.running:
             self.dispatcher.adopt(run, peer, now_s)
         # Each gateway brings its part of the limits, and what was taken of it elsewhere.
@@ -251,6 +251,7 @@
             speeds=len(ask.speeds),
             limits=len(ask.levels),
             crashers=len(ask.crashes),
+            notices=len(ask.notices),
             fullest=max((sum(level.taken) / _THOUSANDTHS for level in ask.levels), default=0.0),
             gateways=len(self._gateways),
         )
--- a/troutstand/tests/relay.feature
+++ b/troutstand/tests/relay.feature
@@ -47,6 +47,12 @@
     When two repeatable requests are sent one after the other
     Then the second outcome is broken, since the target is gone
 
+  Scenario: A request that was written before its target asked for rest counts as sent
+    Given a target that answers in full, resets at the next request, then answers in full
+    And the target asks for rest while the second request is under way
+    When two repeatable requests are sent one after the other
+    Then the second outcome is broken and the target saw 2 requests
+
   Scenario: An unrepeatable request is not sent twice on a forgotten connection
     Given a target that answers in full, resets at the next request, then answers in full
     When two unrepeatable requests are sent one after the other
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -9,7 +9,7 @@
 import msgspec
 from behave import given, then, when
 
-from troutstand.core.noticebook import NoticeBook
+from troutstand.core.noticebook import KeptBack, NoticeBook
 from troutstand.generated.configuration import RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Placed
 from troutstand.routing.calls import Call, make_outgoing
@@ -23,7 +23,6 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from troutstand.core.noticebook import KeptBack
     from troutstand.routing.notices import AnswerNotice
 
 _REQUEST = "request-1"
@@ -112,11 +111,16 @@
 class NoticeWatch:
     """Keep what targets said of themselves, as a gateway does."""
 
-    def __init__(self) -> None:
+    def __init__(self, looks_before_rest: int | None = None) -> None:
         self.book = NoticeBook()
+        self._looks_before_rest = looks_before_rest
 
     def judge_target(self, placed: Placed) -> KeptBack | None:
         """Return why nothing may be sent to a request's target now, or None."""
+        if self._looks_before_rest is not None:
+            if not self._looks_before_rest:
+                return KeptBack.RESTING
+            self._looks_before_rest -= 1
         return self.book.judge(placed.target, placed.born_ms, time.monotonic())
 
     def hear_target(self, request: str, placed: Placed, notice: AnswerNotice) -> None:
@@ -131,7 +135,7 @@
         await target.start()
         context.address = target.address
     pool = ConnectionPool(1.0)
-    sender = Sender(pool, HeaderNames(), NoticeWatch())
+    sender = Sender(pool, HeaderNames(), NoticeWatch(context.looks_before_rest))
     context.outcomes = []
     for outgoing in outgoings:
         placed = Placed(_REQUEST, "t1", context.address)
@@ -162,12 +166,20 @@
 @given("an address where nothing listens")
 def use_nothing(context: Context) -> None:
     context.target = None
+    context.looks_before_rest = None
     context.address = "127.0.0.1:9"
 
 
 @given("a target that answers {answer}")
 def use_target(context: Context, answer: str) -> None:
     context.target = ScriptedTarget(_REPLIES[answer])
+    context.looks_before_rest = None
+
+
+@given("the target asks for rest while the second request is under way")
+def ask_meanwhile(context: Context) -> None:
+    # One look before the first request, one before the second is written.
+    context.looks_before_rest = 2
 
 
 @when("two {kind} requests are sent one after the other")
