Do not refuse a request for a short wait since it has spent time elsewhere

Cause: a request that had waited for a scheduler that stood still came to the next one with 0.32 s of its 0.4 s spent, and was refused with 3001 at once, though a place would have taken 10 ms: it counted neither as in time nor as late by what it had spent. Change: one that would be in time here had it just come is late by what it has spent, and may wait.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -420,14 +420,16 @@
         wait_s = pool.estimate_wait(pool.count_ahead(waiting), now_s)
         if wait_s <= waiting.patience_s:
             return
-        # Too late for its objective, so that it goes behind those that can make theirs.
+        # With its whole time before it, it would have been in time here: it is late by what
+        # it has spent, be it with a scheduler that stood still, and not by the queue.
+        is_late_by_spent = wait_s <= waiting.full_patience_s
+        # It goes behind those that can make their objective.
         waiting.mark_late()
         wait_s = pool.estimate_wait(pool.count_ahead(waiting), now_s)
         most_s = min(
             _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
         )
-        if waiting.work.spent_s >= waiting.full_patience_s:
-            # It is late by what it has spent, not by the queue here.
+        if is_late_by_spent or waiting.work.spent_s >= waiting.full_patience_s:
             most_s = max(most_s, waiting.full_patience_s)
         if wait_s > most_s:
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -16,6 +16,7 @@
 from troutstand.core.retries import RetryBudget
 from troutstand.core.seenspeeds import SeenSpeeds
 from troutstand.generated.messages import (
+    Declined,
     Ended,
     Ending,
     Hold,
@@ -257,6 +258,12 @@
     assert not context.dispatcher.take_decisions()
 
 
+@then("it is refused there")
+def check_refused(context: Context) -> None:
+    (decision,) = context.dispatcher.take_decisions()
+    assert isinstance(decision.answer, Declined), decision
+
+
 @given("a scheduler that takes over from an older list of {targets:d} targets")
 def use_old_list(context: Context, targets: int) -> None:
     context.dispatcher = _make_dispatcher(targets, None)
--- a/troutstand/tests/takeover.feature
+++ b/troutstand/tests/takeover.feature
@@ -46,6 +46,21 @@
     When the slot gets free there
     Then the one that moved has it
 
+  # After a scheduler was frozen, one or two calls a time were refused by the next one with
+  # "waited_s=0.000 expected_s=0.010 queue=2": they had spent 0.32 s of 0.4 s, not enough to
+  # count as late by that, and too much for the 10 ms that a place would have taken.
+  Scenario: A request that moves nearly late is not refused for a short wait
+    Given a scheduler whose only slot is taken and gets free every 0.1 s
+    When a request moves there with 0.25 of 0.4 s spent
+    Then it waits there
+    When the slot gets free there
+    Then the one that moved has it
+
+  Scenario: A request that has just come is still refused where it cannot be in time
+    Given a scheduler whose only slot is taken and gets free every 0.5 s
+    When a request moves there with 0 of 0.4 s spent
+    Then it is refused there
+
   Scenario: A scheduler with an old list gives nothing to a target that a gateway knows to leave
     Given a scheduler that takes over from an older list of 2 targets
     When a gateway tells that the first target is leaving, and asks twice
