--- /dev/null
+++ b/troutstand/core/refusing.py
@@ -0,0 +1,156 @@
+"""Refuse those who wait for a target of a site and cannot be served in time."""
+
+from __future__ import annotations
+
+from operator import attrgetter
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.crashes import Blame
+from troutstand.core.decision import Decision, decline_quarantined
+from troutstand.core.siteview import SiteView
+from troutstand.core.targetstate import measure_service
+from troutstand.generated.messages import Declined
+
+if TYPE_CHECKING:
+    from troutstand.core.crashes import CrashBook
+    from troutstand.core.pool import Pool, Waiting
+    from troutstand.core.quota import Quotas
+    from troutstand.generated.messages import RoutedWork
+
+# How long a request that comes too late may wait, as a multiple of its objective.
+_LATE_PATIENCE = 0.0
+# The share of its time left that a request may wait for (chosen, not measured).
+_MAX_WAIT_SHARE = 0.4
+# A late request that has waited for so many objectives is refused: those that find no
+# slot by then wait until their callers leave (953 of 18,175 requests of a day of 200
+# hosts ended without any answer; on a day of 9 hosts 77.7 of worth, and 0 with this).
+_MAX_LATE_WAIT = 2.0
+# The least and the most time to come back that a caller is told, in seconds, and how
+# long requests wait where a service has no target (chosen, not measured).
+_MIN_RETRY_AFTER_S = 0.1
+_MAX_RETRY_AFTER_S = 5.0
+_NO_TARGET_WAIT_S = 0.3
+# An estimated wait may be too long by this share of a request's patience before it counts
+# as overtaken, since the estimate moves with every arrival (chosen, not measured).
+_OVERTAKEN_MARGIN = 0.2
+
+
+_get_shed_rank = attrgetter("shed_rank")
+
+
+class RefusingQueue(SiteView):
+    """Hold who waits at a site, and refuse who cannot be served in time."""
+
+    def __init__(self, quotas: Quotas, crashes: CrashBook) -> None:
+        super().__init__()
+        self.quotas = quotas
+        self.crashes = crashes
+        self._decisions: list[Decision] = []
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the decisions since the last call."""
+        taken, self._decisions = self._decisions, []
+        return taken
+
+    def _leave_queue(self, pool: Pool, request: str, now_s: float) -> None:
+        waiting = pool.waiting.pop(request, None)
+        if waiting is not None and waiting.work.attempt == 1:
+            work = waiting.work
+            self.quotas.give_back(work.workspace, work.charge, waiting.arrived_s, now_s)
+
+    def _refuse_quarantined(self, now_s: float) -> None:
+        """Refuse those that wait for a trial which has turned out badly."""
+        for pool in self.pools.values():
+            for waiting in list(pool.waiting.values()):
+                work = waiting.work
+                if self.crashes.judge(work.fingerprint, now_s) is Blame.QUARANTINED:
+                    self._leave_queue(pool, work.request, now_s)
+                    self._quarantine(work, waiting.owner, now_s)
+
+    def _quarantine(self, work: RoutedWork, owner: str, now_s: float) -> None:
+        declined = decline_quarantined(work.request, self.crashes.explain(work.fingerprint, now_s))
+        self._decisions.append(Decision(owner, declined))
+
+    def _judge_arrival(self, pool: Pool, waiting: Waiting, now_s: float) -> None:
+        if not pool.list_usable():
+            return
+        pool.judge_time(waiting)
+        if self._refuse_resting(pool, waiting, now_s):
+            return
+        wait_s = pool.estimate_wait(pool.count_ahead(waiting), now_s)
+        if wait_s <= waiting.patience_s:
+            return
+        # With its whole time before it, it would have been in time here: it is late by what
+        # it has spent, be it with a scheduler that stood still, and not by the queue.
+        is_late_by_spent = wait_s <= waiting.full_patience_s
+        # It goes behind those that can make their objective.
+        waiting.mark_late()
+        wait_s = pool.estimate_wait(pool.count_ahead(waiting), now_s)
+        most_s = min(
+            _LATE_PATIENCE * waiting.work.objective_s, _MAX_WAIT_SHARE * waiting.work.remaining_s
+        )
+        if is_late_by_spent or waiting.work.spent_s >= waiting.full_patience_s:
+            most_s = max(most_s, waiting.full_patience_s)
+        if wait_s > most_s:
+            self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
+
+    def _refuse_resting(self, pool: Pool, waiting: Waiting, now_s: float) -> bool:
+        """Refuse who must leave all targets alone for longer than there is time.
+
+        Otherwise the request is held until it is late and then refused all the same.
+        """
+        rest_s = pool.measure_rest(waiting.owner, now_s)
+        if rest_s <= 0.0 or waiting.can_be_in_time(now_s + rest_s):
+            return False
+        self._refuse(pool, waiting, ResultCode.TARGETS_RESTING, rest_s, now_s)
+        return True
+
+    def _judge_waiting(self, pool: Pool, now_s: float) -> None:
+        """Refuse who can no longer be served in time, the later ones first."""
+        has_targets = bool(pool.list_usable())
+        ordered = sorted(pool.waiting.values(), key=_get_shed_rank)
+        turn_s = pool.measure_turn(now_s)
+        for ahead, waiting in reversed(list(enumerate(ordered))):
+            waited_here_s = now_s - waiting.arrived_s
+            waited_s = waited_here_s + waiting.work.spent_s
+            wait_s = (ahead + 1) * turn_s
+            if now_s + measure_service(pool.hold_s or 0.0) * 0.5 > waiting.deadline_s:
+                self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
+            elif not has_targets:
+                if waited_here_s > _NO_TARGET_WAIT_S:
+                    self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
+            elif self._refuse_resting(pool, waiting, now_s):
+                continue
+            elif not waiting.is_late and waiting.can_be_in_time(now_s):
+                self._judge_overtaken(pool, waiting, wait_s, now_s)
+            elif waiting.is_late and waited_s > _MAX_LATE_WAIT * waiting.work.objective_s:
+                self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
+            elif not waiting.is_late and not waiting.can_be_in_time(now_s):
+                waiting.mark_late()
+
+    def _judge_overtaken(self, pool: Pool, waiting: Waiting, wait_s: float, now_s: float) -> None:
+        """Refuse who was overtaken as soon as it is clear that no slot will come in time.
+
+        Done in the first quarter of the objective only, 4,537 and 4,957 requests were in
+        time on two overloaded days of 9 hosts; done at any time, 4,560 and 5,083.
+        """
+        margin_s = _OVERTAKEN_MARGIN * waiting.full_patience_s
+        if not waiting.can_be_in_time(now_s + wait_s - margin_s):
+            total_s = now_s - waiting.arrived_s + wait_s
+            self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, total_s, now_s)
+
+    def _refuse(
+        self, pool: Pool, waiting: Waiting, code: ResultCode, wait_s: float, now_s: float
+    ) -> None:
+        self._leave_queue(pool, waiting.work.request, now_s)
+        waited_s = now_s - waiting.arrived_s
+        reason = f"waited_s={waited_s:.3f} expected_s={wait_s:.3f} queue={len(pool.waiting)}"
+        self._decline(waiting.work, waiting.owner, code, wait_s, reason)
+
+    def _decline(
+        self, work: RoutedWork, owner: str, code: ResultCode, wait_s: float, reason: str
+    ) -> None:
+        retry_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
+        declined = Declined(work.request, int(code), retry_s, reason)
+        self._decisions.append(Decision(owner, declined))
