Compare the lives of targets in one place

Cause: found in a read of the change: the gateway's book compared them by a line of its own. Behaviour unchanged: 120 scenarios of rest, lives, dispatch, takeover and platform pass.

--- a/troutstand/core/noticebook.py
+++ b/troutstand/core/noticebook.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from troutstand.core.lives import is_same_life
 from troutstand.generated.messages import ListedState, TargetNotice
 
 if TYPE_CHECKING:
@@ -81,8 +82,7 @@
         known = self._known.get(target)
         if known is None:
             return None
-        is_same_life = not known.born_ms or not born_ms or known.born_ms == born_ms
-        return known if is_same_life else None
+        return known if is_same_life(known.born_ms, born_ms) else None
 
     def describe(self, target: str, now_s: float) -> TargetNotice:
         """Return what a decider is told of a target."""
--- a/troutstand/core/siteview.py
+++ b/troutstand/core/siteview.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from troutstand.core.lives import is_same_life
 from troutstand.core.pool import Pool
 from troutstand.core.rollouts.trial import RolloutView
 from troutstand.core.targetstate import Running, TargetState
@@ -55,7 +56,7 @@
             held = pool.targets.get(entry.target)
             if held is None:
                 pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
-            elif _is_same_life(held.listed.born_ms, entry.born_ms):
+            elif is_same_life(held.listed.born_ms, entry.born_ms):
                 held.is_listed_leaving = False
                 born_ms = entry.born_ms or held.listed.born_ms
                 was_draining = held.listed.state is ListedState.draining
@@ -109,7 +110,7 @@
 
     def _note_notice(self, pool: Pool, gateway: str, notice: TargetNotice, now_s: float) -> None:
         state = pool.targets[notice.target]
-        if not _is_same_life(state.listed.born_ms, notice.born_ms):
+        if not is_same_life(state.listed.born_ms, notice.born_ms):
             return
         if notice.is_leaving and not state.is_leaving:
             state.is_leaving = True
@@ -125,7 +126,7 @@
         state = pool.targets.get(placed.target)
         if state is None or work.request in state.running:
             return
-        if not _is_same_life(state.listed.born_ms, placed.born_ms):
+        if not is_same_life(state.listed.born_ms, placed.born_ms):
             return
         run = Running(
             work,
@@ -158,14 +159,6 @@
         for seen in speeds:
             pool = self.pools.setdefault(seen.service, Pool())
             state = pool.targets.get(seen.target)
-            if state is not None and _is_same_life(state.listed.born_ms, seen.born_ms):
+            if state is not None and is_same_life(state.listed.born_ms, seen.born_ms):
                 state.inherit_speed(seen, pool.know_reading(state))
                 pool.forget_typical()
-
-
-def _is_same_life(known_ms: int, told_ms: int) -> bool:
-    """Tell whether two times of start may be of one life; 0 is not told.
-
-    They are compared only: the target's time of day may have jumped.
-    """
-    return not known_ms or not told_ms or known_ms == told_ms
