Tell in the log which limit a target's answers name

Cause: the head of an answer was read for a rest and for leaving only, so that no log could tell a limit that is not read from one that is read and lost. Change: what an answer says of its target is one typed record, read in core/notices.py for whoever sends; the gateway's book keeps a limit while answers name it, its line tells each change, and deciders are told.

--- a/troutstand/core/noticebook.py
+++ b/troutstand/core/noticebook.py
@@ -37,9 +37,30 @@
     born_ms: int
     is_leaving: bool = False
     rests_until_s: float = float("-inf")
+    limit_per_s: float | None = None
+    # When an answer last named the limit.
+    limit_named_s: float = float("-inf")
     # When a list first confirmed that the target leaves.
     confirmed_s: float | None = None
 
+    def take(self, notice: TargetNotice, asked_s: float, now_s: float) -> bool:
+        """Take what an answer said; tell whether it is news."""
+        is_news = notice.rest_s > 0.0 or (notice.is_leaving and not self.is_leaving)
+        self.is_leaving = self.is_leaving or notice.is_leaving
+        self.rests_until_s = max(self.rests_until_s, now_s + notice.rest_s)
+        if notice.limit_per_s is None:
+            return self.end_limit(asked_s) or is_news
+        is_changed = notice.limit_per_s != self.limit_per_s
+        self.limit_per_s, self.limit_named_s = notice.limit_per_s, now_s
+        return is_news or is_changed
+
+    def end_limit(self, asked_s: float) -> bool:
+        """End the limit where a request sent after it was named got an answer without it."""
+        if self.limit_per_s is None or asked_s <= self.limit_named_s:
+            return False
+        self.limit_per_s = None
+        return True
+
 
 class NoticeBook:
     """Hold which targets a gateway must leave alone, whoever decides.
@@ -51,22 +72,24 @@
     def __init__(self) -> None:
         self._known: OrderedDict[str, _Known] = OrderedDict()
 
-    def note(
-        self, target: str, born_ms: int, is_leaving: bool, rest_s: float, now_s: float
-    ) -> bool:
-        """Take what an answer said; tell whether it is news."""
-        if not is_leaving and rest_s <= 0.0:
-            return False
-        known = self._find(target, born_ms)
+    def note(self, notice: TargetNotice, asked_s: float, now_s: float) -> bool:
+        """Take what the answer to a request said; tell whether it is news.
+
+        Parameters
+        ----------
+        asked_s
+            When the request was sent, in seconds.
+        """
+        known = self._find(notice.target, notice.born_ms)
+        says_nothing = not notice.is_leaving and notice.rest_s <= 0.0
+        if says_nothing and notice.limit_per_s is None:
+            return known is not None and known.end_limit(asked_s)
         if known is None:
-            known = self._known[target] = _Known(born_ms)
-        self._known.move_to_end(target)
+            known = self._known[notice.target] = _Known(notice.born_ms)
+        self._known.move_to_end(notice.target)
         while len(self._known) > _MAX_KNOWN:
             self._known.popitem(last=False)
-        is_news = rest_s > 0.0 or not known.is_leaving
-        known.is_leaving = known.is_leaving or is_leaving
-        known.rests_until_s = max(known.rests_until_s, now_s + rest_s)
-        return is_news
+        return known.take(notice, asked_s, now_s)
 
     def judge(self, target: str, born_ms: int, now_s: float) -> KeptBack | None:
         """Return why nothing may be sent to a target now, or None."""
@@ -88,14 +111,16 @@
         """Return what a decider is told of a target."""
         known = self._known.get(target) or _Known(0)
         rest_s = max(0.0, known.rests_until_s - now_s)
-        return TargetNotice(target, known.born_ms, known.is_leaving, rest_s)
+        return TargetNotice(
+            target, known.born_ms, known.is_leaving, rest_s, limit_per_s=known.limit_per_s
+        )
 
     def list_notices(self, now_s: float) -> list[TargetNotice]:
         """Return all that still binds, for a decider that does not know it."""
         return [
             self.describe(target, now_s)
             for target, known in self._known.items()
-            if known.is_leaving or now_s < known.rests_until_s
+            if known.is_leaving or now_s < known.rests_until_s or known.limit_per_s is not None
         ]
 
     def follow_list(self, listed: Iterable[ListedTarget], now_s: float) -> None:
@@ -105,7 +130,7 @@
             if known.is_leaving:
                 is_over = _is_leaving_over(known, states.get(target), now_s)
             else:
-                is_over = now_s >= known.rests_until_s
+                is_over = now_s >= known.rests_until_s and known.limit_per_s is None
             if is_over:
                 del self._known[target]
 
--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -21,6 +21,7 @@
     RunningReport,
     RunningRequest,
     Shed,
+    TargetNotice,
     Withdraw,
 )
 from troutstand.util.clock import read_clock_s
@@ -136,7 +137,8 @@
         """Tell the scheduler that a granted request ended."""
         self._running.pop(finished.request, None)
         rest_s = finished.rest_ms / _MILLISECONDS
-        self._notices.note(finished.target, 0, False, rest_s, read_clock_s())
+        now_s = read_clock_s()
+        self._notices.note(TargetNotice(finished.target, rest_s=rest_s), now_s, now_s)
         self._send(finished)
 
     def _give_back(self, grant: Grant) -> None:
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -52,6 +52,8 @@
     seal: str = "x-answer-seal"
     # Says in any answer that its target takes no new work.
     leaving: str = "x-target-leaving"
+    # Says in any answer how many requests a second its target takes from all hosts together.
+    limit: str = "x-target-limit"
     # Orders to a target, such as to reserve memory: what a caller writes there is dropped.
     reserved: frozenset[str] = frozenset({"x-target-order"})
 
--- a/troutstand/routing/handling.py
+++ b/troutstand/routing/handling.py
@@ -240,6 +240,7 @@
             resent=error.was_resent,
             rest_s=error.notice.rest_s or None,
             leaving=error.notice.is_leaving or None,
+            limit_per_s=error.notice.limit_per_s,
             fingerprint=self._call.fingerprint,
             begun_ms=self._measure_begun(),
             arrivals=self._arrivals,
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -50,10 +50,9 @@
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
     from troutstand.core.ids import ProcessId
-    from troutstand.generated.messages import PeerMessage
+    from troutstand.generated.messages import PeerMessage, TargetNotice
     from troutstand.routing.knownrollouts import KnownRollouts
     from troutstand.routing.node import RoutingNode
-    from troutstand.routing.notices import AnswerNotice
     from troutstand.routing.targetlist import TargetList
 
 _TICK_S = 0.05
@@ -275,21 +274,19 @@
         """Return why nothing may be sent to a request's target now, or None."""
         return self._notices.judge(placed.target, placed.born_ms, read_clock_s())
 
-    def hear_target(self, request: str, placed: Placed, notice: AnswerNotice) -> None:
+    def hear_target(self, request: str, notice: TargetNotice, asked_s: float) -> None:
         """Take what a target's answer says of the target, and tell the decider at once."""
-        is_news = self._notices.note(
-            placed.target, placed.born_ms, notice.is_leaving, notice.rest_s, read_clock_s()
-        )
-        if not is_news:
+        if not self._notices.note(notice, asked_s, read_clock_s()):
             return
         self._node.events.emit(
             "target_notice_heard",
             request,
-            target=placed.target,
+            target=notice.target,
             leaving=notice.is_leaving,
             rest_s=notice.rest_s,
+            limit_per_s=notice.limit_per_s,
         )
-        self._tell_notice(placed.target)
+        self._tell_notice(notice.target)
 
     def _tell_notice(self, target: str) -> None:
         now_s = read_clock_s()
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
-from troutstand.generated.messages import Ending
+from troutstand.core.notices import read_notice
+from troutstand.generated.messages import Ending, TargetNotice
 from troutstand.routing.exchange import ExchangeError, write_head
-from troutstand.routing.notices import AnswerNotice, read_notice
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -87,7 +87,7 @@
         status: int | None = None,
         is_target_gone: bool = False,
         was_resent: bool = False,
-        notice: AnswerNotice | None = None,
+        notice: TargetNotice | None = None,
     ) -> None:
         super().__init__(detail)
         self.ending = ending
@@ -95,7 +95,7 @@
         self.status = status
         self.is_target_gone = is_target_gone
         self.was_resent = was_resent
-        self.notice = notice or AnswerNotice()
+        self.notice = notice or TargetNotice("")
 
     @property
     def has_arrived(self) -> bool:
@@ -144,8 +144,8 @@
         """Return why nothing may be sent to a request's target now, or None."""
         ...
 
-    def hear_target(self, request: str, placed: Placed, notice: AnswerNotice) -> None:
-        """Take what a target's answer says of the target."""
+    def hear_target(self, request: str, notice: TargetNotice, asked_s: float) -> None:
+        """Take what the answer to a request, sent at a time, says of its target."""
 
 
 class Sender:
@@ -214,10 +214,11 @@
         except BaseException:
             connection.abort()
             raise
-        self._watch.hear_target(outgoing.request, placed, read_notice(answer, self._names))
+        notice = read_notice(answer.status, answer.get, self._names, placed.target, placed.born_ms)
+        self._watch.hear_target(outgoing.request, notice, started_s)
         sent = Sent(placed, connection, answer, started_s, read_clock_s() - started_s)
         try:
-            self._check_head(outgoing, answer)
+            self._check_head(outgoing, answer, notice)
         except SendError as error:
             await self._finish_refused(sent, error)
             raise
@@ -234,12 +235,11 @@
             headers.append(("Content-Length", str(len(outgoing.body))))
         return write_head(outgoing.method, outgoing.path, headers)
 
-    def _check_head(self, outgoing: Outgoing, head: AnswerHead) -> None:
+    def _check_head(self, outgoing: Outgoing, head: AnswerHead, notice: TargetNotice) -> None:
         echo = head.get(self._names.request)
         if echo and echo != outgoing.request:
             raise SendError(Ending.broken, f"the answer is for request {echo!r}", head.status)
         if head.status == MISDIRECTED or head.get(self._names.not_run) is not None:
-            notice = read_notice(head, self._names)
             detail = "the target did not run it"
             raise SendError(Ending.turned_away, detail, head.status, notice=notice)
         if head.get(self._names.seal) is None or not echo:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -167,6 +167,7 @@
                 peer=peer,
                 leaving=notice.is_leaving,
                 rest_s=notice.rest_s,
+                limit_per_s=notice.limit_per_s,
             )
 
     def _settle(self, owner: str, request: str, answer: PeerMessage | None) -> bool:
--- a/troutstand/tests/platform.feature
+++ b/troutstand/tests/platform.feature
@@ -8,8 +8,8 @@
     Then no source outside platform/ and deploy/ holds a name that the translation knows
 
   Scenario: A worker's own header for leaving is read
-    When a worker's answer says in the platform's words that it leaves
-    Then it is read as a target that leaves
+    When a worker's answer says in the platform's words that it leaves and takes 1.7 a second
+    Then it is read as a target that leaves and names a limit of 1.7 a second
 
   Scenario: A configuration comes over whole
     Given the platform's example configuration
--- a/troutstand/tests/steps/platform.py
+++ b/troutstand/tests/steps/platform.py
@@ -14,12 +14,11 @@
 from behave import given, then, when
 
 from troutstand.core.errors import TroutstandError, flatten_group
+from troutstand.core.notices import read_notice
 from troutstand.core.rollouts.book import RolloutAsk
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import ListedState, RolloutOrder, RolloutState
 from troutstand.generated.routing import RoutingRole, RoutingSettings
-from troutstand.routing.exchange import AnswerHead
-from troutstand.routing.notices import read_notice
 from troutstand.routing.startup import check_routing_settings
 
 if TYPE_CHECKING:
@@ -167,16 +166,17 @@
     assert not found, found
 
 
-@when("a worker's answer says in the platform's words that it leaves")
+@when("a worker's answer says in the platform's words that it leaves and takes 1.7 a second")
 def read_leaving(context: Context) -> None:
     names = load_folder()[1].PLATFORM_DIALECT.headers
-    index = {"server-leaving": "1"}
-    context.notice = read_notice(AnswerHead(200, list(index.items()), index), names)
+    index = {"server-leaving": "1", "server-limit": "1.7"}
+    context.notice = read_notice(200, index.get, names)
 
 
-@then("it is read as a target that leaves")
+@then("it is read as a target that leaves and names a limit of 1.7 a second")
 def check_leaving(context: Context) -> None:
     assert context.notice.is_leaving
+    assert context.notice.limit_per_s == 1.7, context.notice
 
 
 @given("the platform's example configuration")
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -11,7 +11,7 @@
 
 from troutstand.core.noticebook import KeptBack, NoticeBook
 from troutstand.generated.configuration import RoutedWorkspace, RouteKind
-from troutstand.generated.messages import Placed
+from troutstand.generated.messages import Placed, TargetNotice
 from troutstand.routing.calls import Call, make_outgoing
 from troutstand.routing.dialect import HeaderNames
 from troutstand.routing.exchange import ConnectionPool
@@ -23,7 +23,6 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from troutstand.routing.notices import AnswerNotice
 
 _REQUEST = "request-1"
 _LIMIT_S = 5.0
@@ -123,10 +122,9 @@
             self._looks_before_rest -= 1
         return self.book.judge(placed.target, placed.born_ms, time.monotonic())
 
-    def hear_target(self, request: str, placed: Placed, notice: AnswerNotice) -> None:
-        """Take what a target's answer says of the target."""
-        now_s = time.monotonic()
-        self.book.note(placed.target, placed.born_ms, notice.is_leaving, notice.rest_s, now_s)
+    def hear_target(self, request: str, notice: TargetNotice, asked_s: float) -> None:
+        """Take what the answer to a request, sent at a time, says of its target."""
+        self.book.note(notice, asked_s, time.monotonic())
 
 
 async def _send_all(context: Context, outgoings: list[Outgoing]) -> None:
--- a/troutstand/tests/steps/rest.py
+++ b/troutstand/tests/steps/rest.py
@@ -9,10 +9,9 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.noticebook import KeptBack, NoticeBook
+from troutstand.core.notices import read_notice
 from troutstand.generated.messages import Ending, ListedState, ListedTarget, TargetNotice
 from troutstand.routing.dialect import HeaderNames
-from troutstand.routing.exchange import AnswerHead
-from troutstand.routing.notices import read_notice
 from troutstand.tests.steps.dispatch import GATEWAY, Desk
 
 if TYPE_CHECKING:
@@ -241,6 +240,11 @@
 # The gateway's book
 
 
+def _hear(context: Context, notice: TargetNotice, asked_s: float = _BEGAN_S) -> bool:
+    """Tell the book what the answer to a request said."""
+    return context.book.note(notice, asked_s, max(asked_s, _BEGAN_S))
+
+
 def _name_life(text: str) -> tuple[str, int]:
     target, _, life = text.partition(" of life ")
     return target, int(life or 0)
@@ -248,20 +252,20 @@
 
 @when("the book hears that t1 wants {rest_s:g} s of rest and t2 leaves")
 def hear_both(context: Context, rest_s: float) -> None:
-    assert context.book.note("t1", 0, False, rest_s, _BEGAN_S)
-    assert context.book.note("t2", 0, True, 0.0, _BEGAN_S)
-    assert not context.book.note("t2", 0, True, 0.0, _BEGAN_S), "told twice is no news"
+    assert _hear(context, TargetNotice("t1", rest_s=rest_s))
+    assert _hear(context, TargetNotice("t2", is_leaving=True))
+    assert not _hear(context, TargetNotice("t2", is_leaving=True)), "told twice is no news"
 
 
 @when("the book hears that t1 wants {first_s:g} s of rest, then {second_s:g} s")
 def hear_twice(context: Context, first_s: float, second_s: float) -> None:
     for rest_s in (first_s, second_s):
-        context.book.note("t1", 0, False, rest_s, _BEGAN_S)
+        _hear(context, TargetNotice("t1", rest_s=rest_s))
 
 
 @when("the book hears that {target} leaves")
 def hear_leaving(context: Context, target: str) -> None:
-    context.book.note(*_name_life(target), True, 0.0, _BEGAN_S)
+    _hear(context, TargetNotice(*_name_life(target), is_leaving=True))
 
 
 @then("the book keeps back t1 as resting for {rest_s:g} s and t2 as leaving for ever")
@@ -324,7 +328,7 @@
 def read_answer(context: Context, status: int, headers: str) -> None:
     pairs = [part.split(": ") for part in headers.split(", ")]
     index = {name.lower(): value for name, value in pairs}
-    context.notice = read_notice(AnswerHead(status, list(index.items()), index), HeaderNames())
+    context.notice = read_notice(status, index.get, HeaderNames())
 
 
 @then("it asks for {rest_s:g} s of rest and {says} that its target leaves")
