Check that each entry of the known failures is complete, not that there are three at most

Change: an entry that names no issue, tells nothing or is longer than 600 characters fails the run; every scenario that fails must still be listed by its name.

--- a/tools/count.py
+++ b/tools/count.py
@@ -10,18 +10,29 @@
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?(?:, (\d+) skipped)?"
 )
 _FAILING = re.compile(r"^\s+(\S+\.feature:\d+)\s+(.*)$")
-_MAX_KNOWN = 3
+# An entry tells what was seen and ends with the issue under which it is mended.
+_ENTRY = re.compile(r".+, .+, issue \d+")
+_MAX_ENTRY = 600
 # What stands behind a scenario's name in the list of those that are known to fail.
 _COMMAND = ", behave "
 
 
-def read_known(path: Path) -> list[str]:
-    """Return the names of the scenarios that are known to fail; a name may hold a comma."""
+def read_entries(path: Path) -> list[str]:
+    """Return the entries of the list of what is known to fail, a line each."""
     if not path.exists():
         return []
     lines = [line.strip() for line in path.read_text().splitlines()]
-    listed = [line for line in lines if line and not line.startswith("#")]
-    return [line.split(_COMMAND)[0].strip() for line in listed]
+    return [line for line in lines if line and not line.startswith("#")]
+
+
+def name_scenario(entry: str) -> str:
+    """Return the name of the scenario that an entry tells of; it may hold a comma."""
+    return entry.split(_COMMAND)[0].strip()
+
+
+def is_complete(entry: str) -> bool:
+    """Tell whether an entry is short, tells what was seen and names an issue."""
+    return len(entry) <= _MAX_ENTRY and bool(_ENTRY.fullmatch(entry))
 
 
 def main(report: Path, behave_status: int, lint_status: int) -> int:
@@ -38,9 +49,11 @@
     failing = [
         match.group(2).strip() for line in tail.splitlines() if (match := _FAILING.match(line))
     ]
-    known = read_known(Path("KNOWN-RED.txt"))
-    if len(known) > _MAX_KNOWN:
-        print(f"KNOWN-RED.txt holds {len(known)} lines; {_MAX_KNOWN} are allowed")
+    entries = read_entries(Path("KNOWN-RED.txt"))
+    known = {name_scenario(entry) for entry in entries}
+    incomplete = [entry for entry in entries if not is_complete(entry)]
+    if incomplete:
+        print(f"KNOWN-RED.txt: test, what was seen, issue N are needed; {incomplete}")
         behave_status = 1
     elif failed and all(name in known for name in failing) and len(failing) == failed:
         behave_status = 0
