Keep to the limit that a target names, over all gateways together

Callers saw nothing yet, but targets in need did: two engines that named 1.7 and 1.9 requests a second in every answer were sent 3.5 to 4.3, like those beside them, and would have had to turn callers away next. Cause: the limit was not read; the third word of one class (rest, leaving, limit), each of which had fields and checks of its own.

Change: what a target says of itself is one record, kept and obeyed by one class, SelfReport, at gateways and deciders. A decider paces each target that names a limit for all gateways, whatever kind of attempt is sent; two deciders and gateways alone spend their part; a change of decider begins without room. It ends with an answer without it to a request sent since.

Why it holds: whoever decides knows it from each answer (not only the first) and from every gateway that attaches, and counts all that is sent; nothing else ends it. The soak's slow and failing targets name limits too, and are checked.

--- a/troutstand/core/choice.py
+++ b/troutstand/core/choice.py
@@ -93,7 +93,7 @@
         fitting = [
             t
             for t in canaries
-            if self._may_get(pool, waiting, t, now_s) and not t.rest.is_doubted(now_s)
+            if self._may_get(pool, waiting, t, now_s) and not t.report.rest.is_doubted(now_s)
         ]
         samples = pool.trial.samples
         return min(fitting, key=lambda t: samples.get(t.listed.target, 0), default=None)
@@ -120,7 +120,7 @@
         return (
             state.has_memory(waiting.work, pool.memory_tokens)
             and self._is_reached(waiting.work, state, now_s)
-            and not state.rest.binds(waiting.owner, now_s)
+            and state.report.judge(waiting.owner, now_s) is None
         )
 
     def _prefer_trusted(
@@ -134,7 +134,7 @@
         of four recorded days). A try may cost a request its last attempt, so that one
         without another to spend waits for a trusted target.
         """
-        trusted = [t for t in fitting if not t.rest.is_doubted(now_s)]
+        trusted = [t for t in fitting if not t.report.rest.is_doubted(now_s)]
         if trusted:
             return trusted
         work = waiting.work
@@ -145,8 +145,8 @@
     def _has_trusted(self, pool: Pool, waiting: Waiting, now_s: float) -> bool:
         """Tell whether a target without doubt is left to try, be it busy or not."""
         return any(
-            not t.rest.is_doubted(now_s)
-            and not t.rest.binds(waiting.owner, now_s)
+            not t.report.rest.is_doubted(now_s)
+            and t.report.judge(waiting.owner, now_s) is None
             and t.listed.target not in waiting.work.excluded
             and self._is_reached(waiting.work, t, now_s)
             for t in pool.list_usable()
--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -51,6 +51,7 @@
     RETRY_BUDGET = 3011
     REQUEST_QUARANTINED = 3012
     TARGETS_RESTING = 3013
+    TARGETS_LIMITED = 3014
 
     COMMAND_UNAVAILABLE = 4001
     COMMAND_OUTCOME_UNKNOWN = 4002
@@ -140,6 +141,9 @@
     ResultCode.TARGETS_RESTING: Meaning(
         503, "all targets that serve this asked this host not to send for a while", 31
     ),
+    ResultCode.TARGETS_LIMITED: Meaning(
+        503, "all targets that serve this take only so many requests a second", 31
+    ),
     ResultCode.COMMAND_UNAVAILABLE: Meaning(503, "no majority of keepers can be reached", 40),
     ResultCode.COMMAND_OUTCOME_UNKNOWN: Meaning(409, "the command may have run; it is final", 41),
     ResultCode.COMMAND_NOT_RUN: Meaning(503, "the command was not run; it may be sent again", 42),
--- a/troutstand/core/decision.py
+++ b/troutstand/core/decision.py
@@ -44,6 +44,8 @@
         The same for all requests of a caller with one path and body.
     token_s
         Seconds that the target is expected to take for a token of an answer.
+    limit_per_s
+        Requests a second that the target says it takes; None is not told.
     """
 
     expected_first_s: float
@@ -55,6 +57,7 @@
     charge: float
     fingerprint: str
     token_s: float
+    limit_per_s: float | None = None
 
 
 def decline_quarantined(request: str, quarantine: Quarantine) -> Declined:
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -63,7 +63,7 @@
         spread: random.Random | None = None,
         crashes: CrashBook | None = None,
     ) -> None:
-        super().__init__(quotas, CrashBook() if crashes is None else crashes)
+        super().__init__(quotas, CrashBook() if crashes is None else crashes, spread)
         self.retries = retries
         self.reach = Reach()
         self._choice = TargetChoice(self.reach, spread, self.crashes)
@@ -210,7 +210,7 @@
             pool.trial.note_ended(run, ended, state.listed.version, typical, now_s)
         if ended.ending in (Ending.whole, Ending.failed):
             self.crashes.note_survived(run.work.fingerprint)
-            state.rest.note_answer(run.started_s)
+            state.report.note_answer(run.started_s)
         match ended.ending:
             case Ending.whole:
                 state.note_whole(now_s)
@@ -230,7 +230,9 @@
                 state.note_lost(run, now_s)
             case Ending.turned_away:
                 state.note_turned_away(now_s)
-                pool.doubts_until_s = max(pool.doubts_until_s, now_s + state.rest.doubt(now_s))
+                pool.doubts_until_s = max(
+                    pool.doubts_until_s, now_s + state.report.rest.doubt(now_s)
+                )
             case Ending.left | Ending.kept_back:
                 pass
 
@@ -348,8 +350,10 @@
             charge=work.charge,
             fingerprint=work.fingerprint,
             token_s=pool.know_token(state),
+            limit_per_s=state.report.limit_per_s,
         )
         state.start(Running(work, waiting.owner, now_s, uncached, expected_s, tokens_ahead=ahead))
+        state.report.note_sent(now_s)
         state.note_connection(waiting.owner, now_s)
         self.reach.note_sent(find_way(work, state), now_s)
         if work.attempt == 1:
--- a/troutstand/core/noticebook.py
+++ b/troutstand/core/noticebook.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
-from enum import Enum
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from troutstand.core.lives import is_same_life
+from troutstand.core.selfreport import KeptBack, SelfReport
 from troutstand.generated.messages import ListedState, TargetNotice
 
 if TYPE_CHECKING:
@@ -21,13 +21,8 @@
 # seconds, is back in service under its name. Lists of other processes are up to 6 s old
 # (a standby reads its list each 5 s, and the platform's lags).
 _BACK_AFTER_S = 15.0
-
-
-class KeptBack(Enum):
-    """Say why nothing may be sent to a target."""
-
-    RESTING = "resting"
-    LEAVING = "leaving"
+# The book is one gateway's.
+_OWN = ""
 
 
 @dataclass
@@ -35,38 +30,17 @@
     """Hold what one life of a target said; times in seconds."""
 
     born_ms: int
-    is_leaving: bool = False
-    rests_until_s: float = float("-inf")
-    limit_per_s: float | None = None
-    # When an answer last named the limit.
-    limit_named_s: float = float("-inf")
+    report: SelfReport = field(default_factory=SelfReport)
     # When a list first confirmed that the target leaves.
     confirmed_s: float | None = None
 
-    def take(self, notice: TargetNotice, asked_s: float, now_s: float) -> bool:
-        """Take what an answer said; tell whether it is news."""
-        is_news = notice.rest_s > 0.0 or (notice.is_leaving and not self.is_leaving)
-        self.is_leaving = self.is_leaving or notice.is_leaving
-        self.rests_until_s = max(self.rests_until_s, now_s + notice.rest_s)
-        if notice.limit_per_s is None:
-            return self.end_limit(asked_s) or is_news
-        is_changed = notice.limit_per_s != self.limit_per_s
-        self.limit_per_s, self.limit_named_s = notice.limit_per_s, now_s
-        return is_news or is_changed
-
-    def end_limit(self, asked_s: float) -> bool:
-        """End the limit where a request sent after it was named got an answer without it."""
-        if self.limit_per_s is None or asked_s <= self.limit_named_s:
-            return False
-        self.limit_per_s = None
-        return True
-
 
 class NoticeBook:
-    """Hold which targets a gateway must leave alone, whoever decides.
+    """Hold what targets said to a gateway, for whoever decides.
 
     The decider knows the same, but it may have just taken over, or decide by a message that
-    is on its way: what is kept here is asked right before a request is sent.
+    is on its way: whether a target wants to be left alone is asked here right before a
+    request is sent, and each decider that comes is told all of it.
     """
 
     def __init__(self) -> None:
@@ -81,24 +55,21 @@
             When the request was sent, in seconds.
         """
         known = self._find(notice.target, notice.born_ms)
-        says_nothing = not notice.is_leaving and notice.rest_s <= 0.0
-        if says_nothing and notice.limit_per_s is None:
-            return known is not None and known.end_limit(asked_s)
+        says_limit = notice.limit_per_s is not None
+        is_ended = known is not None and not says_limit and known.report.end_limit(asked_s)
+        if not notice.is_leaving and notice.rest_s <= 0.0 and not says_limit:
+            return is_ended
         if known is None:
             known = self._known[notice.target] = _Known(notice.born_ms)
         self._known.move_to_end(notice.target)
         while len(self._known) > _MAX_KNOWN:
             self._known.popitem(last=False)
-        return known.take(notice, asked_s, now_s)
+        return known.report.take(_OWN, notice, now_s) or is_ended
 
     def judge(self, target: str, born_ms: int, now_s: float) -> KeptBack | None:
         """Return why nothing may be sent to a target now, or None."""
         known = self._find(target, born_ms)
-        if known is None:
-            return None
-        if known.is_leaving:
-            return KeptBack.LEAVING
-        return KeptBack.RESTING if now_s < known.rests_until_s else None
+        return None if known is None else known.report.judge(_OWN, now_s)
 
     def _find(self, target: str, born_ms: int) -> _Known | None:
         """Return what is known of a target's present life."""
@@ -110,27 +81,27 @@
     def describe(self, target: str, now_s: float) -> TargetNotice:
         """Return what a decider is told of a target."""
         known = self._known.get(target) or _Known(0)
-        rest_s = max(0.0, known.rests_until_s - now_s)
-        return TargetNotice(
-            target, known.born_ms, known.is_leaving, rest_s, limit_per_s=known.limit_per_s
-        )
+        return known.report.describe(target, known.born_ms, _OWN, now_s)
 
     def list_notices(self, now_s: float) -> list[TargetNotice]:
         """Return all that still binds, for a decider that does not know it."""
         return [
             self.describe(target, now_s)
             for target, known in self._known.items()
-            if known.is_leaving or now_s < known.rests_until_s or known.limit_per_s is not None
+            if known.report.is_binding(_OWN, now_s)
         ]
 
     def follow_list(self, listed: Iterable[ListedTarget], now_s: float) -> None:
-        """Forget rests that are over, and targets that are long gone or back in service."""
+        """Forget what binds no more, and targets that are long gone or back in service."""
         states = {entry.target: entry.state for entry in listed}
         for target, known in list(self._known.items()):
-            if known.is_leaving:
+            if known.report.is_leaving:
                 is_over = _is_leaving_over(known, states.get(target), now_s)
             else:
-                is_over = now_s >= known.rests_until_s and known.limit_per_s is None
+                is_over = not known.report.is_binding(_OWN, now_s) or (
+                    # Its end, or its return under another name, lets nothing be told of it.
+                    target not in states and known.report.judge(_OWN, now_s) is None
+                )
             if is_over:
                 del self._known[target]
 
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -20,6 +20,7 @@
 _GUESS_TOKEN_S = 8e-3
 _GUESS_SERVICE_S = 3e-2
 _GUESS_HOLD_S = 0.3
+_MIN_HOLD_S = 1e-6
 _HOLD_EWMA = 0.1
 # The share of its objective that a request's wait and first byte may take
 # together; the rest is for the way and for what was estimated wrongly.
@@ -222,22 +223,33 @@
         sound = [t for t in self.list_usable() if not t.strikes]
         if now_s >= self.doubts_until_s:
             return sound
-        return [t for t in sound if not t.rest.is_wanted(now_s)]
+        return [t for t in sound if not t.report.rest.is_wanted(now_s)]
 
     def measure_rest(self, gateway: str, now_s: float) -> float:
         """Return the seconds until a gateway may send to any target; 0 where it may now."""
         if now_s >= self.doubts_until_s:
             return 0.0
-        ends_s = min((t.rest.find_end(gateway) for t in self.list_usable()), default=now_s)
+        ends_s = min((t.report.rest.find_end(gateway) for t in self.list_usable()), default=now_s)
         return max(0.0, ends_s - now_s)
 
     def measure_turn(self, now_s: float) -> float:
-        """Return the seconds between two slots that become free."""
-        if self.hold_s is None:
+        """Return the seconds between two places that become free.
+
+        A target that names a limit gives no more places than that. Counted by its slots alone
+        it made callers wait for places that did not come.
+        """
+        sound = self._list_sound(now_s)
+        if self.hold_s is None and not self.is_limited(now_s):
             # A guess must not refuse anybody; the first ending tells.
             return 0.0
-        slots = sum(t.listed.slots for t in self._list_sound(now_s))
-        return self.hold_s / max(1, slots)
+        hold_s = max(self.hold_s or _MIN_HOLD_S, _MIN_HOLD_S)
+        rate_per_s = sum(min(t.listed.slots / hold_s, t.report.rate_per_s) for t in sound)
+        return 1.0 / rate_per_s if rate_per_s else hold_s
+
+    def is_limited(self, now_s: float) -> bool:
+        """Tell whether all targets that are expected to answer name a limit."""
+        sound = self._list_sound(now_s)
+        return bool(sound) and all(t.report.pace is not None for t in sound)
 
     def estimate_wait(self, ahead: int, now_s: float) -> float:
         """Return the seconds until a request with some ahead of it gets a slot."""
@@ -417,7 +429,8 @@
         """Tell whether room is free that nobody who is owed it waits for."""
         if self.waiting:
             return False
-        trusted = [t for t in self.list_usable() if not t.rest.is_doubted(now_s)]
+        usable = self.list_usable()
+        trusted = [t for t in usable if not t.report.rest.is_doubted(now_s) and not t.report.pace]
         slots = sum(t.listed.slots for t in trusted)
         free = sum(t.free_slots for t in trusted if t.is_open(now_s))
         return free > _SPARE_SHARE * slots
--- a/troutstand/core/refusing.py
+++ b/troutstand/core/refusing.py
@@ -13,6 +13,8 @@
 from troutstand.generated.messages import Declined
 
 if TYPE_CHECKING:
+    import random
+
     from troutstand.core.crashes import CrashBook
     from troutstand.core.pool import Pool, Waiting
     from troutstand.core.quota import Quotas
@@ -42,8 +44,10 @@
 class RefusingQueue(SiteView):
     """Hold who waits at a site, and refuse who cannot be served in time."""
 
-    def __init__(self, quotas: Quotas, crashes: CrashBook) -> None:
-        super().__init__()
+    def __init__(
+        self, quotas: Quotas, crashes: CrashBook, spread: random.Random | None = None
+    ) -> None:
+        super().__init__(spread)
         self.quotas = quotas
         self.crashes = crashes
         self._decisions: list[Decision] = []
@@ -144,6 +148,8 @@
         self, pool: Pool, waiting: Waiting, code: ResultCode, wait_s: float, now_s: float
     ) -> None:
         self._leave_queue(pool, waiting.work.request, now_s)
+        if code is ResultCode.SHED_OVERLOAD and pool.is_limited(now_s):
+            code = ResultCode.TARGETS_LIMITED
         waited_s = now_s - waiting.arrived_s
         reason = f"waited_s={waited_s:.3f} expected_s={wait_s:.3f} queue={len(pool.waiting)}"
         self._decline(waiting.work, waiting.owner, code, wait_s, reason)
--- a/troutstand/core/siteview.py
+++ b/troutstand/core/siteview.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -9,10 +11,12 @@
 from troutstand.core.lives import is_same_life
 from troutstand.core.pool import Pool
 from troutstand.core.rollouts.trial import RolloutView
+from troutstand.core.selfreport import LimitShare, SelfReport
 from troutstand.core.targetstate import Running, TargetState
 from troutstand.generated.messages import Hold, ListedState
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable
 
     from troutstand.core.configuration import RouteTable
@@ -24,12 +28,27 @@
     )
 
 
+# Targets that the list shows no more of which is kept what they said; the oldest go first.
+_MAX_UNLISTED = 1000
+
+
+@dataclass(frozen=True)
+class _Life:
+    """Name one life of a target."""
+
+    target: str
+    born_ms: int
+
+
 class SiteView:
     """Hold the services of a site with their targets."""
 
-    def __init__(self) -> None:
+    def __init__(self, spread: random.Random | None = None) -> None:
         self.pools: dict[str, Pool] = {}
         self._rollouts = RolloutView()
+        self._limit_share = LimitShare(draws=spread)
+        # What targets said of themselves that the list shows no more.
+        self._unlisted: OrderedDict[_Life, SelfReport] = OrderedDict()
 
     def use_services(self, table: RouteTable) -> None:
         """Take what a configuration says of the services."""
@@ -55,22 +74,47 @@
             seen.add((entry.service, entry.target))
             held = pool.targets.get(entry.target)
             if held is None:
-                pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
+                pool.targets[entry.target] = self._begin_target(entry, now_s)
             elif is_same_life(held.listed.born_ms, entry.born_ms):
                 held.is_listed_leaving = False
                 born_ms = entry.born_ms or held.listed.born_ms
                 was_draining = held.listed.state is ListedState.draining
                 if was_draining and entry.state is ListedState.ready and not is_from_peer:
                     # It is back in service under its name.
-                    held.is_leaving = False
+                    held.report.is_leaving = False
                 held.listed = msgspec.structs.replace(entry, born_ms=born_ms)
             elif not (is_from_peer and entry.born_ms < held.listed.born_ms):
                 pool.targets[entry.target] = TargetState(entry, last_sign_s=now_s)
         for service, pool in self.pools.items():
             for target in [t for t in pool.targets if (service, t) not in seen]:
-                del pool.targets[target]
+                self._note_unlisted(pool.targets.pop(target))
             self._apply_rollout(service, pool)
 
+    def _begin_target(self, entry: ListedTarget, now_s: float) -> TargetState:
+        """Return what is known of a target that the list did not show."""
+        report = self._unlisted.pop(_Life(entry.target, entry.born_ms), None)
+        return TargetState(entry, last_sign_s=now_s, report=report or SelfReport())
+
+    def _note_unlisted(self, state: TargetState) -> None:
+        """Keep what a target said of itself, for the case that a list lacks it once.
+
+        That it leaves is not kept: a target that is gone and listed again is back.
+        """
+        if state.report.is_leaving:
+            return
+        self._unlisted[_Life(state.listed.target, state.listed.born_ms)] = state.report
+        while len(self._unlisted) > _MAX_UNLISTED:
+            self._unlisted.popitem(last=False)
+
+    def use_limit_share(self, part: float, now_s: float) -> None:
+        """Spend another part of the limits that targets name from now on."""
+        if part == self._limit_share.part:
+            return
+        self._limit_share.part = part
+        for pool in self.pools.values():
+            for state in pool.targets.values():
+                state.report.use_share(self._limit_share, now_s)
+
     def use_rollouts(self, view: RolloutView) -> None:
         """Take what is known of rollouts."""
         if view == self._rollouts:
@@ -101,23 +145,28 @@
                 pool.targets[name].is_listed_leaving = True
             pool.judge_versions()
 
-    def note_notices(self, gateway: str, notices: Iterable[TargetNotice], now_s: float) -> None:
-        """Take what targets said of themselves to a gateway."""
+    def note_notices(
+        self, gateway: str, notices: Iterable[TargetNotice], now_s: float
+    ) -> list[TargetNotice]:
+        """Take what targets said of themselves to a gateway; return what is news."""
         told = {notice.target: notice for notice in notices}
-        for pool in self.pools.values():
-            for name in told.keys() & pool.targets.keys():
-                self._note_notice(pool, gateway, told[name], now_s)
+        return [
+            told[name]
+            for pool in self.pools.values()
+            for name in told.keys() & pool.targets.keys()
+            if self._note_notice(pool, gateway, told[name], now_s)
+        ]
 
-    def _note_notice(self, pool: Pool, gateway: str, notice: TargetNotice, now_s: float) -> None:
+    def _note_notice(self, pool: Pool, gateway: str, notice: TargetNotice, now_s: float) -> bool:
         state = pool.targets[notice.target]
         if not is_same_life(state.listed.born_ms, notice.born_ms):
-            return
-        if notice.is_leaving and not state.is_leaving:
-            state.is_leaving = True
+            return False
+        was_leaving = state.report.is_leaving
+        is_news = state.report.take(gateway, notice, now_s, self._limit_share)
+        if state.report.is_leaving and not was_leaving:
             pool.judge_versions()
-        if notice.rest_s > 0.0:
-            state.rest.ask(gateway, notice.rest_s, now_s)
-            pool.doubts_until_s = max(pool.doubts_until_s, now_s + notice.rest_s)
+        pool.doubts_until_s = max(pool.doubts_until_s, now_s + notice.rest_s)
+        return is_news
 
     def adopt(self, placed: PlacedWork, owner: str, now_s: float) -> None:
         """Count a request that another scheduler had placed."""
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from troutstand.core.rest import Rest
 from troutstand.core.rollouts.admission import Standing
+from troutstand.core.selfreport import SelfReport
 from troutstand.core.speed import ReadingFit, ReadingSpeed, ReadingSums, Speed
 from troutstand.generated.messages import ListedState
 
@@ -77,16 +77,15 @@
     connections: dict[str, KeptConnections] = field(default_factory=dict)
     # Which requests it may get, by the version that it runs.
     standing: Standing = Standing.OPEN
-    rest: Rest = field(default_factory=Rest)
-    # Whether it said in an answer that it leaves, whatever any list shows.
-    is_leaving: bool = False
+    # What it said in its answers, whatever any list shows.
+    report: SelfReport = field(default_factory=SelfReport)
     # Whether the list of another process shows it as leaving, until the next list here.
     is_listed_leaving: bool = False
 
     @property
     def is_ready(self) -> bool:
         """Tell whether the target takes new work at all, as far as is known."""
-        is_told = self.is_leaving or self.is_listed_leaving
+        is_told = self.report.is_leaving or self.is_listed_leaving
         return self.listed.state is ListedState.ready and not is_told
 
     @property
@@ -98,7 +97,7 @@
 
     def is_open(self, now_s: float) -> bool:
         """Tell whether the target may be given work now."""
-        if now_s < self.blocked_until_s:
+        if now_s < self.blocked_until_s or not self.report.may_send(now_s):
             return False
         return len(self.running) < (1 if self.strikes else self.listed.slots)
 
@@ -112,14 +111,16 @@
 
     def may_probe(self, now_s: float) -> bool:
         """Tell whether a target that is held off may be given a probe now."""
-        return self.free_slots > 0 and now_s - self.lost_s >= _PROBE_AFTER_S
+        is_due = now_s - self.lost_s >= _PROBE_AFTER_S
+        return self.free_slots > 0 and is_due and self.report.may_send(now_s)
 
     def may_try_doubted(self, now_s: float) -> bool:
         """Tell whether the target, doubted for a rest, may be given one request now."""
         is_tried = any(
-            not r.has_first and self.rest.is_since(r.started_s) for r in self.running.values()
+            not r.has_first and self.report.rest.is_since(r.started_s)
+            for r in self.running.values()
         )
-        return not is_tried and self.rest.may_try(now_s)
+        return not is_tried and self.report.rest.may_try(now_s)
 
     def start(self, run: Running) -> None:
         """Count a request that the target was given."""
@@ -222,7 +223,7 @@
             self.backlog -= run.uncached_tokens
         run.has_first = True
         self.last_sign_s = now_s
-        self.rest.note_answer(run.started_s)
+        self.report.note_answer(run.started_s)
 
     def note_whole(self, now_s: float) -> None:
         """Take a whole answer as a sign of health."""
--- a/troutstand/routing/decisions.py
+++ b/troutstand/routing/decisions.py
@@ -85,6 +85,7 @@
         uncached=inputs.uncached,
         sign_age_s=inputs.last_sign_s,
         open=inputs.open_targets,
+        limit_per_s=inputs.limit_per_s,
         workspace=inputs.workspace,
         charge=inputs.charge,
         fingerprint=inputs.fingerprint,
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -19,7 +19,7 @@
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
-from troutstand.core.noticebook import KeptBack, NoticeBook
+from troutstand.core.noticebook import NoticeBook
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
@@ -50,6 +50,7 @@
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
     from troutstand.core.ids import ProcessId
+    from troutstand.core.selfreport import KeptBack
     from troutstand.generated.messages import PeerMessage, TargetNotice
     from troutstand.routing.knownrollouts import KnownRollouts
     from troutstand.routing.node import RoutingNode
@@ -104,6 +105,7 @@
         quotas.share = retries.share = share
         local = Dispatcher(quotas, retries, self._node.random, self._crashes)
         now_s = read_clock_s()
+        local.use_limit_share(share, now_s)
         if self._table is not None:
             local.use_table(self._table, now_s)
         for level in self._levels:
@@ -275,18 +277,23 @@
         return self._notices.judge(placed.target, placed.born_ms, read_clock_s())
 
     def hear_target(self, request: str, notice: TargetNotice, asked_s: float) -> None:
-        """Take what a target's answer says of the target, and tell the decider at once."""
-        if not self._notices.note(notice, asked_s, read_clock_s()):
-            return
-        self._node.events.emit(
-            "target_notice_heard",
-            request,
-            target=notice.target,
-            leaving=notice.is_leaving,
-            rest_s=notice.rest_s,
-            limit_per_s=notice.limit_per_s,
-        )
-        self._tell_notice(notice.target)
+        """Take what a target's answer says of the target, and tell the decider at once.
+
+        A limit is told with each answer that names it: it holds for as long as that, and a
+        decider that learnt it by a message that was lost learns it by the next.
+        """
+        is_news = self._notices.note(notice, asked_s, read_clock_s())
+        if is_news:
+            self._node.events.emit(
+                "target_notice_heard",
+                request,
+                target=notice.target,
+                leaving=notice.is_leaving,
+                rest_s=notice.rest_s,
+                limit_per_s=notice.limit_per_s,
+            )
+        if is_news or notice.limit_per_s is not None:
+            self._tell_notice(notice.target)
 
     def _tell_notice(self, target: str) -> None:
         now_s = read_clock_s()
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -17,7 +17,7 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
-    from troutstand.core.noticebook import KeptBack
+    from troutstand.core.selfreport import KeptBack
     from troutstand.generated.messages import Placed
     from troutstand.routing.dialect import HeaderNames
     from troutstand.routing.exchange import (
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -159,8 +159,7 @@
         return None
 
     def _note_notices(self, peer: ProcessId, notices: list[TargetNotice], now_s: float) -> None:
-        self.dispatcher.note_notices(peer, notices, now_s)
-        for notice in notices:
+        for notice in self.dispatcher.note_notices(peer, notices, now_s):
             self.node.events.emit(
                 "target_notice_taken",
                 target=notice.target,
@@ -311,6 +310,7 @@
         share = max(1, self._count_attached()) / max(1, len(self._gateways))
         self.quotas.share = share
         self.retries.share = share
+        self.dispatcher.use_limit_share(share, read_clock_s())
 
     def _drop_silent(self, now_s: float) -> None:
         for gateway, seen in list(self._gateways.items()):
--- a/troutstand/testing/arrivals.py
+++ b/troutstand/testing/arrivals.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left
 from dataclasses import dataclass
+from itertools import groupby
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
         Whether the target's answer said that it leaves.
     born_ms
         When the target says that it was born; tells its lives apart.
+    limit
+        The limit that its answers name then, in requests a second; empty is not told.
     """
 
     request: str
@@ -43,6 +46,7 @@
     rest_s: float = 0.0
     tells_leaving: bool = False
     born_ms: int = 0
+    limit: str = ""
 
 
 @dataclass(frozen=True)
@@ -127,37 +131,57 @@
 
 
 def find_over_limit(
-    arrivals: Iterable[Arrival],
-    namings: Iterable[Naming],
-    results: Mapping[str, CallResult],
-    limit_per_s: float,
+    arrivals: Iterable[Arrival], namings: Iterable[Naming], results: Mapping[str, CallResult]
 ) -> list[OverLimit]:
     """Return the windows in which targets got too much from gateways that knew their limit."""
-    told_s: dict[tuple[str, str], float] = {}
-    first_s: dict[str, float] = {}
-    for naming in sorted(namings, key=lambda naming: naming.at_s):
-        first_s.setdefault(naming.target, naming.at_s)
-        if naming.request in results:
-            told_s.setdefault((results[naming.request].gateway, naming.target), naming.at_s)
-    counted: dict[str, list[float]] = {}
+    named: dict[str, list[Naming]] = {}
+    for naming in namings:
+        named.setdefault(naming.target, []).append(naming)
+    came: dict[str, list[Arrival]] = {}
     for arrival in arrivals:
-        if arrival.request not in results:
-            continue
-        gateway = results[arrival.request].gateway
-        knew_s = told_s.get((gateway, arrival.target), float("inf")) + _ON_ITS_WAY_S
-        settled_s = first_s.get(arrival.target, float("inf")) + _LIMIT_SETTLED_S
-        if arrival.at_s >= max(knew_s, settled_s):
-            counted.setdefault(arrival.target, []).append(arrival.at_s)
-    allowed = int(_LIMIT_SHARE * limit_per_s * _LIMIT_WINDOW_S) + _LIMIT_EXTRA
+        came.setdefault(arrival.target, []).append(arrival)
+    return [
+        over
+        for target, some in came.items()
+        for spell in _list_spells(some)
+        for over in _find_over_limit(spell, named.get(target, []), results)
+    ]
+
+
+def _list_spells(arrivals: list[Arrival]) -> list[list[Arrival]]:
+    """Return the runs of arrivals at one target in which it kept to one limit."""
+    ordered = sorted(arrivals, key=lambda arrival: arrival.at_s)
+    spells = groupby(ordered, key=lambda arrival: arrival.limit)
+    return [list(spell) for limit, spell in spells if limit]
+
+
+def _find_over_limit(
+    spell: list[Arrival], namings: list[Naming], results: Mapping[str, CallResult]
+) -> list[OverLimit]:
+    from_s, to_s, limit = spell[0].at_s, spell[-1].at_s, spell[0].limit
+    told = [n for n in namings if from_s <= n.at_s <= to_s and n.limit == limit]
+    settled_s = min((n.at_s for n in told), default=float("inf")) + _LIMIT_SETTLED_S
+    knew_s: dict[str, float] = {}
+    for naming in sorted(told, key=lambda naming: naming.at_s):
+        if naming.request in results:
+            gateway = results[naming.request].gateway
+            knew_s.setdefault(gateway, max(settled_s, naming.at_s + _ON_ITS_WAY_S))
+    never_s = float("inf")
+    times = [
+        arrival.at_s
+        for arrival in spell
+        if arrival.request in results
+        and arrival.at_s >= knew_s.get(results[arrival.request].gateway, never_s)
+    ]
+    allowed = int(_LIMIT_SHARE * float(limit) * _LIMIT_WINDOW_S) + _LIMIT_EXTRA
     return [
-        OverLimit(target, from_s, count, allowed)
-        for target, times in counted.items()
-        for from_s, count in _count_windows(sorted(times))
+        OverLimit(spell[0].target, from_s, count, allowed)
+        for from_s, count in _count_windows(times)
         if count > allowed
     ]
 
 
 def _count_windows(times: list[float]) -> Iterable[tuple[float, int]]:
-    """Return how many of some times lie in the window that begins with each of them."""
+    """Return how many of some ordered times lie in the window that begins with each of them."""
     for first, from_s in enumerate(times):
         yield from_s, bisect_left(times, from_s + _LIMIT_WINDOW_S) - first
--- a/troutstand/testing/soak/check.py
+++ b/troutstand/testing/soak/check.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from troutstand.testing.arrivals import find_crowded, find_late
+from troutstand.testing.arrivals import find_crowded, find_late, find_over_limit
 from troutstand.testing.standins import make_body, make_event
 
 if TYPE_CHECKING:
-    from troutstand.testing.arrivals import Arrival
+    from troutstand.testing.arrivals import Arrival, Naming
     from troutstand.testing.routedcaller import CallResult
     from troutstand.testing.standins import RunRecord
 
@@ -21,6 +21,8 @@
 _DRAIN_S = 4.0
 # For so long after a freeze or a restart a process may act on what it held before, in seconds.
 _SETTLED_S = 0.5
+# A target names its limit for at most so long in a soak, in seconds.
+_KNOWN_S = 4.0
 _READ_SLACK_S = 2.5
 _OK = 200
 _SERVED_SHARE = 0.9
@@ -115,6 +117,7 @@
     reads: list[Read] = field(default_factory=list)
     drained: list[Drained] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    namings: list[Naming] = field(default_factory=list)
     disturbed: list[Disturbed] = field(default_factory=list)
     limits: list[LimitBound] = field(default_factory=list)
     exits: list[str] = field(default_factory=list)
@@ -138,6 +141,7 @@
         *_check_draining(record),
         *_check_rests(record),
         *_check_leaving(record),
+        *_check_named_limits(record),
         *_check_limits(record),
         *_check_reads(record),
         *_check_recovery(record),
@@ -239,6 +243,23 @@
     return broken
 
 
+def _check_named_limits(record: SoakRecord) -> list[str]:
+    results = {call.request: call for call in record.calls}
+    # A gateway that was frozen or restarted within the window does not count in it.
+    undisturbed = [
+        arrival
+        for arrival in record.arrivals
+        if arrival.request in results
+        and not _was_disturbed(
+            record, results[arrival.request].gateway, arrival.at_s - _KNOWN_S, arrival.at_s
+        )
+    ]
+    return [
+        f"{over.target} got {over.count} in a window of its limit, {over.allowed} allowed"
+        for over in find_over_limit(undisturbed, record.namings, results)
+    ]
+
+
 def _measure_down(record: SoakRecord, from_s: float, to_s: float) -> float:
     """Return for how long of a span nobody could read the list."""
     return sum(
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -149,6 +149,7 @@
             await target.crash()
             self.record.runs += target.runs
             self.record.arrivals += target.arrivals
+            self.record.namings += target.namings
         await self.list.stop()
 
     def _spawn(self, coroutine) -> asyncio.Task[None]:  # type: ignore[no-untyped-def]
--- a/troutstand/testing/soak/targets.py
+++ b/troutstand/testing/soak/targets.py
@@ -16,6 +16,11 @@
     from troutstand.testing.standins import StandInTarget
 
 _FAULTS = [fault for fault in Fault if fault is not Fault.NONE]
+# With these it names a limit, of 0.5 to 10.25 requests a second.
+_IN_NEED = (Fault.SLOW, Fault.ERRORS, Fault.CUT_ANSWERS)
+_LEAST_LIMIT = 0.5
+_LIMITS = 40
+_LIMIT_STEPS = 4
 # How much longer than its trouble a target is drained, in seconds.
 _DRAINED_LONGER_S = 3.0
 
@@ -57,13 +62,17 @@
     fault = _FAULTS[event.other % len(_FAULTS)]
     if fault is Fault.SHED:
         target.rest_s = event.length_s
+    if fault in _IN_NEED:
+        target.limit = f"{_LEAST_LIMIT + event.pick % _LIMITS / _LIMIT_STEPS:g}"
     target.fault = fault
     await asyncio.sleep(event.length_s)
     target.fault = target.own_fault
+    target.limit = ""
 
 
 def heal_target(target: StandInTarget) -> None:
     """Let a target serve as it should."""
     target.fault = target.own_fault
+    target.limit = ""
     if target.is_draining:
         _begin_anew(target)
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -220,7 +220,9 @@
     def _note_arrival(self, head: Head, rest_s: float) -> None:
         request = head.headers.get("x-request-id", "")
         now_s = time.monotonic()
-        arrival = Arrival(request, self.target, now_s, rest_s, self.tells_leaving, self.born_ms)
+        arrival = Arrival(
+            request, self.target, now_s, rest_s, self.tells_leaving, self.born_ms, self.limit
+        )
         self.arrivals.append(arrival)
 
     def _turn_away(self, head: Head, writer: asyncio.StreamWriter) -> None:
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -9,7 +9,8 @@
 import msgspec
 from behave import given, then, when
 
-from troutstand.core.noticebook import KeptBack, NoticeBook
+from troutstand.core.noticebook import NoticeBook
+from troutstand.core.selfreport import KeptBack
 from troutstand.generated.configuration import RoutedWorkspace, RouteKind
 from troutstand.generated.messages import Placed, TargetNotice
 from troutstand.routing.calls import Call, make_outgoing
