Add failing tests: entry processes read no limit and no leaving of their targets

Real processes: an engine that names 1 request a second got 60 within 4 s, a service worker 120, 11 allowed; an engine that says in each answer that it leaves went on getting requests. A fourth case, an engine that names a limit as it turns requests away, passes and guards the mend.

--- a/troutstand/testing/engine.py
+++ b/troutstand/testing/engine.py
@@ -54,6 +54,16 @@
     deadly_text: str = ""
     # Turns every request away and asks for so many seconds of rest; 0 turns none away.
     rest_s: float = 0.0
+    # The limit that every answer names, in requests a second; empty is not told.
+    limit: str = ""
+    # Whether every answer says that the engine leaves.
+    tells_leaving: bool = False
+
+    def write_headers(self) -> dict[str, str]:
+        """Return the headers in which the engine speaks of itself."""
+        limit = {"X-Target-Limit": self.limit} if self.limit else {}
+        leaving = {"X-Target-Leaving": "1"} if self.tells_leaving else {}
+        return limit | leaving
 
 
 class EngineRecord(msgspec.Struct, frozen=True):
@@ -127,7 +137,8 @@
         request = http.headers.get("X-Request-Id", "none")
         if self.fault.rest_s:
             self.record(EngineRecord(time.time(), request, "turned_away"))
-            return web.Response(status=503, headers={"Retry-After": f"{self.fault.rest_s:g}"})
+            headers = {"Retry-After": f"{self.fault.rest_s:g}", **self.fault.write_headers()}
+            return web.Response(status=503, headers=headers)
         last = http.headers.get("Last-Event-ID")
         if last is not None and request in self.known:
             stream = self.known[request]
@@ -182,7 +193,8 @@
         return await self._send(http, stream, 0)
 
     async def _send(self, http: web.Request, stream: Stream, first: int) -> web.StreamResponse:
-        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        headers = {"Content-Type": "text/event-stream", **self.fault.write_headers()}
+        response = web.StreamResponse(headers=headers)
         await response.prepare(http)
         step_s = self.fault.slowdown / self.settings.decode_tokens_per_s
         next_s = time.monotonic()
--- a/troutstand/testing/service.py
+++ b/troutstand/testing/service.py
@@ -30,6 +30,8 @@
     checks_keys: bool = False
     # Turns every call away and asks for so many seconds of rest; 0 turns none away.
     rest_s: float = 0.0
+    # The limit that every answer names, in requests a second; empty is not told.
+    limit: str = ""
 
 
 class ServiceRecord(msgspec.Struct, frozen=True):
@@ -76,8 +78,9 @@
             return web.Response(status=503, headers={"Retry-After": f"{self._settings.rest_s:g}"})
         self._keys.add(key)
         await asyncio.sleep(self._settings.run_s)
-        answer = ServiceAnswer(key, http.path, body)
-        return web.Response(body=msgspec.json.encode(answer), content_type="application/json")
+        answer = msgspec.json.encode(ServiceAnswer(key, http.path, body))
+        limit = {"X-Target-Limit": self._settings.limit} if self._settings.limit else None
+        return web.Response(body=answer, content_type="application/json", headers=limit)
 
 
 @app.default
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -103,6 +103,8 @@
     service_run_s: float = 0.002
     # How long the first service worker asks callers, whom it all turns away, to rest.
     service_rest_s: float = 0.0
+    # The limit that the first service worker names, in requests a second; empty is not told.
+    service_limit: str = ""
     is_relayed: bool = False
     body_s: float = 30.0
 
@@ -294,6 +296,7 @@
             checks_keys=self.plan.checks_keys,
             run_s=self.plan.service_run_s,
             rest_s=self.plan.service_rest_s if name.endswith("-0") else 0.0,
+            limit=self.plan.service_limit if name.endswith("-0") else "",
         )
         self._add_stand_in(name, "service", msgspec.json.encode(settings))
         self.rows.append(
--- a/troutstand/tests/steps/domainrests.py
+++ b/troutstand/tests/steps/domainrests.py
@@ -33,7 +33,7 @@
 
 _TOKEN = "token-counter"
 _CALLERS = 8
-_PROCESS = ProcessId("north-0.entry")
+PROCESS = ProcessId("north-0.entry")
 
 
 @given(
@@ -166,9 +166,9 @@
         sent.append(message)
         return True
 
-    placement = Placement(_PROCESS, EventBus(_PROCESS, HybridClock(lambda: 0)), deliver)
+    placement = Placement(PROCESS, EventBus(PROCESS, HybridClock(lambda: 0)), deliver)
     placement.finish(context.turned_away)
-    placement.follow(_PROCESS)
+    placement.follow(PROCESS)
     context.driver = Driver(context.rows)
     report = next(message for message in sent if isinstance(message, RunningReport))
     context.driver.take(context.driver.scheduler.take_report(report, context.driver.now_s))
