Keep to the limits and leavings of targets at entry processes too

Callers saw nothing; an engine that named 1 request a second was sent 60 within 4 s, a service worker 120 (11 allowed), and an engine that said that it leaves as many as before. Cause: the same class as in routed sites, at the OpenAI side: only Retry-After was read there, by fields of its own, and told with the end of a request, which for a stream is late.

Change: backends read the head of every answer with the function that gateways use; entry processes keep the same book, tell the scheduler at once (TargetNotices, in place of a field of Finished) and hand all of it to the next one; a target's estimate holds the same SelfReport. Shed with 3014 and the time of one's turn where all targets name a limit; work at such a target is not preempted for a place that the limit does not give. A leaving ends with the list, another address, or after 60 s, since nothing tells lives apart there.

--- a/troutstand/backends/base.py
+++ b/troutstand/backends/base.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from troutstand.generated.messages import TargetNotice
     from troutstand.generated.table import Target
 
 
@@ -39,8 +40,7 @@
     status: int
     content_type: str
     body: bytes
-    # How long the target wants no call from this process, in seconds; 0 is not asked.
-    rest_s: float = 0.0
+    notice: TargetNotice
 
 
 class TargetRefusal(TroutstandError):
@@ -48,13 +48,13 @@
 
     Parameters
     ----------
-    rest_s
-        How long it wants no request from this process, in seconds; 0 is not asked.
+    notice
+        What its answer says of the target.
     """
 
-    def __init__(self, detail: str, rest_s: float) -> None:
+    def __init__(self, detail: str, notice: TargetNotice) -> None:
         super().__init__(ResultCode.TARGET_FAULT, detail, Run.UNKNOWN)
-        self.rest_s = rest_s
+        self.notice = notice
 
 
 @dataclass(frozen=True)
--- a/troutstand/backends/engine.py
+++ b/troutstand/backends/engine.py
@@ -20,7 +20,7 @@
     Reply,
     TargetRefusal,
 )
-from troutstand.backends.http import HttpBackend, read_rest
+from troutstand.backends.http import HttpBackend
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.errors import TroutstandError
 
@@ -55,11 +55,11 @@
 
     async def stream(self, call: Call) -> AsyncIterator[bytes]:
         """Send a call and yield the answer's bytes as they come."""
-        async with self._open(call) as response:
+        async with self._open(call) as (response, notice):
             if response.status != _OK:
                 text = (await response.content.read(_ERROR_BYTES)).decode(errors="replace")
                 detail = f"status {response.status}: {text}"
-                raise TargetRefusal(detail, read_rest(response))
+                raise TargetRefusal(detail, notice)
             async for data in response.content.iter_any():
                 yield data
 
--- a/troutstand/backends/http.py
+++ b/troutstand/backends/http.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from abc import abstractmethod
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
-from http import HTTPStatus
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -14,11 +15,11 @@
 from troutstand.backends.base import Backend, Call, Reply
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.errors import TroutstandError
-from troutstand.core.retryafter import read_retry_after
+from troutstand.core.notices import LEAVING_HEADER, LIMIT_HEADER, read_notice
+from troutstand.generated.messages import TargetNotice
+from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from troutstand.generated.table import Target
 
 # Connections are checked for reuse by request, never shared, so that a late
@@ -28,7 +29,6 @@
 # trip, and a request that is sent again waits for it. With 0.1 s a busy machine (load 22 on
 # 8 processors) missed the end of one target of three.
 _LOOK_S = 0.3
-_REFUSALS = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 def make_session() -> aiohttp.ClientSession:
@@ -64,19 +64,36 @@
         raise TroutstandError(ResultCode.ANSWER_CUT, type(error).__name__, Run.UNKNOWN) from error
 
 
-def read_rest(response: aiohttp.ClientResponse) -> float:
-    """Return the seconds of rest that a refusal asks for; 0 is not asked."""
-    if response.status not in _REFUSALS:
-        return 0.0
-    return read_retry_after(response.headers.get("Retry-After"))
+@dataclass(frozen=True)
+class NoticeHeaders:
+    """Name the headers in which a target speaks of itself.
+
+    Engines refuse by their status alone, so that no header has to say that nothing ran.
+    """
+
+    leaving: str = LEAVING_HEADER
+    limit: str = LIMIT_HEADER
+    not_run: str = ""
+
+
+_NOTICE_HEADERS = NoticeHeaders()
+# Takes what the answer to a request, sent at a time in seconds, says of its target.
+HearTarget = Callable[[TargetNotice, float], None]
+
+
+def hear_nothing(notice: TargetNotice, asked_s: float) -> None:
+    """Leave aside what a target says of itself."""
 
 
 class HttpBackend(Backend):
     """Send calls over HTTP; what differs is the headers and the stream."""
 
-    def __init__(self, row: Target, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, row: Target, session: aiohttp.ClientSession, hear: HearTarget = hear_nothing
+    ) -> None:
         super().__init__(row)
         self._session = session
+        self._hear = hear
 
     @abstractmethod
     def make_headers(self, call: Call) -> dict[str, str]:
@@ -84,9 +101,9 @@
 
     async def request(self, call: Call) -> Reply:
         """Send a call and return its whole answer."""
-        async with self._open(call) as response:
+        async with self._open(call) as (response, notice):
             body = await response.read()
-            return Reply(response.status, response.content_type, body, read_rest(response))
+            return Reply(response.status, response.content_type, body, notice)
 
     async def is_gone(self) -> bool:
         """Tell whether the target's process has ended: its address refuses connections."""
@@ -102,5 +119,14 @@
         writer.close()
         return False
 
-    def _open(self, call: Call) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
-        return open_call(self._session, self.row.url, call, self.make_headers(call))
+    @asynccontextmanager
+    async def _open(self, call: Call) -> AsyncIterator[tuple[aiohttp.ClientResponse, TargetNotice]]:
+        """Send a call; give its response and what its head says of the target."""
+        asked_s = read_clock_s()
+        headers = self.make_headers(call)
+        async with open_call(self._session, self.row.url, call, headers) as response:
+            notice = read_notice(
+                response.status, response.headers.get, _NOTICE_HEADERS, self.row.name
+            )
+            self._hear(notice, asked_s)
+            yield response, notice
--- a/troutstand/backends/service.py
+++ b/troutstand/backends/service.py
@@ -21,7 +21,7 @@
 
     async def stream(self, call: Call) -> AsyncIterator[bytes]:
         """Send a call and yield the answer's bytes as they come."""
-        async with self._open(call) as response:
+        async with self._open(call) as (response, _):
             async for data in response.content.iter_any():
                 yield data
 
--- a/troutstand/core/domainview.py
+++ b/troutstand/core/domainview.py
@@ -36,7 +36,7 @@
         """Take the targets that the platform's list calls leaving."""
         self._leaving = names
         for name, target in self.targets.items():
-            target.listed_leaving = name in names
+            target.follow_list(name in names)
 
     def _update_workspaces(self, rows: dict[str, Workspace]) -> None:
         for name, row in rows.items():
@@ -52,7 +52,7 @@
             if known is None:
                 self.targets[name] = TargetEstimate(row, name in self._leaving)
             else:
-                known.row = row
+                known.use_row(row)
         for name in set(self.targets) - set(own):
             for run in self.targets.pop(name).running.values():
                 self._note_run(run, -1)
@@ -72,9 +72,14 @@
 
     def _measure_rest(self, ask: PlacementAsk, now_s: float) -> float:
         """Return the seconds until any usable target may be sent to; 0 where one may now."""
-        ends = (target.rests_until_s for target in self._list_usable(ask))
+        ends = (target.report.rest.find_end("") for target in self._list_usable(ask))
         return max(0.0, min(ends, default=0.0) - now_s)
 
+    def _is_limited(self, ask: PlacementAsk) -> bool:
+        """Tell whether all usable targets name a limit of requests a second."""
+        usable = self._list_usable(ask)
+        return bool(usable) and all(target.report.pace is not None for target in usable)
+
     def _find_rank(self, ask: PlacementAsk) -> int:
         tier = self._tiers.get(ask.tier)
         return tier.rank if tier else 0
--- a/troutstand/core/estimate.py
+++ b/troutstand/core/estimate.py
@@ -8,10 +8,11 @@
 
 from troutstand.core.ids import RequestId
 from troutstand.core.prefix import PrefixCache, Prefixes
+from troutstand.core.selfreport import SelfReport
 from troutstand.generated.table import Target, TargetState
 
 if TYPE_CHECKING:
-    from troutstand.generated.messages import Finished, PlacementAsk
+    from troutstand.generated.messages import Finished, PlacementAsk, TargetNotice
 
 _MILLISECONDS = 1000
 # Weight of the newest answer in the moving averages of speed.
@@ -20,6 +21,11 @@
 MIN_DECODE_SAMPLE_TOKENS = 4
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 30.0
+# Whom a rest binds: all entry processes of the domain.
+_ANY_PROCESS = ""
+# Nothing here tells one life of a target from the next, so that one that said that it leaves
+# and stays in the table is tried again after so long, in seconds (chosen, not measured).
+_LEAVING_S = 60.0
 
 
 class Health(Enum):
@@ -54,8 +60,9 @@
     running: dict[RequestId, Running] = field(default_factory=dict)
     health: Health = Health.TRUSTED
     retry_at_s: float = 0.0
-    # Until when the target asked not to be sent anything.
-    rests_until_s: float = 0.0
+    # What it said in its answers, to any entry process of the domain.
+    report: SelfReport = field(default_factory=SelfReport)
+    _said_leaving_s: float = float("-inf")
     backoff_s: float = FIRST_BACKOFF_S
     prefill_tokens_per_s: float = 0.0
     decode_tokens_per_s: float = 0.0
@@ -68,8 +75,9 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Tell whether the table or the platform's list says it leaves."""
-        return self.listed_leaving or self.row.state is TargetState.leaving
+        """Tell whether the table, the platform's list or the target itself says it leaves."""
+        is_told = self.listed_leaving or self.report.is_leaving
+        return is_told or self.row.state is TargetState.leaving
 
     def describe_run(
         self,
@@ -94,8 +102,11 @@
 
     def count_free(self, now_s: float) -> int:
         """Return how many requests may be granted now."""
-        if self.is_leaving or now_s < self.rests_until_s:
+        if self.is_leaving or self.report.judge(_ANY_PROCESS, now_s) is not None:
             return 0
+        return min(self._count_free_slots(now_s), self.report.count_room(now_s))
+
+    def _count_free_slots(self, now_s: float) -> int:
         if self.health is Health.TRUSTED:
             return max(0, self.row.slots - len(self.running))
         if self.health is Health.SUSPECT and now_s >= self.retry_at_s:
@@ -130,13 +141,14 @@
         if self.health is Health.SUSPECT:
             self.health = Health.PROBING
         self.running[request] = run
+        self.report.note_sent(run.granted_s)
         self.cache.insert(prefixes)
 
     def finish(self, done: Finished, now_s: float) -> Running | None:
         """Note a request's end and learn from it."""
         run = self.running.pop(RequestId(done.request), None)
-        if done.rest_ms:
-            self.rest(done.rest_ms / _MILLISECONDS, now_s)
+        if run is not None and done.ok:
+            self.report.note_answer(run.granted_s)
         if done.fault or done.is_target_gone:
             self._distrust(now_s)
         elif done.ok:
@@ -144,15 +156,34 @@
             self._learn(done)
         return run
 
-    def rest(self, rest_s: float, now_s: float) -> None:
-        """Give the target nothing for so long, since it asked for that.
+    def take_notice(self, notice: TargetNotice, now_s: float) -> None:
+        """Take what the target said of itself.
 
-        It asked one entry process. The others leave it alone as well: the scheduler has no
-        better choice than another target, and each would be turned away for itself. Without
-        this 32 of 40 calls went to the one service worker of three that turned all away
-        (real processes, `domainrests.feature`).
+        It told one entry process. The others leave it alone as well where it wants rest: the
+        scheduler has no better choice than another target, and each would be turned away for
+        itself. Without this 32 of 40 calls went to the one service worker of three that
+        turned all away (real processes, `domainrests.feature`).
         """
-        self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
+        self.report.take(_ANY_PROCESS, notice, now_s)
+        if notice.is_leaving:
+            self._said_leaving_s = now_s
+
+    def recheck_leaving(self, now_s: float) -> None:
+        """Take a target back that said long ago that it leaves, and is still there."""
+        if self.report.is_leaving and now_s - self._said_leaving_s > _LEAVING_S:
+            self.report.is_leaving = False
+
+    def follow_list(self, is_leaving: bool) -> None:
+        """Take what the platform's list shows; one that is shown as leaving no more is back."""
+        if self.listed_leaving and not is_leaving:
+            self.report.is_leaving = False
+        self.listed_leaving = is_leaving
+
+    def use_row(self, row: Target) -> None:
+        """Take a newer row; another address is another process, which said nothing yet."""
+        if row.url != self.row.url:
+            self.report = SelfReport()
+        self.row = row
 
     def _distrust(self, now_s: float) -> None:
         if self.health is not Health.TRUSTED:
--- a/troutstand/core/noticebook.py
+++ b/troutstand/core/noticebook.py
@@ -83,6 +83,12 @@
         known = self._known.get(target) or _Known(0)
         return known.report.describe(target, known.born_ms, _OWN, now_s)
 
+    def note_back(self, target: str) -> None:
+        """Note that whoever decides gives a target work again, though it said that it leaves."""
+        known = self._known.get(target)
+        if known is not None:
+            known.report.is_leaving = False
+
     def list_notices(self, now_s: float) -> list[TargetNotice]:
         """Return all that still binds, for a decider that does not know it."""
         return [
--- a/troutstand/core/notices.py
+++ b/troutstand/core/notices.py
@@ -17,6 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# The product's own names, in lower case.
+LEAVING_HEADER = "x-target-leaving"
+LIMIT_HEADER = "x-target-limit"
+
 _LEAVING = "1"
 _DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+")
 
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -29,7 +29,10 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from troutstand.core.estimate import TargetEstimate
+    from troutstand.generated.messages import TargetNotice, TargetNotices
     from troutstand.generated.table import Tier
 
 _MILLISECONDS = 1000
@@ -134,9 +137,16 @@
             target.start(RequestId(item.ask.request), run, _get_prefixes(item.ask))
             self._note_run(run, 1)
         self.crashes.inherit(report.crashes, now_s)
-        for notice in report.notices:
+        return self._take_notices(report.notices, now_s)
+
+    def take_notices(self, notices: TargetNotices, now_s: float) -> list[Send]:
+        """Take what targets said of themselves to an entry process."""
+        return self._take_notices(notices.notices, now_s)
+
+    def _take_notices(self, notices: Iterable[TargetNotice], now_s: float) -> list[Send]:
+        for notice in notices:
             if notice.target in self.targets:
-                self.targets[notice.target].rest(notice.rest_s, now_s)
+                self.targets[notice.target].take_notice(notice, now_s)
         return self._place(now_s)
 
     def drop_process(self, process: str, now_s: float) -> list[Send]:
@@ -151,6 +161,8 @@
 
     def tick(self, now_s: float) -> list[Send]:
         """Place what became placeable and shed what can no longer start in time."""
+        for target in self.targets.values():
+            target.recheck_leaving(now_s)
         sends = self._place(now_s)
         for waiting in sorted(self._waiting.values(), key=lambda item: item.rank):
             is_pressed = now_s >= waiting.latest_start_s - PREEMPT_MARGIN_S
--- a/troutstand/core/selfreport.py
+++ b/troutstand/core/selfreport.py
@@ -67,7 +67,9 @@
             self.rest.ask(gateway, notice.rest_s, now_s)
             is_news = True
         if notice.limit_per_s is not None:
-            is_news = self._name_limit(notice.limit_per_s, share or LimitShare(), now_s) or is_news
+            return self._name_limit(notice.limit_per_s, share or LimitShare(), now_s) or is_news
+        if notice.asked_age_s is not None:
+            return self.end_limit(now_s - notice.asked_age_s) or is_news
         return is_news
 
     def _name_limit(self, limit_per_s: float, share: LimitShare, now_s: float) -> bool:
--- a/troutstand/core/shedding.py
+++ b/troutstand/core/shedding.py
@@ -76,17 +76,31 @@
     def _estimate_wait_s(self, waiting: Waiting, now_s: float) -> float:
         """Estimate the wait behind everything of the same or a higher tier."""
         pool = self._pools.get(waiting.ask.serves, [])
-        ahead = [
-            queue
-            for key, queue in self._queues.items()
-            if key.rank <= waiting.rank and key.serves == waiting.ask.serves
-        ]
+        ahead = self._list_ahead(waiting)
         free = sum(target.count_free(now_s) for target in pool)
         if sum(len(queue) for queue in ahead) <= free:
             return 0.0
         work_s = sum(queue.expected_s for queue in ahead)
         work_s += self._load.estimate_left_s(waiting.ask.serves, waiting.rank, now_s)
-        return work_s / max(1, sum(target.row.slots for target in pool))
+        wait_s = work_s / max(1, sum(target.row.slots for target in pool))
+        return max(wait_s, self._estimate_limit_s(waiting, now_s))
+
+    def _list_ahead(self, waiting: Waiting) -> list[FairQueue]:
+        """Return the queues of the same and higher tiers."""
+        return [
+            queue
+            for key, queue in self._queues.items()
+            if key.rank <= waiting.rank and key.serves == waiting.ask.serves
+        ]
+
+    def _estimate_limit_s(self, waiting: Waiting, now_s: float) -> float:
+        """Estimate the wait for the limits that all targets name; 0 where one names none."""
+        if not self._is_limited(waiting.ask):
+            return 0.0
+        usable = self._list_usable(waiting.ask)
+        free = sum(target.count_free(now_s) for target in usable)
+        before = sum(len(queue) for queue in self._list_ahead(waiting)) - free
+        return max(0, before) / sum(target.report.rate_per_s for target in usable)
 
     # Shedding, the lowest tier first
 
@@ -96,13 +110,15 @@
         Lower waiting work gives way before it, the lowest first. None of it is
         shed while still lower work runs, which would turn the order round.
         """
-        run = self._find_lower_running(waiting)
+        run = self._find_lower_running(waiting, now_s)
         if run:
             return [self._preempt(run, now_s)]
+        if code is ResultCode.SHED_DEADLINE and self._is_limited(waiting.ask):
+            code = ResultCode.TARGETS_LIMITED
         lower = sorted(self._find_lower_waiting(waiting), key=lambda item: -item.rank)
         if code is ResultCode.QUEUE_FULL and lower:
             return [self._drop(lower[0], ResultCode.SHED_OVERLOAD, now_s)]
-        if self._list_lower_running(waiting):
+        if self._list_lower_running(waiting, now_s):
             self.inversions += 1
         sends = [self._drop(item, ResultCode.SHED_OVERLOAD, now_s) for item in lower]
         return [*sends, self._drop(waiting, code, now_s)]
@@ -118,18 +134,22 @@
             and any(target.row.name in usable for target in self._list_usable(item.ask))
         ]
 
-    def _list_lower_running(self, waiting: Waiting) -> list[Running]:
+    def _list_lower_running(self, waiting: Waiting, now_s: float) -> list[Running]:
+        """Return the lower running work whose place a request could take.
+
+        The place of work at a target whose limit leaves no room is no place.
+        """
         return [
             run
             for target in self._list_usable(waiting.ask)
+            if target.report.may_send(now_s)
             for run in target.running.values()
             if run.rank > waiting.rank and not run.preempted
         ]
 
-    def _find_lower_running(self, waiting: Waiting) -> Running | None:
-        lower = [
-            run for run in self._list_lower_running(waiting) if self.targets[run.target].row.cancels
-        ]
+    def _find_lower_running(self, waiting: Waiting, now_s: float) -> Running | None:
+        found = self._list_lower_running(waiting, now_s)
+        lower = [run for run in found if self.targets[run.target].row.cancels]
         return max(lower, key=lambda run: (run.rank, run.granted_s), default=None)
 
     def _preempt(self, run: Running, now_s: float) -> Send:
@@ -140,7 +160,7 @@
     def _press(self, waiting: Waiting, now_s: float) -> list[Send]:
         if now_s >= waiting.latest_start_s:
             return self._shed_lowest(waiting, self._explain_wait(waiting), now_s)
-        run = self._find_lower_running(waiting)
+        run = self._find_lower_running(waiting, now_s)
         pending = any(
             other.preempted
             for target in self._list_usable(waiting.ask)
@@ -157,8 +177,9 @@
         return ResultCode.SHED_DEADLINE
 
     def _drop(self, waiting: Waiting, code: ResultCode, now_s: float) -> Send:
+        limit_s = self._estimate_limit_s(waiting, now_s)
         self._dequeue(waiting)
-        retry_s = self._estimate_wait_s(waiting, now_s)
+        retry_s = max(limit_s, self._estimate_wait_s(waiting, now_s))
         waited_ms = to_ms(now_s - waiting.submitted_s)
         return self._shed(waiting, code, retry_s, f"tier={waiting.ask.tier} waited_ms={waited_ms}")
 
--- a/troutstand/core/trace.py
+++ b/troutstand/core/trace.py
@@ -16,13 +16,14 @@
     Preempt,
     RunningReport,
     Shed,
+    TargetNotices,
     Withdraw,
 )
 
 if TYPE_CHECKING:
     from troutstand.core.shedding import Send
 
-SchedulerMessage = PlacementAsk | Withdraw | Finished | RunningReport
+SchedulerMessage = PlacementAsk | Withdraw | Finished | RunningReport | TargetNotices
 
 
 class TracedSend(msgspec.Struct, frozen=True):
@@ -131,6 +132,10 @@
         """Take over what an entry process runs."""
         return self._record_message("", report, now_s, super().take_report(report, now_s))
 
+    def take_notices(self, notices: TargetNotices, now_s: float) -> list[Send]:
+        """Take what targets said of themselves."""
+        return self._record_message("", notices, now_s, super().take_notices(notices, now_s))
+
     def drop_process(self, process: str, now_s: float) -> list[Send]:
         """Forget the requests of an entry process."""
         sends = super().drop_process(process, now_s)
@@ -155,6 +160,8 @@
             return scheduler.finish(step.message, step.at_s)
         case RunningReport():
             return scheduler.take_report(step.message, step.at_s)
+        case TargetNotices():
+            return scheduler.take_notices(step.message, step.at_s)
 
 
 def _load_table(step: TableCame) -> Table:
--- a/troutstand/daemon/engines.py
+++ b/troutstand/daemon/engines.py
@@ -235,7 +235,7 @@
         is_gone: bool = False,
     ) -> None:
         progress, usage = relay.progress, relay.progress.usage
-        rest_s = error.rest_s if isinstance(error, TargetRefusal) else 0.0
+        rest_s = error.notice.rest_s if isinstance(error, TargetRefusal) else 0.0
         # A target that asks for rest is sound, and left alone for as long as it asks.
         is_fault = error is not None and error.code in _STALLS and not rest_s
         fault = error.code.name.lower() if error and is_fault else ""
@@ -255,7 +255,6 @@
             fingerprint=attempt.request.fingerprint,
             is_broken_off=error is not None and error.code is ResultCode.ANSWER_CUT,
             is_target_gone=is_gone,
-            rest_ms=int(rest_s * _MILLISECONDS),
         )
         self._entry.placement.finish(finished)
         self._entry.events.emit(
--- a/troutstand/daemon/entry.py
+++ b/troutstand/daemon/entry.py
@@ -12,6 +12,7 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.core.follower import Follower
 from troutstand.core.ids import ProcessId
+from troutstand.core.trace import SchedulerMessage
 from troutstand.daemon.commands import Commands
 from troutstand.daemon.configuration import Configuration
 from troutstand.daemon.node import Node
@@ -38,6 +39,7 @@
     RunningReport,
     Shed,
     Snapshot,
+    TargetNotices,
     TriedAsk,
     Withdraw,
 )
@@ -138,7 +140,7 @@
     ) -> PeerMessage | Awaitable[PeerMessage | None] | None:
         """Answer a message of a peer."""
         match message:
-            case PlacementAsk() | Finished() | Withdraw() | RunningReport():
+            case PlacementAsk() | Finished() | Withdraw() | RunningReport() | TargetNotices():
                 self.scheduling.handle(peer, message)
                 return None
             case Grant() | Shed() | Preempt():
@@ -172,7 +174,7 @@
     def _deliver(self, scheduler: ProcessId, message: PeerMessage) -> bool:
         if scheduler != self.node.process:
             return self.node.peers.send(scheduler, message)
-        if isinstance(message, PlacementAsk | Finished | Withdraw | RunningReport):
+        if isinstance(message, SchedulerMessage):
             return self.scheduling.handle(scheduler, message)
         return False
 
@@ -268,6 +270,7 @@
             if known is None or known.row != row:
                 is_engine = row.protocol is Protocol.engine
                 backend_class = EngineBackend if is_engine else ServiceBackend
-                self._backends[name] = backend_class(row, self.session)
+                hear = self.placement.hear_target
+                self._backends[name] = backend_class(row, self.session, hear)
         for name in set(self._backends) - set(targets):
             del self._backends[name]
--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from troutstand.core.codes import ResultCode
 from troutstand.core.crashes import CrashBook
 from troutstand.core.errors import TroutstandError
@@ -22,6 +24,7 @@
     RunningRequest,
     Shed,
     TargetNotice,
+    TargetNotices,
     Withdraw,
 )
 from troutstand.util.clock import read_clock_s
@@ -66,7 +69,7 @@
     scheduler: ProcessId | None = None
     # What callers here were refused for, so that it outlives the scheduler.
     _crashes: CrashBook = field(default_factory=CrashBook)
-    # Which targets asked for rest, for the same reason.
+    # What targets said of themselves, for the same reason.
     _notices: NoticeBook = field(default_factory=NoticeBook)
     _pending: dict[str, _Pending] = field(default_factory=dict)
     _running: dict[str, _Running] = field(default_factory=dict)
@@ -136,11 +139,27 @@
     def finish(self, finished: Finished) -> None:
         """Tell the scheduler that a granted request ended."""
         self._running.pop(finished.request, None)
-        rest_s = finished.rest_ms / _MILLISECONDS
-        now_s = read_clock_s()
-        self._notices.note(TargetNotice(finished.target, rest_s=rest_s), now_s, now_s)
         self._send(finished)
 
+    def hear_target(self, notice: TargetNotice, asked_s: float) -> None:
+        """Take what the answer to a request, sent at a time, says of its target.
+
+        The scheduler is told at once: the end of a stream may be far off.
+        """
+        now_s = read_clock_s()
+        is_news = self._notices.note(notice, asked_s, now_s)
+        if is_news:
+            self.events.emit(
+                "target_notice_heard",
+                target=notice.target,
+                leaving=notice.is_leaving,
+                rest_s=notice.rest_s,
+                limit_per_s=notice.limit_per_s,
+            )
+        if is_news or notice.limit_per_s is not None:
+            told = msgspec.structs.replace(notice, asked_age_s=now_s - asked_s)
+            self._send(TargetNotices([told]))
+
     def _give_back(self, grant: Grant) -> None:
         self._send(Finished(grant.request, grant.target, False))
 
@@ -163,6 +182,7 @@
             if grant.request not in self._running:
                 self._give_back(grant)
             return
+        self._notices.note_back(grant.target)
         pending.answer.set_result(grant)
 
     def _take_shed(self, shed: Shed) -> None:
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -23,6 +23,7 @@
     ProcessState,
     RunningReport,
     Shed,
+    TargetNotices,
     Withdraw,
 )
 from troutstand.util.clock import read_clock_s
@@ -253,6 +254,8 @@
                 sends = self.scheduler.finish(message, now_s)
             case RunningReport():
                 sends = self.scheduler.take_report(message, now_s)
+            case TargetNotices():
+                sends = self.scheduler.take_notices(message, now_s)
         self._dispatch(sends)
         return True
 
--- a/troutstand/daemon/services.py
+++ b/troutstand/daemon/services.py
@@ -90,8 +90,7 @@
         task = asyncio.create_task(self._run_command(call))
         self._entry.node.keep_command(task)
         outcome = await asyncio.shield(task)
-        reply = Reply(outcome.status, outcome.content_type, outcome.body)
-        return _make_response(reply, call.key)
+        return _make_response(outcome, call.key)
 
     async def _run_command(self, call: ServiceCall) -> Outcome:
         request = f"c-{secrets.token_hex(_REQUEST_BYTES)}"
@@ -144,7 +143,7 @@
                 grant = await self._place(call, request, tried)
                 tried.append(grant.target)
                 reply = await self._request(call, grant, request)
-                if not reply.rest_s or len(tried) >= MAX_TRIES:
+                if not reply.notice.rest_s or len(tried) >= MAX_TRIES:
                     return reply
             except TroutstandError as error:
                 if tried and error.code is not ResultCode.TARGET_UNREACHABLE:
@@ -170,7 +169,6 @@
     async def _request(self, call: ServiceCall, grant: Grant, request: str) -> Reply:
         started_s = read_clock_s()
         ok = is_cut = is_gone = False
-        rest_s = 0.0
         fault = ""
         backend = self._entry.find_backend(grant.target)
         try:
@@ -187,8 +185,7 @@
                     call.service.timeout_s,
                 )
             )
-            rest_s = reply.rest_s
-            ok = not rest_s
+            ok = not reply.notice.rest_s
             return reply
         except TroutstandError as error:
             fault = error.code.name.lower()
@@ -211,12 +208,11 @@
                     fingerprint=call.fingerprint,
                     is_broken_off=is_cut,
                     is_target_gone=is_gone,
-                    rest_ms=int(rest_s * _MILLISECONDS),
                 )
             )
 
 
-def _make_response(reply: Reply, key: str) -> web.Response:
+def _make_response(reply: Reply | Outcome, key: str) -> web.Response:
     return web.Response(
         status=reply.status,
         body=reply.body,
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -15,6 +15,7 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import check_configuration
 from troutstand.core.errors import TroutstandError
+from troutstand.core.notices import LEAVING_HEADER, LIMIT_HEADER
 from troutstand.core.rollouts.book import RolloutAsk
 from troutstand.generated.configuration import Configuration
 from troutstand.generated.messages import ListedTarget, RolloutOrder, RolloutState
@@ -51,9 +52,9 @@
     not_run: str = "x-not-run"
     seal: str = "x-answer-seal"
     # Says in any answer that its target takes no new work.
-    leaving: str = "x-target-leaving"
+    leaving: str = LEAVING_HEADER
     # Says in any answer how many requests a second its target takes from all hosts together.
-    limit: str = "x-target-limit"
+    limit: str = LIMIT_HEADER
     # Orders to a target, such as to reserve memory: what a caller writes there is dropped.
     reserved: frozenset[str] = frozenset({"x-target-order"})
 
--- a/troutstand/tests/domainlimits.feature
+++ b/troutstand/tests/domainlimits.feature
@@ -28,3 +28,44 @@
     When for 4 s 30 prompts a second are asked for
     Then that engine got nothing later than 1 s after its first
     And every prompt is answered
+
+  # Decisions, on a clock of their own.
+
+  Scenario: The limit is spent, and not more
+    Given a scheduler with 2 trusted targets of 2 slots
+    When the first target names a limit of 2 a second
+    And 200 short requests come within 10 s
+    Then the first target got 18 to 21 of them
+
+  Scenario: A limit outlives the scheduler
+    Given a scheduler with 2 trusted targets of 2 slots
+    When an entry process that heard of a limit of 0.5 a second reports to another scheduler
+    And 40 short requests come within 1.5 s
+    Then the first target got 0 to 0 of them
+
+  Scenario: A limit ends with an answer that does not name it
+    Given a scheduler with 2 trusted targets of 2 slots
+    When the first target names a limit of 2 a second
+    And 10 short requests come within 1 s
+    And the first target names no limit any more
+    And 200 short requests come within 10 s
+    Then the first target got 60 to 200 of them
+
+  Scenario: Where all targets name a limit, who cannot be in time is shed with the time until then
+    Given a scheduler with 1 trusted targets of 2 slots
+    When the first target names a limit of 0.25 a second
+    Then a request that waits for 1 s at most is shed at once with 3014 and comes back after 4 s, spread up to twice as long
+
+  Scenario Outline: How long a leaving that an answer told of holds
+    Given a scheduler with 2 trusted targets of 2 slots
+    When the first target says that it leaves
+    And <then>
+    And 40 short requests come within 2 s
+    Then the first target got <least> to <most> of them
+
+    Examples:
+      | then                                                | least | most |
+      | 50 s pass by, in which it does not say so again     | 0     | 0    |
+      | 61 s pass by, in which it does not say so again     | 10    | 40   |
+      | the list shows it as leaving, and then no more      | 10    | 40   |
+      | the table gives it another address                  | 10    | 40   |
--- a/troutstand/tests/steps/domainrests.py
+++ b/troutstand/tests/steps/domainrests.py
@@ -13,7 +13,7 @@
 from troutstand.core.clock import HybridClock
 from troutstand.core.ids import ProcessId
 from troutstand.daemon.placement import Placement
-from troutstand.generated.messages import Finished, RunningReport
+from troutstand.generated.messages import RunningReport, TargetNotice, TargetNotices
 from troutstand.testing.engine import EngineRecord, Fault
 from troutstand.testing.service import ServiceRecord
 from troutstand.testing.site import LOOKUP, Site, SitePlan
@@ -21,6 +21,7 @@
 from troutstand.tests.steps.callers import make_chat
 from troutstand.tests.steps.scheduler import Driver
 from troutstand.tests.steps.serving import list_engines, set_fault
+from troutstand.util.clock import read_clock_s
 from troutstand.util.events import EventBus
 
 if TYPE_CHECKING:
@@ -132,8 +133,9 @@
 
 def _turn_away(context: Context, name: str, rest_s: float) -> None:
     driver = context.driver
-    context.turned_away = Finished(name, driver.granted[name], False, rest_ms=int(rest_s * 1000))
-    driver.finish(name, ok=False, rest_ms=context.turned_away.rest_ms)
+    context.turned_away = TargetNotice(driver.granted[name], rest_s=rest_s)
+    driver.take(driver.scheduler.take_notices(TargetNotices([context.turned_away]), driver.now_s))
+    driver.finish(name, ok=False)
 
 
 @when("a request is turned away by a target that asks for {rest_s:g} s of rest")
@@ -167,7 +169,7 @@
         return True
 
     placement = Placement(PROCESS, EventBus(PROCESS, HybridClock(lambda: 0)), deliver)
-    placement.finish(context.turned_away)
+    placement.hear_target(context.turned_away, read_clock_s())
     placement.follow(PROCESS)
     context.driver = Driver(context.rows)
     report = next(message for message in sent if isinstance(message, RunningReport))
