Live on when told to reload while a process begins or ends

Callers of a gateway that was told to reload within its first 0.4 s of processor time found nobody: the process had ended with signal 1 and left no line. Cause: until the loop's handler stood, and again once the loop was closed, the signal had the system's default. Change: the first line of each process ignores it, before anything else is loaded; a handler that is not the loop's takes it from then on, and it is ignored again before the process stops.

--- a/troutstand/daemon/main.py
+++ b/troutstand/daemon/main.py
@@ -1,142 +1,15 @@
-"""Start one process of troutstand from its settings file."""
+"""Begin a process of troutstand before anything else is loaded."""
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import secrets
-import signal
-import sys
-from pathlib import Path
-
-from cyclopts import App
-
-from troutstand.core.codes import ResultCode, describe_code
-from troutstand.core.errors import TroutstandError, flatten_group
-from troutstand.core.ids import name_process
-from troutstand.daemon.admin import Admin
-from troutstand.daemon.callers import Callers
-from troutstand.daemon.entry import EntryProcess
-from troutstand.daemon.keeper import KeeperProcess
-from troutstand.daemon.startup import load_settings
-from troutstand.daemon.storage import format_folder, read_identity
-from troutstand.generated.messages import StoredIdentity
-from troutstand.generated.settings import Role, Settings
-from troutstand.util.clock import ClockLoop
-from troutstand.util.listening import Waits, listen
-
-app = App(name="troutstandd", help="Run one process of troutstand.")
-
-_DISK_ID_BYTES = 12
-_WAITS = Waits(keep_alive_s=3630.0, shutdown_s=1.0)
-# Requests make few cycles; looking for them after every 700 allocations, the
-# default, costs more than it frees.
-GC_ALLOCATIONS = 50_000
-
-
-async def _run_process(settings: Settings) -> int:
-    process = EntryProcess(settings) if settings.role is Role.entry else KeeperProcess(settings)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    await process.start()
-    admin = Admin(process, stopping.set)
-    runners = [await listen(admin.make_app(), settings.admin, "admin", _WAITS)]
-    if isinstance(process, EntryProcess) and settings.callers:
-        callers = Callers(process).make_app()
-        runners.append(await listen(callers, settings.callers, "callers", _WAITS))
-    # What lives as long as the process need not be looked at by every
-    # collection; it showed as pauses between tokens.
-    gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS)
-    await stopping.wait()
-    whole = await process.drain() if isinstance(process, EntryProcess) else True
-    for runner in runners:
-        await runner.cleanup()
-    await process.stop()
-    return 0 if whole else describe_code(ResultCode.DRAINING).exit_code
-
-
-def _format_data_folder(settings: Settings) -> None:
-    if settings.data_folder is None:
-        raise TroutstandError(ResultCode.SETTINGS_ROLE, "data_folder is needed to format it")
-    process = name_process(settings.host, settings.role.value)
-    disk_id = secrets.token_hex(_DISK_ID_BYTES)
-    format_folder(Path(settings.data_folder), StoredIdentity(settings.site, process, disk_id))
-    print(f"formatted {settings.data_folder} for {process}, disk {disk_id}")
-
-
-def _check_data_folder(settings: Settings) -> None:
-    if settings.data_folder is not None:
-        read_identity(Path(settings.data_folder))
-
-
-def _report(error: BaseException) -> int:
-    """Print every single error and return the exit code."""
-    errors = [e for e in flatten_group(error) if isinstance(e, TroutstandError)]
-    for single in errors:
-        print(f"troutstandd: {single}", file=sys.stderr)
-    return describe_code(errors[0].code).exit_code
-
-
-def start_routed(settings: Path, check: bool) -> None:
-    """Run, or only check the settings of, a process of a routed site."""
-    from troutstand.routing.dialect import Dialect
-    from troutstand.routing.main import run_process
-    from troutstand.routing.startup import load_routing_settings
-
-    if not check:
-        run_process(settings, Dialect())
-        return
-    exit_code = 0
-    try:
-        load_routing_settings(settings)
-        print(f"{settings.name}: in order")
-    except* TroutstandError as group:
-        exit_code = _report(group)
-    sys.exit(exit_code)
-
-
-@app.default
-def start(
-    settings: Path, *, check: bool = False, format: bool = False, routed: bool = False
-) -> None:
-    """Run the process that a settings file describes.
-
-    Parameters
-    ----------
-    settings
-        The JSON settings file.
-    check
-        Only check the settings and the data folder.
-    format
-        Only make the data folder of a new disk.
-    routed
-        The settings are those of a routed site's process; its keepers make their
-        folders themselves.
-    """
-    if routed:
-        start_routed(settings, check)
-        return
-    exit_code = 0
-    try:
-        loaded = load_settings(settings)
-        if format:
-            _format_data_folder(loaded)
-        elif check:
-            _check_data_folder(loaded)
-            print(f"{settings.name}: in order")
-        else:
-            with asyncio.Runner(loop_factory=ClockLoop) as runner:
-                exit_code = runner.run(_run_process(loaded))
-    except* TroutstandError as group:
-        exit_code = _report(group)
-    sys.exit(exit_code)
+from troutstand.util.reloadsignal import ignore_reload
 
 
 def run() -> None:
     """Run the command line."""
+    ignore_reload()
+    from troutstand.daemon.command import app
+
     app()
 
 
--- a/troutstand/routing/main.py
+++ b/troutstand/routing/main.py
@@ -6,6 +6,7 @@
 import gc
 import signal
 import sys
+from functools import partial
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import describe_code
@@ -13,6 +14,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.startup import load_routing_settings
 from troutstand.util.clock import ClockLoop
+from troutstand.util.reloadsignal import follow_reload, ignore_reload
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -64,13 +66,14 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, process, path)
+    follow_reload(loop, partial(_reload, process, path))
     await process.start()
     gc.freeze()
     gc.set_threshold(_GC_ALLOCATIONS)
     watching = asyncio.create_task(_watch_settings(process, path))
     await stopping.wait()
     watching.cancel()
+    ignore_reload()
     await process.stop()
 
 
