--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -17,8 +17,9 @@
 from troutstand.generated.settings import Address
 from troutstand.generated.table import Protocol, Target
 from troutstand.testing.load import ChatCall, ChatCallMessage
+from troutstand.testing.ports import IP, pick_ports
 from troutstand.testing.score import take_percentile
-from troutstand.testing.site import IP, MODEL, Site, SitePlan, pick_ports, wait_for
+from troutstand.testing.site import MODEL, Site, SitePlan, wait_for
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-import itertools
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +17,7 @@
 from troutstand.generated.settings import Address, Limits, Peer, Role, Settings
 from troutstand.generated.table import Model, Protocol, Service, Target, Tier, Workspace
 from troutstand.testing.engine import EngineSettings
+from troutstand.testing.ports import IP, pick_ports
 from troutstand.testing.relay import Pair, RelayHub
 from troutstand.testing.service import ServiceSettings
 
@@ -32,7 +31,7 @@
 
 OPERATOR_TOKEN = "operator-token"
 LINK_KEY = "0123456789abcdef0123456789abcdef"
-IP = "127.0.0.1"
+
 # Guards against hangs; nothing is expected to take this long.
 HANG_S = 30.0
 _POLL_S = 0.02
@@ -46,27 +45,6 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((IP, port))
-        except OSError:
-            return False
-    return True
-
-
-# Below the ports that outgoing connections take by themselves; a port from
-# among those could be gone before the process that it is for opens it.
-_PORTS = itertools.cycle(range(20_000, 32_000))
-for _ in range(os.getpid() * 137 % 12_000):
-    next(_PORTS)
-
-
-def pick_ports(count: int) -> list[int]:
-    """Return ports that are free now, none of them twice."""
-    return list(itertools.islice(filter(_is_free, _PORTS), count))
-
-
 def wait_for(condition: Callable[[], T | None], what: str) -> T:
     """Wait until a condition gives something; the time limit only guards against hangs."""
     end_s = time.monotonic() + HANG_S
