--- a/troutstand/tests/environment.py
+++ b/troutstand/tests/environment.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import os
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from troutstand.testing.ports import find_network
 from troutstand.testing.site import Site, SitePlan
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
 def next_subnet(context: Context) -> str:
     """Return loopback numbers that no other site of this or another run uses now."""
     context.shared.subnets += 1
-    return f"{os.getpid() % 200 + 20}.{context.shared.subnets % 250}"
+    return f"{find_network()}.{context.shared.subnets % 250}"
 
 
 def start_site(context: Context, plan: SitePlan) -> Site:
--- a/troutstand/tests/harness.feature
+++ b/troutstand/tests/harness.feature
@@ -8,3 +8,7 @@
   Scenario: Processes that pick ports at the same time do not pick the same ones
     When 6 test processes pick 500 ports each at the same time
     Then no port was picked twice
+
+  Scenario: Processes that ask for a loopback network at the same time get networks of their own
+    When 30 test processes ask for a network at the same time
+    Then no network was given twice
--- a/troutstand/tests/steps/harness.py
+++ b/troutstand/tests/steps/harness.py
@@ -12,18 +12,23 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-# Each holds what it picked until all have.
-_PROGRAM = """
+_PICK = """
 import sys
 from troutstand.testing.ports import pick_ports
 print(*pick_ports(int(sys.argv[1])), flush=True)
 sys.stdin.read()
 """
+_FIND = """
+import sys
+from troutstand.testing.ports import find_network
+print(find_network(), flush=True)
+sys.stdin.read()
+"""
 
 
-@when("{processes:d} test processes pick {count:d} ports each at the same time")
-def pick_together(context: Context, processes: int, count: int) -> None:
-    command = [sys.executable, "-c", _PROGRAM, str(count)]
+def _run_together(processes: int, program: str, argument: str) -> list[list[str]]:
+    """Return what some processes print, each of which lives until all have printed."""
+    command = [sys.executable, "-c", program, argument]
     pipe = subprocess.PIPE
     children = [
         subprocess.Popen(command, stdin=pipe, stdout=pipe, text=True) for _ in range(processes)
@@ -31,12 +36,24 @@
     lines = [child.stdout.readline() for child in children if child.stdout]
     for child in children:
         child.communicate()
-    context.picked = [line.split() for line in lines]
+    return [line.split() for line in lines]
+
+
+@when("{processes:d} test processes pick {count:d} ports each at the same time")
+def pick_together(context: Context, processes: int, count: int) -> None:
+    context.picked = _run_together(processes, _PICK, str(count))
     assert all(len(ports) == count for ports in context.picked), context.picked
 
 
+@when("{processes:d} test processes ask for a network at the same time")
+def find_together(context: Context, processes: int) -> None:
+    context.picked = _run_together(processes, _FIND, "")
+    assert all(len(networks) == 1 for networks in context.picked), context.picked
+
+
 @then("no port was picked twice")
+@then("no network was given twice")
 def check_apart(context: Context) -> None:
-    counts = Counter(port for ports in context.picked for port in ports)
-    twice = [port for port, count in counts.items() if count > 1]
-    assert not twice, f"{len(twice)} of {len(counts)} ports: {twice[:5]}"
+    counts = Counter(number for numbers in context.picked for number in numbers)
+    twice = [number for number, count in counts.items() if count > 1]
+    assert not twice, f"{len(twice)} of {len(counts)}: {twice[:5]}"
