--- a/troutstand/tests/steps/succession.py
+++ b/troutstand/tests/steps/succession.py
@@ -7,9 +7,18 @@
 
 from behave import given, then, when
 
+from troutstand.core import succession
 from troutstand.core.contacts import ContactBook
+from troutstand.core.errors import TroutstandError
 from troutstand.core.succession import count_needed, form_first_set, plan_change
-from troutstand.generated.messages import Contact, ProcessState
+from troutstand.generated.messages import (
+    Contact,
+    KeeperSet,
+    KeepersReply,
+    Member,
+    MemberState,
+    ProcessState,
+)
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -170,3 +179,46 @@
 @then("the contact is forgotten")
 def check_forgotten(context: Context) -> None:
     assert context.book.find("a") is None
+
+
+# The first set
+
+
+def _make_set(disks: dict[str, str], epoch: int = 1) -> KeeperSet:
+    members = [Member(name, disk, MemberState.voting) for name, disk in sorted(disks.items())]
+    return KeeperSet(epoch, members)
+
+
+@when("a set of a, b and c is formed where {before}")
+def form_again(context: Context, before: str) -> None:
+    disks = {name: f"disk-{name}" for name in "abc"}
+    known: dict[str, KeeperSet] = {}
+    match before:
+        case "a and b hold that very set":
+            known = dict.fromkeys("ab", _make_set(disks))
+        case "all hold that very set":
+            known = dict.fromkeys("abc", _make_set(disks))
+        case "a and b hold that set, and c has another disk now":
+            known = dict.fromkeys("ab", _make_set({**disks, "c": "disk-lost"}))
+        case "a holds a set of a and d":
+            known = {"a": _make_set({"a": "disk-a", "d": "disk-d"})}
+        case "a and b hold a set of epoch 2":
+            known = dict.fromkeys("ab", _make_set(disks, epoch=2))
+    replies = [KeepersReply(name, disks[name], known.get(name)) for name in "abc"]
+    context.formed, context.refused = None, None
+    try:
+        context.formed = succession.form_set(replies)
+    except TroutstandError as error:
+        context.refused = error
+
+
+@then("it holds a, b and c in epoch 1")
+def check_formed(context: Context) -> None:
+    assert context.formed is not None, context.refused
+    assert [member.process for member in context.formed.members] == ["a", "b", "c"]
+    assert context.formed.epoch == 1
+
+
+@then("it is refused with {code:d}")
+def check_form_refused(context: Context, code: int) -> None:
+    assert context.refused is not None and context.refused.code == code, context.formed
--- a/troutstand/tests/succession.feature
+++ b/troutstand/tests/succession.feature
@@ -42,3 +42,19 @@
     Given a contact heard 3 s ago
     When the same word is passed on with its age for 25 s
     Then the contact is forgotten
+
+  # An operator's call to form the first set that did not reach one of three keepers said
+  # "epoch 1 is not yet at c; repeat the call", and the call repeated was refused, since a and b
+  # "belong to a keeper set already": the operator was told what could not work.
+  Scenario Outline: The call that forms the first set may be repeated
+    When a set of a, b and c is formed where <before>
+    Then <outcome>
+
+    Examples:
+      | before                                           | outcome                          |
+      | nobody knows of a set                            | it holds a, b and c in epoch 1   |
+      | a and b hold that very set                       | it holds a, b and c in epoch 1   |
+      | all hold that very set                           | it holds a, b and c in epoch 1   |
+      | a and b hold that set, and c has another disk now | it is refused with 6008          |
+      | a holds a set of a and d                         | it is refused with 6008          |
+      | a and b hold a set of epoch 2                    | it is refused with 6008          |
