Let the call that forms the first set of keepers be repeated, as it says

Operators who formed a site while one keeper did not answer were told to repeat the call, and the call repeated was refused with 6008, since the others held the set by then. Cause: any set at a keeper counted as another one. Change: the very same set (same keepers, same disks, first epoch) is formed again. A site of a test that cannot be formed tells what the call answered, which keepers are silent and which processes have ended, so that the two ways can be told apart next time.

--- a/troutstand/control/client.py
+++ b/troutstand/control/client.py
@@ -149,15 +149,15 @@
         except (OSError, RefusedCall):
             return None
 
-    def try_form(self, process: str) -> bool:
-        """Form the keeper set; tell whether it is formed."""
+    def try_form(self, process: str) -> str:
+        """Form the keeper set; return why it is not formed, or nothing where it is."""
         try:
             self.call(process, "POST", "/admin/keepers/form", KeepersReport)
-        except OSError:
-            return False
+        except OSError as error:
+            return repr(error)
         except RefusedCall as refusal:
-            return "belongs to a keeper set" in refusal.body.message
-        return True
+            return refusal.body.message
+        return ""
 
     def replace_keeper(self, process: str, lost: str) -> KeepersReport:
         """Have a keeper's new disk take the lost one's place."""
--- a/troutstand/core/succession.py
+++ b/troutstand/core/succession.py
@@ -41,20 +41,25 @@
 def form_set(replies: list[KeepersReply]) -> KeeperSet:
     """Make the first keeper set.
 
+    Keepers that hold this very set already are no obstacle: the call that formed it did not
+    reach all of them, and its caller was told to repeat it. The same set at one keeper more
+    decides nothing anew.
+
     Raises
     ------
     TroutstandError
-        KEEPER_CHANGE_REFUSED where a keeper belongs to a set already.
+        KEEPER_CHANGE_REFUSED where a keeper belongs to another set.
     """
-    formed = [reply for reply in replies if reply.keepers is not None]
-    if formed:
-        raise TroutstandError(
-            ResultCode.KEEPER_CHANGE_REFUSED,
-            f"{formed[0].process} belongs to a keeper set already; replace it instead",
-        )
     ordered = sorted(replies, key=lambda reply: reply.process)
     members = [Member(r.process, r.disk_id, MemberState.voting) for r in ordered]
-    return KeeperSet(FIRST_EPOCH, members)
+    keepers = KeeperSet(FIRST_EPOCH, members)
+    for reply in ordered:
+        if reply.keepers not in (None, keepers):
+            raise TroutstandError(
+                ResultCode.KEEPER_CHANGE_REFUSED,
+                f"{reply.process} belongs to a keeper set already; replace it instead",
+            )
+    return keepers
 
 
 def count_needed(keepers: KeeperSet) -> int:
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -101,6 +101,11 @@
         with (self.folder / f"{self.name}.err").open("ab") as errors:
             self.handle = subprocess.Popen(self.command, stdout=errors, stderr=errors)
 
+    @property
+    def has_ended(self) -> bool:
+        """Tell whether the process was started and is gone."""
+        return self.handle is not None and self.handle.poll() is not None
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self.handle and self.handle.poll() is None:
@@ -304,11 +309,28 @@
         for process in self.processes.values():
             process.start()
         operator = self.operator()
-        wait_for(lambda: operator.try_form(self.keepers[0]), "keeper set")
+        self._form_keepers(operator)
         wait_for(lambda: operator.try_accept(self.keepers[0], "first", 0, self.rows), "table")
         for name in self.entries:
             self.wait_serving(name)
 
+    def _form_keepers(self, operator: Operator) -> None:
+        """Form the keeper set; where that fails, tell what stood in its way."""
+        reason = ""
+
+        def is_formed() -> bool:
+            nonlocal reason
+            reason = operator.try_form(self.keepers[0])
+            return not reason
+
+        try:
+            wait_for(is_formed, "keeper set")
+        except AssertionError as error:
+            silent = [name for name in self.keepers if operator.try_status(name) is None]
+            ended = [name for name, process in self.processes.items() if process.has_ended]
+            detail = f"{error}: {reason}; no status from {silent}, ended {ended}"
+            raise AssertionError(detail) from error
+
     def format_disk(self, name: str) -> None:
         """Make a keeper's data folder."""
         command = [*self.processes[name].command, "--format"]
