Bring all gateways to one scheduler at once after a cold start

Callers: in the two seconds after all hosts had lost power a third of the calls was refused or late; two schedulers had gateways for 1.7 s and filled the same targets unheard of each other. Cause: each gateway took the scheduler that it heard first, and who asks whom is only gone by once a scheduler has been live for 1.5 s. Change: schedulers tell for how long they have been able to serve; of those that began within 1 s of each other the first in order is asked, for the first 3 s, and all are watched closely in the first second.

--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -117,6 +117,7 @@
         self._levels: tuple[float, list[Level]] = (float("-inf"), [])
         self._is_leaving = False
         self._has_list = False
+        self._ready_since_s = read_clock_s()
         self._slow_tick_s = float("-inf")
         self._list_wanted = asyncio.Event()
 
@@ -291,6 +292,7 @@
             targets_base=told.base,
             gone=told.gone,
             is_ready=self.is_ready,
+            ready_s=self._measure_ready(now_s),
             most_asked=most_asked,
             most_asked_by=self._asked[most_asked],
             levels=self._list_levels(now_s) if ask.is_attached else [],
@@ -299,6 +301,12 @@
             crashes_version=crashes.version,
         )
 
+    def _measure_ready(self, now_s: float) -> float:
+        """Return for how long this process has been able to serve, in seconds."""
+        if not self.is_ready:
+            self._ready_since_s = now_s
+        return now_s - self._ready_since_s
+
     def _choose_list(self, ask: AttachAsk, now_s: float) -> ToldList:
         """Return what a gateway is told of the list with its heartbeat.
 
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -42,6 +42,11 @@
 # ask. Without it gateways that came back from a cut took whichever they heard first, and
 # two schedulers filled the same targets for 1.6 to 2.6 s (site of 6 gateways, its logs).
 _AWAIT_ASKED_S = 0.6
+# Schedulers that began within this time of the first, in seconds, began together: after a
+# loss of all power they were ready within 0.13 s of each other on hosts alike.
+_TOGETHER_S = 1.0
+# For so long after the first of them began, in seconds, gateways go by their order alone.
+_SETTLING_S = 3.0
 # Another scheduler is moved to, while one's own lives, once it was live for so long.
 _MOVE_AFTER_S = 1.5
 
@@ -144,10 +149,14 @@
     different moments, and until the last has moved two schedulers fill every target.
     """
     live = list_live(watches, now_s)
+    begun = _list_begun_together(watches, live, now_s)
     if isinstance(current, Alone):
-        if _should_await_asked(watches, live, now_s):
+        if not begun and _should_await_asked(watches, live, now_s):
             return current
         live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
+        begun = [p for p in begun if p in live]
+    if begun:
+        return begun[0]
 
     def rank(process: ProcessId) -> tuple[int, ProcessId]:
         return -_count_asking(watches, live, process), process
@@ -158,6 +167,21 @@
     return min([current, *steady], key=rank)
 
 
+def _list_begun_together(
+    watches: Mapping[ProcessId, Watch], live: list[ProcessId], now_s: float
+) -> list[ProcessId]:
+    """Return the schedulers that have just begun, in their order; none where one is older.
+
+    Who asks whom says nothing then: each gateway took the one that it heard first. Their
+    order is the same for all, and needs no memory of before. Two schedulers had gateways for
+    up to 1.32 s, and for up to 0.19 s with this (50 draws, `schedulerwatch.feature`).
+    """
+    first_s = min((watches[p].ready_since_s for p in live), default=float("-inf"))
+    if now_s - first_s > _SETTLING_S:
+        return []
+    return [p for p in live if watches[p].ready_since_s - first_s <= _TOGETHER_S]
+
+
 def _count_asking(
     watches: Mapping[ProcessId, Watch], live: list[ProcessId], process: ProcessId
 ) -> int:
@@ -189,11 +213,13 @@
 
 
 def space_standbys(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> None:
-    """Watch the next schedulers in order closely, and all while there is none to ask."""
-    is_alone = isinstance(current, Alone)
+    """Watch the next schedulers in order closely, and all while none is settled on."""
+    is_settled = not isinstance(current, Alone) and (
+        now_s - watches[current].ready_since_s > _TOGETHER_S
+    )
     others = [process for process in list_live(watches, now_s) if process != current]
-    far = set() if is_alone else set(others[_CLOSE_STANDBYS:])
-    near_s = _ALONE_PERIOD_S if is_alone else _STANDBY_PERIOD_S
+    far = set(others[_CLOSE_STANDBYS:]) if is_settled else set()
+    near_s = _STANDBY_PERIOD_S if is_settled else _ALONE_PERIOD_S
     for process, watch in watches.items():
         period_s = _FAR_STANDBY_PERIOD_S if process in far else near_s
         if period_s < watch.standby_period_s:
--- a/troutstand/testing/coldstart.py
+++ b/troutstand/testing/coldstart.py
@@ -110,7 +110,8 @@
             gateway.judges_s = now_s + _WATCH_S
             self._judge(gateway, schedulers, now_s, chance)
         for name, watch in gateway.watches.items():
-            if now_s >= gateway.beats_s[name]:
+            if watch.wake.is_set() or now_s >= gateway.beats_s[name]:
+                watch.wake.clear()
                 is_current = gateway.current == name
                 period_s = watch.period_s if is_current else watch.standby_period_s
                 gateway.beats_s[name] = now_s + period_s * chance.uniform(0.9, 1.1)
