--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -42,10 +42,9 @@
 # ask. Without it gateways that came back from a cut took whichever they heard first, and
 # two schedulers filled the same targets for 1.6 to 2.6 s (site of 6 gateways, its logs).
 _AWAIT_ASKED_S = 0.6
-# Schedulers that began within this time of the first, in seconds, began together: after a
-# loss of all power they were ready within 0.13 s of each other on hosts alike.
-_TOGETHER_S = 1.0
-# For so long after the first of them began, in seconds, gateways go by their order alone.
+# For so long after the first live scheduler began to serve, in seconds, gateways move without
+# delay: after a loss of all power two schedulers that were ready within 0.13 s of each other
+# had gateways for 1.7 s.
 _SETTLING_S = 3.0
 # Another scheduler is moved to, while one's own lives, once it was live for so long.
 _MOVE_AFTER_S = 1.5
@@ -149,37 +148,32 @@
     different moments, and until the last has moved two schedulers fill every target.
     """
     live = list_live(watches, now_s)
-    begun = _list_begun_together(watches, live, now_s)
     if isinstance(current, Alone):
-        if not begun and _should_await_asked(watches, live, now_s):
+        if _should_await_asked(watches, live, now_s):
             return current
         live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
-        begun = [p for p in begun if p in live]
-    if begun:
-        return begun[0]
 
     def rank(process: ProcessId) -> tuple[int, ProcessId]:
         return -_count_asking(watches, live, process), process
 
     if isinstance(current, Alone) or current not in live:
         return min(live, key=rank) if live else Alone.ALONE
-    steady = [p for p in live if now_s - watches[p].live_since_s > _MOVE_AFTER_S]
+    move_after_s = 0.0 if _have_just_begun(watches, live, now_s) else _MOVE_AFTER_S
+    steady = [p for p in live if now_s - watches[p].live_since_s > move_after_s]
     return min([current, *steady], key=rank)
 
 
-def _list_begun_together(
+def _have_just_begun(
     watches: Mapping[ProcessId, Watch], live: list[ProcessId], now_s: float
-) -> list[ProcessId]:
-    """Return the schedulers that have just begun, in their order; none where one is older.
+) -> bool:
+    """Tell whether no live scheduler is older than a few seconds.
 
-    Who asks whom says nothing then: each gateway took the one that it heard first. Their
-    order is the same for all, and needs no memory of before. Two schedulers had gateways for
-    up to 1.32 s, and for up to 0.19 s with this (50 draws, `schedulerwatch.feature`).
+    Gateways took the one that each heard first then, and come together at the one that most
+    ask as soon as they hear of it: nobody has a reason to distrust a scheduler that has just
+    come, since all have.
     """
     first_s = min((watches[p].ready_since_s for p in live), default=float("-inf"))
-    if now_s - first_s > _SETTLING_S:
-        return []
-    return [p for p in live if watches[p].ready_since_s - first_s <= _TOGETHER_S]
+    return now_s - first_s <= _SETTLING_S
 
 
 def _count_asking(
@@ -213,15 +207,28 @@
 
 
 def space_standbys(watches: Mapping[ProcessId, Watch], current: Decider, now_s: float) -> None:
-    """Watch the next schedulers in order closely, and all while none is settled on."""
-    is_settled = not isinstance(current, Alone) and (
-        now_s - watches[current].ready_since_s > _TOGETHER_S
-    )
+    """Watch the next schedulers in order closely, and all while there is none to ask."""
+    is_alone = isinstance(current, Alone)
     others = [process for process in list_live(watches, now_s) if process != current]
-    far = set(others[_CLOSE_STANDBYS:]) if is_settled else set()
-    near_s = _STANDBY_PERIOD_S if is_settled else _ALONE_PERIOD_S
+    far = set() if is_alone else set(others[_CLOSE_STANDBYS:])
+    near_s = _choose_near_period(watches, current, now_s)
     for process, watch in watches.items():
         period_s = _FAR_STANDBY_PERIOD_S if process in far else near_s
         if period_s < watch.standby_period_s:
             watch.wake.set()
         watch.standby_period_s = period_s
+
+
+def _choose_near_period(
+    watches: Mapping[ProcessId, Watch], current: Decider, now_s: float
+) -> float:
+    """Return how often the next schedulers in order are watched, in seconds.
+
+    While the one that is asked has just begun, others may be asked by more gateways.
+    """
+    if isinstance(current, Alone):
+        return _ALONE_PERIOD_S
+    watch = watches[current]
+    if now_s - watch.ready_since_s > _SETTLING_S:
+        return _STANDBY_PERIOD_S
+    return min(_STANDBY_PERIOD_S, max(_ALONE_PERIOD_S, watch.period_s))
--- a/troutstand/tests/schedulerwatch.feature
+++ b/troutstand/tests/schedulerwatch.feature
@@ -120,10 +120,11 @@
 
     Examples:
       | gateways | ready               | mean | most |
-      | 6        | 0.10, 0.00          | 0.2  | 0.5  |
-      | 6        | 0.00, 0.13, 0.05    | 0.2  | 0.5  |
-      | 6        | 0.50, 0.00          | 0.3  | 0.5  |
-      | 20       | 1.20, 0.40, 0.00    | 0.6  | 1.0  |
+      | 6        | 0.10, 0.00          | 0.1  | 0.3  |
+      | 6        | 0.00, 0.13, 0.05    | 0.1  | 0.3  |
+      | 6        | 0.50, 0.00          | 0.1  | 0.3  |
+      | 20       | 1.20, 0.40, 0.00    | 0.1  | 0.3  |
+      | 73       | 0.10, 0.00, 0.30    | 0.1  | 0.3  |
 
   Scenario: One that begins anew does not draw gateways from one that is established
     Given schedulers a, b and c that answered 0.1, 0.1 and 9 s ago
@@ -132,9 +133,22 @@
     Then a gateway that asks b asks b
     And a gateway that decides alone asks b
 
-  Scenario: While all have just begun, the first in order is asked, however many ask another
+  Scenario: While all have just begun, gateways come at once to the one that most ask
     Given schedulers a, b and c that answered 0.1, 0.1 and 9 s ago
     And a has been ready for 0.5 s and is asked by 1 gateways
     And b has been ready for 1.2 s and is asked by 5 gateways
+    Then a gateway that asks b asks b
+    And a gateway that asks a asks b
+
+  Scenario: Of two that have just begun and equally many ask, the first in order is asked
+    Given schedulers a, b and c that answered 0.1, 0.1 and 9 s ago
+    And a has been ready for 0.5 s and is asked by 3 gateways
+    And b has been ready for 0.6 s and is asked by 3 gateways
     Then a gateway that asks b asks a
     And a gateway that asks a asks a
+
+  Scenario: One that begins later is not moved to while all ask another
+    Given schedulers a, b and c that answered 0.1, 0.1 and 9 s ago
+    And a has been ready for 0.1 s and is asked by 0 gateways
+    And b has been ready for 0.6 s and is asked by 6 gateways
+    Then a gateway that asks b asks b
