--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -36,6 +36,7 @@
 _SERVICE = "engine"
 _SLOTS = 4
 _NOW_S = 100.0
+_TICK_S = 0.05
 
 
 def _make_dispatcher(targets: int, seed: int | None, slots: int = _SLOTS) -> Dispatcher:
@@ -278,3 +279,9 @@
 @then("both requests go to the second target")
 def check_not_leaving(context: Context) -> None:
     assert context.got == ["t1", "t1"], context.got
+
+
+@when("{length_s:g} s pass at that scheduler")
+def pass_there(context: Context, length_s: float) -> None:
+    for step in range(round(length_s / _TICK_S)):
+        context.dispatcher.tick(_NOW_S + (step + 1) * _TICK_S)
--- a/troutstand/tests/takeover.feature
+++ b/troutstand/tests/takeover.feature
@@ -106,3 +106,21 @@
     And 1 gateways that ask it and hold another
     When all send a heartbeat
     Then they are told less than 0.01 MB in all, and all hold its list again
+
+  # A scheduler stood still, and its gateways moved to the next one after 0.4 s with 12 requests
+  # whose objective of 0.4 s was spent by then. All were refused there after 0.312 s ("3001
+  # waited_s=0.312 expected_s=0.116 queue=12"), on a busy machine, since they had waited twice
+  # their objective in all, though their callers had 2 s left and places came free.
+  Scenario: A request that spent its objective elsewhere may wait here like any late one
+    Given a scheduler whose only slot is taken
+    When a request moves there with 0.5 of 0.4 s spent
+    And 0.6 s pass at that scheduler
+    Then it waits there
+    When the slot gets free there
+    Then the one that moved has it
+
+  Scenario: It does not wait here for longer than any late one
+    Given a scheduler whose only slot is taken
+    When a request moves there with 0.5 of 0.4 s spent
+    And 0.9 s pass at that scheduler
+    Then it is refused there
