Keep the known gateways, and what of a list is told, in modules of their own

Which gateways are known and whom each asks is core/knowngateways.py now, without input or output; what a gateway is told of a list is TargetList's.

--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import contextlib
-from collections import Counter
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.listchanges import WholeLists
+from troutstand.core.knowngateways import SILENT_S, KnownGateways
 from troutstand.core.quota import QuotaBounds, Quotas
 from troutstand.core.retries import RetryBudget
 from troutstand.generated.messages import (
@@ -36,7 +34,7 @@
 from troutstand.routing.follower import Follower
 from troutstand.routing.node import RoutingNode
 from troutstand.routing.rolloutdriver import RolloutDriver
-from troutstand.routing.targetlist import ListUnreadError, TargetList
+from troutstand.routing.targetlist import ListUnreadError, TargetList, ToldList
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -44,7 +42,7 @@
 
     from troutstand.core.configuration import RouteTable
     from troutstand.core.ids import ProcessId
-    from troutstand.generated.messages import ListedTarget, TargetNotice
+    from troutstand.generated.messages import TargetNotice
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.dialect import Dialect
 
@@ -57,43 +55,12 @@
 _LEVELS_S = 0.1
 _LIST_S = 0.9
 _STANDBY_LIST_S = 5.0
-_SILENT_S = 1.2
-_FORGET_GATEWAY_S = 30.0
 _MIN_PERIOD_S = 0.1
 _PERIOD_PER_GATEWAY_S = 0.0035
 _LEAVE_S = 1.0
 _THOUSANDTHS = 1000.0
 
 
-@dataclass
-class GatewaySeen:
-    """Keep when a gateway was last heard, and whether it asks this scheduler."""
-
-    incarnation: str
-    heard_s: float
-    is_attached: bool
-    # The gateway's count of its changes of scheduler.
-    attachment: int
-    # The scheduler that it asks; empty where it decides alone.
-    asks: str = ""
-
-
-@dataclass(frozen=True)
-class ToldList:
-    """Hold what a gateway is told of the list of targets.
-
-    Parameters
-    ----------
-    base
-        The list from which the targets are the changes; empty where they are all of it.
-    """
-
-    is_told: bool = False
-    targets: list[ListedTarget] = field(default_factory=list)
-    gone: list[str] = field(default_factory=list)
-    base: str = ""
-
-
 class RoutingScheduler:
     """Serve the gateways that chose this process."""
 
@@ -108,10 +75,10 @@
         self.dispatcher = Dispatcher(self.quotas, self.retries)
         self.follower = Follower(self.node, dialect, self._use_table)
         self.targets = TargetList(settings.target_list, dialect)
-        self.whole_lists = WholeLists(read_clock_s())
-        self.rollouts = RolloutDriver(self.node, self.dispatcher, self.follower, self._measure_lead)
-        self._gateways: dict[ProcessId, GatewaySeen] = {}
-        self._asked: Counter[str] = Counter()
+        self._gateways = KnownGateways()
+        self.rollouts = RolloutDriver(
+            self.node, self.dispatcher, self.follower, self._gateways.measure_lead
+        )
         self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
         self._limits: dict[str, tuple[float, float]] = {}
         self._levels: tuple[float, list[Level]] = (float("-inf"), [])
@@ -135,7 +102,7 @@
     async def stop(self) -> None:
         """Send the gateways to another scheduler, then close."""
         self._is_leaving = True
-        self.node.events.emit("stop_started", attached=self._count_attached())
+        self.node.events.emit("stop_started", attached=self._gateways.count_attached())
         await asyncio.sleep(_LEAVE_S)
         self.targets.close()
         await self.node.close()
@@ -216,7 +183,7 @@
     # Gateways
 
     def _handle_attach(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> Attached:
-        seen = self._gateways.get(peer)
+        seen = self._gateways.find(peer)
         is_known = seen is not None and seen.incarnation == ask.incarnation
         if is_known and seen is not None and ask.attachment < seen.attachment:
             # Sent before a link was lost, and delivered after the gateway had gone on.
@@ -225,12 +192,7 @@
             self._drop(peer, "restarted", now_s)
         if seen is not None and seen.is_attached and not ask.is_attached:
             self._drop(peer, "asks another scheduler", now_s)
-        # A gateway that stops still counts for a while: what it took of the limits
-        # elsewhere is within their window, and its part must not be used twice.
-        self._note_asked(seen.asks if seen is not None else "", ask.asks)
-        self._gateways[peer] = GatewaySeen(
-            ask.incarnation, now_s, ask.is_attached, ask.attachment, ask.asks
-        )
+        self._gateways.note(peer, ask, now_s)
         is_repeated = (
             is_known and seen is not None and seen.is_attached and seen.attachment == ask.attachment
         )
@@ -239,16 +201,9 @@
         self._share()
         return self._answer_attach(ask, now_s)
 
-    def _note_asked(self, before: str, now: str) -> None:
-        """Count how many gateways ask each scheduler, as they tell all schedulers."""
-        if before:
-            self._asked[before] -= 1
-        if now:
-            self._asked[now] += 1
-
     def _take_over(self, peer: ProcessId, ask: AttachAsk, now_s: float) -> None:
         """Take in what a gateway that begins to ask this scheduler brings along."""
-        if self._count_attached() <= 1:
+        if self._gateways.count_attached() <= 1:
             # A standby's list is old; the first gateway to come needs a new one.
             self._list_wanted.set()
         self._follow_rollouts(now_s)
@@ -276,16 +231,20 @@
         )
 
     def _answer_attach(self, ask: AttachAsk, now_s: float) -> Attached:
-        told = self._choose_list(ask, now_s)
+        # A gateway takes the list from the scheduler that it asks, or from any while it
+        # decides alone. A standby's list may be older and would be dropped: 1.7 MB/s in vain
+        # at each standby, with 95 gateways and 1,001 targets.
+        is_taken = self._has_list and (ask.is_attached or not ask.asks)
+        told = self.targets.tell(ask.targets_version, now_s) if is_taken else ToldList()
         crashes = self.dispatcher.crashes
         has_crashes = ask.is_attached and ask.crashes_version != crashes.version
-        most_asked = max(self._asked, key=self._asked.__getitem__, default="")
+        most_asked = self._gateways.find_most_asked()
         return Attached(
             incarnation=self.node.incarnation,
             period_s=max(_MIN_PERIOD_S, _PERIOD_PER_GATEWAY_S * len(self._gateways)),
             version=self.follower.version,
             gateways=max(1, len(self._gateways)),
-            attached=self._count_attached(),
+            attached=self._gateways.count_attached(),
             targets_version=self.targets.version,
             targets=told.targets,
             has_targets=told.is_told,
@@ -293,8 +252,8 @@
             gone=told.gone,
             is_ready=self.is_ready,
             ready_s=self._measure_ready(now_s),
-            most_asked=most_asked,
-            most_asked_by=self._asked[most_asked],
+            most_asked=most_asked.scheduler,
+            most_asked_by=most_asked.gateways,
             levels=self._list_levels(now_s) if ask.is_attached else [],
             holds=self.dispatcher.list_holds() if ask.is_attached else [],
             crashes=crashes.list_histories(now_s) if has_crashes else [],
@@ -307,25 +266,6 @@
             self._ready_since_s = now_s
         return now_s - self._ready_since_s
 
-    def _choose_list(self, ask: AttachAsk, now_s: float) -> ToldList:
-        """Return what a gateway is told of the list with its heartbeat.
-
-        It takes the list from the scheduler that it asks, or from any while it decides alone.
-        A standby's list may be older and would be dropped: 1.7 MB/s in vain at each standby,
-        with 95 gateways and 1,001 targets. Told whole at each change, 270 gateways got 72 MB
-        for one of 3,000 targets that left, and 0.2 MB with what had changed alone.
-        """
-        is_taken = ask.is_attached or not ask.asks
-        if not is_taken or not self._has_list or ask.targets_version == self.targets.version:
-            return ToldList()
-        change = self.targets.history.find(ask.targets_version)
-        if change is not None:
-            return ToldList(True, change.changed, change.gone, ask.targets_version)
-        if self.whole_lists.take(len(self.targets.targets), now_s):
-            return ToldList(True, self.targets.targets)
-        # It goes by the list that it has, and asks again with its next heartbeat.
-        return ToldList()
-
     def _list_levels(self, now_s: float) -> list[Level]:
         """Return how full the limits are, summed up anew for a few heartbeats together."""
         made_s, levels = self._levels
@@ -341,31 +281,17 @@
         for owner, request in [key for key in self._pending if key[0] == gateway]:
             self._settle(owner, request, None)
 
-    def _count_attached(self) -> int:
-        return sum(1 for seen in self._gateways.values() if seen.is_attached)
-
-    def _measure_lead(self) -> float:
-        """Return the share of the known gateways that ask this scheduler."""
-        return self._count_attached() / max(1, len(self._gateways))
-
     def _share(self) -> None:
         """Hold the share of limits that belongs to the gateways served here."""
-        share = max(1, self._count_attached()) / max(1, len(self._gateways))
+        share = self._gateways.measure_share()
         self.quotas.share = share
         self.retries.share = share
         self.dispatcher.use_limit_share(share, read_clock_s())
 
     def _drop_silent(self, now_s: float) -> None:
-        for gateway, seen in list(self._gateways.items()):
-            silent_s = now_s - seen.heard_s
-            if seen.is_attached and silent_s > _SILENT_S:
-                seen.is_attached = False
-                self._drop(gateway, f"silent for {silent_s:.1f} s", now_s)
-                self._share()
-            if silent_s > _FORGET_GATEWAY_S:
-                self._note_asked(seen.asks, "")
-                del self._gateways[gateway]
-                self._share()
+        for gateway, silent_s in self._gateways.take_silent(now_s).items():
+            self._drop(gateway, f"silent for {silent_s:.1f} s", now_s)
+        self._share()
 
     # What is known of the site
 
@@ -410,7 +336,7 @@
             except ListUnreadError as error:
                 age_s = self.targets.age_s
                 self.node.events.emit("targets_unread", detail=str(error), age_s=age_s)
-            is_busy = self._count_attached() > 0 or not self._has_list
+            is_busy = self._gateways.count_attached() > 0 or not self._has_list
             period_s = _LIST_S if is_busy else _STANDBY_LIST_S
             # Running out of time is how the pause usually ends.
             with contextlib.suppress(TimeoutError):
@@ -421,11 +347,11 @@
     async def _run_ticks(self) -> None:
         last_s = read_clock_s()
         while True:
-            await asyncio.sleep(_TICK_S if self._count_attached() else _STANDBY_TICK_S)
+            await asyncio.sleep(_TICK_S if self._gateways.count_attached() else _STANDBY_TICK_S)
             now_s = read_clock_s()
-            if now_s - last_s > _SILENT_S:
+            if now_s - last_s > SILENT_S:
                 # This process stood still, so that the gateways' silence is its own.
-                self._forgive_silence(now_s)
+                self._gateways.forgive_silence(now_s)
             last_s = now_s
             self._drop_silent(now_s)
             self._follow_rollouts(now_s)
@@ -441,7 +367,3 @@
         self.node.events.emit(
             "tick_slow", took_ms=took_s * _THOUSANDTHS, waiting=self.dispatcher.count_waiting()
         )
-
-    def _forgive_silence(self, now_s: float) -> None:
-        for seen in self._gateways.values():
-            seen.heard_s = now_s
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import xxhash
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
-from troutstand.core.listchanges import ListChange, ListHistory, find_change
+from troutstand.core.listchanges import ListChange, ListHistory, WholeLists, find_change
 from troutstand.generated.messages import ListedState
 from troutstand.routing.exchange import ConnectionPool, ExchangeError, write_head
 from troutstand.routing.targetpages import SoundEntries, SpoiledEntry, TargetPage
@@ -32,13 +33,30 @@
     """Report that the list could not be read."""
 
 
+@dataclass(frozen=True)
+class ToldList:
+    """Hold what a gateway is told of the list of targets.
+
+    Parameters
+    ----------
+    base
+        The list from which the targets are the changes; empty where they are all of it.
+    """
+
+    is_told: bool = False
+    targets: list[ListedTarget] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
+    base: str = ""
+
+
 class TargetList:
     """Hold the newest list that was read, with a digest that tells lists apart."""
 
     def __init__(self, address: str, dialect: Dialect) -> None:
         self.targets: list[ListedTarget] = []
         self.version = ""
-        self.history = ListHistory()
+        self.whole_lists = WholeLists(read_clock_s())
+        self._history = ListHistory()
         self._address = address
         self._dialect = dialect
         self._pool = ConnectionPool(_CONNECT_S)
@@ -50,7 +68,7 @@
     def install(self, targets: list[ListedTarget], version: str) -> None:
         """Take a list of another version."""
         if self.version and version != self.version:
-            self.history.note(self.version, find_change(self.targets, targets))
+            self._history.note(self.version, find_change(self.targets, targets))
         self.targets, self.version = targets, version
 
     def take(self, told: Attached) -> bool:
@@ -65,6 +83,22 @@
         self.install(change.apply(self.targets), told.targets_version)
         return True
 
+    def tell(self, version: str, now_s: float) -> ToldList:
+        """Return what a gateway is told that holds the list of a version.
+
+        Told whole at each change, 270 gateways got 72 MB for one of 3,000 targets that left,
+        and 0.2 MB with what had changed alone.
+        """
+        if version == self.version:
+            return ToldList()
+        change = self._history.find(version)
+        if change is not None:
+            return ToldList(True, change.changed, change.gone, version)
+        if self.whole_lists.take(len(self.targets), now_s):
+            return ToldList(True, self.targets)
+        # It goes by the list that it has, and asks again with its next heartbeat.
+        return ToldList()
+
     def list_leaving(self) -> list[str]:
         """Return the targets that the held list shows as leaving."""
         return [entry.target for entry in self.targets if entry.state is ListedState.draining]
