Ask a scheduler that has just begun as soon as it is heard

Callers: for 0.2 to 0.3 s after a scheduler was ready six gateways went on deciding alone, unheard of each other, in the half second in which all callers come back. Cause: a gateway looked about for 0.15 s for another scheduler that may be asked already, and judged each 0.1 s only. Change: where no live scheduler is older than 3 s it does not look about, and an answer of a ready scheduler is judged at once while the gateway decides alone.

--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -211,4 +211,6 @@
                 watch.is_attached = False
                 self._listener.ask_again(process)
         watch.hear(reply, read_clock_s())
+        if reply.is_ready and isinstance(self.current, Alone):
+            self._judge_now.set()
         self._listener.hear(process, reply)
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -151,7 +151,11 @@
     if isinstance(current, Alone):
         if _should_await_asked(watches, live, now_s):
             return current
-        live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
+        # Where all have just begun there is nobody to look for: gateways that looked about
+        # decided alone for 0.2 s beside a scheduler that was ready, and for 0.03 s with this
+        # (50 draws, `schedulerwatch.feature`).
+        if not _have_just_begun(watches, live, now_s):
+            live = [p for p in live if watches[p].attached or _is_looked_over(watches[p], now_s)]
 
     def rank(process: ProcessId) -> tuple[int, ProcessId]:
         return -_count_asking(watches, live, process), process
--- a/troutstand/testing/coldstart.py
+++ b/troutstand/testing/coldstart.py
@@ -106,6 +106,8 @@
         for due in [c for c in gateway.coming if c[0] <= now_s]:
             gateway.coming.remove(due)
             gateway.watches[due[1]].hear(due[2], now_s)
+            if isinstance(gateway.current, Alone) and due[2].is_ready:
+                gateway.judges_s = now_s
         if now_s >= gateway.judges_s:
             gateway.judges_s = now_s + _WATCH_S
             self._judge(gateway, schedulers, now_s, chance)
