--- a/troutstand/testing/models/catalogue.py
+++ b/troutstand/testing/models/catalogue.py
@@ -35,6 +35,7 @@
         ).make_spec(),
         "replacement of a keeper": ReplacementModel().make_spec(),
         "rollout": RolloutModel(end_s=4).make_spec(),
+        "rollout, a host is suspended": RolloutModel(end_s=4, is_suspended=True).make_spec(),
     }
 
 
@@ -87,6 +88,9 @@
         "replacement, no copy": ReplacementModel(copies=False).make_spec(),
         "rollout, ends are overturned": RolloutModel(end_s=2, advance=rollout.overturn).make_spec(),
         "rollout, without a lease": RolloutModel(has_lease=False).make_spec(),
+        "rollout, a clock that a suspend stops": RolloutModel(
+            end_s=4, is_suspended=True, counts_suspends=False
+        ).make_spec(),
         "replacement, copies from an older set": ReplacementModel(checks_epoch=False).make_spec(),
     }
 
--- a/troutstand/testing/models/rollout.py
+++ b/troutstand/testing/models/rollout.py
@@ -30,10 +30,17 @@
 
 @dataclass(frozen=True)
 class Decider:
-    """Hold the state that a decider knows, if any, and when it was confirmed."""
+    """Hold the state that a decider knows, if any, and when it was confirmed by its clock.
+
+    Parameters
+    ----------
+    behind_s
+        How far its clock is behind, since its host was suspended.
+    """
 
     known: RolloutState | None = None
     confirmed_s: int = -_LEASE_S
+    behind_s: int = 0
 
 
 @dataclass(frozen=True)
@@ -88,6 +95,10 @@
         Takes an order to its next state.
     has_lease
         Whether a version on trial needs a keeper's word of late.
+    is_suspended
+        Whether the first decider's host may be suspended.
+    counts_suspends
+        Whether a decider's clock goes on meanwhile.
     """
 
     deciders: int = 1
@@ -95,6 +106,8 @@
     restarts: int = 1
     advance: Advance = advance
     has_lease: bool = True
+    is_suspended: bool = False
+    counts_suspends: bool = True
 
     def make_spec(self) -> ModelSpec[World]:
         """Make the specification to check."""
@@ -110,7 +123,8 @@
         )
 
     def _judge(self, world: World, decider: Decider) -> dict[str, Standing]:
-        is_leased = not self.has_lease or world.now_s - decider.confirmed_s < _LEASE_S
+        age_s = world.now_s - decider.behind_s - decider.confirmed_s
+        is_leased = not self.has_lease or age_s < _LEASE_S
         rollout = _make_rollout(decider.known) if decider.known is not None else None
         return judge_versions(Knowledge(rollout, is_leased, may_sample=True), [_OLD, _NEW])
 
@@ -130,6 +144,8 @@
         steps: list[Step[World]] = []
         if world.now_s < self.end_s:
             steps.append(Step("time passes", replace(world, now_s=world.now_s + 1)))
+            if self.is_suspended:
+                steps.append(self._suspend(world))
         for state in RolloutState:
             if state is not RolloutState.in_progress and state not in world.proposed:
                 proposed = world.proposed | {state}
@@ -137,13 +153,23 @@
         if len(world.history) <= _MOST_CHANGES:
             steps += [self._decide(world, state) for state in world.proposed]
         for number in range(self.deciders):
-            heard = Decider(world.state, world.now_s)
+            behind_s = world.deciders[number].behind_s
+            heard = Decider(world.state, world.now_s - behind_s, behind_s)
             steps.append(Step(f"decider {number} hears", _put(world, number, heard)))
             if world.restarts < self.restarts:
-                restarted = _put(replace(world, restarts=world.restarts + 1), number, Decider())
+                blank = Decider(behind_s=behind_s)
+                restarted = _put(replace(world, restarts=world.restarts + 1), number, blank)
                 steps.append(Step(f"decider {number} restarts", restarted))
         return steps
 
+    def _suspend(self, world: World) -> Step[World]:
+        """Let a second pass in which the first decider's host is suspended."""
+        after = replace(world, now_s=world.now_s + 1)
+        if not self.counts_suspends:
+            first = world.deciders[0]
+            after = _put(after, 0, replace(first, behind_s=first.behind_s + 1))
+        return Step("decider 0 is suspended while time passes", after)
+
     def _decide(self, world: World, state: RolloutState) -> Step[World]:
         """Let a proposal reach the keepers, however late."""
         book = RolloutBook([_make_rollout(world.state)])
--- a/troutstand/tests/models.feature
+++ b/troutstand/tests/models.feature
@@ -17,6 +17,7 @@
       | lease, a host is suspended         |
       | replacement of a keeper            |
       | rollout                            |
+      | rollout, a host is suspended       |
 
   Scenario Outline: Without its guard <model> fails
     When the model "<model>" is searched to its end
@@ -37,3 +38,4 @@
       | lease, a clock that a suspend stops     | one holder at a time               |
       | rollout, ends are overturned            | one end at most                    |
       | rollout, without a lease                | nothing goes to a version that was rolled back |
+      | rollout, a clock that a suspend stops   | nothing goes to a version that was rolled back |
