Prove that the soak's check of named limits finds and allows what it should

One case that breaks the bound and four that do not: at the bound, a gateway that did not know, a gateway that was restarted, a limit that is named no longer.

--- a/troutstand/tests/soak.feature
+++ b/troutstand/tests/soak.feature
@@ -22,6 +22,7 @@
       | three runs within a rest           | of rest             |
       | a run after a target said it leaves | had said it leaves |
       | a limit that is passed             | in a window         |
+      | twelve runs at a target that takes one a second | of its limit |
       | a configuration that went back     | was taken           |
       | a content that nobody sent         | nobody sent         |
       | calls that fail after the faults   | calls were served   |
@@ -38,6 +39,10 @@
       | two runs within a rest                    |
       | three runs within a rest over a restart   |
       | a run at a new life of a target that left |
+      | eleven runs at a target that takes one a second |
+      | twelve runs at such a target by a gateway that did not know |
+      | twelve runs at such a target over a restart of the gateway |
+      | twelve runs at a target that names its limit no longer |
 
   Scenario: A plan is the same for the same seed, and others differ
     Then seed 7 draws one plan twice and seed 8 another
--- a/troutstand/tests/steps/soak.py
+++ b/troutstand/tests/steps/soak.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from troutstand.testing.arrivals import Arrival
+from troutstand.testing.arrivals import Arrival, Naming
 from troutstand.testing.routedcaller import CallResult
 from troutstand.testing.soak.check import (
     Disturbed,
@@ -87,6 +87,17 @@
     _arrive(record, 15.0, born_ms=born_ms)
 
 
+def _limit(record: SoakRecord, arrivals: int, knows: bool = True, limit: str = "1") -> None:
+    """Let a target name 1 request a second, and requests come within 3 s later."""
+    _arrive(record, 10.0, limit="1")
+    teller = record.calls[-1]
+    if not knows:
+        record.calls[-1] = replace(teller, gateway="gateway-2")
+    record.namings.append(Naming(teller.request, "t9", 10.0, "1"))
+    for number in range(arrivals):
+        _arrive(record, 11.5 + 0.2 * number, limit=limit)
+
+
 @when("it is doctored with {fault}")
 def doctor(context: Context, fault: str) -> None:
     record = context.record
@@ -132,6 +143,17 @@
             _leave(record, born_ms=0)
         case "a run at a new life of a target that left":
             _leave(record, born_ms=5)
+        case "twelve runs at a target that takes one a second":
+            _limit(record, arrivals=12)
+        case "eleven runs at a target that takes one a second":
+            _limit(record, arrivals=11)
+        case "twelve runs at such a target by a gateway that did not know":
+            _limit(record, arrivals=12, knows=False)
+        case "twelve runs at such a target over a restart of the gateway":
+            _limit(record, arrivals=12)
+            record.disturbed.append(Disturbed("gateway-1", 12.0, 12.5))
+        case "twelve runs at a target that names its limit no longer":
+            _limit(record, arrivals=12, limit="")
         case _:
             raise AssertionError(fault)
 
