Log at the domain's scheduler what targets said of themselves, with the request at entries

An on-call reader could see that an entry process had heard of a limit, not that the scheduler went by it, nor in which answer it stood. Both lines are those of routed sites now. The rest that binds all entry processes is found in one place. Beside it the simulation of a cold start passes fewer things about; the same figures within its draws. domainlimits, domainrests, domaincrashes, scheduler, trace and schedulerwatch pass.

--- a/troutstand/backends/http.py
+++ b/troutstand/backends/http.py
@@ -78,10 +78,10 @@
 
 _NOTICE_HEADERS = NoticeHeaders()
 # Takes what the answer to a request, sent at a time in seconds, says of its target.
-HearTarget = Callable[[TargetNotice, float], None]
+HearTarget = Callable[[str, TargetNotice, float], None]
 
 
-def hear_nothing(notice: TargetNotice, asked_s: float) -> None:
+def hear_nothing(request: str, notice: TargetNotice, asked_s: float) -> None:
     """Leave aside what a target says of itself."""
 
 
@@ -128,5 +128,5 @@
             notice = read_notice(
                 response.status, response.headers.get, _NOTICE_HEADERS, self.row.name
             )
-            self._hear(notice, asked_s)
+            self._hear(call.request, notice, asked_s)
             yield response, notice
--- a/troutstand/core/domainview.py
+++ b/troutstand/core/domainview.py
@@ -72,7 +72,7 @@
 
     def _measure_rest(self, ask: PlacementAsk, now_s: float) -> float:
         """Return the seconds until any usable target may be sent to; 0 where one may now."""
-        ends = (target.report.rest.find_end("") for target in self._list_usable(ask))
+        ends = (target.rests_until_s for target in self._list_usable(ask))
         return max(0.0, min(ends, default=0.0) - now_s)
 
     def _is_limited(self, ask: PlacementAsk) -> bool:
--- a/troutstand/core/estimate.py
+++ b/troutstand/core/estimate.py
@@ -156,17 +156,22 @@
             self._learn(done)
         return run
 
-    def take_notice(self, notice: TargetNotice, now_s: float) -> None:
-        """Take what the target said of itself.
+    @property
+    def rests_until_s(self) -> float:
+        """Return until when the target wants nothing, in seconds."""
+        return self.report.rest.find_end(_ANY_PROCESS)
+
+    def take_notice(self, notice: TargetNotice, now_s: float) -> bool:
+        """Take what the target said of itself; tell whether it is news.
 
         It told one entry process. The others leave it alone as well where it wants rest: the
         scheduler has no better choice than another target, and each would be turned away for
         itself. Without this 32 of 40 calls went to the one service worker of three that
         turned all away (real processes, `domainrests.feature`).
         """
-        self.report.take(_ANY_PROCESS, notice, now_s)
         if notice.is_leaving:
             self._said_leaving_s = now_s
+        return self.report.take(_ANY_PROCESS, notice, now_s)
 
     def recheck_leaving(self, now_s: float) -> None:
         """Take a target back that said long ago that it leaves, and is still there."""
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -72,6 +72,7 @@
         self._waiting_limit = waiting_limit
         self._policy = Policy(policy, seed)
         self._grants_from_s = started_s + REPORT_WAIT_S
+        self._news: list[TargetNotice] = []
 
     # Events
 
@@ -145,10 +146,16 @@
 
     def _take_notices(self, notices: Iterable[TargetNotice], now_s: float) -> list[Send]:
         for notice in notices:
-            if notice.target in self.targets:
-                self.targets[notice.target].take_notice(notice, now_s)
+            target = self.targets.get(notice.target)
+            if target is not None and target.take_notice(notice, now_s):
+                self._news.append(notice)
         return self._place(now_s)
 
+    def take_news(self) -> list[TargetNotice]:
+        """Return what targets said that is news since the last call, for the log."""
+        news, self._news = self._news, []
+        return news
+
     def drop_process(self, process: str, now_s: float) -> list[Send]:
         """Forget the requests of an entry process that died."""
         for waiting in [w for w in self._waiting.values() if w.process == process]:
--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -141,7 +141,7 @@
         self._running.pop(finished.request, None)
         self._send(finished)
 
-    def hear_target(self, notice: TargetNotice, asked_s: float) -> None:
+    def hear_target(self, request: str, notice: TargetNotice, asked_s: float) -> None:
         """Take what the answer to a request, sent at a time, says of its target.
 
         The scheduler is told at once: the end of a stream may be far off.
@@ -151,6 +151,7 @@
         if is_news:
             self.events.emit(
                 "target_notice_heard",
+                request,
                 target=notice.target,
                 leaving=notice.is_leaving,
                 rest_s=notice.rest_s,
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -36,6 +36,7 @@
     from troutstand.core.shedding import Send
     from troutstand.daemon.node import Node
     from troutstand.daemon.placement import Placement
+    from troutstand.generated.messages import TargetNotice
 
 _TICK_S = 0.05
 _HOST_LIST_S = 1.0
@@ -256,9 +257,21 @@
                 sends = self.scheduler.take_report(message, now_s)
             case TargetNotices():
                 sends = self.scheduler.take_notices(message, now_s)
+        for notice in self.scheduler.take_news():
+            self._note_news(peer, notice)
         self._dispatch(sends)
         return True
 
+    def _note_news(self, peer: ProcessId, notice: TargetNotice) -> None:
+        self._node.events.emit(
+            "target_notice_taken",
+            target=notice.target,
+            peer=peer,
+            leaving=notice.is_leaving,
+            rest_s=notice.rest_s,
+            limit_per_s=notice.limit_per_s,
+        )
+
     def _dispatch(self, sends: list[Send]) -> None:
         for send in sends:
             self._note(send)
--- a/troutstand/testing/coldstart.py
+++ b/troutstand/testing/coldstart.py
@@ -59,7 +59,6 @@
     coming: list[tuple[float, ProcessId, Attached]] = field(default_factory=list)
 
 
-@dataclass
 class ColdStart:
     """Play the first seconds of some gateways and schedulers.
 
@@ -69,40 +68,34 @@
         When each scheduler can serve, in seconds.
     """
 
-    seed: int
-    gateways: int
-    ready_s: list[float]
+    def __init__(self, seed: int, gateways: int, ready_s: list[float]) -> None:
+        self._chance = random.Random(seed)
+        self._schedulers = {
+            ProcessId(f"scheduler-{number}"): SchedulerBegun(at_s)
+            for number, at_s in enumerate(ready_s)
+        }
+        self._gateways = [self._begin(number) for number in range(gateways)]
+
+    def _begin(self, number: int) -> GatewayBegun:
+        uniform = self._chance.uniform
+        return GatewayBegun(
+            number,
+            uniform(0.0, _WATCH_S),
+            {name: Watch() for name in self._schedulers},
+            {name: uniform(0.0, _PERIOD_S) for name in self._schedulers},
+        )
 
     def play(self, length_s: float) -> list[set[str]]:
         """Return which schedulers are asked in each step of 0.01 s."""
-        chance = random.Random(self.seed)
-        schedulers = {
-            ProcessId(f"scheduler-{n}"): SchedulerBegun(at_s) for n, at_s in enumerate(self.ready_s)
-        }
-        gateways = [
-            GatewayBegun(
-                number,
-                chance.uniform(0.0, _WATCH_S),
-                {name: Watch() for name in schedulers},
-                {name: chance.uniform(0.0, _PERIOD_S) for name in schedulers},
-            )
-            for number in range(self.gateways)
-        ]
         asked: list[set[str]] = []
         for step in range(round(length_s / _STEP_S)):
-            now_s = step * _STEP_S
-            for gateway in gateways:
-                self._step(gateway, schedulers, now_s, chance)
-            asked.append({str(g.current) for g in gateways if not isinstance(g.current, Alone)})
+            for gateway in self._gateways:
+                self._step(gateway, step * _STEP_S)
+            currents = [gateway.current for gateway in self._gateways]
+            asked.append({str(name) for name in currents if not isinstance(name, Alone)})
         return asked
 
-    def _step(
-        self,
-        gateway: GatewayBegun,
-        schedulers: dict[ProcessId, SchedulerBegun],
-        now_s: float,
-        chance: random.Random,
-    ) -> None:
+    def _step(self, gateway: GatewayBegun, now_s: float) -> None:
         for due in [c for c in gateway.coming if c[0] <= now_s]:
             gateway.coming.remove(due)
             gateway.watches[due[1]].hear(due[2], now_s)
@@ -110,38 +103,26 @@
                 gateway.judges_s = now_s
         if now_s >= gateway.judges_s:
             gateway.judges_s = now_s + _WATCH_S
-            self._judge(gateway, schedulers, now_s, chance)
+            self._judge(gateway, now_s)
         for name, watch in gateway.watches.items():
             if watch.wake.is_set() or now_s >= gateway.beats_s[name]:
                 watch.wake.clear()
                 is_current = gateway.current == name
                 period_s = watch.period_s if is_current else watch.standby_period_s
-                gateway.beats_s[name] = now_s + period_s * chance.uniform(0.9, 1.1)
-                self._beat(gateway, name, schedulers[name], now_s, chance)
-
-    def _judge(
-        self,
-        gateway: GatewayBegun,
-        schedulers: dict[ProcessId, SchedulerBegun],
-        now_s: float,
-        chance: random.Random,
-    ) -> None:
+                gateway.beats_s[name] = now_s + period_s * self._chance.uniform(0.9, 1.1)
+                self._beat(gateway, name, now_s)
+
+    def _judge(self, gateway: GatewayBegun, now_s: float) -> None:
         decider = choose_decider(gateway.watches, gateway.current, now_s)
         if decider != gateway.current:
             gateway.current = decider
             if not isinstance(decider, Alone):
                 gateway.watches[decider].note_moved(now_s)
-                self._beat(gateway, decider, schedulers[decider], now_s, chance)
+                self._beat(gateway, decider, now_s)
         space_standbys(gateway.watches, gateway.current, now_s)
 
-    def _beat(
-        self,
-        gateway: GatewayBegun,
-        name: ProcessId,
-        scheduler: SchedulerBegun,
-        now_s: float,
-        chance: random.Random,
-    ) -> None:
+    def _beat(self, gateway: GatewayBegun, name: ProcessId, now_s: float) -> None:
+        scheduler = self._schedulers[name]
         is_asked = gateway.current == name
         gateway.watches[name].is_attached = is_asked
         if is_asked:
@@ -150,7 +131,7 @@
             scheduler.asked_by.discard(gateway.number)
         is_alone = isinstance(gateway.current, Alone)
         scheduler.asks[gateway.number] = "" if is_alone else str(gateway.current)
-        came_s = now_s + chance.uniform(*_LATENCIES_S)
+        came_s = now_s + self._chance.uniform(*_LATENCIES_S)
         gateway.coming.append((came_s, name, scheduler.answer(now_s)))
 
 
--- a/troutstand/tests/steps/domainlimits.py
+++ b/troutstand/tests/steps/domainlimits.py
@@ -141,7 +141,7 @@
 
     placement = Placement(PROCESS, EventBus(PROCESS, HybridClock(lambda: 0)), deliver)
     context.said = TargetNotice(_name_first(context), limit_per_s=limit_per_s)
-    placement.hear_target(context.said, 0.0)
+    placement.hear_target("r-1", context.said, 0.0)
     placement.follow(PROCESS)
     context.driver = Driver(context.rows)
     report = next(message for message in sent if isinstance(message, RunningReport))
--- a/troutstand/tests/steps/domainrests.py
+++ b/troutstand/tests/steps/domainrests.py
@@ -169,7 +169,7 @@
         return True
 
     placement = Placement(PROCESS, EventBus(PROCESS, HybridClock(lambda: 0)), deliver)
-    placement.hear_target(context.turned_away, read_clock_s())
+    placement.hear_target("r-1", context.turned_away, read_clock_s())
     placement.follow(PROCESS)
     context.driver = Driver(context.rows)
     report = next(message for message in sent if isinstance(message, RunningReport))
