--- a/troutstand/tests/routed.feature
+++ b/troutstand/tests/routed.feature
@@ -39,6 +39,14 @@
     When a gateway is told to stop while it answers a call
     Then its log tells of the call as cut, not as left
 
+  # Three to seven processes of a day were ended by the platform at the end of their 8 s: gateways
+  # that had "stop_ended left=1" or 2 in their logs after 7.52 s, and no "process_stopped". What
+  # was left got 0.4 s to end and 0.4 s more to be cancelled, of the 0.48 s that there were.
+  Scenario: A gateway that must cut calls ends by itself in the time that it has
+    Given a routed site whose targets work for 20 s
+    When a gateway is told to stop while it answers a call
+    Then it ended by itself within 2 s
+
   Scenario: A configuration is in force everywhere, and two contents never share a number
     Given a routed site
     When two operators send different contents under version 7 at once
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from behave import given, then, when
@@ -220,8 +221,16 @@
     assert child.returncode == code, child.returncode
 
 
-async def _stop_busy(scene: Scene) -> str:
-    """Stop a gateway amid a call, and return the call's id."""
+@dataclass(frozen=True)
+class StoppedAmid:
+    """Tell of a gateway that was stopped amid a call, and how long its end took."""
+
+    request: str
+    took_s: float
+
+
+async def _stop_busy(scene: Scene) -> StoppedAmid:
+    """Stop a gateway amid a call."""
     gateway = scene.site.processes["gateway-1"]
     call = asyncio.create_task(scene.caller.call(gateway, "/do/", b"x"))
 
@@ -230,14 +239,22 @@
 
     await wait_until(is_running, "the call runs")
     scene.site.send_signal(gateway.name, signal.SIGTERM)
+    told_s = time.monotonic()
     result = await call
     await wait_until(lambda: _is_gone(scene.site, gateway.name), "the gateway ended")
-    return result.request
+    return StoppedAmid(result.request, time.monotonic() - told_s)
 
 
 @when("a gateway is told to stop while it answers a call")
 def stop_busy(context: Context) -> None:
-    context.request = context.scene.background.run(_stop_busy(context.scene))
+    stopped = context.scene.background.run(_stop_busy(context.scene))
+    context.request, context.took_s = stopped.request, stopped.took_s
+
+
+@then("it ended by itself within {most_s:g} s")
+def check_ended_in_time(context: Context, most_s: float) -> None:
+    assert context.took_s <= most_s, f"{context.took_s:.2f} s"
+    assert context.scene.site.processes["gateway-1"].child.poll() == 0
 
 
 @then("its log tells of the call as cut, not as left")
