--- a/troutstand/core/pace.py
+++ b/troutstand/core/pace.py
@@ -43,6 +43,7 @@
     share: float
     at_s: float
     room: float = 0.0
+    # Since when a request might be sent, where that may not be saved up.
     _full_s: float | None = None
 
     @property
