--- a/troutstand/testing/soak/targets.py
+++ b/troutstand/testing/soak/targets.py
@@ -22,7 +22,7 @@
 _LIMITS = 40
 _LIMIT_STEPS = 4
 # How much longer than its trouble a target is drained, in seconds.
-_DRAINED_LONGER_S = 3.0
+DRAINED_LONGER_S = 3.0
 
 
 async def trouble_target(target: StandInTarget, event: Event, record: SoakRecord) -> None:
@@ -31,7 +31,7 @@
         case Kind.TARGET_CRASH:
             await _crash(target, event.length_s)
         case Kind.TARGET_DRAIN:
-            await _drain(target, event.length_s + _DRAINED_LONGER_S, record)
+            await _drain(target, event.length_s + DRAINED_LONGER_S, record)
         case _:
             await _misbehave(target, event)
 
@@ -44,12 +44,19 @@
 
 
 async def _drain(target: StandInTarget, length_s: float, record: SoakRecord) -> None:
-    """Let a target say that it leaves, in the list and in its answers, then begin anew."""
+    """Let a target say that it leaves, in the list and in its answers, then begin anew.
+
+    Of drains that overlap the last one to end lets it begin anew: what is recorded as drained
+    is listed as draining all that time.
+    """
     target.is_draining, from_s = True, time.monotonic()
     target.tells_leaving = True
+    target.drains += 1
     await asyncio.sleep(length_s)
     record.drained.append(Drained(target.target, from_s, time.monotonic()))
-    _begin_anew(target)
+    target.drains -= 1
+    if not target.drains:
+        _begin_anew(target)
 
 
 def _begin_anew(target: StandInTarget) -> None:
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -122,6 +122,8 @@
     deadly_body: bytes = b""
     back_s: float = 1.5
     is_draining: bool = False
+    # How many drains of it are under way.
+    drains: int = 0
     version: str = ""
     address: str = ""
     # When it says that it was born, in Unix milliseconds; 0 is not told.
--- a/troutstand/tests/steps/soak.py
+++ b/troutstand/tests/steps/soak.py
@@ -19,9 +19,10 @@
     SoakRecord,
     check_record,
 )
-from troutstand.testing.soak.plan import draw_plan
+from troutstand.testing.soak.plan import Event, Kind, draw_plan
 from troutstand.testing.soak.run import Soak, SoakPlan
-from troutstand.testing.standins import RunRecord, make_body, make_event
+from troutstand.testing.soak.targets import DRAINED_LONGER_S, trouble_target
+from troutstand.testing.standins import RunRecord, StandInTarget, make_body, make_event
 from troutstand.tests.environment import make_folder, next_subnet
 
 if TYPE_CHECKING:
@@ -170,6 +171,30 @@
     assert not found, found[:5]
 
 
+@when("a target is drained for {first_s:g} s, and {later_s:g} s later for {second_s:g} s")
+def drain_twice(context: Context, first_s: float, later_s: float, second_s: float) -> None:
+    target = context.target = StandInTarget("t1", "work", born_ms=1)
+
+    async def play() -> None:
+        drains: list[asyncio.Task[None]] = []
+        for length_s in (first_s, second_s):
+            event = Event(0.0, Kind.TARGET_DRAIN, length_s - DRAINED_LONGER_S, 0, 0)
+            drains.append(asyncio.create_task(trouble_target(target, event, SoakRecord())))
+            await asyncio.wait(drains, timeout=later_s)
+        await drains[0]
+        await asyncio.wait([drains[1]], timeout=later_s)
+        context.is_draining, context.born_ms = target.is_draining, target.born_ms
+        await drains[1]
+
+    asyncio.run(play())
+
+
+@then("it is listed as draining at {at_s:g} s, and as ready in a new life after {end_s:g} s")
+def check_drained(context: Context, at_s: float, end_s: float) -> None:
+    assert context.is_draining and context.born_ms == 1, f"listed as ready at {at_s} s"
+    assert not context.target.is_draining and context.target.born_ms > 1
+
+
 @then("seed {seed:d} draws one plan twice and seed {other:d} another")
 def check_plan(context: Context, seed: int, other: int) -> None:
     assert draw_plan(seed, 30.0, 1.0) == draw_plan(seed, 30.0, 1.0)
