--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -28,6 +28,7 @@
     Withdraw,
 )
 from troutstand.util.clock import read_clock_s
+from troutstand.util.noticelog import emit_heard
 
 if TYPE_CHECKING:
     from troutstand.util.events import EventBus
@@ -149,14 +150,7 @@
         now_s = read_clock_s()
         is_news = self._notices.note(notice, asked_s, now_s)
         if is_news:
-            self.events.emit(
-                "target_notice_heard",
-                request,
-                target=notice.target,
-                leaving=notice.is_leaving,
-                rest_s=notice.rest_s,
-                limit_per_s=notice.limit_per_s,
-            )
+            emit_heard(self.events, request, notice)
         if is_news or notice.limit_per_s is not None:
             told = msgspec.structs.replace(notice, asked_age_s=now_s - asked_s)
             self._send(TargetNotices([told]))
--- a/troutstand/daemon/scheduling.py
+++ b/troutstand/daemon/scheduling.py
@@ -27,6 +27,7 @@
     Withdraw,
 )
 from troutstand.util.clock import read_clock_s
+from troutstand.util.noticelog import emit_taken
 
 if TYPE_CHECKING:
     import aiohttp
@@ -36,7 +37,6 @@
     from troutstand.core.shedding import Send
     from troutstand.daemon.node import Node
     from troutstand.daemon.placement import Placement
-    from troutstand.generated.messages import TargetNotice
 
 _TICK_S = 0.05
 _HOST_LIST_S = 1.0
@@ -258,20 +258,10 @@
             case TargetNotices():
                 sends = self.scheduler.take_notices(message, now_s)
         for notice in self.scheduler.take_news():
-            self._note_news(peer, notice)
+            emit_taken(self._node.events, peer, notice)
         self._dispatch(sends)
         return True
 
-    def _note_news(self, peer: ProcessId, notice: TargetNotice) -> None:
-        self._node.events.emit(
-            "target_notice_taken",
-            target=notice.target,
-            peer=peer,
-            leaving=notice.is_leaving,
-            rest_s=notice.rest_s,
-            limit_per_s=notice.limit_per_s,
-        )
-
     def _dispatch(self, sends: list[Send]) -> None:
         for send in sends:
             self._note(send)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -46,6 +46,7 @@
 )
 from troutstand.routing.targetlist import ListUnreadError
 from troutstand.util.clock import read_clock_s
+from troutstand.util.noticelog import emit_heard
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
@@ -284,14 +285,7 @@
         """
         is_news = self._notices.note(notice, asked_s, read_clock_s())
         if is_news:
-            self._node.events.emit(
-                "target_notice_heard",
-                request,
-                target=notice.target,
-                leaving=notice.is_leaving,
-                rest_s=notice.rest_s,
-                limit_per_s=notice.limit_per_s,
-            )
+            emit_heard(self._node.events, request, notice)
         if is_news or notice.limit_per_s is not None:
             self._tell_notice(notice.target)
 
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -36,6 +36,7 @@
 from troutstand.routing.rolloutdriver import RolloutDriver
 from troutstand.routing.targetlist import ListUnreadError, TargetList, ToldList
 from troutstand.util.clock import read_clock_s
+from troutstand.util.noticelog import emit_taken
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -146,14 +147,7 @@
 
     def _note_notices(self, peer: ProcessId, notices: list[TargetNotice], now_s: float) -> None:
         for notice in self.dispatcher.note_notices(peer, notices, now_s):
-            self.node.events.emit(
-                "target_notice_taken",
-                target=notice.target,
-                peer=peer,
-                leaving=notice.is_leaving,
-                rest_s=notice.rest_s,
-                limit_per_s=notice.limit_per_s,
-            )
+            emit_taken(self.node.events, peer, notice)
 
     def _settle(self, owner: str, request: str, answer: PeerMessage | None) -> bool:
         future = self._pending.pop((owner, request), None)
--- /dev/null
+++ b/troutstand/util/noticelog.py
@@ -0,0 +1,33 @@
+"""Log what targets said of themselves, in the same words for every process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from troutstand.generated.messages import TargetNotice
+    from troutstand.util.events import EventBus
+
+
+def emit_heard(events: EventBus, request: str, notice: TargetNotice) -> None:
+    """Log what the answer to a request said of its target, where it is news."""
+    events.emit(
+        "target_notice_heard",
+        request,
+        target=notice.target,
+        leaving=notice.is_leaving,
+        rest_s=notice.rest_s,
+        limit_per_s=notice.limit_per_s,
+    )
+
+
+def emit_taken(events: EventBus, peer: str, notice: TargetNotice) -> None:
+    """Log what a decider was told of a target by a process, where it is news."""
+    events.emit(
+        "target_notice_taken",
+        target=notice.target,
+        peer=peer,
+        leaving=notice.is_leaving,
+        rest_s=notice.rest_s,
+        limit_per_s=notice.limit_per_s,
+    )
