Show a named limit in a split, over a restart of the decider, and at targets that are needed

The three checks over changes of who decides passed with targets that a light load did not need once their limit was known; they are made at a load at which the others do not suffice now, and two are new: a scheduler that is killed and starts again, and two schedulers that each have a gateway, both of which must have placed requests at a target with a limit. Proxies before a site's processes are made in one place for the soak and for scenarios, and end with the site.

--- a/troutstand/testing/faultproxy.py
+++ b/troutstand/testing/faultproxy.py
@@ -81,6 +81,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         source = writer.get_extra_info("peername")[0]
+        own = asyncio.current_task()
+        assert own is not None
+        self._tasks.add(own)
+        own.add_done_callback(self._tasks.discard)
         # A silenced way takes the connection and says nothing, as a cut link does.
         while self._find_way(source, True).trouble is Trouble.SILENCE:
             await asyncio.sleep(_HOLD_POLL_S)
--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -9,6 +9,7 @@
 
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.background import BackgroundLoop
+from troutstand.testing.behindproxy import put_all_behind_proxies
 from troutstand.testing.routedcaller import CallResult, RoutedCaller
 from troutstand.testing.routedsite import (
     KEY,
@@ -24,6 +25,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from troutstand.testing.faultproxy import FaultProxy
+
 
 @dataclass
 class Scene:
@@ -38,6 +41,9 @@
     stop_s: float = 2.0
     # How long its routes hold a request, in milliseconds.
     timeout_ms: int = TIMEOUT_MS
+    # Whether links can be harmed, through the proxies of the processes.
+    is_proxied: bool = False
+    proxies: dict[str, FaultProxy] = field(default_factory=dict)
     odd_entries: list[bytes] = field(default_factory=list)
     background: BackgroundLoop = field(default_factory=BackgroundLoop)
     targets: list[StandInTarget] = field(default_factory=list)
@@ -62,6 +68,8 @@
             self.folder, RoutedPlan(subnet=subnet, stop_s=self.stop_s), self.list
         )
         self.site.lay_out()
+        if self.is_proxied:
+            self.proxies = await put_all_behind_proxies(self.site)
         self.site.start_all()
         self.session = aiohttp.ClientSession()
         self.caller = RoutedCaller(self.session)
@@ -88,6 +96,8 @@
 
     async def _close(self) -> None:
         await self.session.close()
+        for proxy in self.proxies.values():
+            await proxy.stop()
         for target in self.targets:
             await target.close()
         await self.list.stop()
--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -32,7 +32,7 @@
     from troutstand.testing.standins import StandInList
 
 LINK_KEY_HEX = "00112233445566778899aabbccddeeff"
-_FIRST_PORT = 7600
+FIRST_PORT = 7600
 _CALLERS_PORT = 7700
 _READINESS_PORT = 7701
 _CONTROL_PORT = 7702
@@ -118,7 +118,7 @@
             role=role,
             ip=ip,
             bind_ip=ip,
-            first_port=_FIRST_PORT,
+            first_port=FIRST_PORT,
             link_key_hex=LINK_KEY_HEX,
             seeds=self.seeds,
             first_start=self._is_first,
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -11,10 +11,10 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import msgspec
 
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.routing import RoutingRole
+from troutstand.testing.behindproxy import put_all_behind_proxies, put_behind_proxy
 from troutstand.testing.faultproxy import FaultProxy, Trouble, Way
 from troutstand.testing.routedcaller import RoutedCaller
 from troutstand.testing.routedsite import (
@@ -34,9 +34,6 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-_FIRST_PORT = 7600
-_LINK_PORTS = {RoutingRole.keeper: _FIRST_PORT, RoutingRole.scheduler: _FIRST_PORT + 1}
-_PROXY_OFFSET = 100
 _CALL_GAP_S = 0.04
 _READ_GAP_S = 0.25
 _RECOVERY_S = 12.0
@@ -104,9 +101,7 @@
         plan = RoutedPlan(gateways=self.plan.gateways, subnet=self.plan.subnet)
         self.site = RoutedSite(self.folder, plan, self.list)
         self.site.lay_out()
-        for process in self.site.processes.values():
-            await self._put_behind_proxy(process)
-        self._tell_seeds()
+        self.proxies = await put_all_behind_proxies(self.site)
         self.site.start_all()
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.caller = RoutedCaller(self.session, f"soak-{self.plan.seed}")
@@ -120,24 +115,6 @@
         # What gateways and stand-ins hold on to may arrive bunched by a freeze.
         self.record.limits = [LimitBound(_LIMITED, _LIMIT_WINDOW_S, bound * 1.5)]
 
-    async def _put_behind_proxy(self, process: HostProcess) -> None:
-        """Let others reach a process only through a proxy of its own."""
-        settings = process.settings
-        net, _, last = settings.bind_ip.rpartition(".")
-        known_ip = f"{net}.{int(last) + _PROXY_OFFSET}"
-        process.settings = msgspec.structs.replace(settings, ip=known_ip)
-        port = _LINK_PORTS.get(settings.role)
-        if port is not None:
-            proxy = FaultProxy((known_ip, port), (settings.bind_ip, port))
-            await proxy.start()
-            self.proxies[process.name] = proxy
-
-    def _tell_seeds(self) -> None:
-        keepers = self.site.list_role(RoutingRole.keeper)[:3]
-        self.site.seeds = [f"{process.settings.ip}:1" for process in keepers]
-        for process in self.site.processes.values():
-            process.settings = msgspec.structs.replace(process.settings, seeds=self.site.seeds)
-
     async def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
@@ -335,7 +312,9 @@
         self.site.kill(process.name)
         del self.site.processes[process.name]
         fresh = self.site.add(RoutingRole.keeper, f"{process.name}-again")
-        await self._put_behind_proxy(fresh)
+        proxy = await put_behind_proxy(fresh)
+        assert proxy is not None
+        self.proxies[fresh.name] = proxy
         await asyncio.sleep(_RESTART_S)
         self._start(fresh)
 
--- a/troutstand/tests/namedlimits.feature
+++ b/troutstand/tests/namedlimits.feature
@@ -15,7 +15,7 @@
     And at least 0.95 of these calls are answered
 
   Scenario: Half of the targets of a plain service name a limit
-    Given a routed site with 0 engines and 8 plain targets that work for 0.05 s
+    Given a routed site with 0 engines and 8 plain targets that work for 0.2 s
     When 4 plain targets name a limit of 2 requests a second
     And for 7 s 60 calls a second of /get/ are made
     Then no target got more than its limit of 2 requests a second allows
@@ -35,21 +35,40 @@
       | 2       | 0     | engines       | cut answers | /stream/        |
 
   Scenario: A limit outlives the scheduler
-    Given a routed site with 0 engines and 5 plain targets
+    Given a routed site with 0 engines and 5 plain targets that work for 0.2 s
     When 2 plain targets name a limit of 2 requests a second
-    And for 2.5 s 40 calls a second of /get/ are made
+    And for 2.5 s 60 calls a second of /get/ are made
     And the deciding scheduler is killed and the gateways ask another
-    And for 5 s 40 calls a second of /get/ are made
+    And for 5 s 60 calls a second of /get/ are made
     Then no target got more than its limit of 2 requests a second allows
 
   Scenario: Gateways that decide alone keep to a limit together
-    Given a routed site with 0 engines and 5 plain targets
+    Given a routed site with 0 engines and 5 plain targets that work for 0.2 s
     When 2 plain targets name a limit of 2 requests a second
-    And for 2.5 s 40 calls a second of /get/ are made
+    And for 2.5 s 60 calls a second of /get/ are made
     And all schedulers are killed and the gateways decide alone
-    And for 6 s 40 calls a second of /get/ are made
+    And for 6 s 60 calls a second of /get/ are made
+    Then no target got more than its limit of 2 requests a second allows
+    And at least 0.95 of these calls are answered
+
+  Scenario: A limit outlives a scheduler that is killed and starts again
+    Given a routed site with 0 engines and 5 plain targets that work for 0.2 s
+    When 2 plain targets name a limit of 2 requests a second
+    And for 2.5 s 60 calls a second of /get/ are made
+    And the deciding scheduler is killed and the gateways ask another
+    And the scheduler that was killed starts again and the other is killed
+    And for 5 s 60 calls a second of /get/ are made
+    Then no target got more than its limit of 2 requests a second allows
+
+  Scenario: Two schedulers that each have some of the gateways spend one limit
+    Given a routed site with 0 engines and 5 plain targets, whose links can be cut
+    When 2 plain targets name a limit of 2 requests a second
+    And for 2.5 s 60 calls a second of /get/ are made
+    And one gateway is cut off from the deciding scheduler and asks another
+    And for 7 s 60 calls a second of /get/ are made
     Then no target got more than its limit of 2 requests a second allows
     And at least 0.95 of these calls are answered
+    And both schedulers placed requests at a target with a limit
 
   Scenario: A target that names its limit no longer is used again within seconds
     Given a routed site with 0 engines and 3 plain targets that work for 0.1 s
--- a/troutstand/tests/steps/namedlimits.py
+++ b/troutstand/tests/steps/namedlimits.py
@@ -5,16 +5,63 @@
 import time
 from typing import TYPE_CHECKING
 
-from behave import then, when
+from behave import given, then, when
 
+from troutstand.generated.routing import RoutingRole
 from troutstand.testing.arrivals import find_over_limit
+from troutstand.testing.faultproxy import Trouble, Way
+from troutstand.testing.routedscene import Scene
+from troutstand.testing.routedsite import wait_until
 from troutstand.testing.standins import Fault
-from troutstand.tests.steps.resting import index_results, list_arrivals, list_some
+from troutstand.tests.environment import make_folder
+from troutstand.tests.steps.resting import (
+    index_results,
+    list_arrivals,
+    list_some,
+    open_scene,
+)
+from troutstand.tests.steps.routed import find_deciding, read_deciders
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
 _REFUSALS = (429, 503)
+# So long that targets without a limit do not suffice, in seconds.
+_WORK_S = 0.2
+
+
+@given("a routed site with {engines:d} engines and {plain:d} plain targets, whose links can be cut")
+def open_cuttable(context: Context, engines: int, plain: int) -> None:
+    open_scene(context, Scene(make_folder(context), engines=engines, plain=plain, is_proxied=True))
+    for target in context.scene.targets:
+        target.work_s = _WORK_S
+
+
+@when("one gateway is cut off from the deciding scheduler and asks another")
+def cut_one(context: Context) -> None:
+    scene = context.scene
+
+    async def cut() -> None:
+        name = await find_deciding(scene)
+        gateway = scene.site.list_role(RoutingRole.gateway)[0]
+        for inward in (True, False):
+            scene.proxies[name].set_way(gateway.settings.bind_ip, inward, Way(Trouble.SILENCE))
+        await wait_until(lambda: _ask_two(scene), "the gateways ask two schedulers")
+
+    scene.background.run(cut())
+
+
+async def _ask_two(scene: Scene) -> bool:
+    return len(read_deciders(scene) - {"alone"}) == 2
+
+
+@then("both schedulers placed requests at a target with a limit")
+def check_both(context: Context) -> None:
+    site = context.scene.site
+    for process in site.list_role(RoutingRole.scheduler):
+        lines = process.log.read_text().splitlines()
+        placed = [li for li in lines if "event=request_placed" in li and " limit_per_s=2 " in li]
+        assert placed, f"{process.name} placed none"
 
 
 @when("{count:d} {kind} name a limit of {limit} requests a second")
--- a/troutstand/tests/steps/resting.py
+++ b/troutstand/tests/steps/resting.py
@@ -35,7 +35,12 @@
 
 @given("a routed site with {engines:d} engines and {plain:d} plain targets")
 def open_site(context: Context, engines: int, plain: int) -> None:
-    scene = context.scene = Scene(make_folder(context), engines=engines, plain=plain)
+    open_scene(context, Scene(make_folder(context), engines=engines, plain=plain))
+
+
+def open_scene(context: Context, scene: Scene) -> None:
+    """Start a site and wait until its gateways ask one scheduler."""
+    context.scene = scene
     context.sites.append(scene)
     scene.open(next_subnet(context))
     scene.background.run(find_deciding(scene))
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -96,7 +96,7 @@
     await asyncio.gather(*calls)
 
 
-def _read_deciders(scene: Scene) -> set[str]:
+def read_deciders(scene: Scene) -> set[str]:
     """Return whom the gateways' logs name last as deciding; nothing is an empty text."""
     deciders = set()
     for gateway in scene.site.list_role(RoutingRole.gateway):
@@ -110,11 +110,11 @@
     names = {s.settings.ip: s.name for s in scene.site.list_role(RoutingRole.scheduler)}
 
     async def agree() -> bool:
-        deciders = _read_deciders(scene)
+        deciders = read_deciders(scene)
         return len(deciders) == 1 and deciders <= set(names)
 
     await wait_until(agree, "the gateways ask one scheduler")
-    return names[_read_deciders(scene).pop()]
+    return names[read_deciders(scene).pop()]
 
 
 async def _wait_left(scene: Scene, name: str) -> None:
@@ -122,7 +122,7 @@
     ip = scene.site.processes[name].settings.ip
 
     async def is_left() -> bool:
-        return ip not in _read_deciders(scene)
+        return ip not in read_deciders(scene)
 
     await wait_until(is_left, f"{name} is left")
 
@@ -179,7 +179,7 @@
     began_s = time.monotonic()
 
     async def are_alone() -> bool:
-        return _read_deciders(scene) == {"alone"}
+        return read_deciders(scene) == {"alone"}
 
     await wait_until(are_alone, "every gateway decides alone")
     return time.monotonic() - began_s
