Tell in the logs what a refused request of a low tier was behind

Cause: a refusal named only the length of the whole queue, so that three explanations of an underserved tier looked alike in the logs: late requests of higher tiers ahead of it, slots reserved for them, or no room at all.

Change: request_declined gains tier, slack_s, ahead and late_above; request_placed gains tier and late; the gauge troutstand_tier_served_share shows the share of the recent requests of a tier that got a slot. No decision changes.

--- a/troutstand/core/admissionqueue.py
+++ b/troutstand/core/admissionqueue.py
@@ -207,16 +207,32 @@
     def _refuse(
         self, pool: Pool, waiting: WaitingRequest, code: ResultCode, wait_s: float, now_s: float
     ) -> None:
+        pool.tier_service.record_refused(waiting.work.tier, now_s)
+        reason = self._describe_refusal(pool, waiting, wait_s, now_s)
         self._dequeue(pool, waiting.work.request, now_s)
         if code is ResultCode.SHED_OVERLOAD and pool.is_rate_limited(now_s):
             code = ResultCode.TARGETS_LIMITED
-        waited_s = now_s - waiting.arrived_s
-        reason = f"waited_s={waited_s:.3f} expected_s={wait_s:.3f} queue={len(pool.waiting)}"
+        self._decline(waiting.work, waiting.owner, code, wait_s, reason)
+
+    def _describe_refusal(
+        self, pool: Pool, waiting: WaitingRequest, wait_s: float, now_s: float
+    ) -> str:
+        """Return the inputs of a refusal for the log; the request must still be queued."""
+        work = waiting.work
+        queue = pool.waiting
+        fields = [
+            f"waited_s={now_s - waiting.arrived_s:.3f}",
+            f"expected_s={wait_s:.3f}",
+            f"queue={len(queue) - 1}",
+            f"tier={work.tier}",
+            f"slack_s={waiting.slack_s:.3f}",
+            f"ahead={queue.count_shed_after(waiting)}",
+            f"late_above={queue.count_late_above(waiting)}",
+        ]
         if waiting.share is not UNSHARED:
-            work = waiting.work
             lead_s = pool.shares.compute_lead(work.tier, waiting.share)
-            reason += f" workspace={work.workspace} share_lead_s={lead_s:.3f}"
-        self._decline(waiting.work, waiting.owner, code, wait_s, reason)
+            fields += [f"workspace={work.workspace}", f"share_lead_s={lead_s:.3f}"]
+        return " ".join(fields)
 
     def _decline(
         self, work: RoutedWork, owner: str, code: ResultCode, wait_s: float, reason: str
--- a/troutstand/core/decision.py
+++ b/troutstand/core/decision.py
@@ -46,6 +46,10 @@
         Expected time per output token, in seconds.
     limit_per_s
         Rate limit that the target reported, in requests per second; None without one.
+    tier
+        Rank of the request for placement; 0 is the highest.
+    is_late
+        Whether the request could no longer meet its objective.
     """
 
     expected_first_s: float
@@ -58,6 +62,8 @@
     fingerprint: str
     token_s: float
     limit_per_s: float | None = None
+    tier: int = 0
+    is_late: bool = False
 
 
 def decline_quarantined(request: str, quarantine: Quarantine) -> Declined:
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -369,6 +369,7 @@
         work = waiting.work
         pool.waiting.pop(work.request)
         pool.shares.advance_virtual_time(work.tier, waiting.share)
+        pool.tier_service.record_placed(work.tier, now_s)
         expected_s = pool.estimate_first_byte(state, work)
         uncached = state.count_uncached(work)
         ahead = state.backlog_tokens
@@ -383,6 +384,8 @@
             fingerprint=work.fingerprint,
             token_s=pool.get_token_time(state),
             limit_per_s=state.report.limit_per_s,
+            tier=work.tier,
+            is_late=waiting.is_late,
         )
         run = RunningRequest(
             work, waiting.owner, now_s, uncached, expected_s, ahead, share=waiting.share
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -17,6 +17,7 @@
     estimate_miss_risk,
 )
 from troutstand.core.scheduling.serviceshares import ServiceShares
+from troutstand.core.scheduling.tierservice import TierService
 from troutstand.core.scheduling.waitingqueue import WaitingQueue, get_shed_tier
 from troutstand.core.speed import PrefillSpeed
 
@@ -83,6 +84,7 @@
     _typical_means: dict[str, float | None] = field(default_factory=dict)
     headroom: Headroom = field(default_factory=Headroom)
     shares: ServiceShares = field(default_factory=ServiceShares)
+    tier_service: TierService = field(default_factory=TierService)
     # Lowest shed tier among running and waiting requests; None without any.
     lowest_shed_tier: int | None = None
 
--- a/troutstand/core/scheduling/waitingqueue.py
+++ b/troutstand/core/scheduling/waitingqueue.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right, insort
+from collections import Counter
 from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING
@@ -97,6 +98,8 @@
         self._by_number: dict[int, WaitingRequest] = {}
         self._placement_keys: list[_SortKey] = []
         self._shed_keys: list[_SortKey] = []
+        # Late requests by shed tier.
+        self._late_counts: Counter[int] = Counter()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -121,6 +124,7 @@
         self._by_number[number] = waiting
         insort(self._placement_keys, (waiting.rank, number))
         insort(self._shed_keys, (waiting.shed_rank, number))
+        self._late_counts[get_shed_tier(waiting.work)] += waiting.is_late
 
     def pop(self, request: str) -> WaitingRequest | None:
         """Remove and return a request; return None if it is not queued."""
@@ -131,6 +135,7 @@
         del self._by_number[number]
         _remove(self._placement_keys, (waiting.rank, number))
         _remove(self._shed_keys, (waiting.shed_rank, number))
+        self._late_counts[get_shed_tier(waiting.work)] -= waiting.is_late
         return waiting
 
     def mark_late(self, waiting: WaitingRequest) -> None:
@@ -138,6 +143,7 @@
         number = self._numbers[waiting.work.request]
         _remove(self._placement_keys, (waiting.rank, number))
         _remove(self._shed_keys, (waiting.shed_rank, number))
+        self._late_counts[get_shed_tier(waiting.work)] += not waiting.is_late
         waiting.mark_late()
         insort(self._placement_keys, (waiting.rank, number))
         insort(self._shed_keys, (waiting.shed_rank, number))
@@ -161,6 +167,11 @@
         """Return how many other requests are shed no earlier than a queued one."""
         return _count(self._shed_keys, waiting.shed_rank) - 1
 
+    def count_late_above(self, waiting: WaitingRequest) -> int:
+        """Return how many late requests of higher shed tiers are queued."""
+        tier = get_shed_tier(waiting.work)
+        return sum(count for other, count in self._late_counts.items() if other < tier)
+
 
 def _remove(keys: list[_SortKey], key: _SortKey) -> None:
     del keys[bisect_left(keys, key)]
--- a/troutstand/routing/decisionlog.py
+++ b/troutstand/routing/decisionlog.py
@@ -88,6 +88,8 @@
         limit_per_s=inputs.limit_per_s,
         workspace=inputs.workspace,
         charge=inputs.charge,
+        tier=inputs.tier,
+        late=inputs.is_late,
         fingerprint=inputs.fingerprint,
         decider=decider,
         list=targets_version[:8],
--- a/troutstand/routing/loadreport.py
+++ b/troutstand/routing/loadreport.py
@@ -42,6 +42,12 @@
             ["service", "workspace"],
             registry=registry,
         )
+        self._served_share = Gauge(
+            "troutstand_tier_served_share",
+            "Share of the recent requests of a tier that got a slot",
+            ["service", "tier"],
+            registry=registry,
+        )
         self._updated_s = float("-inf")
         self._over_share: set[tuple[str, str]] = set()
 
@@ -51,10 +57,13 @@
             return
         self._updated_s = now_s
         self._lead_s.clear()
+        self._served_share.clear()
         over_share: set[tuple[str, str]] = set()
         for service, pool in dispatcher.pools.items():
             self._reserved.labels(service).set(pool.count_reserved_slots(now_s))
             self._waiting.labels(service).set(len(pool.waiting))
+            for tier, share in pool.tier_service.list_shares(now_s).items():
+                self._served_share.labels(service, str(tier)).set(share)
             over_share |= self._update_leads(service, pool)
         self._log_over_share(over_share)
 
