Show a lowest tier that starves while higher tiers ask for more than fits

Cause, not mended here: on a service of 8 slots, requests of tier 0 and 1 that together ask for 9.6, 12 or 14.4 slots leave nothing to short requests of tier 2 that ask for 0.45 of a slot.

Change: starvedtier.feature, on a virtual clock. The simulated targets queue what several dispatchers send beyond their slots, for gateways that decide alone.

--- /dev/null
+++ b/troutstand/tests/starvedtier.feature
@@ -0,0 +1,39 @@
+Feature: The lowest tier is served while higher tiers ask for more than fits
+
+  # Guards against short requests of the lowest tier that are all refused on arrival, while late
+  # requests of higher tiers wait before them and take the slots.
+  Scenario Outline: Short requests of the lowest tier are served beside <high> and <middle> longer ones a second
+    Given 2 targets of 4 slots that protect tiers
+    When <high> requests of tier 0, <middle> of tier 1 and 15 short ones of tier 2 come a second
+    Then tier 0 is served no less often than tier 1, and tier 1 than tier 2
+    And tier 2 is served at least 0.4 times as often as all requests
+    And 0.9 of those that are served of tier 2 are in time
+
+    Examples:
+      | high | middle |
+      | 12   | 20     |
+      | 20   | 20     |
+      | 28   | 20     |
+
+  # Guards against a guarantee that takes the room of higher tiers.
+  Scenario: Long requests of the lowest tier take a bounded part of the slots
+    Given 2 targets of 4 slots that protect tiers
+    When 28 requests of tier 0 and 20 long ones of tier 1 come a second
+    Then tier 0 is served 0.85 times as often as without tier 1
+    And tier 1 is served
+
+  Scenario: Every tier is served in time while all of them fit
+    Given 2 targets of 4 slots that protect tiers
+    When 10 requests of tier 0, 10 of tier 1 and 15 short ones of tier 2 come a second
+    Then all of them are in time
+
+  # Guards against gateways that decide alone and starve the lowest tier.
+  Scenario: Gateways that decide alone serve the lowest tier too
+    Given 3 deciders that share 2 targets of 4 slots and protect tiers
+    When 20 requests of tier 0, 20 of tier 1 and 15 short ones of tier 2 come a second
+    Then tier 2 is served at least 0.25 times as often as all requests
+
+  Scenario: A refusal tells what the request was behind
+    Given 2 targets of 4 slots that protect tiers
+    When 20 requests of tier 0 and 20 long ones of tier 1 come a second
+    Then each refusal of tier 1 names its tier, its slack, what was ahead and how many of these were late
--- /dev/null
+++ b/troutstand/tests/steps/starvedtier.py
@@ -0,0 +1,131 @@
+"""Replay loads in which higher tiers ask for more than fits, on a virtual clock."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.core.scheduling.options import LoadOptions
+from troutstand.testing.virtualload import (
+    Job,
+    JobOutcome,
+    VirtualLoad,
+    compute_in_time_share,
+    spread_jobs,
+)
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_LENGTH_S = 20.0
+# The first requests meet an idle service.
+_SETTLED_S = 2.0
+_LONG_S = 0.3
+_SHORT_S = 0.03
+_OBJECTIVE_S = 0.8
+_DEADLINE_S = 12.0
+_LOWEST_OBJECTIVE_S = 1.5
+_LOWEST_DEADLINE_S = 3.0
+_REASON = re.compile(r"\btier=(\d+) slack_s=[\d.]+ ahead=(\d+) late_above=(\d+)")
+
+
+@given("{deciders:d} deciders that share {targets:d} targets of {slots:d} slots and protect tiers")
+def use_deciders(context: Context, deciders: int, targets: int, slots: int) -> None:
+    options = LoadOptions(protects_tiers=True)
+    context.make_load = lambda: VirtualLoad(targets, slots, options, deciders=deciders)
+
+
+def _spread(tier: int, per_s: int, slot_time_s: float) -> list[Job]:
+    """Return the requests of a tier; each caller retries once, after the Retry-After."""
+    objective_s = _LOWEST_OBJECTIVE_S if slot_time_s == _SHORT_S else _OBJECTIVE_S
+    deadline_s = _LOWEST_DEADLINE_S if slot_time_s == _SHORT_S else _DEADLINE_S
+    # The first requests of two tiers do not come at the same moment.
+    draft = Job(0.003 * tier, "w", tier, slot_time_s, objective_s, deadline_s, 1, True)
+    return spread_jobs(draft, per_s, _LENGTH_S)
+
+
+@when(
+    "{high:d} requests of tier 0, {middle:d} of tier 1 and {short:d} short ones of tier 2 "
+    "come a second"
+)
+def send_three_tiers(context: Context, high: int, middle: int, short: int) -> None:
+    context.jobs = [
+        *_spread(0, high, _LONG_S),
+        *_spread(1, middle, _LONG_S),
+        *_spread(2, short, _SHORT_S),
+    ]
+
+
+@when("{high:d} requests of tier 0 and {low:d} long ones of tier 1 come a second")
+def send_two_tiers(context: Context, high: int, low: int) -> None:
+    context.jobs = [*_spread(0, high, _LONG_S), *_spread(1, low, _LONG_S)]
+
+
+def _play(context: Context) -> list[JobOutcome]:
+    if not hasattr(context, "outcomes"):
+        context.outcomes = context.make_load().play(context.jobs)
+    return [outcome for outcome in context.outcomes if outcome.job.at_s >= _SETTLED_S]
+
+
+def _compute_served_share(outcomes: list[JobOutcome], tier: int | None = None) -> float:
+    own = [o for o in outcomes if tier is None or o.job.tier == tier]
+    return sum(o.is_served for o in own) / len(own)
+
+
+@then("tier 0 is served no less often than tier 1, and tier 1 than tier 2")
+def check_order(context: Context) -> None:
+    shares = [_compute_served_share(_play(context), tier) for tier in range(3)]
+    assert shares == sorted(shares, reverse=True), shares
+
+
+@then("tier {tier:d} is served at least {part:g} times as often as all requests")
+def check_relative_share(context: Context, tier: int, part: float) -> None:
+    outcomes = _play(context)
+    own, overall = _compute_served_share(outcomes, tier), _compute_served_share(outcomes)
+    assert own >= part * overall, (own, overall)
+
+
+@then("{share:g} of those that are served of tier {tier:d} are in time")
+def check_served_in_time(context: Context, share: float, tier: int) -> None:
+    served = [o for o in _play(context) if o.job.tier == tier and o.is_served]
+    assert served, "none is served"
+    assert compute_in_time_share(served) >= share, compute_in_time_share(served)
+
+
+@then("tier {higher:d} is served {part:g} times as often as without tier {lower:d}")
+def check_higher(context: Context, higher: int, part: float, lower: int) -> None:
+    own = _compute_served_share(_play(context), higher)
+    alone = context.make_load().play([job for job in context.jobs if job.tier != lower])
+    undisturbed = _compute_served_share([o for o in alone if o.job.at_s >= _SETTLED_S], higher)
+    assert own >= part * undisturbed, (own, undisturbed)
+
+
+@then("tier {tier:d} is served")
+def check_served(context: Context, tier: int) -> None:
+    assert _compute_served_share(_play(context), tier) > 0.0
+
+
+@then("all of them are in time")
+def check_all_in_time(context: Context) -> None:
+    assert compute_in_time_share(_play(context)) == 1.0
+
+
+@then(
+    "each refusal of tier {tier:d} names its tier, its slack, what was ahead and how many of "
+    "these were late"
+)
+def check_reasons(context: Context, tier: int) -> None:
+    reasons = [
+        declined.reason
+        for outcome in _play(context)
+        if outcome.job.tier == tier
+        for declined in outcome.refusals
+    ]
+    assert reasons, "none is refused"
+    for reason in reasons:
+        found = _REASON.search(reason)
+        assert found is not None, reason
+        assert int(found[1]) == tier, reason
+        assert int(found[3]) <= int(found[2]), reason
