--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -1,13 +1,9 @@
-"""Compare ways to judge a version on trial, over many drawn versions on a virtual clock.
+"""Compare ways to judge a canary version over many drawn versions on a virtual clock.
 
 Each drawn rollout lasts 12 s at 300 requests/s over three routes; a twentieth of them goes
-to the version on trial. A verdict is asked for every 0.25 s. A bad version that is still
-not found bad or suspect 2.5 s before the end counts as a false completion; so does a good
-one that is as a false roll-back.
-
-Before, a fixed difference of 0.15 in rates from 20 answers on, 200 draws a case: 80 of
-3,200 bad versions completed, 67 of 1,600 good ones rolled back. Now, odds of 1,000 (50 at
-the end): 59 and 112, with a verdict 0 to 2.5 s sooner on versions bad from the start.
+to the canary. A verdict is computed every 0.25 s. A bad version that is still not found bad
+or suspect 2.5 s before the end counts as a false completion; a good one that is, as a false
+rollback.
 """
 
 from __future__ import annotations
--- a/benchmarks/worstload.py
+++ b/benchmarks/worstload.py
@@ -1,10 +1,7 @@
-"""Measure what deciding costs and brings at the worst load: recorded, and drawn in bursts.
+"""Measure processor time and outcomes of deciding under overload.
 
-45 engines of 4 slots, a quarter dark, a third 4.4 times slower; the drawn load is 14 s at
-285 requests/s with two bursts of 1,000 requests/s (8,837 requests). Processor time of the
-drawn load, replay included: 6.86 s before the targets that take work were kept, estimates
-made in one pass and arrivals looked at alone; 3.68 s since. Of the second kind 0.438 came
-in time before, 0.450 since.
+Replays a recorded load and one drawn with bursts on 45 engines of 4 slots, of which a quarter
+is unavailable and a third is 4.4 times slower.
 """
 
 from __future__ import annotations
