Ignore an infinite output estimate in a caller's header

Callers saw a 500 for a request whose output estimate was "inf". Cause: it passed the check for a positive number and was then converted to an integer, which raises OverflowError. Such a header is optional, and one that cannot be used is ignored, as for text and negative numbers.

Evidence: callheaders.feature, 1 of 9 scenarios failed before with that error, 9 pass now.

--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -158,7 +159,7 @@
     except ValueError:
         # An invalid optional header is ignored.
         return None
-    return number if number > 0 else None
+    return number if 0.0 < number < math.inf else None
 
 
 def parse_call(
