Guarantee lower tiers a minimum of service under a lasting overload

What callers saw: on a site whose engines were asked for more than fits, nearly every request of the lowest of three kinds was refused on arrival for 26 s of 41 (15 of some 5,900 in time between 8 and 32 s), while the kinds above were served, many of them late.

Cause: strict order of tiers with nothing owed to the lowest; a priority without a minimum.

Change: a tier that is served less than a quarter as often as those above it, by about 10 s, has requests promoted to the highest tier, within a tenth of the service's slot time, divided evenly between the tiers that are owed some (core/scheduling/tierminimum.py). Why it works: the decision is made on arrival, where these requests were refused, and by what was served, whatever the cause of the overload. While all fit nothing is promoted.

--- a/troutstand/core/admissionqueue.py
+++ b/troutstand/core/admissionqueue.py
@@ -68,10 +68,25 @@
         if waiting is None:
             return
         work = waiting.work
+        self._refund_promotion(pool, waiting, now_s)
         pool.shares.refund(work.tier, work.workspace, waiting.share)
         if work.attempt == 1:
             self.quotas.refund(work.workspace, work.charge, waiting.arrived_s, now_s)
 
+    def _mark_late(self, pool: Pool, waiting: WaitingRequest, now_s: float) -> None:
+        """Rank a queued request behind those of its own tier that can meet their objective."""
+        self._refund_promotion(pool, waiting, now_s)
+        pool.waiting.mark_late(waiting)
+
+    def _cancel_promotion(self, pool: Pool, waiting: WaitingRequest, now_s: float) -> None:
+        """Rank a queued request by its own tier again."""
+        self._refund_promotion(pool, waiting, now_s)
+        pool.waiting.cancel_promotion(waiting)
+
+    def _refund_promotion(self, pool: Pool, waiting: WaitingRequest, now_s: float) -> None:
+        if waiting.promoted_slot_s is not None:
+            pool.tier_minimum.cancel(waiting.work.tier, waiting.promoted_slot_s, now_s)
+
     def _refuse_waiting_quarantined(self, now_s: float) -> None:
         """Refuse the waiting requests whose fingerprint is now quarantined."""
         for pool in self.pools.values():
@@ -100,7 +115,7 @@
         # With its full slack it would be on time: time spent before arrival, for example at an
         # unresponsive scheduler, makes it late, not this queue.
         is_late_by_time_spent = wait_s <= waiting.full_slack_s
-        pool.waiting.mark_late(waiting)
+        self._mark_late(pool, waiting, now_s)
         ahead = pool.waiting.count_shed_after(waiting)
         wait_s = (ahead + 1) * slot_interval_s
         max_wait_s = min(
@@ -189,7 +204,7 @@
                     continue
                 self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, wait_s, now_s)
             elif not waiting.is_late and not waiting.can_meet_objective(now_s):
-                pool.waiting.mark_late(waiting)
+                self._mark_late(pool, waiting, now_s)
 
     def _shed_overtaken(
         self, pool: Pool, waiting: WaitingRequest, ahead: int, slot_interval_s: float, now_s: float
@@ -199,7 +214,7 @@
         margin_s = _OVERTAKEN_MARGIN_SHARE * waiting.full_slack_s
         if not waiting.can_meet_objective(now_s + wait_s - margin_s):
             if self._should_serve_late(pool, waiting, ahead, slot_interval_s, now_s):
-                pool.waiting.mark_late(waiting)
+                self._mark_late(pool, waiting, now_s)
                 return
             total_s = now_s - waiting.arrived_s + wait_s
             self._refuse(pool, waiting, ResultCode.SHED_OVERLOAD, total_s, now_s)
--- a/troutstand/core/decision.py
+++ b/troutstand/core/decision.py
@@ -50,6 +50,8 @@
         Rank of the request for placement; 0 is the highest.
     is_late
         Whether the request could no longer meet its objective.
+    is_promoted
+        Whether the request was placed with the highest tier, since its own is underserved.
     """
 
     expected_first_s: float
@@ -64,6 +66,7 @@
     limit_per_s: float | None = None
     tier: int = 0
     is_late: bool = False
+    is_promoted: bool = False
 
 
 def decline_quarantined(request: str, quarantine: Quarantine) -> Declined:
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -139,7 +139,14 @@
         if self._options.protects_tiers:
             pool.record_arrival(work, now_s)
         share = self._charge_share(pool, work)
-        waiting = WaitingRequest(work, owner, now_s, now_s + work.remaining_s, share=share)
+        waiting = WaitingRequest(
+            work,
+            owner,
+            now_s,
+            now_s + work.remaining_s,
+            share=share,
+            promoted_slot_s=pool.promote(work, now_s) if self._options.protects_tiers else None,
+        )
         pool.waiting.add(waiting)
         self._serve_arrival(pool, waiting, now_s)
         if work.request in pool.waiting:
@@ -327,11 +334,12 @@
         busy = pool.summarize_busy(now_s)
         skipped = 0
         for waiting in ordered:
-            if self._options.protects_tiers and pool.is_reserved_for_higher_tiers(
-                waiting.work.tier, now_s
-            ):
-                # No later request has a higher tier.
-                return
+            if self._options.protects_tiers and pool.is_reserved_for_higher_tiers(waiting, now_s):
+                if waiting.promoted_slot_s is None:
+                    # No later request has a higher tier.
+                    return
+                self._cancel_promotion(pool, waiting, now_s)
+                continue
             suspicion = self.crashes.get_suspicion(waiting.work.fingerprint, now_s)
             suitable = open_
             if suspicion is Suspicion.ISOLATED:
@@ -369,7 +377,9 @@
         work = waiting.work
         pool.waiting.pop(work.request)
         pool.shares.advance_virtual_time(work.tier, waiting.share)
-        pool.tier_service.record_placed(work.tier, now_s)
+        if waiting.promoted_slot_s is None:
+            # A promoted request has been counted on arrival.
+            pool.tier_service.record_placed(work.tier, now_s)
         expected_s = pool.estimate_first_byte(state, work)
         uncached = state.count_uncached(work)
         ahead = state.backlog_tokens
@@ -386,6 +396,7 @@
             limit_per_s=state.report.limit_per_s,
             tier=work.tier,
             is_late=waiting.is_late,
+            is_promoted=waiting.promoted_slot_s is not None,
         )
         run = RunningRequest(
             work, waiting.owner, now_s, uncached, expected_s, ahead, share=waiting.share
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -17,6 +17,7 @@
     estimate_miss_risk,
 )
 from troutstand.core.scheduling.serviceshares import ServiceShares
+from troutstand.core.scheduling.tierminimum import TierMinimum
 from troutstand.core.scheduling.tierservice import TierService
 from troutstand.core.scheduling.waitingqueue import WaitingQueue, get_shed_tier
 from troutstand.core.speed import PrefillSpeed
@@ -55,6 +56,8 @@
 _MIN_LATE_RATE_SHARE = 0.5
 # Requests in excess of their workspace's limit leave this share of the slots free.
 _MIN_SPARE_SHARE = 0.25
+# A promoted request may hold a reserved slot this many times as long as higher tiers do.
+_MAX_RESERVED_HOLD_FACTOR = 1.5
 # Bounds the slots reserved for higher tiers, so that lower tiers do not starve.
 _MAX_RESERVED_SHARE = 0.5
 
@@ -85,9 +88,13 @@
     headroom: Headroom = field(default_factory=Headroom)
     shares: ServiceShares = field(default_factory=ServiceShares)
     tier_service: TierService = field(default_factory=TierService)
+    tier_minimum: TierMinimum = field(init=False)
     # Lowest shed tier among running and waiting requests; None without any.
     lowest_shed_tier: int | None = None
 
+    def __post_init__(self) -> None:
+        self.tier_minimum = TierMinimum(self.tier_service)
+
     def update_hold_time(self, sample_s: float) -> None:
         """Add a sample to the mean slot time of a request."""
         mean_s = self.hold_s
@@ -266,6 +273,23 @@
             return first_s
         return first_s + work.output_tokens * self._get_typical_mean("token_s", _DEFAULT_TOKEN_S)
 
+    def promote(self, work: RoutedWork, now_s: float) -> float | None:
+        """Promote an arriving request if its tier is owed service; return its slot time.
+
+        Returns None for a request that is not promoted.
+        """
+        slots = sum(t.listed.slots for t in self.list_usable())
+        slot_time_s = self._estimate_tier_slot_time(work)
+        is_promoted = self.tier_minimum.promote(work.tier, slot_time_s, slots, now_s)
+        return slot_time_s if is_promoted else None
+
+    def _estimate_tier_slot_time(self, work: RoutedWork) -> float:
+        """Return how long a request occupies its slot, by its size or its tier's average."""
+        if work.prompt_tokens:
+            return self.estimate_typical_slot_time(work)
+        mean_s = self.headroom.get_slot_time(work.tier)
+        return mean_s if mean_s is not None else self.estimate_typical_slot_time(work)
+
     def estimate_typical_times(self, run: RunningRequest) -> TypicalTimes:
         """Return the times of a request at a typical target of the stable version."""
         if not run.work.prompt_tokens:
@@ -404,8 +428,17 @@
         max_reserved = int(_MAX_RESERVED_SHARE * sum(t.listed.slots for t in usable))
         return max(0, min(reserved, max_reserved))
 
-    def is_reserved_for_higher_tiers(self, tier: int, now_s: float) -> bool:
-        """Return whether all free slots are reserved for higher tiers."""
+    def is_reserved_for_higher_tiers(self, waiting: WaitingRequest, now_s: float) -> bool:
+        """Return whether all free slots are reserved for higher tiers than a request's.
+
+        A promoted request may take a reserved slot that it does not hold much longer than they
+        do.
+        """
+        tier = waiting.work.tier
+        slot_time_s = waiting.promoted_slot_s
+        max_hold_s = _MAX_RESERVED_HOLD_FACTOR * self.headroom.estimate_slot_time_above(tier)
+        if slot_time_s is not None and slot_time_s <= max_hold_s:
+            return False
         reserved = self.count_reserved_slots(now_s, tier)
         return reserved > 0 and sum(t.free_slots for t in self.list_open(now_s)) <= reserved
 
--- a/troutstand/core/scheduling/headroom.py
+++ b/troutstand/core/scheduling/headroom.py
@@ -70,6 +70,7 @@
     demand: float
     slack_s: float
     rate_per_s: float
+    arrivals_per_s: float
 
 
 @dataclass
@@ -106,6 +107,11 @@
         else:
             load.hold_s += _SLOT_TIME_EWMA * (hold_s - load.hold_s)
 
+    def get_slot_time(self, tier: int) -> float | None:
+        """Return the average slot time of a tier, in seconds; None without samples."""
+        load = self._loads.get(tier)
+        return load.hold_s if load is not None else None
+
     def update(self, now_s: float) -> None:
         """Rebuild the cumulative loads and drop tiers without recent arrivals."""
         for tier, load in list(self._loads.items()):
@@ -114,7 +120,12 @@
                 del self._loads[tier]
         self._tiers = sorted(self._loads)
         above = [
-            _CumulativeLoad(load.estimate_demand(), load.slack_s, load.estimate_rate())
+            _CumulativeLoad(
+                load.estimate_demand(),
+                load.slack_s,
+                load.estimate_rate(),
+                load.arrivals / _LONG_WINDOW_S,
+            )
             for load in (self._loads[tier] for tier in self._tiers)
         ]
         self._sums = list(accumulate(above, _add))
@@ -124,6 +135,12 @@
         position = bisect_right(self._tiers, tier)
         return self._sums[position - 1].rate_per_s if position else 0.0
 
+    def estimate_slot_time_above(self, tier: int) -> float:
+        """Return the average slot time of the higher tiers, in seconds; 0 without any."""
+        position = bisect_left(self._tiers, tier)
+        above = self._sums[position - 1] if position else None
+        return above.demand / above.arrivals_per_s if above is not None else 0.0
+
     def estimate_needed_slots(self, tier: int, slot_interval_s: float) -> float:
         """Return the slots that higher tiers need beyond those released within their slack.
 
@@ -147,4 +164,5 @@
         above.demand + own.demand,
         min(above.slack_s, own.slack_s),
         above.rate_per_s + own.rate_per_s,
+        above.arrivals_per_s + own.arrivals_per_s,
     )
--- a/troutstand/core/scheduling/tierservice.py
+++ b/troutstand/core/scheduling/tierservice.py
@@ -5,10 +5,10 @@
 import math
 from dataclasses import dataclass, field
 
-# Time constant of the decayed counts.
-_WINDOW_S = 5.0
-# Counts below this are too small for a share.
-_MIN_COUNT = 0.05
+# Time constant of the decayed counts; longer than most bursts.
+_WINDOW_S = 10.0
+# Tiers with fewer recent requests have no share of their own.
+_MIN_COUNT = 3.0
 
 
 @dataclass
@@ -42,6 +42,11 @@
         """Count a request that got a slot."""
         self._get_counts(tier, now_s).placed += 1.0
 
+    def cancel_placed(self, tier: int, now_s: float) -> None:
+        """Take back the count of a request that got no slot after all."""
+        counts = self._get_counts(tier, now_s)
+        counts.placed = max(0.0, counts.placed - 1.0)
+
     def record_refused(self, tier: int, now_s: float) -> None:
         """Count a request that was refused."""
         self._get_counts(tier, now_s).refused += 1.0
@@ -51,17 +56,22 @@
         counts.decay(now_s)
         return counts
 
+    def get_share(self, tier: int, now_s: float) -> float:
+        """Return the share of a tier's requests that got a slot; 1 without recent requests."""
+        counts = self._get_counts(tier, now_s)
+        return counts.placed / counts.total if counts.total >= _MIN_COUNT else 1.0
+
     def list_shares(self, now_s: float) -> dict[int, float]:
         """Return the share of requests that got a slot, 0 to 1, by tier with recent requests."""
         recent = {tier: self._get_counts(tier, now_s) for tier in sorted(self._counts)}
         return {
             tier: counts.placed / counts.total
             for tier, counts in recent.items()
-            if counts.total > _MIN_COUNT
+            if counts.total >= _MIN_COUNT
         }
 
     def compute_share_above(self, tier: int, now_s: float) -> float | None:
         """Return the share of all higher tiers together; None without recent requests."""
         above = [self._get_counts(other, now_s) for other in self._counts if other < tier]
         total = sum(counts.total for counts in above)
-        return sum(counts.placed for counts in above) / total if total > _MIN_COUNT else None
+        return sum(counts.placed for counts in above) / total if total >= _MIN_COUNT else None
--- a/troutstand/core/scheduling/waitingqueue.py
+++ b/troutstand/core/scheduling/waitingqueue.py
@@ -22,6 +22,7 @@
 Rank = tuple[int, bool, float, float]
 # A rank and the sequence number that breaks ties in order of arrival.
 _SortKey = tuple[Rank, int]
+_HIGHEST_TIER = 0
 
 
 def get_shed_tier(work: RoutedWork) -> int:
@@ -45,6 +46,8 @@
     # Shortest time to first byte of any target without other prompts, estimated on arrival.
     min_first_byte_s: float = 0.0
     share: ShareTag = UNSHARED
+    # Slot time charged for the promotion to the highest tier; None if the request has its own.
+    promoted_slot_s: float | None = None
 
     # Placement order.
     rank: Rank = field(init=False)
@@ -56,6 +59,10 @@
 
     def _update_ranks(self) -> None:
         work = self.work
+        if self.promoted_slot_s is not None:
+            # Tags of different tiers do not compare.
+            self.rank = self.shed_rank = (_HIGHEST_TIER, self.is_late, 0.0, self.due_s)
+            return
         key = (self.is_late, self.share.start_s, self.due_s)
         self.rank = (work.tier, *key)
         self.shed_rank = (get_shed_tier(work), *key)
@@ -85,6 +92,11 @@
     def mark_late(self) -> None:
         """Rank the request behind on-time ones; use the queue's method for queued requests."""
         self.is_late = True
+        self.cancel_promotion()
+
+    def cancel_promotion(self) -> None:
+        """Rank the request by its own tier; use the queue's method for queued requests."""
+        self.promoted_slot_s = None
         self._update_ranks()
 
 
@@ -122,8 +134,7 @@
         self._waiting[request] = waiting
         self._numbers[request] = number
         self._by_number[number] = waiting
-        insort(self._placement_keys, (waiting.rank, number))
-        insort(self._shed_keys, (waiting.shed_rank, number))
+        self._insert_keys(waiting)
         self._late_counts[get_shed_tier(waiting.work)] += waiting.is_late
 
     def pop(self, request: str) -> WaitingRequest | None:
@@ -131,20 +142,31 @@
         waiting = self._waiting.pop(request, None)
         if waiting is None:
             return None
-        number = self._numbers.pop(request)
-        del self._by_number[number]
-        _remove(self._placement_keys, (waiting.rank, number))
-        _remove(self._shed_keys, (waiting.shed_rank, number))
+        self._remove_keys(waiting)
+        del self._by_number[self._numbers.pop(request)]
         self._late_counts[get_shed_tier(waiting.work)] -= waiting.is_late
         return waiting
 
     def mark_late(self, waiting: WaitingRequest) -> None:
         """Move a request behind those of its tier that can meet their objective."""
+        self._late_counts[get_shed_tier(waiting.work)] += not waiting.is_late
+        self._remove_keys(waiting)
+        waiting.mark_late()
+        self._insert_keys(waiting)
+
+    def cancel_promotion(self, waiting: WaitingRequest) -> None:
+        """Move a promoted request back to its own tier."""
+        self._remove_keys(waiting)
+        waiting.cancel_promotion()
+        self._insert_keys(waiting)
+
+    def _remove_keys(self, waiting: WaitingRequest) -> None:
         number = self._numbers[waiting.work.request]
         _remove(self._placement_keys, (waiting.rank, number))
         _remove(self._shed_keys, (waiting.shed_rank, number))
-        self._late_counts[get_shed_tier(waiting.work)] += not waiting.is_late
-        waiting.mark_late()
+
+    def _insert_keys(self, waiting: WaitingRequest) -> None:
+        number = self._numbers[waiting.work.request]
         insort(self._placement_keys, (waiting.rank, number))
         insort(self._shed_keys, (waiting.shed_rank, number))
 
--- a/troutstand/routing/decisionlog.py
+++ b/troutstand/routing/decisionlog.py
@@ -90,6 +90,7 @@
         charge=inputs.charge,
         tier=inputs.tier,
         late=inputs.is_late,
+        promoted=inputs.is_promoted,
         fingerprint=inputs.fingerprint,
         decider=decider,
         list=targets_version[:8],
--- a/troutstand/tests/routedload.feature
+++ b/troutstand/tests/routedload.feature
@@ -30,3 +30,15 @@
     When for 24 s 4 streams of the lower tier a second are called, and 5 of the higher from 3 s on
     Then 0.95 of the higher tier's calls are answered within 0.4 s
     And every stream that is answered is whole
+
+  # Calls of the lowest tier must not all be refused while higher tiers ask for more than fits.
+  Scenario Outline: The lowest of three tiers is served in an overload, with <deciders>
+    Given a routed site with routes of three tiers to 2 plain targets of 0.2 s of work
+    When for 12 s 25 calls of tier 0, 25 of tier 1 and 10 of tier 2 are made a second, with <deciders>
+    Then no tier of calls is answered more often than one above it, within 0.1
+    And tier 2 of the calls is answered at least 0.2 times as often as all
+
+    Examples:
+      | deciders           |
+      | a steady scheduler |
+      | no scheduler       |
--- a/troutstand/tests/steps/routedload.py
+++ b/troutstand/tests/steps/routedload.py
@@ -32,6 +32,7 @@
 _DOWN_S = 1.0
 _TURN_S = 3.0
 _EVENTS = 40
+_TIER_GATEWAYS = 3
 _LOWER, _HIGHER = "/stream/long/", "/quick/"
 
 
@@ -181,3 +182,65 @@
 
 def _expect_stream(request: str) -> bytes:
     return b"".join(make_event(request, number) for number in range(1, _EVENTS + 1))
+
+
+# Tiers
+
+_TIER_PATHS = ("/urgent/", "/usual/", "/spare/")
+
+
+@given(
+    "a routed site with routes of three tiers to {targets:d} plain targets of {work_s:g} s of work"
+)
+def open_tiers(context: Context, targets: int, work_s: float) -> None:
+    routes = [
+        msgspec.structs.replace(make_route(path.strip("/"), path, RouteKind.idempotent), tier=tier)
+        for tier, path in enumerate(_TIER_PATHS)
+    ]
+    scene = Scene(
+        make_folder(context),
+        plain=targets,
+        gateways=_TIER_GATEWAYS,
+        protects_tiers=True,
+        configuration=ConfigurationPlan(routes=[*make_routes(), *routes]),
+    )
+    open_scene(context, scene)
+    for target in scene.targets:
+        target.work_s = work_s
+
+
+@when(
+    "for {length_s:g} s {high:d} calls of tier 0, {middle:d} of tier 1 and {low:d} of tier 2 "
+    "are made a second, with {deciders}"
+)
+def call_three_tiers(
+    context: Context, length_s: float, high: int, middle: int, low: int, deciders: str
+) -> None:
+    async def play() -> None:
+        if deciders == "no scheduler":
+            await kill_all_schedulers(context.scene)
+        paced = [
+            _pace(context, path, KEY, per_s, length_s, _CALL_S)
+            for path, per_s in zip(_TIER_PATHS, (high, middle, low), strict=True)
+        ]
+        context.tiers = await asyncio.gather(*paced)
+
+    context.scene.background.run(play())
+
+
+def _measure_answered(calls: list[CallResult]) -> float:
+    return sum(call.status == 200 for call in calls) / len(calls)
+
+
+@then("no tier of calls is answered more often than one above it, within {part:g}")
+def check_tier_order(context: Context, part: float) -> None:
+    shares = [_measure_answered(calls) for calls in context.tiers]
+    for higher, lower in itertools.pairwise(shares):
+        assert lower <= higher + part, shares
+
+
+@then("tier {tier:d} of the calls is answered at least {part:g} times as often as all")
+def check_lowest(context: Context, tier: int, part: float) -> None:
+    own = _measure_answered(context.tiers[tier])
+    overall = _measure_answered([call for calls in context.tiers for call in calls])
+    assert own >= part * overall, (own, overall)
