Remove a wait factor of 0.0 and the minimum it made always 0

A request that is late on arrival through no time spent elsewhere waits for nothing; the code computed that as the minimum of 0.0 objectives and a share of its time. No decision changes: dispatch, takeover and hardload features pass as before.

--- a/troutstand/core/admissionqueue.py
+++ b/troutstand/core/admissionqueue.py
@@ -22,8 +22,6 @@
     from troutstand.core.scheduling.waitingqueue import WaitingRequest
     from troutstand.generated.messages import RoutedWork
 
-# Wait allowed to a request that is late on arrival, in multiples of its objective.
-_ARRIVED_LATE_WAIT_FACTOR = 0.0
 # Share of its remaining time that a request may wait.
 _MAX_WAIT_SHARE = 0.4
 # Wait after which a late request is refused rather than held until its caller leaves, in
@@ -118,12 +116,8 @@
         self._mark_late(pool, waiting, now_s)
         ahead = pool.waiting.count_shed_after(waiting)
         wait_s = (ahead + 1) * slot_interval_s
-        max_wait_s = min(
-            _ARRIVED_LATE_WAIT_FACTOR * waiting.work.objective_s,
-            _MAX_WAIT_SHARE * waiting.work.remaining_s,
-        )
-        if is_late_by_time_spent or waiting.work.spent_s >= waiting.full_slack_s:
-            max_wait_s = max(max_wait_s, waiting.full_slack_s)
+        is_late_by_time_spent |= waiting.work.spent_s >= waiting.full_slack_s
+        max_wait_s = waiting.full_slack_s if is_late_by_time_spent else 0.0
         if wait_s > max_wait_s and not self._should_serve_late(
             pool, waiting, ahead, slot_interval_s, now_s
         ):
