--- a/troutstand/core/scheduling/tierminimum.py
+++ b/troutstand/core/scheduling/tierminimum.py
@@ -1,7 +1,7 @@
 """Guarantee lower tiers a minimum of service while higher tiers ask for more than fits.
 
 Strict priority starves the lowest tier under a lasting overload. A tier that was served less
-than a set part as often as the tiers above it gets single requests promoted to the highest
+than a set part as often as the tiers above it has requests promoted to the highest
 tier, as long as promoted requests take no more than a set part of the slots.
 """
 
