Count a crash whose predecessor was reported late

What was seen: beside load, once in a whole run and once in six runs by itself at a load of 16, a body that ends its targets ended four of them where three are allowed.

Cause: two crashes count as one where their runs overlap, and the run was reckoned back from the arrival of the report. In the log of the failure call 1's second end came to the scheduler 14 ms after the gateway had logged it, when call 2 was already running elsewhere; call 2's end, reported at once, then seemed to overlap it and was dropped. The list of ends kept one too few.

Change: a run lasts from when the decider placed it, for as long as the gateway measured; the time of the report still decides how long a quarantine lasts. Both products' schedulers do it. The failed step prints the log lines that tell.

--- a/troutstand/core/crashtracker.py
+++ b/troutstand/core/crashtracker.py
@@ -78,11 +78,20 @@
 
 @dataclass
 class _Crash:
-    """Hold one crash of a target while a request ran; times in seconds."""
+    """Hold one crash of a target while a request ran; times in seconds.
+
+    Parameters
+    ----------
+    at_s
+        When the broken answer was reported.
+    started_s, ended_s
+        When the request ran; its end may have been reported later.
+    """
 
     target: str
     at_s: float
     started_s: float
+    ended_s: float
 
 
 @dataclass
@@ -91,6 +100,7 @@
 
     fingerprint: str
     started_s: float
+    ended_s: float
     at_s: float
 
 
@@ -149,9 +159,15 @@
 
     # Events
 
-    def record_broken(self, fingerprint: str, target: str, run_s: float, now_s: float) -> None:
-        """Record that a target's answer broke off after the request had run for `run_s`."""
-        broken = _BrokenAnswer(fingerprint, now_s - max(0.0, run_s), now_s)
+    def record_broken(
+        self, fingerprint: str, target: str, started_s: float, run_s: float, now_s: float
+    ) -> None:
+        """Record that a target's answer broke off after the request had run for `run_s`.
+
+        The report may arrive long after that.
+        """
+        ended_s = min(now_s, started_s + run_s) if run_s >= 0.0 else now_s
+        broken = _BrokenAnswer(fingerprint, started_s, ended_s, now_s)
         recent = self._get_recent(target, now_s)
         if now_s - recent.gone_s <= _CRASH_WINDOW_S:
             self._add_crash(broken, target)
@@ -188,7 +204,7 @@
 
     def _add_crash(self, broken: _BrokenAnswer, target: str) -> None:
         crashes = self._crashes.setdefault(broken.fingerprint, [])
-        crash = _Crash(target, broken.at_s, broken.started_s)
+        crash = _Crash(target, broken.at_s, broken.started_s, broken.ended_s)
         if any(_overlaps(crash, other) for other in crashes):
             # The runs overlapped, so this crash is no independent evidence.
             return
@@ -245,7 +261,7 @@
             crashes = self._crashes.setdefault(history.fingerprint, [])
             for reported in history.crashes:
                 at_s = now_s - reported.age_s
-                crash = _Crash(reported.target, at_s, started_s=at_s)
+                crash = _Crash(reported.target, at_s, started_s=at_s, ended_s=at_s)
                 if not any(_is_same_crash(crash, other) for other in crashes):
                     crashes.append(crash)
             crashes.sort(key=_get_time)
@@ -273,7 +289,7 @@
 
 
 def _overlaps(crash: _Crash, other: _Crash) -> bool:
-    return crash.started_s <= other.at_s and other.started_s <= crash.at_s
+    return crash.started_s <= other.ended_s and other.started_s <= crash.ended_s
 
 
 def _is_same_crash(crash: _Crash, other: _Crash) -> bool:
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -201,7 +201,13 @@
     def finish(self, ended: Ended, now_s: float) -> None:
         """Release the slot of a request and record how it ended."""
         if ended.ending is Ending.broken and ended.fingerprint:
-            self.crashes.record_broken(ended.fingerprint, ended.target, ended.total_s, now_s)
+            self.crashes.record_broken(
+                ended.fingerprint,
+                ended.target,
+                self._find_start(ended, now_s),
+                ended.total_s,
+                now_s,
+            )
         if ended.is_target_gone:
             self.crashes.record_target_gone(ended.target, now_s)
             self._refuse_waiting_quarantined(now_s)
@@ -216,6 +222,15 @@
                 self._record_ending(pool, state, run, ended, now_s)
             self._serve_target(pool, state, now_s)
 
+    def _find_start(self, ended: Ended, now_s: float) -> float:
+        """Return when a request was placed, by its duration if it is not known here."""
+        for pool in self.pools.values():
+            state = pool.targets.get(ended.target)
+            run = state.running.get(ended.request) if state else None
+            if run is not None:
+                return run.started_s
+        return now_s - max(0.0, ended.total_s)
+
     def tick(self, now_s: float) -> None:
         """Process timeouts and place or shed waiting requests."""
         for pool in self.pools.values():
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -101,17 +101,18 @@
         run = target.finish(finished, now_s) if target else None
         if run:
             self._count_run(run, -1)
-        sends = self._record_crash(finished, now_s)
+        started_s = run.granted_s if run else now_s - finished.total_ms / _MS_PER_S
+        sends = self._record_crash(finished, started_s, now_s)
         return sends + self._place(now_s)
 
-    def _record_crash(self, finished: Finished, now_s: float) -> list[Send]:
+    def _record_crash(self, finished: Finished, started_s: float, now_s: float) -> list[Send]:
         """Record whether the target crashed; shed waiting requests that are now quarantined."""
         fingerprint, target = finished.fingerprint, finished.target
         if finished.ok and fingerprint:
             self.crashes.record_answer(fingerprint)
         if finished.is_broken_off and fingerprint:
             run_s = finished.total_ms / _MS_PER_S
-            self.crashes.record_broken(fingerprint, target, run_s, now_s)
+            self.crashes.record_broken(fingerprint, target, started_s, run_s, now_s)
         if not finished.is_target_gone:
             return []
         self.crashes.record_target_gone(target, now_s)
--- a/troutstand/tests/crashes.feature
+++ b/troutstand/tests/crashes.feature
@@ -8,6 +8,11 @@
     Then a request with the body p is refused with 3012 and told to come back in 600 s
     And one with the body s has a target
 
+  # Guards against a crash that does not count since the next request was placed before its report.
+  Scenario: A crash that is reported late counts
+    When two crashes in turn under the body p are reported after both, and one at once
+    Then a request with the body p is refused with 3012 and told to come back in 600 s
+
   Scenario: A broken connection at a live target is no crash
     When 4 answers in turn break off for the body p at targets that live
     Then a request with the body p has a target
--- a/troutstand/tests/steps/crashers.py
+++ b/troutstand/tests/steps/crashers.py
@@ -264,10 +264,16 @@
     _call_many(context.scene, (gateways * count)[:count], route)
 
 
+def _list_crash_lines(scene: Scene) -> list[str]:
+    """Return the log lines that tell how ends of targets were detected."""
+    events = ("event=attempt_failed", "event=request_blamed", "event=scheduler_changed")
+    return [line for line in scene.site.read_logs().splitlines() if any(e in line for e in events)]
+
+
 @then("{count:d} targets have ended")
 def check_ended(context: Context, count: int) -> None:
     ended = sum(len(target.crash_times_s) for target in context.scene.targets)
-    assert ended == count, ended
+    assert ended == count, (ended, _list_crash_lines(context.scene))
 
 
 @when("a call of {route} has a deadline of {deadline_s:g} s")
--- a/troutstand/tests/steps/crashes.py
+++ b/troutstand/tests/steps/crashes.py
@@ -15,6 +15,7 @@
     from behave.runner import Context
 
 _RUN_S = 0.1
+_LATE_REPORT_S = 0.02
 # Longer than a list shows a target that has ended, and than an answer's loss counts.
 _BACK_S = 6.0
 _OBJECTIVE_S = 20.0
@@ -240,7 +241,7 @@
     for number in range(count):
         for turn in range(1 + number % 2):
             now_s = 0.001 * number + 0.0001 * turn
-            book.record_broken(f"f{number}", f"t{number}.{turn}", 0.0, now_s)
+            book.record_broken(f"f{number}", f"t{number}.{turn}", now_s, 0.0, now_s)
             book.record_target_gone(f"t{number}.{turn}", now_s)
 
 
@@ -288,3 +289,16 @@
 def refuse_later(context: Context, wait_s: float) -> None:
     context.desk.pass_time(wait_s)
     _refuse_connection(context.desk, context.target)
+
+
+@when("two crashes in turn under the body {body} are reported after both, and one at once")
+def end_with_late_reports(context: Context, body: str) -> None:
+    desk = context.desk
+    # The first run ends before the second request arrives.
+    first = _run(desk, body)
+    desk.pass_time(_LATE_REPORT_S)
+    second = _run(desk, body)
+    for request in (first, second):
+        _end(desk, request, body, Ending.broken, is_gone=True)
+        desk.pass_time(_LATE_REPORT_S)
+    _end(desk, _run(desk, body), body, Ending.broken, is_gone=True)
