Keep a silent attempt until another target takes its request

Class: giving up what one has before a replacement is certain. Ruled out: the rate limits themselves, and the minimum for lower tiers (one tier).

Change: an attempt whose response is overdue goes on while another placement is sought. Another target: aborted as before, then sent there. None, or the same target again: its response is awaited, for three times the response timeout in all, so that a frozen target does not keep callers to their deadline. The decider is told of the silence as before. Attempts are counted in a class of their own.

--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -12,11 +12,13 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import Declined, Ended, Ending, Placed
+from troutstand.routing.attempthistory import AttemptHistory
 from troutstand.routing.callerresponse import CallerResponse
 from troutstand.routing.calls import add_resume_header
 from troutstand.routing.errorresponse import make_error_response
 from troutstand.routing.eventstreams import EventBoundaryTracker, EventSplitter
 from troutstand.routing.httpclient import ExchangeError
+from troutstand.routing.overdueattempt import OverdueAttempt
 from troutstand.routing.relay import SendError, SentRequest, filter_headers
 from troutstand.util.clock import MIN_SUSPEND_S, SuspendWatch, read_clock_s
 
@@ -28,7 +30,6 @@
 _EVENT_STREAM = "text/event-stream"
 _MIN_SERVER_ERROR_STATUS = 500
 _RETRY_AFTER_S = 0.1
-_MAX_UNSENT_ATTEMPTS = 4
 _MIN_RESPONSE_TIMEOUT_S = 0.2
 _STREAM_TIMEOUT_FACTOR = 1.5
 _MIN_EVENT_TIMEOUT_S = 0.5
@@ -47,11 +48,9 @@
         self._caller_response = CallerResponse(request)
         self._call = call
         self._outgoing = outgoing
-        self._arrived_attempts = 0
-        self._unsent_attempts = 0
-        self._excluded: list[str] = []
+        self._attempts = AttemptHistory(call.route.attempts, call.is_repeatable)
+        self._overdue: OverdueAttempt | None = None
         self._was_placed = False
-        self._may_have_run = False
         self._last_error_response: web.Response | None = None
         self._first_byte_s = -1.0
         self._splitter: EventSplitter | None = None
@@ -60,10 +59,6 @@
         self._longest_pause_s = 0.0
         self._suspend_watch = SuspendWatch()
 
-    @property
-    def _can_retry(self) -> bool:
-        return self._call.is_repeatable and self._arrived_attempts < self._call.route.attempts
-
     async def run(self) -> web.StreamResponse:
         """Return the response, at the latest at the deadline of the request."""
         call = self._call
@@ -88,22 +83,45 @@
     # Attempts
 
     async def _attempt_all(self) -> web.StreamResponse:
-        while True:
-            placed = await self._place()
-            if isinstance(placed, Declined):
-                return self._refuse_declined(placed)
-            try:
-                return await self._attempt(placed)
-            except SendError as error:
-                self._record_failure(placed, error)
-                if not self._should_retry(error):
-                    return self._refuse_failed(error)
+        try:
+            while True:
+                placed = await self._choose_attempt()
+                if isinstance(placed, Declined):
+                    return self._refuse_declined(placed)
+                try:
+                    return await self._attempt(placed)
+                except SendError as error:
+                    self._record_failure(placed, error)
+                    if not self._should_retry(error):
+                        return self._refuse_failed(error)
+        finally:
+            self._abort_overdue()
+
+    async def _choose_attempt(self) -> Placed | Declined:
+        """Return a new placement, or that of the overdue attempt if no other target is found."""
+        overdue = self._overdue
+        if overdue is None:
+            return await self._place()
+        placing = asyncio.create_task(self._place())
+        try:
+            await overdue.wait_for_either(placing)
+        finally:
+            placing.cancel()
+        await asyncio.wait({placing})
+        if placing.cancelled():
+            return overdue.placed
+        decision = placing.result()
+        if isinstance(decision, Placed):
+            if not overdue.has_response and decision.target != overdue.placed.target:
+                return decision
+            self._gateway.placement.finish(Ended(self._call.request, decision.target, Ending.left))
+        return overdue.placed
 
     async def _place(self) -> Placed | Declined:
         work = self._call.create_work(
             read_clock_s(),
-            self._arrived_attempts + 1,
-            self._excluded,
+            self._attempts.arrived_count + 1,
+            self._attempts.excluded,
             not self._was_placed,
             self._gateway.settings.failure_domain,
             self._caller_response.has_started,
@@ -120,14 +138,15 @@
         return self._call.route.kind.value, str(self._call.route.tier)
 
     async def _attempt(self, placed: Placed) -> web.StreamResponse:
-        started_s = read_clock_s()
+        overdue = self._take_overdue(placed)
+        started_s = read_clock_s() if overdue is None else overdue.started_s
         ending = Ending.left
         is_gone = False
         self._first_byte_s = -1.0
         self._event_count = 0
         self._suspend_watch = SuspendWatch()
         try:
-            response, ending = await self._send_and_relay(placed)
+            response, ending = await self._send_and_relay(placed, overdue)
         except SendError as error:
             ending = error.ending
             if ending is Ending.broken and not error.is_target_gone:
@@ -155,8 +174,10 @@
         self._gateway.placement.finish(ended)
         self._gateway.metrics.endings.labels(ending.value).inc()
 
-    async def _send_and_relay(self, placed: Placed) -> tuple[web.StreamResponse, Ending]:
-        sent = await self._send(placed)
+    async def _send_and_relay(
+        self, placed: Placed, overdue: OverdueAttempt | None
+    ) -> tuple[web.StreamResponse, Ending]:
+        sent = await (self._send(placed) if overdue is None else overdue.receive())
         if self._caller_response.has_started and not self._continues_response(sent):
             # The caller already has a response head, so only events can follow.
             sent.connection.abort()
@@ -182,8 +203,7 @@
         return _is_stream(sent) and sent.head.status == self._caller_response.response.status
 
     def _can_fail_over(self) -> bool:
-        has_attempts = self._arrived_attempts + 1 < self._call.route.attempts
-        return self._call.is_repeatable and has_attempts and self._can_resume
+        return self._attempts.can_repeat_after_next and self._can_resume
 
     @property
     def _can_resume(self) -> bool:
@@ -203,16 +223,30 @@
             outgoing = add_resume_header(
                 outgoing, self._gateway.dialect.headers, self._splitter.last_id
             )
-        sending = self._gateway.sender.send(outgoing, placed, self._call.deadline_s)
+        send = self._gateway.sender.send(outgoing, placed, self._call.deadline_s)
         if not self._can_fail_over():
-            return await sending
-        try:
-            async with asyncio.timeout(self._compute_response_timeout()):
-                return await sending
-        except TimeoutError as error:
-            raise SendError(
-                Ending.silent, "the target sent no response in time; another can be tried"
-            ) from error
+            return await send
+        timeout_s = self._compute_response_timeout()
+        attempt = OverdueAttempt(placed, asyncio.create_task(send), read_clock_s(), timeout_s)
+        sent = await attempt.wait_until_overdue()
+        if sent is not None:
+            return sent
+        self._overdue = attempt
+        raise SendError(Ending.silent, "the target sent no response in time; another can be tried")
+
+    def _take_overdue(self, placed: Placed) -> OverdueAttempt | None:
+        """Return the overdue attempt if it has this placement; abort it otherwise."""
+        overdue = self._overdue
+        if overdue is None or overdue.placed is not placed:
+            self._abort_overdue()
+            return None
+        self._overdue = None
+        return overdue
+
+    def _abort_overdue(self) -> None:
+        if self._overdue is not None:
+            self._overdue.abort()
+            self._overdue = None
 
     def _compute_response_timeout(self) -> float:
         """Return the seconds to wait for a response before another target is tried."""
@@ -228,12 +262,7 @@
         self._gateway.placement.record_first_byte(self._call.request, reported_s)
 
     def _record_failure(self, placed: Placed, error: SendError) -> None:
-        if error.may_have_arrived:
-            self._arrived_attempts += 1
-        else:
-            self._unsent_attempts += 1
-        self._may_have_run = self._may_have_run or error.may_have_run
-        self._excluded = [*self._excluded, placed.target][-16:]
+        self._attempts.record_failure(placed, error)
         self._gateway.node.events.emit(
             "attempt_failed",
             self._call.request,
@@ -249,17 +278,14 @@
             limit_per_s=error.notice.limit_per_s,
             fingerprint=self._call.fingerprint,
             begun_ms=self._get_response_start_ms(),
-            arrivals=self._arrived_attempts,
+            arrivals=self._attempts.arrived_count,
         )
 
     def _should_retry(self, error: SendError) -> bool:
-        if self._caller_response.has_started and not (self._can_retry and self._can_resume):
+        can_continue = self._attempts.can_repeat and self._can_resume
+        if self._caller_response.has_started and not can_continue:
             return False
-        if not error.may_have_arrived:
-            return self._unsent_attempts <= _MAX_UNSENT_ATTEMPTS
-        if not error.may_have_run and not self._may_have_run:
-            return self._arrived_attempts < self._call.route.attempts
-        return self._can_retry
+        return self._attempts.allows_retry(error)
 
     # Responses
 
@@ -362,9 +388,9 @@
                 "request_answered", ResultCode.TARGET_FAULT, self._last_error_response.status
             )
             return self._last_error_response
-        if self._may_have_run and not self._call.is_repeatable:
+        if self._attempts.may_have_run and not self._call.is_repeatable:
             return self._refuse(ResultCode.TARGET_UNREACHABLE, declined.reason, None)
-        if self._may_have_run:
+        if self._attempts.may_have_run:
             # The code of the declined placement would state that the request has not run.
             reason = f"{declined.reason}, after an attempt that may have run"
             return self._refuse(ResultCode.ANSWER_CUT, reason, declined.retry_after_s)
@@ -378,7 +404,7 @@
                 "request_answered", ResultCode.TARGET_FAULT, self._last_error_response.status
             )
             return self._last_error_response
-        if not self._may_have_run:
+        if not self._attempts.may_have_run:
             return self._refuse(ResultCode.NO_TARGET, error.detail, _RETRY_AFTER_S)
         return self._refuse(ResultCode.ANSWER_CUT, error.detail, None)
 
@@ -389,7 +415,7 @@
             )
         if self._was_placed:
             # The target may still be processing the request.
-            self._may_have_run = True
+            self._attempts.may_have_run = True
             return self._refuse(ResultCode.TARGET_TIMEOUT, "the request reached its deadline", None)
         return self._refuse(
             ResultCode.SHED_DEADLINE,
@@ -400,7 +426,7 @@
     def _refuse(
         self, code: ResultCode, detail: str, retry_after_s: float | None
     ) -> web.StreamResponse:
-        run = Run.UNKNOWN if self._may_have_run else Run.NO
+        run = Run.UNKNOWN if self._attempts.may_have_run else Run.NO
         response = make_error_response(TroutstandError(code, detail, run, retry_after_s))
         self._emit("request_refused", code, response.status, detail=detail)
         return response
@@ -435,7 +461,7 @@
             first_ms=self._first_byte_s * 1000.0 if self._first_byte_s >= 0 else None,
             pause_ms=self._longest_pause_s * 1000.0 if self._longest_pause_s else None,
             begun_ms=self._get_response_start_ms(),
-            arrivals=self._arrived_attempts,
+            arrivals=self._attempts.arrived_count,
             decider=self._gateway.placement.decider,
             fingerprint=call.fingerprint,
             **fields,
