Start a new ballot soon after a keeper's answer is lost

Cause, by reading and reproduced without processes: a ballot waits for the answers of all voters. Beside a keeper that is cut off and answers nothing, one lost answer of another keeper, or its refusal for an older keeper set, leaves the ballot waiting for the silent one to the end of the whole operation's timeout; there is never a second ballot. Class: one timeout for an operation and for each of its messages.

Change: once an answer is lost, the other keepers have a tenth of the timeout before the next ballot. A slow keeper beside no loss has the whole time as before.

--- a/troutstand/daemon/registers.py
+++ b/troutstand/daemon/registers.py
@@ -33,6 +33,9 @@
 _INITIAL_BACKOFF_S = 0.01
 _MAX_BACKOFF_S = 0.2
 _KEEPER_SET_TIMEOUT_S = 1.0
+# Once a keeper's answer is lost, the others have this share of the timeout before a new ballot,
+# since a keeper that is cut off answers nothing at all.
+_RESTART_SHARE = 0.1
 
 
 class RegisterClient:
@@ -159,11 +162,17 @@
             task = asyncio.create_task(self._send_step(voter, step, replies))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        restart_s: float | None = None
         for _ in voters:
-            keeper, reply = await replies.get()
+            try:
+                async with asyncio.timeout(restart_s):
+                    keeper, reply = await replies.get()
+            except TimeoutError:
+                return None
             if isinstance(reply, Refused):
                 self.update_keepers(reply.keepers)
             if not isinstance(reply, Promise | Accepted):
+                restart_s = _RESTART_SHARE * self._timeout_s
                 continue
             next_step = proposer.receive(keeper, reply)
             if next_step is not None:
