Word the benchmarks in the usual terms

Module texts told what was played, kept and stood; they say what is run, recorded and measured. Names follow: DayResult, SimulatedGateways, Simulation, run_seed, run_variant, list_problems, remove_kinds and the like for Played, play, judge_site and keep_kinds. A comment in begun.feature that had lost its first half is removed.

--- a/benchmarks/accounting.py
+++ b/benchmarks/accounting.py
@@ -1,9 +1,8 @@
-"""Copy a site file so that its days are accounted for as the users now value service.
+"""Copy a site file and enable its stricter accounting.
 
-Worth then counts from a caller's first try, waiting that ends unserved costs more the
-longer it is, and a failed retry counts as a second refusal. The bench and its site
-files are no part of this repository; both paths are arguments, and the copy goes into
-a folder that is not committed.
+Requests then count from the first attempt, waiting without an answer costs more the longer
+it lasts, and a failed retry counts as a second refusal. Site files are not part of this
+repository; both paths are arguments, and the copy is not committed.
 """
 
 from __future__ import annotations
@@ -13,7 +12,7 @@
 import sys
 from pathlib import Path
 
-# The keys that make a site file use the newer accounting, by table.
+# Keys that enable the accounting, by table.
 _KEYS = {
     "[bounds]": "closes = true\nattends = true\neven = true\n",
     "[timing]": "truthful = true\n",
@@ -21,22 +20,22 @@
 
 
 def derive_site(text: str) -> str:
-    """Return a site file's text with the newer accounting.
+    """Return a site file's text with the stricter accounting.
 
     Raises
     ------
     ValueError
-        Where a table that must be there is missing.
+        If a required table is missing or occurs more than once.
     """
     for table, keys in _KEYS.items():
         if text.count(f"\n{table}\n") != 1:
-            raise ValueError(f"one table {table} is accepted, {text.count(table)} found")
+            raise ValueError(f"found {text.count(table)} tables {table}; exactly one is accepted")
         text = text.replace(f"\n{table}\n", f"\n{table}\n{keys}")
     return text
 
 
 def main() -> int:
-    """Write the copy, with the files that lie beside a site file."""
+    """Write the copy and the files beside the site file."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("site", type=Path)
     parser.add_argument("folder", type=Path)
--- a/benchmarks/barerelay.py
+++ b/benchmarks/barerelay.py
@@ -1,4 +1,4 @@
-"""Relay requests to one target and do nothing else: the floor of the comparison."""
+"""Relay requests to one target and do nothing else, as the baseline of a comparison."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class BareRelay:
-    """Pass bytes on as they come."""
+    """Forward bytes unchanged."""
 
     def __init__(self, url: str) -> None:
         self._url = url
--- a/benchmarks/causes.py
+++ b/benchmarks/causes.py
@@ -1,8 +1,8 @@
-"""Play each day of a site file with some of its disruptions only, to see which cost most.
+"""Run each day of a site file with subsets of its faults, to measure the cost of each group.
 
-Every day is played with its load alone, with its load and one further group of
-disruptions, and whole. The groups stand in causes.json, by the bench's own names.
-The bench and the site file are no part of this repository; their paths are arguments.
+Every day runs with its load alone, with its load and one further group of faults, and with
+all of them. causes.json lists the groups by the names of the benchmark program. That program
+and the site file are not part of this repository; their paths are arguments.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True)
 class Variant:
-    """Name a day that is played with some groups of its disruptions."""
+    """Describe a day with some groups of its faults."""
 
     day: str
     groups: str
@@ -47,8 +47,8 @@
     return days
 
 
-def keep_kinds(day: str, dropped: set[str]) -> str:
-    """Return a day without the disruptions of some kinds; one entry stands on a line."""
+def remove_kinds(day: str, dropped: set[str]) -> str:
+    """Return a day without the faults of some kinds; each line has at most one entry."""
     kept = []
     for line in day.splitlines():
         kind = _KIND.search(line)
@@ -62,21 +62,21 @@
 
 
 def derive_variants(site: str, groups: dict[str, list[str]]) -> list[Variant]:
-    """Return the variants of all days with trouble."""
+    """Return the variants of all days with faults."""
     variants = []
     others = [name for name in groups if name != _ALWAYS]
     for name, text in split_days(site).items():
         every = {kind for other in others for kind in groups[other]}
-        variants.append(Variant(name, _ALWAYS, keep_kinds(text, every)))
+        variants.append(Variant(name, _ALWAYS, remove_kinds(text, every)))
         for other in others:
             dropped = every - set(groups[other])
-            variants.append(Variant(name, f"{_ALWAYS}, {other}", keep_kinds(text, dropped)))
+            variants.append(Variant(name, f"{_ALWAYS}, {other}", remove_kinds(text, dropped)))
         variants.append(Variant(name, "all", text))
     return variants
 
 
-def play(bench: Path, site: Path, variant: Variant, folder: Path, extra: list[str]) -> str:
-    """Play a variant and return its worth, with the rules that it broke."""
+def run_variant(bench: Path, site: Path, variant: Variant, folder: Path, extra: list[str]) -> str:
+    """Run a variant and return its score and the rules that it broke."""
     stem = re.sub(r"\W+", "-", f"{variant.day}-{variant.groups}")
     day, report = folder / f"{stem}.toml", folder / f"{stem}.json"
     day.write_text(variant.text)
@@ -86,18 +86,18 @@
         [*command, *extra], cwd=ROOT, capture_output=True, text=True, timeout=_LIMIT_S, check=False
     )
     if not report.exists():
-        return f"not played: {(done.stdout + done.stderr).strip()[-200:]}"
-    told = json.loads(report.read_text())
-    broken = " ".join(f"{rule} {count}" for rule, count in told["breaks"].items())
-    return f"{told['G']:.3f} {broken}".strip()
+        return f"not run: {(done.stdout + done.stderr).strip()[-200:]}"
+    result = json.loads(report.read_text())
+    broken = " ".join(f"{rule} {count}" for rule, count in result["breaks"].items())
+    return f"{result['G']:.3f} {broken}".strip()
 
 
 def main() -> int:
-    """Play all variants of a site's days and print a table."""
+    """Run all variants of a site's days and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("bench", type=Path)
     parser.add_argument("site", type=Path)
-    parser.add_argument("--days", nargs="*", help="names; all days with trouble otherwise")
+    parser.add_argument("--days", nargs="*", help="names; all days with faults by default")
     parser.add_argument("--seed", type=int)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--no-cpu", action="store_true")
@@ -112,7 +112,9 @@
     with tempfile.TemporaryDirectory() as scratch, ThreadPoolExecutor(arguments.jobs) as pool:
         folder = Path(scratch)
         worths = list(
-            pool.map(lambda v: play(arguments.bench, arguments.site, v, folder, extra), variants)
+            pool.map(
+                lambda v: run_variant(arguments.bench, arguments.site, v, folder, extra), variants
+            )
         )
     columns = list(dict.fromkeys(variant.groups for variant in variants))
     table = {(v.day, v.groups): worth for v, worth in zip(variants, worths, strict=True)}
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,4 +1,4 @@
-"""Measure what control costs an idle process, by the number of its peers and changes."""
+"""Measure the control traffic and processor time of an idle process, by peers and changes."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 def _measure_idle(site: Site, name: str, **under: int | str) -> None:
     operator = site.operator()
     before = operator.read_status(name)
-    # Asking in between would be measured too.
+    # Status requests in between would be measured too.
     time.sleep(_SPAN_S)
     after = operator.read_status(name)
     span_s = after.uptime_s - before.uptime_s
@@ -30,7 +30,7 @@
 
 
 def run(quick: bool) -> None:
-    """Measure at three sizes of site, and the spread of a change."""
+    """Measure at three sizes of site, and the time until a change is in force."""
     for hosts in (6,) if quick else (2, 6, 12):
         plan = SitePlan(
             entries=(hosts,), keepers=(1,), engine_speeds=(), services=1, heartbeat_s=1.0
@@ -58,7 +58,7 @@
 
 
 def _measure_change_cost(site: Site, count: int) -> None:
-    """Accept changes without asking who has them, and share the cost out."""
+    """Accept changes without waiting for them, and report the cost per change."""
     operator = site.operator()
     base = operator.read_status(site.keepers[0]).version
     before = {name: operator.read_status(name) for name in site.domains}
--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -1,6 +1,6 @@
-"""Play every day of our own on the users' bench and print a table of broken rules.
+"""Run the days in benchmarks/days with the benchmark program and print the broken rules.
 
-The bench is no part of this repository; its path is an argument.
+The program is not part of this repository; its path is an argument.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
 
 
 @dataclass(frozen=True)
-class Played:
-    """Hold what the bench said of one day."""
+class DayResult:
+    """Hold the output for one day."""
 
     day: str
     site: str
@@ -28,13 +28,13 @@
     detail: str
 
     @property
-    def is_kept(self) -> bool:
-        """Tell whether the day was played and broke no rule."""
+    def has_passed(self) -> bool:
+        """Return whether the day ran and broke no rule."""
         return bool(self.line) and "BROKEN" not in self.line
 
 
-def play_day(bench: Path, site: Path, day: Path, extra: list[str]) -> Played:
-    """Play one day and return its line of the bench's table."""
+def run_day(bench: Path, site: Path, day: Path, extra: list[str]) -> DayResult:
+    """Run one day and return its line of the table."""
     why = f"own day {day.stem}"
     command = [str(bench), "run", str(site), str(day), "--why", why, *extra]
     done = subprocess.run(
@@ -43,11 +43,11 @@
     text = done.stdout + done.stderr
     lines = [line for line in text.splitlines() if re.match(rf"{re.escape(day.stem)}\s", line)]
     first = [line for line in text.splitlines() if "the first that is wrong" in line]
-    return Played(day.stem, site.stem, lines[0] if lines else "", "".join(first) or text[-300:])
+    return DayResult(day.stem, site.stem, lines[0] if lines else "", "".join(first) or text[-300:])
 
 
 def main() -> int:
-    """Play all days on the sites named and return an exit code."""
+    """Run all days on the given sites and return an exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("bench", type=Path)
     parser.add_argument("sites", type=Path, nargs="+")
@@ -57,15 +57,15 @@
     extra = ["--no-cpu"] if arguments.no_cpu else []
     pairs = [(site, day) for site in arguments.sites for day in sorted(DAYS.glob("*.toml"))]
     with ThreadPoolExecutor(arguments.jobs) as pool:
-        played = list(
-            pool.map(lambda pair: play_day(arguments.bench, pair[0], pair[1], extra), pairs)
+        results = list(
+            pool.map(lambda pair: run_day(arguments.bench, pair[0], pair[1], extra), pairs)
         )
-    for day in played:
-        print(f"{day.site:20} {day.line or day.day + ': not played'}")
-        if not day.is_kept:
-            print(f"    {day.detail}")
-    broken = sum(not day.is_kept for day in played)
-    print(f"{len(played) - broken} days kept every rule, {broken} did not")
+    for result in results:
+        print(f"{result.site:20} {result.line or result.day + ': not run'}")
+        if not result.has_passed:
+            print(f"    {result.detail}")
+    broken = sum(not result.has_passed for result in results)
+    print(f"{len(results) - broken} days passed, {broken} broke a rule")
     return 1 if broken else 0
 
 
--- a/benchmarks/decider.py
+++ b/benchmarks/decider.py
@@ -1,8 +1,7 @@
-"""Measure a deciding scheduler's whole process: its time a request, and when it falls behind.
+"""Measure a scheduler process: processor time per request, and latency under rising load.
 
-A real scheduler with its keepers; gateways that are played by links of this process ask it
-for targets that are only listed. A rate counts as borne while 99 in 100 answers come within
-20 ms where there is a place at once.
+Runs a real scheduler and keeper. Links of this process stand in for gateways and request
+placements on targets that are only listed.
 """
 
 from __future__ import annotations
@@ -62,21 +61,21 @@
 
 
 @dataclass
-class Played:
-    """Hold what came of the requests at one rate; times in seconds."""
+class RateResult:
+    """Hold the results of the requests at one rate; times in seconds."""
 
     answered_s: list[float] = field(default_factory=list)
     refused: int = 0
     unanswered: int = 0
 
-    def find_quantile(self, share: float) -> float:
-        """Return the answer time that a share of the requests stay under."""
+    def get_quantile(self, share: float) -> float:
+        """Return a quantile of the answer times."""
         ordered = sorted(self.answered_s)
         return ordered[int(share * (len(ordered) - 1))] if ordered else float("inf")
 
 
-class PlayedGateways:
-    """Ask a scheduler over as many links as there are gateways."""
+class SimulatedGateways:
+    """Request placements from a scheduler over one link per simulated gateway."""
 
     def __init__(self, scheduler: ProcessId) -> None:
         self._random = random.Random(1)
@@ -92,12 +91,12 @@
         self._tasks = [asyncio.create_task(link.run()) for link in self._links]
 
     async def attach(self) -> None:
-        """Attach each gateway and go on with heartbeats."""
+        """Attach each gateway and start its heartbeats."""
         for link in self._links:
             await link.wait_until_up()
-        self._tasks += [asyncio.create_task(self._beat(link)) for link in self._links]
+        self._tasks += [asyncio.create_task(self._send_heartbeats(link)) for link in self._links]
 
-    async def _beat(self, link: Link) -> None:
+    async def _send_heartbeats(self, link: Link) -> None:
         process = link.identity.process
         is_first, version = True, ""
         while True:
@@ -111,9 +110,9 @@
             version = reply.targets_version
             await asyncio.sleep(reply.period_s)
 
-    async def play(self, per_s: float, length_s: float) -> Played:
-        """Ask at a rate, drawn evenly over the time."""
-        played = Played()
+    async def send_requests(self, per_s: float, length_s: float) -> RateResult:
+        """Send requests at a rate, at uniformly distributed times."""
+        result = RateResult()
         asks: list[asyncio.Task[None]] = []
         began_s = time.monotonic()
         times = sorted(self._random.uniform(0.0, length_s) for _ in range(int(per_s * length_s)))
@@ -121,23 +120,23 @@
             wait_s = began_s + at_s - time.monotonic()
             if wait_s > 0.0:
                 await asyncio.sleep(wait_s)
-            asks.append(asyncio.create_task(self._ask(played)))
+            asks.append(asyncio.create_task(self._ask(result)))
         await asyncio.gather(*asks)
-        return played
+        return result
 
-    async def _ask(self, played: Played) -> None:
+    async def _ask(self, result: RateResult) -> None:
         link = self._random.choice(self._links)
         work = self._make_work()
         asked_s = time.monotonic()
         try:
             reply = await link.ask(Place(work), _ASK_S)
         except TroutstandError:
-            # Counted; what it was does not matter here.
-            played.unanswered += 1
+            # Only the number of unanswered requests is reported.
+            result.unanswered += 1
             return
-        played.answered_s.append(time.monotonic() - asked_s)
+        result.answered_s.append(time.monotonic() - asked_s)
         if not isinstance(reply, Placed):
-            played.refused += 1
+            result.refused += 1
             return
         await asyncio.sleep(_FIRST_S)
         link.send(FirstByte(work.request, reply.target, _FIRST_S))
@@ -201,19 +200,19 @@
         await wait_until(has_list, "the scheduler knows targets and configuration")
         ip = scheduler.settings.ip
         name = make_process_id(RoutingRole.scheduler, ip, scheduler.settings.first_port)
-        gateways = PlayedGateways(name)
+        gateways = SimulatedGateways(name)
         await gateways.attach()
         assert scheduler.child is not None
         for per_s in rates:
             before_s, began_s = _read_processor_s(scheduler.child.pid), time.monotonic()
-            played = await gateways.play(per_s, length_s)
+            result = await gateways.send_requests(per_s, length_s)
             spent_s = _read_processor_s(scheduler.child.pid) - before_s
-            under = {"per_s": per_s, "refused": played.refused, "unanswered": played.unanswered}
+            under = {"per_s": per_s, "refused": result.refused, "unanswered": result.unanswered}
             report("decider", "processor time", 1000 * spent_s / (per_s * length_s), "ms", **under)
             share = spent_s / (time.monotonic() - began_s)
             report("decider", "share of a core", share, "", **under)
-            report("decider", "answer, median", 1000 * played.find_quantile(0.5), "ms", **under)
-            report("decider", "answer, 99 in 100", 1000 * played.find_quantile(0.99), "ms", **under)
+            report("decider", "answer, median", 1000 * result.get_quantile(0.5), "ms", **under)
+            report("decider", "answer, 99 in 100", 1000 * result.get_quantile(0.99), "ms", **under)
         gateways.close()
     finally:
         site.stop()
--- a/benchmarks/decision.py
+++ b/benchmarks/decision.py
@@ -1,4 +1,4 @@
-"""Measure what a decision costs, and the state it keeps."""
+"""Measure the processor time of a decision and the memory of its state."""
 
 from __future__ import annotations
 
--- a/benchmarks/dispatching.py
+++ b/benchmarks/dispatching.py
@@ -1,4 +1,4 @@
-"""Measure what the deciding scheduler of a routed site spends on requests and their ends."""
+"""Measure the processor time of a routed site's scheduler for placements and completions."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 _TICK_S = 0.05
 _DOMAINS = 5
 _GATEWAYS = 40
-# A third of the targets is several times slower than the rest.
+# Time per token relative to the fastest targets, in turn.
 _SPEEDS = (1.0, 1.0, 3.5)
 _TOKEN_S = 6e-4
 _PROMPT_TOKEN_S = 2e-5
@@ -36,15 +36,15 @@
 
 @dataclass(frozen=True)
 class Shape:
-    """Say how many targets there are, and how many requests a second come for how long."""
+    """Describe the number of targets, the request rate and the length of a run."""
 
     targets: int
     per_s: float
     length_s: float
 
 
-class Run:
-    """Feed a dispatcher with drawn requests on a virtual clock, and time its own work."""
+class Simulation:
+    """Run a dispatcher with random requests on a virtual clock, and measure its processor time."""
 
     def __init__(self, shape: Shape, seed: int) -> None:
         self.shape = shape
@@ -86,8 +86,8 @@
         self._works[work.request] = work
         return work
 
-    def play(self) -> None:
-        """Play all requests."""
+    def run(self) -> None:
+        """Process all requests."""
         for number in range(int(self.shape.per_s * self.shape.length_s)):
             work = self._make_work(number)
             self._push(self._draw.uniform(0.0, self.shape.length_s), "arrive", work.request)
@@ -130,14 +130,14 @@
 
 
 def run(quick: bool) -> None:
-    """Measure a calm second and an overloaded one at three numbers of targets."""
+    """Measure with and without overload at three numbers of targets."""
     length_s = 3.0 if quick else 10.0
     for targets in (9, 45, 78):
         for per_slot in (1.0, 4.0):
             shape = Shape(targets, per_slot * targets * _SLOTS, length_s)
-            played = Run(shape, 1)
-            played.play()
-            share = played.spent_s / length_s
+            simulation = Simulation(shape, 1)
+            simulation.run()
+            share = simulation.spent_s / length_s
             report(
                 "dispatching",
                 "share of a core",
@@ -145,7 +145,7 @@
                 "",
                 targets=targets,
                 per_s=shape.per_s,
-                refused=played.refused,
+                refused=simulation.refused,
             )
 
 
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -22,7 +22,7 @@
 
 
 class _Schedule:
-    """Break one thing after the other, and mend it again."""
+    """Inject one fault after the other, and end each before the next."""
 
     def __init__(self, site: Site, seed: int) -> None:
         self._site = site
@@ -31,7 +31,7 @@
         self.accepted = 1
 
     def run(self, until_s: float) -> None:
-        """Break and mend until a time."""
+        """Inject faults until a time."""
         while time.monotonic() < until_s:
             self._break()
             self._accept()
@@ -77,7 +77,7 @@
         self._site.hub.heal()
 
     def _accept(self) -> None:
-        """Accept a version, and remember it if it was accepted."""
+        """Send an edit, and record its version if it was accepted."""
         operator = self._site.operator()
         keeper = self._random.choice(self._site.keepers)
         status = operator.try_status(keeper)
@@ -91,7 +91,7 @@
 
 
 def _await_version(site: Site, version: int) -> int:
-    """Return how many processes never came to run an accepted version."""
+    """Return how many processes never applied an accepted version."""
     end_s = time.monotonic() + 20.0
     behind = set(site.domains)
     while behind and time.monotonic() < end_s:
@@ -103,13 +103,13 @@
 
 
 def _measure_outage(results: list[Result], commands: bool) -> float:
-    """Return the longest span without a whole answer."""
+    """Return the longest time without a complete response."""
     ended = sorted(r.ended_s for r in results if r.is_correct and r.drawn.is_command is commands)
     return max((b - a for a, b in itertools.pairwise(ended)), default=0.0)
 
 
 def run(quick: bool) -> None:
-    """Run the schedule and compare what was told with what ran."""
+    """Run the schedule and compare the responses with what ran."""
     seconds, rate = (20.0, 40.0) if quick else (260.0, 90.0)
     plan = SitePlan(
         entries=(2, 2, 2),
--- a/benchmarks/firstbytes.py
+++ b/benchmarks/firstbytes.py
@@ -1,7 +1,7 @@
-"""Compare expected with real first bytes, from the logs of all processes of a site.
+"""Compare expected and measured times to the first byte, from the logs of a site.
 
-Reads one log file with lines of every process, such as a played day's, and prints the
-ratio of the real to the expected time, for the calm seconds and the worst ones apart.
+Reads one file with the log lines of all processes and prints percentiles of the ratio of
+measured to expected time, for the seconds with the most late responses and for the others.
 """
 
 from __future__ import annotations
@@ -17,14 +17,14 @@
 
 _FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
 _MILLISECONDS = 1000.0
-# The share of all seconds, those with the most late answers, that are told apart.
+# Share of the seconds that is reported separately, those with the most late answers.
 _WORST_SHARE = 0.2
 _SHARES = (0.5, 0.9, 0.99)
 
 
 @dataclass(frozen=True)
 class FirstByte:
-    """Hold one answer's times, in milliseconds but for the second in which it came."""
+    """Hold one answer's times in milliseconds, and the second in which it came."""
 
     second: int
     decider: str
@@ -34,7 +34,7 @@
 
     @property
     def ratio(self) -> float:
-        """Return how many times as long as expected the first byte took."""
+        """Return the measured time divided by the expected time."""
         return self.real_ms / max(self.expected_ms, 1.0)
 
 
--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -1,4 +1,4 @@
-"""Compare an entry process with a bare relay before the same stand-in engine."""
+"""Compare an entry process with a bare relay in front of the same simulated engine."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 async def _measure(
     address: Address, tokens: int, in_flight: int, seconds: float
 ) -> tuple[float, list[float]]:
-    """Return requests a second and every latency, so many being in flight."""
+    """Return the requests per second and every latency at a number of requests in flight."""
     url = f"http://{address.ip}:{address.port}{_PATH}"
     body = _make_body(tokens)
     taken: list[float] = []
@@ -79,7 +79,7 @@
 
 
 def run(quick: bool) -> None:
-    """Measure both, turn by turn."""
+    """Measure both in alternation."""
     seconds, rounds = (1.5, 1) if quick else (4.0, 3)
     plan = SitePlan(
         entries=(2,),
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -1,4 +1,4 @@
-"""Plot measured lines: `python -m benchmarks.plots FILE`, FILE holding `make bench` lines."""
+"""Plot the output of `make bench`: `python -m benchmarks.plots FILE`."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 def plot(figures: list[Figure], name: str, file: str, logarithmic: bool) -> None:
-    """Draw one figure's lines over the offered load, a panel a mix."""
+    """Plot one figure over the offered load, one panel per mix."""
     mixes = sorted({str(figure.under["mix"]) for figure in figures})
     canvas, panels = pyplot.subplots(1, len(mixes), figsize=(9, 3.6), sharey=True)
     for panel, mix in zip(panels, mixes, strict=True):
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -1,4 +1,4 @@
-"""Compare the policy in use with the baselines on both mixes, three seeds each."""
+"""Compare the default policy with the baselines on both mixes, three seeds each."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
 
 
 def run_slowdown(quick: bool) -> None:
-    """Slow one engine fivefold without warning, and score before and after."""
+    """Slow one engine fivefold, and report the scores before and after."""
     for policy in (PolicyName.EARLIEST_FINISH, PolicyName.LEAST_LOADED, PolicyName.PREFIX_HASH):
         for name, since_s, until_s in (("before", 0, 15), ("after", 15, 25), ("later", 25, 40)):
             setup = Setup(IRRIGATION, 1, 0.8, policy, slow_at_s=15.0)
--- a/benchmarks/regression.py
+++ b/benchmarks/regression.py
@@ -1,7 +1,8 @@
-"""Play the standard days of the chosen sites and say what fell below the kept figures.
+"""Run the standard days of sites and report scores that fell below the recorded ones.
 
-The figures stand in regression.json by site and day, with the snapshot that gave them.
-The bench and its site files are no part of this repository; their paths are arguments.
+regression.json has the scores by site and day, with the snapshot that they were measured on.
+The benchmark program and its site files are not part of this repository; their paths are
+arguments.
 """
 
 from __future__ import annotations
@@ -17,25 +18,25 @@
 from statistics import fmean
 
 ROOT = Path(__file__).resolve().parent.parent
-_KEPT = Path(__file__).resolve().parent / "regression.json"
-# A site's mean may fall by so much: two runs differ by less where nothing changed.
-_MOST_FALL = 0.03
+_RECORDED = Path(__file__).resolve().parent / "regression.json"
+# Two runs of the same code differ by less in their mean.
+_MAX_FALL = 0.03
 _LIMIT_S = 1800
 
 
 @dataclass(frozen=True)
 class Outcome:
-    """Hold what one day came to beside the kept figure."""
+    """Hold one day's score and the recorded one."""
 
     site: str
     day: str
-    kept: float
+    recorded: float
     worth: float | None
     broken: str
 
     @property
-    def is_kept(self) -> bool:
-        """Tell whether the day was played and broke no rule."""
+    def has_passed(self) -> bool:
+        """Return whether the day ran and broke no rule."""
         return self.worth is not None and not self.broken
 
 
@@ -45,65 +46,67 @@
     Raises
     ------
     FileNotFoundError
-        Where there is none of that name.
+        If there is no such file.
     """
     for path in sorted(folder.rglob(f"{name}.toml")):
         return path
     raise FileNotFoundError(f"no {name}.toml below {folder}")
 
 
-def play_day(bench: Path, path: Path, day: str, kept: float, extra: list[str]) -> Outcome:
-    """Play one day and return its worth beside the kept one."""
+def run_day(bench: Path, path: Path, day: str, recorded: float, extra: list[str]) -> Outcome:
+    """Run one day and return its score and the recorded one."""
     with tempfile.TemporaryDirectory() as scratch:
         report = Path(scratch) / "report.json"
         command = [str(bench), "run", str(path), day, "--report", str(report)]
         command += ["--why", "regression run", *extra]
         subprocess.run(command, cwd=ROOT, capture_output=True, timeout=_LIMIT_S, check=False)
         if not report.exists():
-            return Outcome(path.stem, day, kept, None, "not played")
-        told = json.loads(report.read_text())
-    broken = " ".join(f"{rule} {count}" for rule, count in told["breaks"].items())
-    return Outcome(path.stem, day, kept, told["G"], broken)
+            return Outcome(path.stem, day, recorded, None, "not run")
+        result = json.loads(report.read_text())
+    broken = " ".join(f"{rule} {count}" for rule, count in result["breaks"].items())
+    return Outcome(path.stem, day, recorded, result["G"], broken)
 
 
-def judge_site(outcomes: list[Outcome]) -> list[str]:
-    """Return what is wrong with a site's days; nothing where they hold."""
-    faults = [f"{o.site} {o.day}: {o.broken}" for o in outcomes if not o.is_kept]
-    played = [o for o in outcomes if o.worth is not None]
-    if not played:
-        return faults
-    fall = fmean(o.kept for o in played) - fmean(o.worth or 0.0 for o in played)
-    if fall > _MOST_FALL:
-        faults.append(f"{played[0].site}: the mean fell by {fall:.3f}, {_MOST_FALL} is accepted")
-    return faults
+def list_problems(outcomes: list[Outcome]) -> list[str]:
+    """Return the problems of a site's days; empty if there are none."""
+    problems = [f"{o.site} {o.day}: {o.broken}" for o in outcomes if not o.has_passed]
+    finished = [o for o in outcomes if o.worth is not None]
+    if not finished:
+        return problems
+    fall = fmean(o.recorded for o in finished) - fmean(o.worth or 0.0 for o in finished)
+    if fall > _MAX_FALL:
+        site = finished[0].site
+        problems.append(f"{site}: the mean fell by {fall:.3f}; at most {_MAX_FALL} is accepted")
+    return problems
 
 
 def main() -> int:
-    """Play the sites and return an exit code."""
+    """Run the sites' days and return an exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("bench", type=Path)
-    parser.add_argument("folder", type=Path, help="where the site files lie")
-    parser.add_argument("--sites", nargs="*", help="names; all that figures are kept of otherwise")
+    parser.add_argument("folder", type=Path, help="folder that contains the site files")
+    parser.add_argument("--sites", nargs="*", help="names; all recorded sites by default")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--no-cpu", action="store_true")
     arguments = parser.parse_args()
     extra = ["--no-cpu"] if arguments.no_cpu else []
-    kept = json.loads(_KEPT.read_text())
-    faults: list[str] = []
-    for site in arguments.sites or kept:
+    recorded = json.loads(_RECORDED.read_text())
+    problems: list[str] = []
+    for site in arguments.sites or recorded:
         path = find_site(arguments.folder, site)
-        days = kept[site]["worth"]
+        days = recorded[site]["worth"]
         with ThreadPoolExecutor(arguments.jobs) as pool:
-            played = [
-                pool.submit(play_day, arguments.bench, path, day, worth, extra)
+            futures = [
+                pool.submit(run_day, arguments.bench, path, day, worth, extra)
                 for day, worth in days.items()
             ]
-        outcomes = [future.result() for future in played]
+        outcomes = [future.result() for future in futures]
         for outcome in outcomes:
-            print(f"{site:24} {outcome.day:10} {outcome.kept:.3f} {outcome.worth} {outcome.broken}")
-        faults += judge_site(outcomes)
-    print("\n".join(faults) if faults else "all hold")
-    return 1 if faults else 0
+            scores = f"{outcome.recorded:.3f} {outcome.worth} {outcome.broken}"
+            print(f"{site:24} {outcome.day:10} {scores}")
+        problems += list_problems(outcomes)
+    print("\n".join(problems) if problems else "no problems")
+    return 1 if problems else 0
 
 
 if __name__ == "__main__":
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -1,4 +1,4 @@
-"""Print figures, one JSON line each."""
+"""Print measured figures, one JSON line each."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class Figure(msgspec.Struct):
-    """Carry one measured figure and what it was measured under."""
+    """Hold one measured figure and the conditions of the measurement."""
 
     bench: str
     name: str
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -26,7 +26,7 @@
 
 
 def _make_records(version: int) -> list[StoredRegister | StoredChange]:
-    """Make what a keeper writes for one change: a promise, an accept, the change."""
+    """Return the records that a keeper writes for one change."""
     change = Change(f"edit-{version}", version - 1, [Model("m", version=str(version))], [])
     value = encode_record(change)
     ballot = Ballot(1, "a.entry:0123456789abcdef:1")
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -1,9 +1,8 @@
-"""Compare ways to judge a canary version over many drawn versions on a virtual clock.
+"""Compare canary analyses over many random rollouts on a virtual clock.
 
-Each drawn rollout lasts 12 s at 300 requests/s over three routes; a twentieth of them goes
-to the canary. A verdict is computed every 0.25 s. A bad version that is still not found bad
-or suspect 2.5 s before the end counts as a false completion; a good one that is, as a false
-rollback.
+Each rollout lasts 12 s at 300 requests/s over three routes; a twentieth of them goes to the
+canary. The analysis runs every 0.25 s. A bad version that is not detected 2.5 s before the
+end counts as a false completion, a good one that is rejected as a false rollback.
 """
 
 from __future__ import annotations
@@ -37,7 +36,7 @@
 
 @dataclass
 class Version:
-    """Say how a drawn version and the targets beside it behave."""
+    """Describe how a random version and the targets behave."""
 
     is_good: bool
     fails: float = 0.0
@@ -45,16 +44,16 @@
     from_s: float = 0.0
     only_route: str = ""
     only_in_burst: bool = False
-    # The share of targets of both versions that fail by themselves, and how often.
+    # Share of the targets of both versions with faults of their own, and their failure rate.
     grey_share: float = 0.0
     grey_fails: float = 0.45
-    # The share of targets of both versions on slow hardware, whose answers are all slow.
+    # Share of the targets of both versions on slow hardware.
     slow_hardware: float = 0.0
 
 
 @dataclass
 class Sums:
-    """Sum up the draws of one case."""
+    """Sum up the rollouts of one case."""
 
     wrong: int = 0
     verdict_s: list[float] = field(default_factory=list)
@@ -62,7 +61,7 @@
 
 
 def draw_cases(rng: random.Random) -> dict[str, Version]:
-    """Draw one version of each case."""
+    """Return a random version of each case."""
     fails = rng.uniform(0.2, 0.7)
     slows = rng.uniform(0.3, 1.0)
     route = rng.choice(list(_ROUTES))
@@ -84,7 +83,7 @@
 
 @dataclass(frozen=True)
 class DrawnTarget:
-    """Hold what a drawn target adds of its own."""
+    """Describe one target's own failure rate and speed."""
 
     name: str
     fails: float
@@ -120,10 +119,10 @@
     return Outcome(route, target.name, is_trial, rng.random() < fails, slow)
 
 
-def play(
+def run_rollout(
     rng: random.Random, version: Version, targets: int, compare: CompareRates, sums: Sums
 ) -> None:
-    """Play one rollout and sum up how it ended."""
+    """Run one rollout and add its result to the sums."""
     trial = _draw_targets(rng, version, targets, "new")
     in_force = _draw_targets(rng, version, targets, "old")
     evidence = OutcomeCounts(1)
@@ -142,34 +141,37 @@
         verdict = evaluate(evidence, now_s, compare).verdict
         if verdict is Verdict.BAD:
             break
-    is_taken = verdict is Verdict.GOOD
-    sums.wrong += is_taken is not version.is_good
+    is_completed = verdict is Verdict.GOOD
+    sums.wrong += is_completed is not version.is_good
     if verdict is Verdict.BAD:
         sums.verdict_s.append(max(0.0, now_s - version.from_s))
         sums.lost.append(lost)
 
 
 def weigh_by_threshold(trial: Rate, in_force: Rate) -> float:
-    """Return infinite odds where the trial's rate exceeds the other by a fixed difference."""
+    """Return infinite odds if the canary's rate exceeds the baseline's by a fixed difference."""
     if trial.responses < _THRESHOLD_ANSWERS:
         return 0.0
     return math.inf if trial.share >= in_force.share + _THRESHOLD_DIFFERENCE else 0.0
 
 
 def main() -> None:
-    """Print the errors of each way, by case."""
+    """Print the errors of each analysis, by case."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--draws", type=int, default=100)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    ways: dict[str, CompareRates] = {"odds": compute_bayes_factor, "threshold": weigh_by_threshold}
+    analyses: dict[str, CompareRates] = {
+        "odds": compute_bayes_factor,
+        "threshold": weigh_by_threshold,
+    }
     for targets in (15, 3):
-        for name, compare in ways.items():
+        for name, compare in analyses.items():
             rng = random.Random(options.seed)
             found: dict[str, Sums] = {}
             for _ in range(options.draws):
                 for case, version in draw_cases(rng).items():
-                    play(rng, version, targets, compare, found.setdefault(case, Sums()))
+                    run_rollout(rng, version, targets, compare, found.setdefault(case, Sums()))
             for case, sums in found.items():
                 time_s = f"{median(sums.verdict_s):.2f} s" if sums.verdict_s else "-"
                 lost = f"{median(sums.lost):.0f}" if sums.lost else "-"
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -27,7 +27,7 @@
     """Run the named benchmarks, or all."""
     unknown = [name for name in names if name not in BENCHES]
     if unknown:
-        print(f"{unknown[0]!r} is no benchmark; accepted are {', '.join(BENCHES)}")
+        print(f"{unknown[0]!r} is not a benchmark; accepted names are {', '.join(BENCHES)}")
         return 2
     for name in names or BENCHES:
         BENCHES[name](quick)
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -1,4 +1,4 @@
-"""Run real processes for the benchmarks."""
+"""Run a site of real processes for the benchmarks."""
 
 from __future__ import annotations
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,4 +1,4 @@
-"""Soak routed sites of real processes in seeded faults: `make soak`."""
+"""Soak-test routed sites of real processes under seeded faults: `make soak`."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 def describe(rollout: RolloutRecord) -> str:
-    """Return one line on a rollout."""
+    """Return a line that describes a rollout."""
     quality = "bad" if rollout.is_faulty else "good"
     took_s = rollout.ended_s - rollout.acknowledged_s
     end = rollout.final_state or "no end yet"
@@ -31,8 +31,8 @@
     )
 
 
-async def play(plan: SoakPlan) -> list[str]:
-    """Play one seed; keep its logs where a promise was broken."""
+async def run_seed(plan: SoakPlan) -> list[str]:
+    """Run one seed; keep its logs if a check failed."""
     folder = Path(tempfile.mkdtemp(prefix="troutstand-soak-"))
     soak = Soak(plan, folder)
     try:
@@ -56,29 +56,31 @@
     return broken
 
 
-async def play_all(seeds: list[int], draft: SoakPlan, jobs: int) -> int:
-    """Play seeds, some side by side, and return how many broke a promise."""
+async def run_seeds(seeds: list[int], draft: SoakPlan, jobs: int) -> int:
+    """Run seeds, several in parallel, and return how many failed a check."""
     gate = asyncio.Semaphore(jobs)
 
-    async def play_one(number: int, seed: int) -> bool:
+    async def run_one(number: int, seed: int) -> bool:
         async with gate:
             subnet = f"{reserve_network()}.{number % 250}"
             plan = replace(draft, seed=seed, subnet=subnet)
-            return bool(await play(plan))
+            return bool(await run_seed(plan))
 
-    results = await asyncio.gather(*(play_one(n, seed) for n, seed in enumerate(seeds)))
+    results = await asyncio.gather(*(run_one(n, seed) for n, seed in enumerate(seeds)))
     return sum(results)
 
 
 def main() -> int:
-    """Read the command line and play."""
+    """Run the seeds of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=4, help="how many fresh seeds")
-    parser.add_argument("--seed", type=int, action="append", help="play this one instead")
-    parser.add_argument("--seconds", type=float, default=20.0, help="length of a seed's faults")
+    parser.add_argument("--seeds", type=int, default=4, help="number of random seeds")
+    parser.add_argument("--seed", type=int, action="append", help="run this seed instead")
+    parser.add_argument(
+        "--seconds", type=float, default=20.0, help="duration of the faults of a seed"
+    )
     parser.add_argument("--gateways", type=int, default=3)
-    parser.add_argument("--rollouts", action="store_true", help="roll versions out as well")
-    parser.add_argument("--per-s", type=float, default=1.2, help="faults a second; 0 is none")
+    parser.add_argument("--rollouts", action="store_true", help="include rollouts")
+    parser.add_argument("--per-s", type=float, default=1.2, help="faults per second; 0 for none")
     parser.add_argument("--jobs", type=int, default=2)
     arguments = parser.parse_args()
     seeds = arguments.seed or [secrets.randbits(_SEED_BITS) for _ in range(arguments.seeds)]
@@ -90,7 +92,7 @@
         gateways=arguments.gateways,
         rollouts=arguments.rollouts,
     )
-    broken = asyncio.run(play_all(seeds, draft, arguments.jobs))
+    broken = asyncio.run(run_seeds(seeds, draft, arguments.jobs))
     took_s = time.monotonic() - began_s
     print(f"{len(seeds)} seeds, {broken} with a broken promise, {took_s:.0f} s")
     return 1 if broken else 0
--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -1,4 +1,4 @@
-"""Run the daemon's scheduler and the baselines over drawn arrivals on a virtual clock."""
+"""Run the scheduler of a failure domain and the baselines on a virtual clock."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 _REPORT_S = 2.0
 _MILLISECONDS = 1000
 _SPEEDS = (1.0, 2.0, 4.0)
-# Share of the prompt tokens that caches leave to compute, for the capacity.
+# Share of the prompt tokens that is not cached, for the capacity estimate.
 _COMPUTED_SHARE = 0.3
 TIERS = (
     Tier("urgent", 0, 0.5, 0.25, 20.0),
@@ -39,9 +39,12 @@
 
 @dataclass(frozen=True)
 class Setup:
-    """Say what is run.
+    """Describe a run.
 
-    `slow_at_s` slows the fastest engine fivefold without warning.
+    Parameters
+    ----------
+    slow_at_s
+        Time at which the fastest engine becomes five times slower; None for never.
     """
 
     mix: Mix
@@ -59,7 +62,7 @@
 
 @dataclass
 class Job:
-    """Follow one request."""
+    """Track one request."""
 
     drawn: DrawnRequest
     ask: PlacementAsk
@@ -75,7 +78,7 @@
 
 @dataclass
 class Engine:
-    """Serve jobs in slots; prefills go one after the other."""
+    """Serve jobs in slots; prefills run one at a time."""
 
     row: Target
     slowdown: float = 1.0
@@ -89,7 +92,7 @@
 
 
 def make_rows(setup: Setup) -> list[Target]:
-    """Make the engines' rows, of three speeds."""
+    """Return the rows of engines with three speeds."""
     return [
         Target(
             f"engine-{number}",
@@ -107,7 +110,7 @@
 
 
 def _estimate_capacity(setup: Setup, drawn: list[DrawnRequest]) -> float:
-    """Return the requests a second that the slots decode or the prefills allow."""
+    """Return the requests per second that decoding and prefill allow."""
     rows = make_rows(setup)
     answer = sum(item.answer_tokens * 0.6 for item in drawn) / max(1, len(drawn))
     prompt = sum(count_tokens(item.prompt) for item in drawn) / max(1, len(drawn))
@@ -117,7 +120,7 @@
 
 
 class VirtualSite:
-    """Run one policy; baselines dispatch at once by stale reports and let engines queue."""
+    """Run one policy; baselines dispatch at once by delayed load reports, and engines queue."""
 
     def __init__(self, setup: Setup) -> None:
         self.setup = setup
@@ -175,7 +178,7 @@
             prompt_tokens=count_tokens(drawn.prompt),
             answer_tokens=drawn.answer_tokens,
         )
-        # Callers name a limit; answers are shorter by an unknown share.
+        # Callers send an upper limit; answers are shorter.
         tokens = max(1, int(drawn.answer_tokens * self._random.uniform(0.2, 1.0)))
         self.jobs[request] = Job(drawn, ask, prefixes, tier, tokens)
         self._schedule(drawn.at_s, "arrive", request)
@@ -209,7 +212,7 @@
         self._submit(self.engines[choice.target.row.name], job)
 
     def _refresh_reports(self) -> None:
-        """Take load reports every two seconds, as engines publish them."""
+        """Update the load reports at the interval at which engines publish them."""
         if self._reports and self.now_s - self._reported_s < _REPORT_S:
             return
         self._reported_s = self.now_s
@@ -300,7 +303,7 @@
 
 @dataclass(frozen=True)
 class TierOutcome:
-    """Tell one tier's share of good answers and its first token's time."""
+    """Hold one tier's share of good answers and its time to the first token."""
 
     tier: str
     offered: int
@@ -310,7 +313,7 @@
 
 @dataclass(frozen=True)
 class Outcome:
-    """Tell what a run came to."""
+    """Hold the results of a run."""
 
     tiers: list[TierOutcome]
     first_p95_s: float
@@ -319,7 +322,7 @@
 
     @property
     def good_share(self) -> float:
-        """Return the share of all requests that were answered well."""
+        """Return the share of requests that were answered in time."""
         return sum(t.good for t in self.tiers) / max(1, sum(t.offered for t in self.tiers))
 
 
@@ -335,7 +338,7 @@
 
 
 def run_setup(setup: Setup, since_s: float = 0.0, until_s: float = 1e9) -> Outcome:
-    """Run a setup and score the requests that arrived in a span of time."""
+    """Run a setup and score the requests that arrived in a time range."""
     site = VirtualSite(setup)
     jobs = [job for job in site.run() if since_s <= job.drawn.at_s < until_s]
     tiers = []
--- a/benchmarks/worstload.py
+++ b/benchmarks/worstload.py
@@ -1,4 +1,4 @@
-"""Measure processor time and outcomes of deciding under overload.
+"""Measure processor time and results of placement decisions under overload.
 
 Replays a recorded load and one drawn with bursts on 45 engines of 4 slots, of which a quarter
 is unavailable and a third is 4.4 times slower.
@@ -24,7 +24,7 @@
 
 
 def draw_arrivals(seed: int) -> list[Arrival]:
-    """Draw a load with two bursts."""
+    """Return a random load with two bursts."""
     rng = random.Random(seed)
     arrivals: list[Arrival] = []
     now_s = 0.0
@@ -37,7 +37,7 @@
 
 
 def measure(name: str, arrivals: list[Arrival], order: TierOrder, retries_refused: bool) -> None:
-    """Play a load and print its processor time and what came of each kind."""
+    """Replay a load and print its processor time and the results of each kind."""
     began_s = time.process_time()
     result = Replay(order, _ENGINES, retries_refused=retries_refused).play(arrivals)
     took_s = time.process_time() - began_s
@@ -50,7 +50,7 @@
 
 
 def main() -> None:
-    """Play both loads by each order of tiers."""
+    """Replay both loads with each order of tiers."""
     for order in TierOrder:
         measure("recorded", read_arrivals(_TRACE), order, retries_refused=False)
     for order in TierOrder:
--- a/troutstand/tests/begun.feature
+++ b/troutstand/tests/begun.feature
@@ -2,7 +2,6 @@
 
   # Guards against a second response head inside a stream that has started: the gateway resumed
   # the stream at another target and forwarded that target's error response whole.
-  # second piece on; a stream that ends for good is logged as "stream_broken_off".
 
   Scenario: The target that resumes a stream fails
     Given a routed site whose engines break streams and answer 500 with a text when asked to go on
