Say that a tier is below its minimum

"Owed service" is not a term of the field. is_owed is is_below_minimum; comments, pages and step texts follow.

--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -274,11 +274,11 @@
         return first_s + work.output_tokens * self._get_typical_mean("token_s", _DEFAULT_TOKEN_S)
 
     def promote(self, work: RoutedWork, now_s: float) -> float | None:
-        """Promote an arriving request if its tier is owed service; return its slot time.
+        """Promote an arriving request if its tier is below its minimum; return its slot time.
 
         Returns None for a request that is not promoted.
         """
-        if not self.tier_minimum.is_owed(work.tier, now_s):
+        if not self.tier_minimum.is_below_minimum(work.tier, now_s):
             return None
         slots = sum(t.listed.slots for t in self.list_usable())
         slot_time_s = self._estimate_tier_slot_time(work)
--- a/troutstand/core/scheduling/tierminimum.py
+++ b/troutstand/core/scheduling/tierminimum.py
@@ -1,4 +1,4 @@
-"""Guarantee lower tiers a minimum of service while higher tiers ask for more than fits.
+"""Guarantee lower tiers a minimum of service while higher tiers exceed the capacity.
 
 Strict priority starves the lowest tier under a lasting overload. A tier that was served less
 than a set part as often as the tiers above it has requests promoted to the highest
@@ -19,7 +19,7 @@
 MAX_SLOT_SHARE = 0.1
 # Slot time that a tier may save up, in seconds of the part of the slots.
 _BUDGET_WINDOW_S = 1.0
-# A tier that asked for no promotion for so long gets no part of the budget.
+# A tier that requested no promotion for this long gets no part of the budget.
 _MAX_IDLE_S = 1.0
 
 
@@ -31,7 +31,7 @@
     """
 
     left_s: float = 0.0
-    asked_s: float = 0.0
+    requested_s: float = 0.0
 
 
 @dataclass
@@ -42,7 +42,7 @@
     _budgets: dict[int, _Budget] = field(default_factory=dict)
     _refilled_s: float = 0.0
 
-    def is_owed(self, tier: int, now_s: float) -> bool:
+    def is_below_minimum(self, tier: int, now_s: float) -> bool:
         """Return whether a tier is served less often than it is guaranteed."""
         share_above = self.service.compute_share_above(tier, now_s)
         if share_above is None:
@@ -50,12 +50,12 @@
         return self.service.get_share(tier, now_s) < MIN_RELATIVE_SHARE * share_above
 
     def promote(self, tier: int, slot_time_s: float, slots: int, now_s: float) -> bool:
-        """Return whether a request of a tier that is owed service is promoted.
+        """Return whether a request of a tier below its minimum is promoted.
 
         Charges its slot time if so; the request counts as placed from now on.
         """
         budget = self._budgets.setdefault(tier, _Budget())
-        budget.asked_s = now_s
+        budget.requested_s = now_s
         self._refill(slots, now_s)
         if budget.left_s < 0.0:
             return False
@@ -64,10 +64,10 @@
         return True
 
     def _refill(self, slots: int, now_s: float) -> None:
-        """Divide the slot time since the last refill between the tiers that are owed service."""
+        """Divide the slot time since the last refill between the tiers that requested some."""
         elapsed_s = min(now_s - self._refilled_s, _BUDGET_WINDOW_S)
         self._refilled_s = now_s
-        active = [b for b in self._budgets.values() if now_s - b.asked_s <= _MAX_IDLE_S]
+        active = [b for b in self._budgets.values() if now_s - b.requested_s <= _MAX_IDLE_S]
         slot_rate = MAX_SLOT_SHARE * slots
         for budget in active:
             budget.left_s = min(
--- a/troutstand/tests/starvedtier.feature
+++ b/troutstand/tests/starvedtier.feature
@@ -45,8 +45,8 @@
     Then each tier is served
     And no tier is served more often than one above it, within 0.05
 
-  # Guards against long requests that use up what short ones are owed.
-  Scenario: The slot time for promotions is divided between the tiers that are owed service
+  # Guards against long requests that use up the budget of short ones.
+  Scenario: The slot time for promotions is divided between the tiers below their minimum
     Given a service of 80 slots where tier 0 is always served and tiers 1 and 2 never
     When requests of 1 s of tier 1 and of 0.05 s of tier 2 come by turns 40 times a second for 10 s
     Then promoted requests of tier 1 take 40 s of slot time, within 0.1
--- a/troutstand/tests/steps/starvedtier.py
+++ b/troutstand/tests/steps/starvedtier.py
@@ -151,7 +151,7 @@
     assert all(shares.values()), shares
 
 
-# What a tier is owed
+# The minimum of a tier
 
 
 def _use_service(context: Context, slots: int) -> None:
@@ -220,8 +220,8 @@
     context.promoted = 0
     for number in range(count):
         now_s = 0.01 * number
-        is_owed = context.minimum.is_owed(1, now_s)
-        if is_owed and context.minimum.promote(1, _SHORT_S, context.slots, now_s):
+        is_below_minimum = context.minimum.is_below_minimum(1, now_s)
+        if is_below_minimum and context.minimum.promote(1, _SHORT_S, context.slots, now_s):
             context.promoted += 1
         else:
             context.service.record_refused(1, 0.0)
