Word the comments of the test steps in the usual terms

Doc texts and comments of tests/steps only: crash for end, backoff for rest, virtual clock for a clock of its own, valid for sound, and the like.

--- a/troutstand/tests/steps/answer.py
+++ b/troutstand/tests/steps/answer.py
@@ -1,4 +1,4 @@
-"""Feed answers to the state machine that puts them together."""
+"""Feed events to the state machine that assembles an answer."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 def feed(context: Context, *parts: bytes) -> None:
-    """Feed parts and keep what comes out, or the error."""
+    """Feed parts and store the output or the error."""
     try:
         for part in parts:
             context.taken += context.stream.feed(part)
--- a/troutstand/tests/steps/attaching.py
+++ b/troutstand/tests/steps/attaching.py
@@ -1,4 +1,4 @@
-"""Send heartbeats of gateways to a scheduler that does not listen."""
+"""Send heartbeats of gateways to a scheduler in memory."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
         for n in range(count)
     ]
     context.scheduler.targets.install(listed, "v2")
-    # As if it had read the list itself.
+    # The state after the scheduler has read the list itself.
     context.scheduler._has_list = True
 
 
@@ -75,14 +75,14 @@
 
 @dataclass
 class HeldList:
-    """Hold the list of one gateway."""
+    """Hold the target list of one gateway."""
 
     name: ProcessId
     targets: TargetList
 
 
 def _name(targets: list[ListedTarget]) -> str:
-    """Name a list by its entries."""
+    """Return a list's version, derived from its entries."""
     return str(hash(tuple((t.target, t.state) for t in targets)))
 
 
--- a/troutstand/tests/steps/begun.py
+++ b/troutstand/tests/steps/begun.py
@@ -1,4 +1,4 @@
-"""Break streams that have begun, and read what their callers get byte for byte."""
+"""Abort streams that have started, and read the bytes that their callers get."""
 
 from __future__ import annotations
 
@@ -89,7 +89,7 @@
     scene.background.run(wait_until(is_told, "the stream's end is logged"))
 
 
-# What another target adds to a begun answer
+# Responses of a second target to a resumed stream
 
 
 @given("a routed site with odd targets, which {oddity}")
@@ -127,7 +127,7 @@
     _check_cut(context.answer, make_event(_REQUEST, 1))
 
 
-# Whoever writes a second answer
+# Handlers that respond twice
 
 
 async def _answer_twice(request: web.BaseRequest) -> web.StreamResponse:
@@ -155,7 +155,7 @@
 
 
 def _make_entry() -> SimpleNamespace:
-    """Make what an application for callers needs of its entry process."""
+    """Make a stand-in for the entry process of a caller API."""
     events = EventBus(ProcessId("entry-1"), HybridClock(time.time))
     settings = SimpleNamespace(limits=SimpleNamespace(body_bytes=_BODY_BYTES))
     return SimpleNamespace(settings=settings, events=events, running_calls=0)
--- a/troutstand/tests/steps/callers.py
+++ b/troutstand/tests/steps/callers.py
@@ -1,4 +1,4 @@
-"""Call a shared site as callers do, well and badly."""
+"""Call a shared site with valid and with malformed requests."""
 
 from __future__ import annotations
 
@@ -67,7 +67,7 @@
 
 
 def send_raw(address: Address, data: bytes) -> HttpResponse:
-    """Send bytes that break off, and read the answer."""
+    """Send a truncated request and read the response."""
     with socket.create_connection((address.ip, address.port), timeout=10) as connection:
         connection.sendall(data)
         answer = b""
@@ -150,7 +150,7 @@
     assert send_chat(context.site, context.site.entries[0]).status == 200
 
 
-# Tiers, keys and hanging up
+# Tiers, idempotency keys and disconnects
 
 
 @when('workspace "{workspace}" asks for tier "{tier}"')
@@ -225,7 +225,7 @@
 
 
 def make_identity(fault: str) -> Identity:
-    """Make the identity that a faulty link shows."""
+    """Return the identity that a faulty link presents."""
     key = bytes(16) if fault == "a wrong key" else bytes.fromhex(LINK_KEY)
     site = "elsewhere" if fault == "another site" else "demo"
     process = "nobody.entry" if fault == "an unknown host" else "north-1.entry"
@@ -244,8 +244,8 @@
 async def open_link(address: Address, fault: str, message: bytes) -> websockets.ConnectionClosed:
     """Open a link, send a message, and return how it was closed."""
     identity = make_identity(fault)
-    # No context manager: its own close fails on a connection that is lost
-    # while the message is still being written, and would hide how it was closed.
+    # No context manager: its close fails on a connection that is lost during a write, and
+    # would hide the close code.
     link = await connect(f"ws://{address.ip}:{address.port}/", proxy=None)
     challenge = await link.recv()
     proof = identity.compute_proof(identity.process, challenge, b"nonce")
--- a/troutstand/tests/steps/clock.py
+++ b/troutstand/tests/steps/clock.py
@@ -1,4 +1,4 @@
-"""Suspend a host by two clocks that part."""
+"""Simulate the suspend of a host with two clocks."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class TwoClocks:
-    """Hold both clocks of a host, which run on by themselves."""
+    """Hold both clocks of a host."""
 
     def __init__(self) -> None:
         self.suspended_s = 0.0
@@ -95,7 +95,7 @@
         loop.call_later(timer_s, context.fired.append, timer_s)
         loop.call_later(2 * timer_s, context.fired.append, 2 * timer_s)
         loop.call_later(0.01, suspend, context, length_s)
-        # The next step of a busy process; no wait for anything.
+        # Yields to the loop; nothing is waited for.
         await asyncio.sleep(0.02)
 
     with asyncio.Runner(loop_factory=ClockLoop) as runner:
--- a/troutstand/tests/steps/compression.py
+++ b/troutstand/tests/steps/compression.py
@@ -1,4 +1,4 @@
-"""Ask a keeper for large configurations, and decompress what is spoiled."""
+"""Request large configurations from a keeper, and decompress corrupt data."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/configuration.py
+++ b/troutstand/tests/steps/configuration.py
@@ -1,4 +1,4 @@
-"""Check configurations and look routes up."""
+"""Validate configurations and look up routes."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/crashers.py
+++ b/troutstand/tests/steps/crashers.py
@@ -1,4 +1,4 @@
-"""Run a body that ends the targets which run it, beside sound ones."""
+"""Send a body that crashes its targets, beside valid ones."""
 
 from __future__ import annotations
 
@@ -32,12 +32,12 @@
 # A route with two attempts, so that neither call alone ends three targets.
 _TWICE = "/stream/resume-once/"
 _SOUND_BODIES = 20
-# The deadly body ends a target for the third time before this rank of its ends.
+# Rank of the crash after which the body must be refused.
 _THIRD = 2
 
 
 def _open_deadly(context: Context, scene: Scene) -> None:
-    """Start a site whose targets end as they run one body, and wait for one decider."""
+    """Start a site whose targets crash on one body, and wait for one scheduler."""
     context.scene = scene
     context.sites.append(scene)
     scene.open(next_subnet(context))
@@ -118,16 +118,16 @@
     assert all(fields["target_gone"] == "False" for fields in failed), failed
 
 
-# The same body, again and again
+# Repeated requests with the same body
 
 
 async def _call_each(scene: Scene, body_of: itertools.cycle[bytes], period_s: float, end_s: float):
-    """Call at a steady pace, at the gateways in turn, and return what came of each call."""
+    """Send calls at a steady rate to the gateways in turn, and return the results."""
     gateways = itertools.cycle(scene.site.list_role(RoutingRole.gateway))
     calls: list[asyncio.Task[CallResult]] = []
     while time.monotonic() < end_s:
         calls.append(asyncio.create_task(scene.caller.call(next(gateways), _ROUTE, next(body_of))))
-        # The pace of the callers, no wait for anything.
+        # The interval between calls; nothing is waited for.
         await asyncio.sleep(period_s)
     return await asyncio.gather(*calls)
 
@@ -179,7 +179,7 @@
     assert all(result.status == 200 for result in results), results
 
 
-# Who knows of it
+# Spread of the quarantine
 
 
 def _call_many(scene: Scene, gateways: list[HostProcess], route: str) -> list[CallResult]:
--- a/troutstand/tests/steps/crashes.py
+++ b/troutstand/tests/steps/crashes.py
@@ -1,4 +1,4 @@
-"""End targets under requests, and see who is blamed for it."""
+"""Crash targets while they run requests, and check which requests are suspected."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 _RUN_S = 0.1
 _LATE_REPORT_S = 0.02
-# Longer than a list shows a target that has ended, and than an answer's loss counts.
+# Longer than a list shows a crashed target, and than a lost answer is counted.
 _BACK_S = 6.0
 _OBJECTIVE_S = 20.0
 _REMAINING_S = 60.0
@@ -51,7 +51,7 @@
 
 
 def _run(desk: Desk, body: str) -> str:
-    """Let a request run for a while, and return it."""
+    """Run a request for a while, and return it."""
     request = _arrive(desk, body)
     assert request in desk.placed, desk.declined
     desk.pass_time(_RUN_S)
@@ -64,7 +64,7 @@
         desk = context.desk
         _end(desk, _run(desk, body), body, Ending.broken, is_gone=True)
         desk.pass_time(_BACK_S)
-    # The last end is judged at the time when it happens.
+    # The last crash is evaluated at its own time.
     context.desk.now_s -= _BACK_S
 
 
@@ -124,7 +124,7 @@
 
 
 def _run_together(desk: Desk, turn: int, first: str, second: str) -> tuple[str, str]:
-    """Let two bodies run at one target, since the list shows no other meanwhile."""
+    """Run two bodies at one target, the only one in the list meanwhile."""
     only = desk.listed[turn : turn + 1]
     desk.dispatcher.update_targets(only, desk.now_s)
     pair = _arrive(desk, first), _arrive(desk, second)
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -1,4 +1,4 @@
-"""Drive the dispatcher on a clock of its own."""
+"""Drive the dispatcher on a virtual clock."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 class Desk:
-    """Hold a dispatcher, its clock and what it decided."""
+    """Hold a dispatcher, its clock and its decisions."""
 
     def __init__(self, targets: int, slots: int) -> None:
         self.quotas = Quotas(QuotaBounds())
@@ -65,7 +65,7 @@
         return name
 
     def collect(self) -> None:
-        """Take the decisions."""
+        """Store the pending decisions."""
         for decision in self.dispatcher.drain_decisions():
             match decision.answer:
                 case Placed(request, target):
@@ -80,7 +80,7 @@
         self.collect()
 
     def pass_time(self, length_s: float) -> None:
-        """Let time pass in small steps."""
+        """Advance the clock in small steps."""
         end_s = self.now_s + length_s
         while self.now_s < end_s:
             self.now_s += 0.05
@@ -368,7 +368,7 @@
 
 
 def _make_unfit(desk: Desk, count: int) -> None:
-    """Let requests wait that a slow open target would bring too late."""
+    """Queue requests that the open target would answer too late."""
     for _ in range(count):
         desk.arrive(prompt_tokens=10_000, output_tokens=1, objective_s=0.4)
 
--- a/troutstand/tests/steps/dispatchwaiting.py
+++ b/troutstand/tests/steps/dispatchwaiting.py
@@ -1,4 +1,4 @@
-"""Let requests wait for a busy target where an open one would make answers late."""
+"""Queue requests for a busy target if an open one would answer late."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/domaincrashes.py
+++ b/troutstand/tests/steps/domaincrashes.py
@@ -1,4 +1,4 @@
-"""End targets of a failure domain under requests, and see who is blamed for it."""
+"""Crash targets of a failure domain, and check which requests are suspected."""
 
 from __future__ import annotations
 
@@ -166,7 +166,7 @@
     context.driver = after
 
 
-# An engine that ends while it answers
+# An engine that crashes while it answers
 
 
 def _make_event(number: int) -> bytes:
--- a/troutstand/tests/steps/domainlimits.py
+++ b/troutstand/tests/steps/domainlimits.py
@@ -1,4 +1,4 @@
-"""Let targets of a failure domain name limits, and say that they leave."""
+"""Let targets of a failure domain announce rate limits and shutdowns."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/domainrests.py
+++ b/troutstand/tests/steps/domainrests.py
@@ -1,4 +1,4 @@
-"""Let targets of a failure domain ask for rest."""
+"""Let targets of a failure domain ask for a backoff."""
 
 from __future__ import annotations
 
@@ -58,13 +58,13 @@
 def _call_for(
     length_s: float, rate: int, call: Callable[[int], HttpResponse]
 ) -> list[HttpResponse]:
-    """Call at a steady pace and return what came of each call."""
+    """Send calls at a steady rate and return the results."""
     pending = []
     with ThreadPoolExecutor(_CALLERS) as pool:
         end_s = time.monotonic() + length_s
         while time.monotonic() < end_s:
             pending.append(pool.submit(call, len(pending)))
-            # The pace of the callers, no wait for anything.
+            # The interval between calls; nothing is waited for.
             time.sleep(1.0 / rate)
         return [future.result() for future in pending]
 
--- a/troutstand/tests/steps/follower.py
+++ b/troutstand/tests/steps/follower.py
@@ -1,4 +1,4 @@
-"""Follow keepers over links that carry answers slowly, without waiting for them."""
+"""Follow keepers over simulated slow links."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class SlowLinks:
-    """Answer asks whose patience lasts until the answer is whole."""
+    """Answer requests whose timeout is longer than the transfer."""
 
     def __init__(self, takes_s: float) -> None:
         self.takes_s = takes_s
@@ -35,7 +35,7 @@
         self.waited_s: list[float] = []
 
     async def ask(self, process: ProcessId, message: PeerMessage, timeout_s: float) -> PeerMessage:
-        """Answer as a keeper would, or time out; no time passes."""
+        """Answer like a keeper, or time out; no time passes."""
         self.waited_s.append(timeout_s)
         if timeout_s < self.takes_s:
             raise TroutstandError(ResultCode.LINK_TIMEOUT, process)
--- a/troutstand/tests/steps/hardload.py
+++ b/troutstand/tests/steps/hardload.py
@@ -1,4 +1,4 @@
-"""Replay loads that exceed the room on a dispatcher with a clock of its own."""
+"""Replay overload on a dispatcher with a virtual clock."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/harness.py
+++ b/troutstand/tests/steps/harness.py
@@ -1,4 +1,4 @@
-"""Check what test processes share."""
+"""Check the helpers that test processes share."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def _run_together(processes: int, program: str, argument: str) -> list[list[str]]:
-    """Return what some processes print, each of which lives until all have printed."""
+    """Return the output of processes that each run until all have printed."""
     command = [sys.executable, "-c", program, argument]
     pipe = subprocess.PIPE
     children = [
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -1,4 +1,4 @@
-"""Drive limits and the retry budget on a clock of their own."""
+"""Drive rate limits and the retry budget on a virtual clock."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/limitshandover.py
+++ b/troutstand/tests/steps/limitshandover.py
@@ -1,4 +1,4 @@
-"""Hand what gateways took of limits over to schedulers that do not listen."""
+"""Hand over the limit usage of gateways to schedulers in memory."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 @dataclass
 class HeldPart:
-    """Hold one gateway's part of the limits."""
+    """Hold one gateway's share of the limits."""
 
     name: ProcessId
     levels: list[Level]
@@ -37,7 +37,7 @@
 
 
 class Clock:
-    """Stand for the clock of the schedulers."""
+    """Provide the clock of the schedulers."""
 
     now_s = 1000.0
 
@@ -47,7 +47,7 @@
 
 
 def _take_alone(count: int, share: float, clock: Clock) -> list[Level]:
-    """Return the levels of a gateway that decided alone and took a share of its part."""
+    """Return the usage of a gateway that decided locally and used part of its share."""
     quotas = Quotas(QuotaBounds(_WINDOW_S))
     quotas.share = 1.0 / count
     quotas.update_workspaces([_WORKSPACE], clock.now_s)
--- a/troutstand/tests/steps/links.py
+++ b/troutstand/tests/steps/links.py
@@ -1,4 +1,4 @@
-"""Watch what one link logs."""
+"""Check the log lines of one link."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/lives.py
+++ b/troutstand/tests/steps/lives.py
@@ -1,4 +1,4 @@
-"""Start targets again under their ids."""
+"""Restart targets under the same ids."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/models.py
+++ b/troutstand/tests/steps/models.py
@@ -1,4 +1,4 @@
-"""Search models."""
+"""Check models exhaustively."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/namedlimits.py
+++ b/troutstand/tests/steps/namedlimits.py
@@ -1,4 +1,4 @@
-"""Call routed sites whose targets name a limit of requests a second."""
+"""Call routed sites whose targets announce a rate limit."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/pacing.py
+++ b/troutstand/tests/steps/pacing.py
@@ -1,4 +1,4 @@
-"""Let targets name a limit of requests a second, on a clock of its own."""
+"""Let targets announce a rate limit, on a virtual clock."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 @when("gateway-1 and gateway-2 ask for all places for {length_s:g} s")
 def ask_all(context: Context, length_s: float) -> None:
-    """Ask for more than there are places, while t1 goes on naming its limit."""
+    """Place more requests than there are slots, while t1 keeps announcing its limit."""
     desk: Desk = context.desk
     context.sent_s = []
     state = desk.dispatcher.pools["work"].targets["t1"]
@@ -55,7 +55,7 @@
 
 
 def _end_all(desk: Desk, limit_per_s: float | None) -> None:
-    """Forget what waits, and end what runs with answers that name the limit."""
+    """Drop the waiting requests, and finish the running ones with answers that have the limit."""
     for name in list(desk.dispatcher.pools["work"].waiting):
         desk.dispatcher.abandon(name, desk.now_s)
     for name, target in list(desk.placed.items()):
--- a/troutstand/tests/steps/platform.py
+++ b/troutstand/tests/steps/platform.py
@@ -1,4 +1,4 @@
-"""Load the platform folder as its program does, and look at what it translates."""
+"""Load the platform folder like its program, and check its translations."""
 
 from __future__ import annotations
 
@@ -76,7 +76,7 @@
 }
 
 
-# What every entry of the platform's list carries.
+# Fields of every entry of the platform's list.
 LISTED: dict[str, object] = {
     "id": "i-1",
     "service": "s",
@@ -90,7 +90,7 @@
 
 
 def load_folder() -> tuple[Any, Any, Any]:
-    """Import the folder's modules as its program does."""
+    """Import the folder's modules like its program."""
     sys.path.insert(0, str(FOLDER))
     try:
         import wire_configuration
@@ -144,7 +144,7 @@
 
 
 def _is_telling(name: str) -> bool:
-    """Tell whether a name is the platform's own and no common word."""
+    """Return whether a name belongs to the platform and is not a common word."""
     if len(name) < _MIN_NAME or name == "last-event-id":
         return False
     return any(c.isupper() for c in name) or "-" in name or "/" in name
@@ -249,7 +249,7 @@
         "instances": [
             entry,
             {**entry, "id": "i-2", "state": "draining", "version": "", "born": "soon"},
-            # The platform's own entries carry all of these.
+            # The platform's own entries have all of these fields.
             *lacking,
         ]
     }
@@ -326,7 +326,7 @@
 
 
 def _fill(text: str, fields: dict[str, Any]) -> str:
-    """Fill the kinds of gap that the template uses, as the platform's page says."""
+    """Fill the placeholders that the template uses."""
 
     def fill_section(match: re.Match[str]) -> str:
         is_given = any(k.startswith(match.group(2)) for k in fields if fields[k])
--- a/troutstand/tests/steps/probes.py
+++ b/troutstand/tests/steps/probes.py
@@ -1,4 +1,4 @@
-"""Hold targets off for their failures, and see who is tried all the same."""
+"""Eject targets for their failures, and check which ones are probed."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/reach.py
+++ b/troutstand/tests/steps/reach.py
@@ -1,4 +1,4 @@
-"""Cut the way between failure domains, as endings tell a dispatcher."""
+"""Cut the network between failure domains, as seen in the endings of requests."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
     def place(
         self, source: str, excluded: list[str], is_repeatable: bool = False
     ) -> tuple[str, str]:
-        """Place a request and return it and its target; an empty text is none."""
+        """Place a request and return it and its target; an empty string is none."""
         self.count += 1
         request = f"r{self.count}"
         work = RoutedWork(
@@ -73,7 +73,7 @@
         return [a.target for a in answers if isinstance(a, Placed)]
 
     def send(self, source: str, target: str, ending: Ending, is_target_gone: bool = False) -> None:
-        """Send a request to one target, with the end that it gets."""
+        """Send a request to one target, with a given ending."""
         others = [t for t in self.dispatcher.pools[_SERVICE].targets if t != target]
         request, got = self.place(source, others)
         assert got == target, got
@@ -196,7 +196,7 @@
 
 
 def _count_probes(cut: Cut, source: str) -> int:
-    """Place requests that may be repeated and count those at targets that are held off."""
+    """Place repeatable requests and count those at ejected targets."""
     got = [cut.place(source, [], is_repeatable=True)[1] for _ in range(4)]
     placed = [target for target in got if target]
     assert placed, got
--- a/troutstand/tests/steps/registers.py
+++ b/troutstand/tests/steps/registers.py
@@ -30,7 +30,7 @@
 
 _REGISTER = RegisterName("register")
 _VALUE = b"value"
-# Longer than the decision may take, for the test's own process.
+# Scheduling delay of the test's own process.
 _MARGIN_S = 0.3
 
 
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -109,7 +109,7 @@
 
 
 class NoticeWatch:
-    """Keep what targets said of themselves, as a gateway does."""
+    """Store the notices of targets, like a gateway."""
 
     def __init__(self, looks_before_rest: int | None = None) -> None:
         self.book = NoticeStore()
@@ -124,7 +124,7 @@
         return self.book.get_block_reason(placed.target, placed.born_ms, time.monotonic())
 
     def handle_notice(self, request: str, notice: TargetNotice, sent_s: float) -> None:
-        """Take what the answer to a request, sent at a time, says of its target."""
+        """Handle the notice in the answer to a request."""
         self.book.record(notice, sent_s, time.monotonic())
 
 
@@ -177,7 +177,7 @@
 
 @given("the target asks for rest while the second request is under way")
 def ask_meanwhile(context: Context) -> None:
-    # One look before the first request, one before the second is written.
+    # One check before the first request, one before the second is written.
     context.looks_before_rest = 2
 
 
--- a/troutstand/tests/steps/reload.py
+++ b/troutstand/tests/steps/reload.py
@@ -1,4 +1,4 @@
-"""Tell processes to read their settings again as they begin and end."""
+"""Send reload signals to processes while they start and stop."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
     from behave.runner import Context
 
-# The interpreter takes 0.03 s of processor time until it runs the first line of ours.
+# Processor time of the interpreter before the first line of the program.
 _BEGUN_CPU_S = 0.12
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _GAP_S = 0.01
@@ -33,7 +33,7 @@
 
 
 def _tell_for(child: subprocess.Popen[bytes], length_s: float) -> None:
-    """Tell a process to reload each 10 ms for a while, or until it ends."""
+    """Send a reload signal every 10 ms for a while, or until the process ends."""
     end_s = time.monotonic() + length_s
     while child.poll() is None and time.monotonic() < end_s:
         child.send_signal(signal.SIGHUP)
--- a/troutstand/tests/steps/rest.py
+++ b/troutstand/tests/steps/rest.py
@@ -1,4 +1,4 @@
-"""Let targets ask for rest, or say that they leave, on a clock of its own."""
+"""Let targets ask for a backoff or announce a shutdown, on a virtual clock."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 _BEGAN_S = 100.0
 _PACE_S = 0.02
-# So many requests at once spread over three targets.
+# Requests at once, enough to use three targets.
 _TOGETHER = 3
 _NEW_LIFE_MS = 1_768_089_512_914
 
@@ -35,7 +35,7 @@
 
 
 def _fill(desk: Desk, targets: set[str]) -> None:
-    """Take every slot of some targets, and leave the others empty."""
+    """Fill every slot of some targets, and leave the others empty."""
     for _ in range(sum(t.slots for t in desk.listed)):
         desk.arrive("gateway-9", objective_s=60.0, remaining_s=60.0)
     for request in [r for r, target in desk.placed.items() if target not in targets]:
@@ -75,7 +75,7 @@
 def turn_away(context: Context, count: int) -> None:
     desk = context.desk
     for _ in range(count):
-        # Placed as if it were the first one, whatever came before.
+        # Placed as a first attempt, regardless of earlier ones.
         name = desk.arrive(GATEWAY, attempts=2, excluded=["t2", "t3"])
         while name not in desk.placed:
             desk.pass_time(0.05)
@@ -160,7 +160,7 @@
 
 
 def _place_some(desk: Desk, gateway: str, count: int, **fields: object) -> list[str]:
-    """Return the targets that a few requests get, which end at once."""
+    """Return the targets of a few requests that finish at once."""
     names = [desk.arrive(gateway, **fields) for _ in range(count)]
     found = [desk.placed[name] for name in names if name in desk.placed]
     for name in names:
@@ -237,11 +237,11 @@
     assert not desk.dispatcher.pools["work"].has_spare_capacity(desk.now_s)
 
 
-# The gateway's book
+# The gateway's notices
 
 
 def hear(context: Context, notice: TargetNotice, asked_s: float = _BEGAN_S) -> bool:
-    """Tell the book what the answer to a request said."""
+    """Record the notice in the answer to a request."""
     return context.book.record(notice, asked_s, max(asked_s, _BEGAN_S))
 
 
@@ -321,7 +321,7 @@
     assert (kept is None) == (judged == "let pass"), kept
 
 
-# What answers say
+# Headers of answers
 
 
 @when("an answer has status {status:d} and the headers {headers}")
--- a/troutstand/tests/steps/resting.py
+++ b/troutstand/tests/steps/resting.py
@@ -1,4 +1,4 @@
-"""Call routed sites whose targets ask to be left alone."""
+"""Call routed sites whose targets ask for a backoff."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 def open_scene(context: Context, scene: Scene) -> None:
-    """Start a site and wait until its gateways ask one scheduler."""
+    """Start a site and wait until its gateways use one scheduler."""
     context.scene = scene
     context.sites.append(scene)
     scene.open(next_subnet(context))
@@ -76,7 +76,7 @@
         while time.monotonic() < end_s:
             body = f"body {len(context.calls) + len(calls)}".encode()
             calls.append(asyncio.create_task(scene.caller.call(next(gateways), route, body)))
-            # The pace of the callers, no wait for anything.
+            # The interval between calls; nothing is waited for.
             await asyncio.sleep(1.0 / rate)
         return await asyncio.gather(*calls)
 
--- a/troutstand/tests/steps/rollouts.py
+++ b/troutstand/tests/steps/rollouts.py
@@ -1,4 +1,4 @@
-"""Drive the decisions of a rollout on a clock of their own."""
+"""Drive the decisions of a rollout on a virtual clock."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 _NUMBER = 7
 
 
-# The book
+# Stored rollouts
 
 
 @given('a rollout state in which "{version}" serves')
@@ -275,7 +275,7 @@
 
 
 class _Behaviour:
-    """Say how often the version on trial fails or is slow, as a scenario words it."""
+    """Describe how often the canary version fails or is slow, by a scenario's words."""
 
     def __init__(self, text: str) -> None:
         number = re.search(r"0\.\d+", text)
@@ -288,7 +288,7 @@
         self.from_s = 6.0 if "from 6 s" in text else 0.0
 
     def draw(self, rng: random.Random, outcome: Outcome, now_s: float) -> Outcome:
-        """Return an outcome as this version would bring it about."""
+        """Return a random outcome of this version."""
         if self.is_one_target:
             fails = outcome.is_canary and outcome.target.endswith("0")
             return Outcome(outcome.route, outcome.target, outcome.is_canary, fails, False)
--- a/troutstand/tests/steps/routed.py
+++ b/troutstand/tests/steps/routed.py
@@ -1,4 +1,4 @@
-"""Run routed sites of real processes and break them."""
+"""Run routed sites of real processes and inject faults."""
 
 from __future__ import annotations
 
@@ -26,10 +26,10 @@
     from troutstand.testing.routedcaller import CallResult
 
 _PACE_S = 0.03
-# Longer than any process has to stop.
+# Longer than the stop timeout of any process.
 _LONG_S = 30.0
 _ANSWERS = 10
-# Calls that end between two faults, so that each fault meets some.
+# Calls that must end between two faults, so that each fault affects some.
 _STAGE_ANSWERS = 30
 
 
@@ -90,14 +90,14 @@
     while not breaking.done():
         for gateway in gateways:
             calls.append(asyncio.create_task(scene.caller.call(gateway, route, b"x")))
-        # The pace of the callers, no wait for anything.
+        # The interval between calls; nothing is waited for.
         await asyncio.sleep(_PACE_S)
     await breaking
     await asyncio.gather(*calls)
 
 
 def read_deciders(scene: Scene) -> set[str]:
-    """Return whom the gateways' logs name last as deciding; nothing is an empty text."""
+    """Return the deciders that the gateways' logs name last; empty if none."""
     deciders = set()
     for gateway in scene.site.list_role(RoutingRole.gateway):
         changes = re.findall(r"event=scheduler_changed .*now=(\S+)", gateway.log.read_text())
@@ -128,7 +128,7 @@
 
 
 async def _wait_answers(scene: Scene, count: int) -> None:
-    """Wait until so many more calls have ended."""
+    """Wait until a number of further calls have ended."""
     most = len(scene.caller.results) + count
 
     async def has_answers() -> bool:
@@ -239,14 +239,14 @@
 
 @dataclass(frozen=True)
 class StoppedAmid:
-    """Tell of a gateway that was stopped amid a call, and how long its end took."""
+    """Describe a gateway that was stopped during a call, and how long it took to exit."""
 
     request: str
     took_s: float
 
 
 async def _stop_busy(scene: Scene) -> StoppedAmid:
-    """Stop a gateway amid a call."""
+    """Stop a gateway during a call."""
     gateway = scene.site.processes["gateway-1"]
     call = asyncio.create_task(scene.caller.call(gateway, "/do/", b"x", deadline_s=_LONG_S))
 
@@ -310,7 +310,7 @@
         assert result.status != 200 or result.body == _join_events(result), result
 
 
-# Connections at rest
+# Idle connections
 
 
 async def _rest(scene: Scene, count: int) -> list[float]:
@@ -319,7 +319,7 @@
     host, _, port = gateway.settings.callers.rpartition(":")
     opened = [await asyncio.open_connection(host, int(port)) for _ in range(count)]
     began_s = time.monotonic()
-    # One call keeps the gateway from ending before the connections are looked at.
+    # One call keeps the gateway running until the connections are checked.
     for target in scene.targets:
         target.work_s = 1.7
     call = asyncio.create_task(scene.caller.call(gateway, "/do/", b"x"))
@@ -397,7 +397,7 @@
 
 # Speeds
 
-# More than one engine takes, so that each gets some.
+# More than one engine can take, so that each gets some.
 _AT_ONCE = 6
 
 
--- a/troutstand/tests/steps/routedcallers.py
+++ b/troutstand/tests/steps/routedcallers.py
@@ -1,4 +1,4 @@
-"""Call routed sites that know nothing yet, and leave them early."""
+"""Call routed sites before they are configured, and disconnect early."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 async def _list_listening(scene: Scene) -> list[str]:
-    """Wait until every gateway takes connections."""
+    """Wait until every gateway accepts connections."""
     names = []
     for gateway in scene.site.list_role(RoutingRole.gateway):
 
@@ -88,10 +88,10 @@
         asyncio.create_task(scene.caller.call(gateway, "/do/", deadline_s=_ANSWER_S))
         for _ in range(waiting)
     ]
-    # Time for the last ones to come into the queue; nothing tells of that from outside.
+    # Time for the last ones to enter the queue, which is not visible from outside.
     await asyncio.sleep(0.1)
-    # Those that wait go first: a slot that gets free is for a caller that is still there,
-    # and their gateway may learn of the others' leaving a turn of its loop earlier.
+    # The waiting ones disconnect first: otherwise a released slot could go to one of them
+    # before its gateway has seen its disconnect.
     for call in reversed(calls):
         call.cancel()
     await asyncio.wait(calls)
--- a/troutstand/tests/steps/routedcontrol.py
+++ b/troutstand/tests/steps/routedcontrol.py
@@ -108,7 +108,7 @@
 
 
 async def _count_voting(scene: Scene, name: str, before: int) -> bool:
-    """Tell whether a keeper's set came to name its disk as a voter since a place in its log."""
+    """Return whether a keeper's disk became a voter after a position in its log."""
     log = scene.site.processes[name].log.read_text()[before:]
     own = f"{scene.site.processes[name].settings.ip}:7600/voting"
     return any("event=keeper_set_decided" in line and own in line for line in log.splitlines())
--- a/troutstand/tests/steps/routedload.py
+++ b/troutstand/tests/steps/routedload.py
@@ -1,4 +1,4 @@
-"""Call routed sites of real processes for more than fits."""
+"""Overload routed sites of real processes."""
 
 from __future__ import annotations
 
@@ -88,7 +88,7 @@
     calls: list[asyncio.Task[CallResult]] = []
     began_s = time.monotonic()
     for number in range(int(per_s * length_s)):
-        # The pace of the callers, no wait for anything.
+        # The interval between calls; nothing is waited for.
         await asyncio.sleep(max(0.0, began_s + number / per_s - time.monotonic()))
         call = scene.caller.call(next(gateways), route, b"x", key, deadline_s=limit_s)
         calls.append(asyncio.create_task(call))
@@ -123,7 +123,7 @@
             asyncio.create_task(_pace(context, "/do/", key, per_s, length_s, _CALL_S))
             for key in keys
         ]
-        # What a slot's time is must be learnt before it is short.
+        # The slot time must be known before the overload.
         await asyncio.sleep(_LEARN_S)
         own = _pace(context, "/do/", _name_key(_LIGHT), light, length_s - _LEARN_S, _CALL_S)
         context.light = await own
--- a/troutstand/tests/steps/routedrollouts.py
+++ b/troutstand/tests/steps/routedrollouts.py
@@ -34,7 +34,7 @@
     context.scene = Scene(make_folder(context), version)
     context.sites.append(context.scene)
     context.scene.open(next_subnet(context))
-    # The first list that a scheduler reads tells which version serves.
+    # The first list that a scheduler reads defines the stable version.
     context.scene.background.run(
         wait_until(lambda: _is_noted(context.scene, version), "the version in force is decided")
     )
@@ -291,7 +291,7 @@
 
 
 def _run_rollout(context: Context, *arguments: str) -> subprocess.CompletedProcess[str]:
-    """Run troutstandctl; the first keeper that it is told of does not exist."""
+    """Run troutstandctl with an unreachable first keeper."""
     site = context.scene.site
     keepers = ["127.0.0.1:9", *_list_keepers(context)]
     options = [part for keeper in keepers for part in ("--keeper", keeper)]
--- a/troutstand/tests/steps/routedstartup.py
+++ b/troutstand/tests/steps/routedstartup.py
@@ -23,7 +23,7 @@
 
 
 def prepare(context: Context) -> RoutedSite:
-    """Lay out a site without starting it."""
+    """Prepare a site without starting it."""
     targets = StandInList([])
     targets.address = "127.0.0.1:80"
     plan = RoutedPlan(subnet=next_subnet(context))
@@ -33,7 +33,7 @@
 
 
 def make_settings(context: Context, role: str) -> dict[str, Any]:
-    """Make settings without a fault."""
+    """Make valid settings."""
     process = prepare(context).list_role(RoutingRole(role))[0]
     plain = msgspec.to_builtins(process.settings)
     plain["seeds"] = plain["seeds"][:1]
@@ -41,7 +41,7 @@
 
 
 def spoil(plain: dict[str, Any], field: str, value: str) -> None:
-    """Put a value into a field, or behind the seeds."""
+    """Set a field, or append to the seeds."""
     if field.startswith("seeds"):
         plain["seeds"].append(value)
     else:
@@ -87,7 +87,7 @@
 
 
 def wait_logged(context: Context, text: str) -> str:
-    """Return the first line of the process's log that holds a text."""
+    """Return the first line of the process's log that contains a text."""
     end_s = time.monotonic() + _LOG_S
     while time.monotonic() < end_s:
         for line in context.process.log.read_text().splitlines():
--- a/troutstand/tests/steps/scheduler.py
+++ b/troutstand/tests/steps/scheduler.py
@@ -48,7 +48,7 @@
         self.set_rows(rows)
 
     def set_rows(self, rows: list[Row]) -> None:
-        """Put rows into force."""
+        """Apply table rows."""
         for row in rows:
             self.table.rows[get_row_id(row)] = row
         self.scheduler.update_table(self.table)
@@ -70,13 +70,13 @@
         self.take(self.scheduler.finish(finished, self.now_s))
 
     def advance(self, seconds: float) -> None:
-        """Let time pass in ticks."""
+        """Advance the clock in ticks."""
         for _ in range(round(seconds / 0.05)):
             self.now_s += 0.05
             self.take(self.scheduler.tick(self.now_s))
 
     def take(self, sends: list[Send]) -> None:
-        """Note what the scheduler sent, one message after the other."""
+        """Record the messages of the scheduler, one by one."""
         for send in sends:
             match send.message:
                 case Grant(request, target):
@@ -87,7 +87,7 @@
                     self.shed[request] = send.message
                 case Preempt(request):
                     self.preempted.append(request)
-        # Decisions of one call stand together: they are sent at one time.
+        # The decisions of one call are sent at the same time.
         for send in sends:
             if isinstance(send.message, Shed):
                 self.check_inversion(send.message.request)
@@ -97,7 +97,7 @@
         return int(self.asks[request].tier[1:])
 
     def check_inversion(self, request: str) -> None:
-        """Note whether lower work was still served when a request was shed."""
+        """Record whether lower tiers were served when a request was shed."""
         running = [other for other in self.granted if other not in self.preempted]
         waiting = [other for other in self.asks if self.scheduler.is_waiting(other)]
         lower = [o for o in running + waiting if self.rank(o) > self.rank(request)]
@@ -193,7 +193,7 @@
     assert min(times) > 0 and len(times) > len(context.driver.shed) // 2, times
 
 
-# Prefixes, health and leaving
+# Prefixes, health and draining
 
 
 def submit_prompt(driver: Driver, request: str) -> None:
--- a/troutstand/tests/steps/schedulerwatch.py
+++ b/troutstand/tests/steps/schedulerwatch.py
@@ -1,4 +1,4 @@
-"""Judge heartbeats on a clock that stands still."""
+"""Evaluate heartbeats on a fixed clock."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/serving.py
+++ b/troutstand/tests/steps/serving.py
@@ -1,4 +1,4 @@
-"""Break answers, stop hosts and cut domains of real sites."""
+"""Corrupt answers, stop hosts and cut failure domains of real sites."""
 
 from __future__ import annotations
 
@@ -76,11 +76,11 @@
 
 
 def set_fault(site: Site, engine: str, fault: Fault) -> None:
-    """Have an engine misbehave."""
+    """Inject a fault into an engine."""
     data = (site.folder / f"{engine}.json").read_bytes()
     settings = msgspec.json.decode(data, type=EngineSettings)
     address = Address(settings.ip, settings.port)
-    # On a busy machine the site serves before an engine that nobody asked yet listens.
+    # On a busy machine an engine without requests may not listen yet.
     fetched = wait_for(lambda: _try_fetch(address, fault), f"{engine} to listen")
     assert fetched.status == 200, fetched
 
@@ -157,7 +157,7 @@
 
 
 def read_started(site: Site, engine: str) -> list[EngineRecord]:
-    """Read what an engine started."""
+    """Read the requests that an engine started."""
     lines = (site.folder / f"{engine}.records").read_bytes().splitlines()
     records = [msgspec.json.decode(line, type=EngineRecord) for line in lines]
     return [record for record in records if record.event == "started"]
@@ -194,7 +194,7 @@
     assert error["run"] == run, error
 
 
-# Stopping and leaving
+# Stops and drains
 
 
 @when("{count:d} streams run and the scheduler's process is drained")
--- a/troutstand/tests/steps/sites.py
+++ b/troutstand/tests/steps/sites.py
@@ -1,4 +1,4 @@
-"""Break real processes and compare what was told with what ran."""
+"""Inject faults into real processes and compare the responses with what ran."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 def get_site(context: Context) -> Site:
-    """Start the scenario's site once its plan is settled."""
+    """Start the scenario's site when its plan is complete."""
     if context.site is None:
         context.site = start_site(context, context.plan)
         for domain in ("north", "south", "west"):
@@ -311,7 +311,7 @@
 
 
 def try_edit(site: Site, edit_id: str, process: str) -> str:
-    """Accept an edit of version 1 and tell the answer."""
+    """Accept an edit of version 1 and return the answer."""
     try:
         return f"version {site.operator().accept(process, edit_id, 1, [Model(edit_id)]).version}"
     except AdminApiError as refusal:
--- a/troutstand/tests/steps/soak.py
+++ b/troutstand/tests/steps/soak.py
@@ -1,4 +1,4 @@
-"""Doctor records of soaks, and play short ones."""
+"""Check altered soak records, and run short soaks."""
 
 from __future__ import annotations
 
@@ -57,7 +57,7 @@
         runs=[
             make_run("c1", "t1", 1.0, 10),
             make_run("c3", "t1", 3.0, 10),
-            # What may be repeated may run twice, and be refused after that.
+            # A repeatable request may run twice and be refused afterwards.
             make_run("c4", "t1", 4.0),
             make_run("c4", "t2", 4.1),
             make_run("c5", "t1", 50.0),
@@ -96,7 +96,7 @@
 
 
 def _limit(record: SoakRecord, arrivals: int, knows: bool = True, limit: str = "1") -> None:
-    """Let a target name 1 request a second, and requests come within 3 s later."""
+    """Record a limit of 1 request a second, and requests within 3 s of it."""
     _arrive(record, 10.0, limit="1")
     teller = record.calls[-1]
     if not knows:
--- a/troutstand/tests/steps/speed.py
+++ b/troutstand/tests/steps/speed.py
@@ -1,4 +1,4 @@
-"""Feed first bytes of known targets to the estimate of reading speeds."""
+"""Feed times to first byte to the estimate of prefill speeds."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/startup.py
+++ b/troutstand/tests/steps/startup.py
@@ -19,7 +19,7 @@
 
 
 def prepare(context: Context) -> Site:
-    """Lay out a site without starting it."""
+    """Prepare a site without starting it."""
     site = Site(make_folder(context), SitePlan(entries=(2,), engine_speeds=(), services=0))
     site.prepare()
     return site
--- a/troutstand/tests/steps/starvedtier.py
+++ b/troutstand/tests/steps/starvedtier.py
@@ -1,4 +1,4 @@
-"""Replay loads in which higher tiers ask for more than fits, on a virtual clock."""
+"""Replay overload by higher tiers on a virtual clock."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     from behave.runner import Context
 
 _LENGTH_S = 20.0
-# The first requests meet an idle service.
+# The service is idle at first.
 _SETTLED_S = 2.0
 _LONG_S = 0.3
 _SHORT_S = 0.03
--- a/troutstand/tests/steps/succession.py
+++ b/troutstand/tests/steps/succession.py
@@ -1,4 +1,4 @@
-"""Drive the rules of the keeper set on a clock of their own."""
+"""Drive the rules of the keeper set on a virtual clock."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -1,4 +1,4 @@
-"""Let dispatchers begin with what others leave them."""
+"""Start dispatchers with the state of others."""
 
 from __future__ import annotations
 
--- a/troutstand/tests/steps/targetpages.py
+++ b/troutstand/tests/steps/targetpages.py
@@ -1,4 +1,4 @@
-"""Spoil entries of the list of targets."""
+"""Corrupt entries of the target list."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
         self.decode = decode_default_targets if is_own else targets.decode_targets
 
     def make(self, **fields: object) -> dict[str, object]:
-        """Make a sound entry with other values."""
+        """Make a valid entry with other values."""
         return {**self.entry, **fields}
 
     def write(self, entries: list[bytes], token: str | None = "p-2") -> bytes:
@@ -59,11 +59,11 @@
         return b'{"' + self.form.entries.encode() + b'":[' + listed + b"]," + tail
 
     def write_between(self, odd: bytes) -> bytes:
-        """Write a page with something between two sound entries."""
+        """Write a page with something between two valid entries."""
         return self.write([self.encode("a"), odd, self.encode("b")])
 
     def encode(self, name: str) -> bytes:
-        """Write a sound entry."""
+        """Write a valid entry."""
         return json.dumps(self.make(**{self.form.target: name})).encode()
 
 
@@ -115,11 +115,11 @@
     assert page.next_token == "p-2", page
 
 
-# Drawn entries
+# Random entries
 
 
 def _make_settings(count: int) -> settings:
-    """Make settings that draw the same cases in each run."""
+    """Make settings that generate the same cases in each run."""
     return settings(
         max_examples=count,
         deadline=None,
@@ -138,7 +138,7 @@
 
 @st.composite
 def draw_entry(draw_one: Any, entry: dict[str, object], name: str) -> dict[str, object]:
-    """Draw an entry of which a field is missing or has another value."""
+    """Return a random entry with a field missing or changed."""
     odd = {**entry, name: "odd"}
     for key in draw_one(st.lists(st.sampled_from(sorted(odd)), min_size=1, max_size=4)):
         if draw_one(st.booleans()):
@@ -174,7 +174,7 @@
 
 
 def _drop_nan(values: list[object]) -> list[object]:
-    """Return values that JSON can hold: what is no number becomes null."""
+    """Return JSON values; NaN and infinity become null."""
     return json.loads(re.sub(r"-?Infinity|NaN", "null", json.dumps(values)))
 
 
@@ -199,7 +199,7 @@
     check()
 
 
-# What stays known
+# Entries that stay known
 
 
 def _list_entry(name: str) -> ListedTarget:
--- a/troutstand/tests/steps/trace.py
+++ b/troutstand/tests/steps/trace.py
@@ -27,8 +27,7 @@
 
 _TRACES = Path(__file__).resolve().parents[3] / "traces"
 _SEED = 3
-# Steps that a trace must hold for its replay to tell anything, and the loads that may
-# be needed to record them.
+# Minimum steps of a trace, and the maximum number of loads to record them.
 _LEAST_COMPARED = 50
 _MOST_LOADS = 4
 _OUTCOMES = {
@@ -43,7 +42,7 @@
     site = context.site = share_site(context)
     context.scheduler = site.find_scheduler("north")
     load = LoadGenerator([site.callers[name] for name in site.entries])
-    # On a busy machine fewer messages come one by one, so that one load may be too little.
+    # On a busy machine more messages are batched, so one load may not be enough.
     for seed in range(_SEED, _SEED + _MOST_LOADS):
         asyncio.run(load.run(RequestSampler(DONOR, seed).draw(40.0, 2.0)))
         if replay_trace(read_trace(context))[0] > _LEAST_COMPARED:
@@ -64,7 +63,7 @@
 
 
 def rename_granted(line: bytes) -> bytes:
-    """Name another target in a step's first grant and leave what came as it was."""
+    """Change the target in a step's first grant and keep its inputs."""
     plain = json.loads(line)
     plain["sends"][0]["message"]["target"] = "another"
     return json.dumps(plain).encode()
--- a/troutstand/tests/steps/worstload.py
+++ b/troutstand/tests/steps/worstload.py
@@ -67,7 +67,7 @@
     assert default is DEFAULT_TIER_ORDER, default
 
 
-# Many that wait
+# Long queues
 
 _SLOTS = 2
 _MEMORY_TOKENS = 10_000
@@ -83,7 +83,7 @@
 
 @given("{waiting:d} requests wait, and {open_engines:d} engines are open that suit none of them")
 def fill(context: Context, waiting: int, open_engines: int) -> None:
-    """Leave room in some engines' slots, but not in their memory."""
+    """Leave free slots in some engines, but no free memory."""
     desk = context.desk = Desk(_ENGINES, _SLOTS)
     pool = desk.dispatcher.pools["work"]
     pool.memory_tokens = _MEMORY_TOKENS
