Do not hold late requests because promoted ones run

What callers of higher tiers saw, with the minimum for lower tiers: requests that could not be in time were held and then refused all the same.

Cause: a late request is held with the optimistic estimate of its wait while lower tiers wait or run, since refusing it would favour them. Promoted requests of the lowest tier run nearly always under a lasting overload, so that the honest estimate was hardly ever used. But they have only their minimum, which no refusal of a higher tier gives them.

Change: promoted requests do not count as lower tiers that wait or run. The new scenario fails on the code before (True where no lower tier is served).

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -414,7 +414,14 @@
             is_promoted=waiting.promoted_slot_s is not None,
         )
         run = RunningRequest(
-            work, waiting.owner, now_s, uncached, expected_s, ahead, share=waiting.share
+            work,
+            waiting.owner,
+            now_s,
+            uncached,
+            expected_s,
+            ahead,
+            share=waiting.share,
+            is_promoted=inputs.is_promoted,
         )
         state.start(run)
         state.report.record_sent(now_s)
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -89,7 +89,7 @@
     shares: ServiceShares = field(default_factory=ServiceShares)
     tier_service: TierService = field(default_factory=TierService)
     tier_minimum: TierMinimum = field(init=False)
-    # Lowest shed tier among running and waiting requests; None without any.
+    # Lowest shed tier among running and waiting requests that are not promoted; None without any.
     lowest_shed_tier: int | None = None
 
     def __post_init__(self) -> None:
@@ -405,10 +405,14 @@
         return self._typical_prefill_speed.estimate(work.prompt_tokens)
 
     def update_tier_demand(self, now_s: float) -> None:
-        """Update the demand of the tiers and the lowest tier that waits or runs."""
+        """Update the demand of the tiers and the lowest tier that waits or runs.
+
+        Promoted requests do not count: they have only the minimum of their tier.
+        """
         self.headroom.update(now_s)
-        running = (run.work for t in self.targets.values() for run in t.running.values())
-        waiting = (waiting.work for waiting in self.waiting.list_all())
+        runs = (run for t in self.targets.values() for run in t.running.values())
+        running = (run.work for run in runs if not run.is_promoted)
+        waiting = (w.work for w in self.waiting.list_all() if w.promoted_slot_s is None)
         self.lowest_shed_tier = max((get_shed_tier(w) for w in (*running, *waiting)), default=None)
 
     def has_lower_tier(self, waiting: WaitingRequest) -> bool:
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -44,6 +44,8 @@
     tokens_ahead: float = 0.0
     has_first_byte: bool = False
     share: ShareTag = UNSHARED
+    # Whether it took its slot by the minimum of its tier.
+    is_promoted: bool = False
 
 
 @dataclass
--- a/troutstand/tests/starvedtier.feature
+++ b/troutstand/tests/starvedtier.feature
@@ -59,6 +59,18 @@
     Then the next request of 0.3 s of tier 1 is promoted
     And the one after it is not
 
+  # Guards against late requests of a higher tier that are held in vain, since a lower tier that
+  # has only its minimum counts as served before them.
+  Scenario Outline: A lower tier counts as served before a higher one unless it is promoted
+    Given a dispatcher that <history> tier 2, and serves tier 0
+    When a request of tier 2 is placed
+    Then tier 1 has <lower> tier that is served
+
+    Examples:
+      | history | lower    |
+      | refused | no lower |
+      | served  | a lower  |
+
   Scenario Outline: A tier is promoted to a quarter of the served share of those above
     Given a service where tier 0 is served in <share> of its requests
     When tier 1 asks for 100 requests, and those that are not promoted are refused
--- a/troutstand/tests/steps/starvedtier.py
+++ b/troutstand/tests/steps/starvedtier.py
@@ -9,9 +9,14 @@
 
 from behave import given, then, when
 
+from troutstand.core.dispatch import Dispatcher
+from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.retrybudget import RetryBudget
 from troutstand.core.scheduling.options import LoadOptions
 from troutstand.core.scheduling.tierminimum import TierMinimum
 from troutstand.core.scheduling.tierservice import TierService
+from troutstand.core.scheduling.waitingqueue import WaitingRequest
+from troutstand.generated.messages import ListedState, ListedTarget, Placed, RoutedWork
 from troutstand.testing.virtualload import (
     Job,
     JobOutcome,
@@ -23,6 +28,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+_SERVICE = "work"
 _LENGTH_S = 20.0
 # The service is idle at first.
 _SETTLED_S = 2.0
@@ -209,6 +215,42 @@
     assert not context.minimum.promote(1, _LONG_S, context.slots, 0.0)
 
 
+@given("a dispatcher that {history} tier 2, and serves tier 0")
+def use_dispatcher(context: Context, history: str) -> None:
+    context.dispatcher = Dispatcher(
+        Quotas(QuotaBounds()),
+        RetryBudget(0.2, 50.0, 10.0),
+        options=LoadOptions(protects_tiers=True),
+    )
+    listed = ListedTarget("t0", _SERVICE, "127.0.0.1:1", "north", 4, ListedState.ready)
+    context.dispatcher.update_targets([listed], 0.0)
+    context.service = context.dispatcher.pools[_SERVICE].tier_service
+    _record(context, 0, placed=100, refused=0)
+    served = 100 if history == "served" else 0
+    _record(context, 2, placed=served, refused=100 - served)
+
+
+def _make_work(request: str, tier: int) -> RoutedWork:
+    return RoutedWork(
+        request, _SERVICE, tier=tier, objective_s=_OBJECTIVE_S, remaining_s=_DEADLINE_S
+    )
+
+
+@when("a request of tier {tier:d} is placed")
+def place_one(context: Context, tier: int) -> None:
+    context.dispatcher.place(_make_work("first", tier), "gateway", 0.0)
+    (decision,) = context.dispatcher.drain_decisions()
+    assert isinstance(decision.answer, Placed), decision
+    context.dispatcher.tick(0.05)
+
+
+@then("tier {tier:d} has {lower} tier that is served")
+def check_lower(context: Context, tier: int, lower: str) -> None:
+    waiting = WaitingRequest(_make_work("second", tier), "gateway", 0.05, _DEADLINE_S)
+    has_lower = context.dispatcher.pools[_SERVICE].has_lower_tier(waiting)
+    assert has_lower is (lower == "a lower"), has_lower
+
+
 @given("a service where tier 0 is served in {share:g} of its requests")
 def use_served_tier(context: Context, share: float) -> None:
     _use_service(context, slots=1000)
