--- a/troutstand/core/admissionqueue.py
+++ b/troutstand/core/admissionqueue.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     import random
 
+    from troutstand.core.limits.quota import Quotas
     from troutstand.core.pool import Pool
-    from troutstand.core.quota import Quotas
     from troutstand.core.scheduling.options import LoadOptions
     from troutstand.core.scheduling.waitingqueue import WaitingRequest
     from troutstand.generated.messages import RoutedWork
--- a/troutstand/core/crashadmission.py
+++ b/troutstand/core/crashadmission.py
@@ -14,8 +14,8 @@
     import random
 
     from troutstand.core.crashtracker import CrashTracker, Quarantine
+    from troutstand.core.limits.quota import Quotas
     from troutstand.core.pool import Pool
-    from troutstand.core.quota import Quotas
     from troutstand.core.scheduling.options import LoadOptions
     from troutstand.core.targetstate import RunningRequest
     from troutstand.generated.messages import Ended, RoutedWork
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -12,9 +12,9 @@
 from troutstand.core.crashadmission import CrashAdmission
 from troutstand.core.crashtracker import CrashTracker, Suspicion
 from troutstand.core.decision import Decision, PlacedInputs
+from troutstand.core.limits.quota import QuotaDecision, Verdict
 from troutstand.core.partcrashes import MAX_EXCLUSIVE_S
 from troutstand.core.pool import Pool
-from troutstand.core.quota import QuotaDecision, Verdict
 from troutstand.core.reachability import Reachability
 from troutstand.core.rollouts.admission import Admission
 from troutstand.core.scheduling.options import LoadOptions
@@ -30,9 +30,9 @@
 
     from troutstand.core.configuration import RouteTable
     from troutstand.core.ids import PartId
+    from troutstand.core.limits.quota import Quotas
+    from troutstand.core.limits.retrybudget import RetryBudget
     from troutstand.core.partevidence import PartEvidence
-    from troutstand.core.quota import Quotas
-    from troutstand.core.retrybudget import RetryBudget
     from troutstand.core.scheduling.serviceshares import ShareTag
     from troutstand.generated.messages import (
         Ended,
--- a/troutstand/core/domainview.py
+++ b/troutstand/core/domainview.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from troutstand.core.limits.workspaceusage import WorkspaceUsage
 from troutstand.core.runningload import RunningLoad
 from troutstand.core.targetestimate import Running, TargetEstimate
-from troutstand.core.workspaceusage import WorkspaceUsage
 from troutstand.generated.table import Target, Tier, Workspace
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/troutstand/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limit what workspaces, retries and targets may use."""
--- a/troutstand/core/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from troutstand.core.slidingwindow import SlidingWindow
+from troutstand.core.limits.slidingwindow import SlidingWindow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/troutstand/core/selfreport.py
+++ b/troutstand/core/selfreport.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.backoff import Backoff
-from troutstand.core.ratelimiter import RateLimiter
+from troutstand.core.limits.ratelimiter import RateLimiter
 from troutstand.generated.messages import TargetNotice
 
 if TYPE_CHECKING:
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -15,10 +15,10 @@
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.noticestore import NoticeStore
 from troutstand.core.partisolation import PartIsolation
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -9,8 +9,8 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.gatewayregistry import GATEWAY_TIMEOUT_S, GatewayRegistry
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
--- a/troutstand/testing/crashsimulation.py
+++ b/troutstand/testing/crashsimulation.py
@@ -12,8 +12,8 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Declined,
     Ended,
--- a/troutstand/testing/worstload.py
+++ b/troutstand/testing/worstload.py
@@ -15,8 +15,8 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.tiers import rank_tiers
 from troutstand.generated.messages import (
     Declined,
--- a/troutstand/tests/steps/dispatch.py
+++ b/troutstand/tests/steps/dispatch.py
@@ -9,8 +9,8 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import RouteTable
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.speed import PrefillFit, PrefillSpeed
 from troutstand.core.targetstate import TargetState
 from troutstand.core.tiers import DEFAULT_TIER_ORDER, rank_tiers
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -6,8 +6,8 @@
 
 from behave import given, then, when
 
-from troutstand.core.quota import QuotaBounds, Quotas, Verdict
-from troutstand.core.retrybudget import RetryBudget
+from troutstand.core.limits.quota import QuotaBounds, Quotas, Verdict
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.configuration import RoutedWorkspace
 
 if TYPE_CHECKING:
--- a/troutstand/tests/steps/limitshandover.py
+++ b/troutstand/tests/steps/limitshandover.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from troutstand.core.ids import ProcessId
-from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.limits.quota import QuotaBounds, Quotas
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.messages import AttachAsk, Attached, Level
 from troutstand.tests.steps.attaching import make_scheduler
--- a/troutstand/tests/steps/pacing.py
+++ b/troutstand/tests/steps/pacing.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from troutstand.core.ratelimiter import RateLimiter
+    from troutstand.core.limits.ratelimiter import RateLimiter
     from troutstand.tests.steps.dispatch import Desk
 
 _WINDOW_S = 4.0
--- a/troutstand/tests/steps/reach.py
+++ b/troutstand/tests/steps/reach.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.quota import QuotaBounds, Quotas
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.reachability import Link
-from troutstand.core.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Ended,
     Ending,
--- a/troutstand/tests/steps/starvedtier.py
+++ b/troutstand/tests/steps/starvedtier.py
@@ -10,8 +10,8 @@
 from behave import given, then, when
 
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.scheduling.options import LoadOptions
 from troutstand.core.scheduling.tierminimum import TierMinimum
 from troutstand.core.scheduling.tierservice import TierService
--- a/troutstand/tests/steps/takeover.py
+++ b/troutstand/tests/steps/takeover.py
@@ -12,9 +12,9 @@
 
 from troutstand.core.configuration import RouteTable
 from troutstand.core.dispatch import Dispatcher
+from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.observedspeeds import ObservedSpeeds
-from troutstand.core.quota import QuotaBounds, Quotas
-from troutstand.core.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Declined,
     Ended,
