--- a/troutstand/core/crashadmission.py
+++ b/troutstand/core/crashes/crashadmission.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.admissionqueue import AdmissionQueue
-from troutstand.core.crashtracker import MAX_ISOLATED, Suspicion
+from troutstand.core.crashes.crashtracker import MAX_ISOLATED, Suspicion
+from troutstand.core.crashes.partisolation import PartIsolation, list_crash_parts
 from troutstand.core.decision import Decision, decline_quarantined
-from troutstand.core.partisolation import PartIsolation, list_crash_parts
 from troutstand.generated.messages import Ending
 
 if TYPE_CHECKING:
     import random
 
-    from troutstand.core.crashtracker import CrashTracker, Quarantine
+    from troutstand.core.crashes.crashtracker import CrashTracker, Quarantine
     from troutstand.core.limits.quota import Quotas
     from troutstand.core.pool import Pool
     from troutstand.core.scheduling.options import LoadOptions
--- a/troutstand/core/crashtracker.py
+++ b/troutstand/core/crashes/crashtracker.py
@@ -15,14 +15,14 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-from troutstand.core.partcrashes import PartTracker
+from troutstand.core.crashes.partcrashes import PartTracker
 from troutstand.generated.messages import CrashHistory, TargetCrash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from troutstand.core.crashes.partevidence import PartQuarantine
     from troutstand.core.ids import PartId
-    from troutstand.core.partevidence import PartQuarantine
 
 # Crashes after which a request runs isolated from other suspects, and after which it is
 # refused. A lower quarantine threshold would refuse healthy requests that twice shared a
--- a/troutstand/core/partcrashes.py
+++ b/troutstand/core/crashes/partcrashes.py
@@ -14,8 +14,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from troutstand.core.ids import PartId
-from troutstand.core.partevidence import (
+from troutstand.core.crashes.partevidence import (
     PartClearance,
     PartCrash,
     PartEvidence,
@@ -29,6 +28,7 @@
     keep_suspects,
     merge_evidence,
 )
+from troutstand.core.ids import PartId
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/troutstand/core/partisolation.py
+++ b/troutstand/core/crashes/partisolation.py
@@ -6,14 +6,14 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from troutstand.core.partcrashes import MAX_EXCLUSIVE_S, SETTLED_S, make_part_ids
+from troutstand.core.crashes.partcrashes import MAX_EXCLUSIVE_S, SETTLED_S, make_part_ids
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from troutstand.core.crashes.partcrashes import PartTracker
+    from troutstand.core.crashes.partevidence import PartQuarantine
     from troutstand.core.ids import PartId
-    from troutstand.core.partcrashes import PartTracker
-    from troutstand.core.partevidence import PartQuarantine
     from troutstand.core.pool import Pool
     from troutstand.core.scheduling.waitingqueue import WaitingRequest
     from troutstand.core.targetstate import RunningRequest, TargetState
--- a/troutstand/core/partrecords.py
+++ b/troutstand/core/crashes/partrecords.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from troutstand.core.ids import PartId
-from troutstand.core.partevidence import (
+from troutstand.core.crashes.partevidence import (
     PartClearance,
     PartCrash,
     PartEvidence,
     PartQuarantine,
 )
+from troutstand.core.ids import PartId
 from troutstand.generated.messages import (
     PartSuspect,
     StoredPartClearance,
--- a/troutstand/core/decision.py
+++ b/troutstand/core/decision.py
@@ -9,7 +9,7 @@
 from troutstand.generated.messages import Declined
 
 if TYPE_CHECKING:
-    from troutstand.core.crashtracker import Quarantine
+    from troutstand.core.crashes.crashtracker import Quarantine
     from troutstand.generated.messages import Placed
 
 
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -9,11 +9,11 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.crashadmission import CrashAdmission
-from troutstand.core.crashtracker import CrashTracker, Suspicion
+from troutstand.core.crashes.crashadmission import CrashAdmission
+from troutstand.core.crashes.crashtracker import CrashTracker, Suspicion
+from troutstand.core.crashes.partcrashes import MAX_EXCLUSIVE_S
 from troutstand.core.decision import Decision, PlacedInputs
 from troutstand.core.limits.quota import QuotaDecision, Verdict
-from troutstand.core.partcrashes import MAX_EXCLUSIVE_S
 from troutstand.core.pool import Pool
 from troutstand.core.reachability import Reachability
 from troutstand.core.rollouts.admission import Admission
@@ -29,10 +29,10 @@
     from collections.abc import Iterable
 
     from troutstand.core.configuration import RouteTable
+    from troutstand.core.crashes.partevidence import PartEvidence
     from troutstand.core.ids import PartId
     from troutstand.core.limits.quota import Quotas
     from troutstand.core.limits.retrybudget import RetryBudget
-    from troutstand.core.partevidence import PartEvidence
     from troutstand.core.scheduling.serviceshares import ShareTag
     from troutstand.generated.messages import (
         Ended,
--- a/troutstand/core/domainisolation.py
+++ b/troutstand/core/domainisolation.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from troutstand.core.partcrashes import MAX_EXCLUSIVE_S, SETTLED_S, make_part_ids
+from troutstand.core.crashes.partcrashes import MAX_EXCLUSIVE_S, SETTLED_S, make_part_ids
 from troutstand.core.targetestimate import Health
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from troutstand.core.crashes.partcrashes import PartTracker
     from troutstand.core.fairqueue import WaitingRequest
     from troutstand.core.ids import PartId
-    from troutstand.core.partcrashes import PartTracker
     from troutstand.core.targetestimate import Running, TargetEstimate
     from troutstand.generated.messages import Finished, PlacementAsk
 
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.crashtracker import MAX_ISOLATED, CrashTracker, Suspicion
+from troutstand.core.crashes.crashtracker import MAX_ISOLATED, CrashTracker, Suspicion
+from troutstand.core.crashes.partevidence import PartEvidence, shift_times
+from troutstand.core.crashes.partrecords import make_evidence, make_stored
 from troutstand.core.domainisolation import (
     is_exclusive,
     list_ask_parts,
@@ -20,8 +22,6 @@
 )
 from troutstand.core.fairqueue import FairQueue, WaitingRequest
 from troutstand.core.ids import RequestId
-from troutstand.core.partevidence import PartEvidence, shift_times
-from troutstand.core.partrecords import make_evidence, make_stored
 from troutstand.core.policy import Choice, Policy, PolicyName
 from troutstand.core.prefix import Prefixes
 from troutstand.core.retryjitter import MIN_RETRY_S
@@ -40,8 +40,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from troutstand.core.crashes.partevidence import PartQuarantine
     from troutstand.core.ids import PartId
-    from troutstand.core.partevidence import PartQuarantine
     from troutstand.core.targetestimate import Running, TargetEstimate
     from troutstand.generated.messages import TargetNotice, TargetNotices
     from troutstand.generated.table import Tier
--- a/troutstand/core/targetchoice.py
+++ b/troutstand/core/targetchoice.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     import random
 
-    from troutstand.core.crashtracker import CrashTracker
+    from troutstand.core.crashes.crashtracker import CrashTracker
     from troutstand.core.pool import Pool
     from troutstand.core.reachability import Reachability
     from troutstand.core.scheduling.waitingqueue import WaitingRequest
--- a/troutstand/daemon/placement.py
+++ b/troutstand/daemon/placement.py
@@ -10,12 +10,12 @@
 import msgspec
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.crashtracker import CrashTracker
+from troutstand.core.crashes.crashtracker import CrashTracker
+from troutstand.core.crashes.partevidence import shift_times
+from troutstand.core.crashes.partrecords import make_evidence, make_stored
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId
 from troutstand.core.noticestore import NoticeStore
-from troutstand.core.partevidence import shift_times
-from troutstand.core.partrecords import make_evidence, make_stored
 from troutstand.generated.messages import (
     Finished,
     Grant,
--- a/troutstand/routing/partevidencecache.py
+++ b/troutstand/routing/partevidencecache.py
@@ -6,9 +6,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from troutstand.core.crashes.partevidence import shift_times
+from troutstand.core.crashes.partrecords import make_evidence, make_stored
 from troutstand.core.errors import TroutstandError
-from troutstand.core.partevidence import shift_times
-from troutstand.core.partrecords import make_evidence, make_stored
 from troutstand.generated.messages import PartEvidenceTold, PartNews
 from troutstand.generated.routing import RoutingRole
 from troutstand.util.clock import read_clock_s
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from troutstand.core.partcrashes import PartTracker
-    from troutstand.core.partevidence import PartEvidence
+    from troutstand.core.crashes.partcrashes import PartTracker
+    from troutstand.core.crashes.partevidence import PartEvidence
     from troutstand.generated.messages import ContactReply, StoredPartEvidence
     from troutstand.routing.node import RoutingNode
 
--- a/troutstand/routing/partevidencestore.py
+++ b/troutstand/routing/partevidencestore.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codec import decode_record, encode_record
-from troutstand.core.partevidence import merge_evidence
-from troutstand.core.partrecords import make_evidence, make_stored
+from troutstand.core.crashes.partevidence import merge_evidence
+from troutstand.core.crashes.partrecords import make_evidence, make_stored
 from troutstand.generated.messages import (
     Line,
     PartEvidenceTold,
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -11,14 +11,14 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.crashtracker import CrashTracker, Suspicion
+from troutstand.core.crashes.crashtracker import CrashTracker, Suspicion
+from troutstand.core.crashes.partisolation import PartIsolation
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
 from troutstand.core.limits.quota import QuotaBounds, Quotas
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.noticestore import NoticeStore
-from troutstand.core.partisolation import PartIsolation
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
@@ -55,9 +55,9 @@
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
-    from troutstand.core.crashtracker import Quarantine
+    from troutstand.core.crashes.crashtracker import Quarantine
+    from troutstand.core.crashes.partevidence import PartEvidence
     from troutstand.core.ids import ProcessId
-    from troutstand.core.partevidence import PartEvidence
     from troutstand.core.paths import PathTable
     from troutstand.core.selfreport import BlockReason
     from troutstand.generated.messages import PeerGateway, PeerMessage, TargetNotice
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -44,8 +44,8 @@
     from collections.abc import Awaitable
 
     from troutstand.core.configuration import RouteTable
+    from troutstand.core.crashes.partevidence import PartEvidence
     from troutstand.core.ids import ProcessId
-    from troutstand.core.partevidence import PartEvidence
     from troutstand.generated.messages import TargetNotice
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.dialect import Dialect
--- a/troutstand/tests/steps/crashes.py
+++ b/troutstand/tests/steps/crashes.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from troutstand.core.codes import ResultCode
-from troutstand.core.crashtracker import CrashTracker
+from troutstand.core.crashes.crashtracker import CrashTracker
 from troutstand.generated.messages import Ended, Ending
 from troutstand.tests.steps.dispatch import Desk
 
--- a/troutstand/tests/steps/lostpaths.py
+++ b/troutstand/tests/steps/lostpaths.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from troutstand.core.crashtracker import Suspicion
+from troutstand.core.crashes.crashtracker import Suspicion
 from troutstand.core.gatewayregistry import GatewayRegistry
 from troutstand.core.ids import ProcessId
 from troutstand.core.paths import PathTable
--- a/troutstand/tests/steps/partcrashes.py
+++ b/troutstand/tests/steps/partcrashes.py
@@ -6,10 +6,9 @@
 
 from behave import given, then, when
 
-from troutstand.core.crashtracker import CrashTracker, Suspicion
-from troutstand.core.limits.retrybudget import RetryBudget
-from troutstand.core.partcrashes import PartTracker, make_part_ids
-from troutstand.core.partevidence import (
+from troutstand.core.crashes.crashtracker import CrashTracker, Suspicion
+from troutstand.core.crashes.partcrashes import PartTracker, make_part_ids
+from troutstand.core.crashes.partevidence import (
     PartClearance,
     PartCrash,
     PartEvidence,
@@ -18,6 +17,7 @@
     add_crash,
     merge_evidence,
 )
+from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.testing.crashsimulation import CrashPlan, CrashSimulation
 
 if TYPE_CHECKING:
--- a/troutstand/util/crashlog.py
+++ b/troutstand/util/crashlog.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from troutstand.core.crashtracker import Suspicion
+from troutstand.core.crashes.crashtracker import Suspicion
 
 if TYPE_CHECKING:
-    from troutstand.core.crashtracker import SuspicionChange
-    from troutstand.core.partcrashes import PartChange
+    from troutstand.core.crashes.crashtracker import SuspicionChange
+    from troutstand.core.crashes.partcrashes import PartChange
     from troutstand.util.events import EventBus
 
 # Names the deciding process in log lines.
