--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -67,6 +67,34 @@
     wait_s: float = 0.0
 
 
+@dataclass
+class LimitCounts:
+    """Count what happened to a workspace's limit since the counts were read; in tokens."""
+
+    charged: float = 0.0
+    refunded: float = 0.0
+    refused: float = 0.0
+    taken_over: float = 0.0
+    handed_over: float = 0.0
+
+
+@dataclass(frozen=True)
+class LimitUsage:
+    """Describe the usage of a workspace's limit, for the log; in tokens.
+
+    Parameters
+    ----------
+    max_tokens
+        The most that this decider lets run in a window.
+    """
+
+    workspace: str
+    used: float
+    max_tokens: float
+    share: float
+    counts: LimitCounts
+
+
 @dataclass
 class Limit:
     """Hold a workspace's limit and its use in the current window.
@@ -82,6 +110,7 @@
     limit_tokens: float
     max_tokens: float
     window: SlidingWindow
+    counts: LimitCounts = field(default_factory=LimitCounts)
 
 
 class Quotas:
@@ -123,11 +152,13 @@
         max_tokens = limit.max_tokens * self.share
         capped = min(amount, max_tokens)
         if window.total + capped > max_tokens:
+            limit.counts.refused += amount
             return QuotaDecision(Verdict.REFUSED, window.compute_wait(capped, max_tokens, now_s))
         limit_tokens = limit.limit_tokens * self.share
         capped_to_limit = min(amount, limit_tokens)
         wait_s = window.compute_wait(capped_to_limit, limit_tokens, now_s)
         window.add(amount, now_s)
+        limit.counts.charged += amount
         return (
             QuotaDecision(Verdict.EXCESS, wait_s) if wait_s else QuotaDecision(Verdict.WITHIN_LIMIT)
         )
@@ -139,6 +170,19 @@
             return
         limit.window.advance(now_s)
         limit.window.remove(amount, charged_s)
+        limit.counts.refunded += amount
+
+    def drain_usage(self, now_s: float) -> list[LimitUsage]:
+        """Return the usage of each limit that was used or asked for since the last call."""
+        usage: list[LimitUsage] = []
+        for name, limit in self._limits.items():
+            if limit.counts == LimitCounts():
+                continue
+            limit.window.advance(now_s)
+            max_tokens = limit.max_tokens * self.share
+            usage.append(LimitUsage(name, limit.window.total, max_tokens, self.share, limit.counts))
+            limit.counts = LimitCounts()
+        return usage
 
     # Handover between schedulers
 
@@ -175,9 +219,12 @@
         if limit is None:
             return
         limit.window.advance(now_s)
+        before = limit.window.total
         limit.window.import_parts(parts, limit.max_tokens * portion, now_s)
+        limit.counts.taken_over += limit.window.total - before
 
     def release_share(self, share: float) -> None:
         """Drop a share of the usage that was handed over, so that it is not counted twice."""
         for limit in self._limits.values():
+            limit.counts.handed_over += share * limit.window.total
             limit.window.scale(1.0 - share)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -49,6 +49,7 @@
     LocalDecider,
 )
 from troutstand.routing.targetlist import TargetListError
+from troutstand.routing.usagelog import UsageLog
 from troutstand.util.clock import read_clock_s
 from troutstand.util.crashlog import emit_part_changes, emit_suspicion_changes
 from troutstand.util.noticelog import emit_notice_received
@@ -109,6 +110,7 @@
             node, self._crashes.parts, part_evidence, self._merge_part_evidence
         )
         self._notices = NoticeStore()
+        self._usage_log = UsageLog(node.events, LOCAL)
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
@@ -444,6 +446,7 @@
                 now_s = read_clock_s()
                 self._update_rollouts(self._local, now_s)
                 self._local.tick(now_s)
+                self._usage_log.emit_usage(self._local.quotas, now_s)
                 self._deliver_local()
             else:
                 self._local_active.clear()
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -36,6 +36,7 @@
 from troutstand.routing.partevidencecache import PartEvidenceSync
 from troutstand.routing.rolloutdriver import RolloutDriver
 from troutstand.routing.targetlist import TargetList, TargetListError, TargetListUpdate
+from troutstand.routing.usagelog import UsageLog
 from troutstand.util.clock import read_clock_s
 from troutstand.util.crashlog import SCHEDULER, emit_part_changes, emit_suspicion_changes
 from troutstand.util.noticelog import emit_notice_accepted
@@ -87,6 +88,7 @@
         self.targets = TargetList(settings.target_list, dialect)
         self._gateways = GatewayRegistry()
         self._load_report = LoadReport(self.node)
+        self._usage_log = UsageLog(self.node.events, SCHEDULER)
         self.rollouts = RolloutDriver(
             self.node, self.dispatcher, self.follower, self._gateways.get_attached_share
         )
@@ -405,6 +407,7 @@
             self._update_rollouts(now_s)
             self.dispatcher.tick(now_s)
             self._load_report.update(self.dispatcher, now_s)
+            self._usage_log.emit_usage(self.quotas, now_s)
             self._log_slow_tick(read_clock_s() - now_s, now_s)
             self._deliver_decisions()
 
