--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -45,6 +45,9 @@
     shares_fairly: bool = False
     protects_tiers: bool = False
     retry_extra: float = RoutedPlan.retry_extra
+    # Tolerated excess over workspace limits.
+    quota_excess: float = 0.0
+    quota_extra: float = 0.0
     # Failure domains of the hosts, in turn; None for the plan's.
     domains: tuple[str, ...] | None = None
     # The first configuration; defaults to one workspace with a route of each kind.
@@ -79,6 +82,8 @@
             shares_fairly=self.shares_fairly,
             protects_tiers=self.protects_tiers,
             retry_extra=self.retry_extra,
+            quota_excess=self.quota_excess,
+            quota_extra=self.quota_extra,
             domains=self.domains or RoutedPlan.domains,
         )
         self.site = RoutedSite(self.folder, plan, self.list)
--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -77,6 +77,7 @@
     disks_lost: int = 1
     subnet: str = "77.1"
     stop_s: float = 2.0
+    quota_excess: float = 0.0
     quota_extra: float = 0.0
     # Retries allowed in each window beyond the share of requests.
     retry_extra: float = 20.0
@@ -133,6 +134,7 @@
             target_list=self.targets.address,
             disks_lost=self.plan.disks_lost,
             stop_s=self.plan.stop_s,
+            quota_excess=self.plan.quota_excess,
             quota_extra=self.plan.quota_extra,
             retry_extra=self.plan.retry_extra,
             share_fairly=self.plan.shares_fairly,
