Charge each run of a request, from when it is sent

Callers of a workspace got more than its limit where answers were lost or connections broken: only a first attempt was charged, so that a request that ran again after a lost answer, a broken stream or a reset ran uncharged, also where the gateway itself sent it again on a new connection. A charge was dated at arrival in the queue, and expired by that date although the request was sent up to seconds later.

An admitted request reserves its tokens, and they are charged when it is sent. A further run reserves and is charged like the first and may use a little more of the excess (0.9 of it, a first run 0.8); one that the limit refuses ends as before when no attempt is left. A run that certainly did not happen is refunded at its date. Before a gateway sends a request again on a new connection it asks its decider for the charge.

--- a/troutstand/core/admissionqueue.py
+++ b/troutstand/core/admissionqueue.py
@@ -57,15 +57,14 @@
         return decisions
 
     def _dequeue(self, pool: Pool, request: str, now_s: float) -> None:
-        """Remove a waiting request and refund its share and quota charges."""
+        """Remove a waiting request, refund its share and release its reserved tokens."""
         waiting = pool.waiting.pop(request)
         if waiting is None:
             return
         work = waiting.work
         self._refund_promotion(pool, waiting, now_s)
         pool.shares.refund(work.tier, work.workspace, waiting.share)
-        if work.attempt == 1:
-            self.quotas.refund(work.workspace, work.charge, waiting.arrived_s, now_s)
+        self.quotas.release(work.workspace, work.charge)
 
     def _mark_late(self, pool: Pool, waiting: WaitingRequest, now_s: float) -> None:
         """Rank a queued request behind those of its own tier that can meet their objective."""
--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -8,12 +8,10 @@
 
 from typing import TYPE_CHECKING
 
-from troutstand.core.codes import ResultCode
-from troutstand.core.crashes.crashadmission import CrashAdmission
 from troutstand.core.crashes.crashtracker import CrashTracker, Suspicion
 from troutstand.core.crashes.partcrashes import MAX_EXCLUSIVE_S
 from troutstand.core.decision import Decision, PlacedInputs
-from troutstand.core.limits.quota import QuotaDecision, Verdict
+from troutstand.core.limits.limitadmission import LimitAdmission
 from troutstand.core.pool import Pool
 from troutstand.core.reachability import Reachability
 from troutstand.core.rollouts.admission import Admission
@@ -47,7 +45,7 @@
 _MAX_SCANNED_PER_TICK = 64
 
 
-class Dispatcher(CrashAdmission):
+class Dispatcher(LimitAdmission):
     """Schedule the requests of a site.
 
     Parameters
@@ -70,8 +68,7 @@
         options: LoadOptions | None = None,
     ) -> None:
         options = options or LoadOptions()
-        super().__init__(quotas, crashes or CrashTracker(), options, spread)
-        self.retries = retries
+        super().__init__(quotas, retries, crashes or CrashTracker(), options, spread)
         self._weights: dict[str, float] = {}
         self.reach = Reachability()
         self._choice = TargetChoice(self.reach, spread, self.crashes)
@@ -120,26 +117,8 @@
         if self._must_refuse_suspect(pool, work, now_s):
             self._decline_quarantined(work, owner, now_s)
             return
-        if work.attempt > 1:
-            is_risky = self._isolation.is_risky(work, now_s)
-            if not self.retries.take(work.service, now_s, is_reserved=not is_risky):
-                self._decline(work, owner, ResultCode.RETRY_BUDGET, 1.0, "retry budget exhausted")
-                return
-        else:
-            self.retries.record_request(work.service, now_s)
-            quota_decision = self.quotas.take(work.workspace, work.charge, now_s)
-            if quota_decision.verdict is Verdict.EXCESS and not pool.has_spare_capacity(now_s):
-                self.quotas.refund(work.workspace, work.charge, now_s, now_s)
-                quota_decision = QuotaDecision(Verdict.REFUSED, quota_decision.wait_s)
-            if quota_decision.verdict is Verdict.REFUSED:
-                usage_share = self.quotas.get_usage_share(work.workspace)
-                reason = (
-                    f"workspace={work.workspace} charge={work.charge:g} taken={usage_share:.2f}"
-                )
-                self._decline(
-                    work, owner, ResultCode.WORKSPACE_LIMIT, quota_decision.wait_s, reason
-                )
-                return
+        if not self._admit(pool, work, owner, now_s):
+            return
         if self._options.protects_tiers:
             pool.record_arrival(work, now_s)
         share = self._charge_share(pool, work)
@@ -170,7 +149,10 @@
         for pool in self.pools.values():
             self._dequeue(pool, request, now_s)
             for state in pool.targets.values():
-                if state.finish(request) is not None:
+                run = state.finish(request)
+                if run is not None:
+                    # Its gateway did not get the placement, and has sent nothing.
+                    self._refund_run(run, now_s)
                     self._serve_target(pool, state, now_s)
 
     def record_first_byte(self, first: FirstByte, now_s: float) -> None:
@@ -198,6 +180,7 @@
                 continue
             run = state.finish(ended.request)
             if run is not None:
+                self._refund_ended(run, ended.ending, now_s)
                 keeps_connection = ended.ending in (Ending.whole, Ending.failed)
                 state.record_release(run.owner, keeps_connection, now_s)
                 self._record_ending(pool, state, run, ended, now_s)
@@ -449,6 +432,7 @@
             uncached,
             expected_s,
             ahead,
+            charge=self._charge_run(work, now_s),
             share=waiting.share,
             is_promoted=inputs.is_promoted,
         )
--- /dev/null
+++ b/troutstand/core/limits/limitadmission.py
@@ -0,0 +1,89 @@
+"""Admit requests within the limits of their workspaces and the retry budget."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from troutstand.core.codes import ResultCode
+from troutstand.core.crashes.crashadmission import CrashAdmission
+from troutstand.core.limits.quota import QuotaDecision, Verdict
+from troutstand.generated.messages import Ending
+
+if TYPE_CHECKING:
+    import random
+
+    from troutstand.core.crashes.crashtracker import CrashTracker
+    from troutstand.core.limits.quota import Quotas
+    from troutstand.core.limits.retrybudget import RetryBudget
+    from troutstand.core.pool import Pool
+    from troutstand.core.scheduling.options import LoadOptions
+    from troutstand.core.targetstate import RunningRequest
+    from troutstand.generated.messages import RoutedWork
+
+# Endings after which a request has certainly not run.
+_NOT_RUN = frozenset({Ending.unsent, Ending.turned_away, Ending.kept_back})
+
+
+class LimitAdmission(CrashAdmission):
+    """Queue the requests of a site that the limits allow, and charge each of their runs."""
+
+    def __init__(
+        self,
+        quotas: Quotas,
+        retries: RetryBudget,
+        crashes: CrashTracker,
+        options: LoadOptions,
+        spread: random.Random | None = None,
+    ) -> None:
+        super().__init__(quotas, crashes, options, spread)
+        self.retries = retries
+
+    def _admit(self, pool: Pool, work: RoutedWork, owner: str, now_s: float) -> bool:
+        """Reserve a run within the limits, or decline the request."""
+        is_first = work.attempt == 1
+        if is_first:
+            self.retries.record_request(work.service, now_s)
+        quota_decision = self.quotas.reserve(work.workspace, work.charge, now_s, is_first)
+        is_excess = quota_decision.verdict is Verdict.EXCESS
+        if is_first and is_excess and not pool.has_spare_capacity(now_s):
+            self.quotas.release(work.workspace, work.charge)
+            quota_decision = QuotaDecision(Verdict.REFUSED, quota_decision.wait_s)
+        if quota_decision.verdict is Verdict.REFUSED:
+            self._decline_limited(work, owner, quota_decision)
+            return False
+        if not is_first and not self._take_retry(work, now_s):
+            self.quotas.release(work.workspace, work.charge)
+            self._decline(work, owner, ResultCode.RETRY_BUDGET, 1.0, "retry budget exhausted")
+            return False
+        return True
+
+    def _take_retry(self, work: RoutedWork, now_s: float) -> bool:
+        is_risky = self._isolation.is_risky(work, now_s)
+        return self.retries.take(work.service, now_s, is_reserved=not is_risky)
+
+    def _decline_limited(self, work: RoutedWork, owner: str, decision: QuotaDecision) -> None:
+        used = self.quotas.get_usage_share(work.workspace)
+        reason = (
+            f"workspace={work.workspace} charge={work.charge:g} taken={used:.2f}"
+            f" attempt={work.attempt}"
+        )
+        self._decline(work, owner, ResultCode.WORKSPACE_LIMIT, decision.wait_s, reason)
+
+    def charge_resend(self, workspace: str, charge: float, now_s: float) -> bool:
+        """Charge a further run of a request at its target; return whether the limit allows it."""
+        decision = self.quotas.take(workspace, charge, now_s, is_first=False)
+        return decision.verdict is not Verdict.REFUSED
+
+    def _charge_run(self, work: RoutedWork, now_s: float) -> float:
+        """Charge a request that is sent now, and return the charge."""
+        self.quotas.charge(work.workspace, work.charge, now_s, is_first=work.attempt == 1)
+        return work.charge
+
+    def _refund_run(self, run: RunningRequest, now_s: float) -> None:
+        """Refund the charge of a request that has not run."""
+        self.quotas.refund(run.work.workspace, run.charge, run.started_s, now_s)
+
+    def _refund_ended(self, run: RunningRequest, ending: Ending, now_s: float) -> None:
+        """Refund the charge of a request if its ending shows that it has not run."""
+        if ending in _NOT_RUN:
+            self._refund_run(run, now_s)
--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -18,8 +18,11 @@
 
     from troutstand.generated.configuration import RoutedWorkspace
 
-# Share of the tolerated excess that is admitted; the rest absorbs bunched arrivals.
-_USABLE_EXCESS_SHARE = 0.8
+# Shares of the tolerated excess that first and further runs may use. The rest covers usage that
+# a process could not tell anybody before it ended.
+_FIRST_RUN_EXCESS_SHARE = 0.8
+_FURTHER_RUN_EXCESS_SHARE = 0.9
+# Longest time from sending a request to its run.
 _WINDOW_MARGIN_S = 0.5
 _MIN_LIMIT_TOKENS = 1e-9
 
@@ -72,6 +75,7 @@
     """Count what happened to a workspace's limit since the counts were read; in tokens."""
 
     charged: float = 0.0
+    charged_again: float = 0.0
     refunded: float = 0.0
     refused: float = 0.0
     taken_over: float = 0.0
@@ -90,6 +94,7 @@
 
     workspace: str
     used: float
+    reserved: float
     max_tokens: float
     share: float
     counts: LimitCounts
@@ -103,13 +108,17 @@
     ----------
     limit_tokens
         Tokens of a window within the limit.
-    max_tokens
-        Tokens of a window including the admitted excess.
+    max_tokens, further_tokens
+        Tokens of a window including the excess that first and further runs may use.
+    reserved
+        Tokens of admitted requests that were not sent yet.
     """
 
     limit_tokens: float
     max_tokens: float
+    further_tokens: float
     window: SlidingWindow
+    reserved: float = 0.0
     counts: LimitCounts = field(default_factory=LimitCounts)
 
 
@@ -132,39 +141,76 @@
 
     def _set_limit(self, name: str, rate_per_s: float, burst: float) -> None:
         limit_tokens = self._bounds.compute_limit(rate_per_s, burst)
-        max_tokens = limit_tokens + _USABLE_EXCESS_SHARE * self._bounds.compute_excess(
-            rate_per_s, burst
-        )
+        excess_tokens = self._bounds.compute_excess(rate_per_s, burst)
+        max_tokens = limit_tokens + _FIRST_RUN_EXCESS_SHARE * excess_tokens
+        further_tokens = limit_tokens + _FURTHER_RUN_EXCESS_SHARE * excess_tokens
         limit = self._limits.get(name)
         if limit is None:
-            self._limits[name] = Limit(limit_tokens, max_tokens, SlidingWindow(self._window_s))
+            window = SlidingWindow(self._window_s)
+            self._limits[name] = Limit(limit_tokens, max_tokens, further_tokens, window)
             return
         limit.limit_tokens, limit.max_tokens = limit_tokens, max_tokens
+        limit.further_tokens = further_tokens
 
-    def take(self, workspace: str, amount: float, now_s: float) -> QuotaDecision:
-        """Charge tokens if the limit allows it."""
+    def reserve(
+        self, workspace: str, amount: float, now_s: float, is_first: bool = True
+    ) -> QuotaDecision:
+        """Reserve tokens for a request if its limit allows it, until it is sent.
+
+        Parameters
+        ----------
+        is_first
+            Whether the request has not run yet.
+        """
         limit = self._limits.get(workspace)
         if limit is None or amount <= 0:
             return QuotaDecision(Verdict.WITHIN_LIMIT)
         window = limit.window
         window.advance(now_s)
         # A request larger than the limit passes if the window is empty.
-        max_tokens = limit.max_tokens * self.share
+        max_tokens = self.share * (limit.max_tokens if is_first else limit.further_tokens)
         capped = min(amount, max_tokens)
-        if window.total + capped > max_tokens:
+        if window.total + limit.reserved + capped > max_tokens:
             limit.counts.refused += amount
-            return QuotaDecision(Verdict.REFUSED, window.compute_wait(capped, max_tokens, now_s))
+            wait_s = window.compute_wait(capped + limit.reserved, max_tokens, now_s)
+            return QuotaDecision(Verdict.REFUSED, wait_s)
         limit_tokens = limit.limit_tokens * self.share
         capped_to_limit = min(amount, limit_tokens)
-        wait_s = window.compute_wait(capped_to_limit, limit_tokens, now_s)
-        window.add(amount, now_s)
-        limit.counts.charged += amount
+        wait_s = window.compute_wait(capped_to_limit + limit.reserved, limit_tokens, now_s)
+        limit.reserved += amount
         return (
             QuotaDecision(Verdict.EXCESS, wait_s) if wait_s else QuotaDecision(Verdict.WITHIN_LIMIT)
         )
 
+    def release(self, workspace: str, amount: float) -> None:
+        """Return the reservation of a request that is not sent."""
+        limit = self._limits.get(workspace)
+        if limit is not None and amount > 0:
+            limit.reserved = max(0.0, limit.reserved - amount)
+
+    def charge(self, workspace: str, amount: float, now_s: float, is_first: bool = True) -> None:
+        """Charge the reservation of a request that is sent now."""
+        limit = self._limits.get(workspace)
+        if limit is None or amount <= 0:
+            return
+        limit.reserved = max(0.0, limit.reserved - amount)
+        limit.window.advance(now_s)
+        limit.window.add(amount, now_s)
+        limit.counts.charged += amount
+        if not is_first:
+            limit.counts.charged_again += amount
+
+    def take(
+        self, workspace: str, amount: float, now_s: float, is_first: bool = True
+    ) -> QuotaDecision:
+        """Charge tokens for a request that is sent now, if the limit allows it."""
+        decision = self.reserve(workspace, amount, now_s, is_first)
+        if decision.verdict is not Verdict.REFUSED:
+            self.charge(workspace, amount, now_s, is_first)
+        return decision
+
     def refund(self, workspace: str, amount: float, charged_s: float, now_s: float) -> None:
-        """Refund the tokens of a request that did not run."""
+        """Refund the tokens of a request that was sent and did not run."""
         limit = self._limits.get(workspace)
         if limit is None or amount <= 0:
             return
@@ -180,7 +226,11 @@
                 continue
             limit.window.advance(now_s)
             max_tokens = limit.max_tokens * self.share
-            usage.append(LimitUsage(name, limit.window.total, max_tokens, self.share, limit.counts))
+            usage.append(
+                LimitUsage(
+                    name, limit.window.total, limit.reserved, max_tokens, self.share, limit.counts
+                )
+            )
             limit.counts = LimitCounts()
         return usage
 
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -45,6 +45,8 @@
     tokens_ahead: float = 0.0
     has_first_byte: bool = False
     first_byte_s: float = float("-inf")
+    # Tokens charged to its workspace's limit when it was placed here.
+    charge: float = 0.0
     share: ShareTag = UNSHARED
     # Whether it took its slot by the minimum of its tier.
     is_promoted: bool = False
--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -126,7 +126,6 @@
             read_clock_s(),
             self._attempts.arrived_count + 1,
             self._attempts.excluded,
-            not self._was_placed,
             self._gateway.settings.failure_domain,
             self._caller_response.has_started,
         )
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -113,7 +113,6 @@
         now_s: float,
         attempt: int,
         excluded: list[str],
-        is_charged: bool,
         failure_domain: str,
         has_response_begun: bool = False,
     ) -> RoutedWork:
@@ -139,7 +138,7 @@
             spent_s=now_s - self.arrived_s,
             prompt_tokens=self.tokens.prompt if self.tokens else 0,
             output_tokens=self.expected_output,
-            charge=self.compute_quota_charge() if is_charged else 0.0,
+            charge=self.compute_quota_charge(),
             model=self.model,
             parts=self.parts,
             attempt=attempt,
--- a/troutstand/routing/placedrequests.py
+++ b/troutstand/routing/placedrequests.py
@@ -62,6 +62,11 @@
             )
         return FirstByte(request, placed.target, first_s)
 
+    def find_work(self, request: str) -> RoutedWork | None:
+        """Return a request that runs at a target, or None if it is unknown."""
+        placed = self._requests.get(request)
+        return placed.work if placed is not None else None
+
     def mark_path_lost(self, request: str, target: str) -> None:
         """Record that the response to a request cannot arrive."""
         placed = self._requests.get(request)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -21,8 +21,10 @@
 from troutstand.core.noticestore import NoticeStore
 from troutstand.generated.messages import (
     Abandon,
+    Acknowledged,
     AttachAsk,
     Attached,
+    ChargeAsk,
     Declined,
     Ended,
     Ending,
@@ -74,6 +76,7 @@
 _DEFAULT_GATEWAY_COUNT = 8
 # A few round trips.
 _MIN_REQUEST_TIMEOUT_S = 0.05
+_CHARGE_TIMEOUT_S = 0.3
 
 
 class Placement:
@@ -307,6 +310,24 @@
         else:
             self._node.send(self._current, PathLost(request, target))
 
+    async def charge_resend(self, request: str) -> bool:
+        """Charge a further run of a request at its target; return whether the limit allows it."""
+        work = self._placed.find_work(request)
+        if work is None or work.charge <= 0:
+            return True
+        decider = self._current
+        if isinstance(decider, LocalDecider):
+            return self._local.charge_resend(work.workspace, work.charge, read_clock_s())
+        ask = ChargeAsk(request, work.workspace, work.charge)
+        try:
+            reply = await self._node.ask(decider, ask, _CHARGE_TIMEOUT_S)
+        except TroutstandError as error:
+            self._node.events.emit(
+                "charge_unclear", request, code=error.code, peer=decider, detail=error.detail
+            )
+            return False
+        return isinstance(reply, Acknowledged)
+
     # Notices of targets
 
     def get_block_reason(self, placed: Placed) -> BlockReason | None:
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -155,6 +155,10 @@
     def report_path_lost(self, request: str, target: str) -> None:
         """Report that the response to a request cannot arrive, since its path is cut."""
 
+    async def charge_resend(self, request: str) -> bool:
+        """Charge a further run of a request at its target; return whether the limit allows it."""
+        ...
+
 
 class Sender:
     """Send requests to targets."""
@@ -201,6 +205,10 @@
                     raise SendError(
                         Ending.broken, str(error), was_resent=use_new_connection
                     ) from error
+                if error.was_written and not await self._notices.charge_resend(outgoing.request):
+                    raise SendError(
+                        Ending.broken, f"{error}; the workspace's limit allows no further run"
+                    ) from error
                 # The target closed the idle connection; retry on a new one.
                 use_new_connection = True
 
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -13,8 +13,10 @@
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
+    Acknowledged,
     AttachAsk,
     Attached,
+    ChargeAsk,
     Ended,
     FirstByte,
     Level,
@@ -152,6 +154,10 @@
             case Abandon(request):
                 self.dispatcher.abandon(request, now_s)
                 self._resolve(peer, request, None)
+            case ChargeAsk(_, workspace, charge):
+                if self.dispatcher.charge_resend(workspace, charge, now_s):
+                    return Acknowledged()
+                return Refused(int(ResultCode.WORKSPACE_LIMIT), f"limit of {workspace}")
             case AttachAsk():
                 return self._handle_attach(peer, message, now_s)
             case _:
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -131,6 +131,10 @@
     def report_path_lost(self, request: str, target: str) -> None:
         """Ignore the report: no scheduler is asked here."""
 
+    async def charge_resend(self, request: str) -> bool:
+        """Allow every further run."""
+        return True
+
 
 async def _send_all(context: Context, outgoings: list[OutgoingRequest]) -> None:
     target = context.target
