--- a/troutstand/core/gatewayregistry.py
+++ b/troutstand/core/gatewayregistry.py
@@ -20,6 +20,19 @@
 _GATEWAY_TTL_S = 30.0
 
 
+# A gateway uses another decider if its scheduler has not answered for this long.
+SCHEDULER_TIMEOUT_S = 0.4
+_MAX_SILENT_PERIODS = 2.5
+
+
+def compute_lease(period_s: float) -> float:
+    """Return the seconds after a reply for which its gateway counts for the limits.
+
+    With short heartbeat periods no gateway uses another decider within that time.
+    """
+    return max(SCHEDULER_TIMEOUT_S, _MAX_SILENT_PERIODS * period_s)
+
+
 @dataclass
 class GatewayState:
     """Hold the state of a gateway from its latest heartbeat."""
@@ -31,8 +44,10 @@
     attachment: int
     # Empty if the gateway decides without a scheduler.
     scheduler: str = ""
-    # Whether its usage of the limits is included in this scheduler's usage.
-    is_usage_counted: bool = False
+    # The last reply, and when the latest one was sent that the gateway is known to have got.
+    reply_number: int = 0
+    replied_s: float = float("-inf")
+    confirmed_s: float = float("-inf")
 
 
 @dataclass(frozen=True)
@@ -73,9 +88,16 @@
         """Update the state of a gateway from its heartbeat."""
         state = self._states.get(gateway)
         self._move_scheduler_count(state.scheduler if state is not None else "", ask.asks)
-        is_usage_counted = state is not None and state.is_usage_counted
+        known = state or GatewayState(ask.incarnation, now_s, ask.is_attached, ask.attachment)
         self._states[gateway] = GatewayState(
-            ask.incarnation, now_s, ask.is_attached, ask.attachment, ask.asks, is_usage_counted
+            ask.incarnation,
+            now_s,
+            ask.is_attached,
+            ask.attachment,
+            ask.asks,
+            known.reply_number,
+            known.replied_s,
+            self._find_confirmed_s(known, ask, now_s),
         )
         self._peers.update(gateway, ask.failure_domain, is_usable=not ask.is_isolated)
         self._first_heartbeat_s = min(self._first_heartbeat_s, now_s)
@@ -83,22 +105,28 @@
         is_starting = now_s - self._first_heartbeat_s < _GATEWAY_TTL_S
         self._reported_count = max(self._reported_count, ask.gateways) if is_starting else 0
 
-    def choose_peers(self, gateway: ProcessId) -> AssignedPeers:
-        """Return the gateways that may open connections to targets for a gateway."""
-        return self._peers.choose(gateway)
+    def _find_confirmed_s(self, known: GatewayState, ask: AttachAsk, now_s: float) -> float:
+        """Return when the latest reply was sent that a gateway is known to have got.
 
-    def mark_usage_counted(self, gateway: ProcessId) -> None:
-        """Mark a gateway's usage of the limits as included in this scheduler's usage."""
-        self._states[gateway].is_usage_counted = True
+        A heartbeat that a link has held back does not renew the lease.
+        """
+        if ask.is_first:
+            return now_s
+        is_echoed = ask.echo == known.reply_number and known.reply_number > 0
+        return known.replied_s if is_echoed else known.confirmed_s
 
-    def release_usage(self, gateway: ProcessId) -> float:
-        """Unmark a gateway's usage; return its share of the included gateways, 0 if none."""
+    def number_reply(self, gateway: ProcessId, now_s: float) -> int:
+        """Return the number of a reply that is sent to a gateway now."""
         state = self._states.get(gateway)
-        if state is None or not state.is_usage_counted:
-            return 0.0
-        share = 1.0 / sum(other.is_usage_counted for other in self._states.values())
-        state.is_usage_counted = False
-        return share
+        if state is None:
+            return 0
+        state.reply_number += 1
+        state.replied_s = now_s
+        return state.reply_number
+
+    def choose_peers(self, gateway: ProcessId) -> AssignedPeers:
+        """Return the gateways that may open connections to targets for a gateway."""
+        return self._peers.choose(gateway)
 
     def _move_scheduler_count(self, before: str, after: str) -> None:
         """Update the number of gateways that use each scheduler."""
@@ -122,9 +150,20 @@
         """Return the share of the site's gateways that are attached here, 0 to 1."""
         return self.count_attached() / self.gateway_count
 
-    def get_limit_share(self) -> float:
-        """Return the share of the limits that this scheduler may use, 0 to 1."""
-        return max(1, self.count_attached()) / self.gateway_count
+    def get_limit_share(self, now_s: float, lease_s: float) -> float:
+        """Return the share of the limits that this scheduler may use, 0 to 1.
+
+        Parameters
+        ----------
+        lease_s
+            Time after a reply for which its gateway uses no other decider.
+        """
+        counted = sum(
+            1
+            for state in self._states.values()
+            if state.is_attached and now_s - state.confirmed_s <= lease_s
+        )
+        return max(1, counted) / self.gateway_count
 
     def detach_silent(self, now_s: float) -> dict[ProcessId, float]:
         """Detach silent gateways and remove expired ones; return each detached one's silence."""
--- a/troutstand/core/limits/limitadmission.py
+++ b/troutstand/core/limits/limitadmission.py
@@ -20,6 +20,8 @@
     from troutstand.core.targetstate import RunningRequest
     from troutstand.generated.messages import RoutedWork
 
+# Retry delay after the loss of gateways or a scheduler, which most often return within it.
+_SHARE_RETRY_S = 1.0
 # Endings after which a request has certainly not run.
 _NOT_RUN = frozenset({Ending.unsent, Ending.turned_away, Ending.kept_back})
 
@@ -69,6 +71,20 @@
         )
         self._decline(work, owner, ResultCode.WORKSPACE_LIMIT, decision.wait_s, reason)
 
+    def set_limit_share(self, share: float, told_until_s: float, now_s: float) -> None:
+        """Set the share of the limits, and refuse the newest requests that no longer fit."""
+        has_fallen = share < self.quotas.share
+        self.quotas.set_share(share, told_until_s)
+        self.retries.share = share
+        if not has_fallen:
+            return
+        for pool in self.pools.values():
+            for waiting in reversed(pool.waiting.list_all()):
+                if self.quotas.is_over(waiting.work.workspace, now_s):
+                    self._dequeue(pool, waiting.work.request, now_s)
+                    wait = QuotaDecision(Verdict.REFUSED, _SHARE_RETRY_S)
+                    self._decline_limited(waiting.work, waiting.owner, wait)
+
     def charge_resend(self, workspace: str, charge: float, now_s: float) -> bool:
         """Charge a further run of a request at its target; return whether the limit allows it."""
         decision = self.quotas.take(workspace, charge, now_s, is_first=False)
--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -1,30 +1,40 @@
 """Enforce the token limits of workspaces over all gateways together.
 
 A limit is the workspace's rate times the window length, plus its burst, in every sliding
-window. Requests beyond it are served only if capacity is spare, up to a tolerated excess.
-Each scheduler enforces the share of the limit that belongs to the gateways it serves.
+window. Every run of a request counts, from when it is sent. Requests beyond the limit are
+served only if capacity is spare, up to a tolerated excess. Each decider enforces the share of
+the limit that belongs to the gateways it serves, and counts what others used by
+`troutstand.core.limits.usagebook`.
 """
 
 from __future__ import annotations
 
+import heapq
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from troutstand.core.limits.slidingwindow import SlidingWindow
+from troutstand.core.limits.slidingwindow import SlidingWindow, import_parts
+from troutstand.core.limits.usagebook import UsageBook
+from troutstand.generated.messages import Level, UsageSnapshot
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
+    from troutstand.core.limits.usagebook import HeldSnapshot
     from troutstand.generated.configuration import RoutedWorkspace
+    from troutstand.generated.routing import RoutingSettings
 
 # Shares of the tolerated excess that first and further runs may use. The rest covers usage that
 # a process could not tell anybody before it ended.
 _FIRST_RUN_EXCESS_SHARE = 0.8
 _FURTHER_RUN_EXCESS_SHARE = 0.9
 # Longest time from sending a request to its run.
-_WINDOW_MARGIN_S = 0.5
-_MIN_LIMIT_TOKENS = 1e-9
+WINDOW_MARGIN_S = 0.5
+# Gateways that leave one by one start no more spans than one in this time.
+_MIN_SPAN_S = 0.5
+_MS_PER_S = 1000.0
 
 
 @dataclass(frozen=True)
@@ -45,6 +55,11 @@
     excess: float = 0.0
     extra: float = 0.0
 
+    @property
+    def counted_s(self) -> float:
+        """Return the seconds for which usage counts."""
+        return self.window_s + WINDOW_MARGIN_S
+
     def compute_limit(self, rate_per_s: float, burst: float) -> float:
         """Return the tokens of a window without any excess."""
         return rate_per_s * self.window_s + burst
@@ -54,6 +69,11 @@
         return self.excess * self.compute_limit(rate_per_s, burst) + self.extra
 
 
+def make_bounds(settings: RoutingSettings) -> QuotaBounds:
+    """Return the bounds that the settings define."""
+    return QuotaBounds(settings.quota_window_s, settings.quota_excess, settings.quota_extra)
+
+
 class Verdict(Enum):
     """Classify a request by its workspace's limit."""
 
@@ -70,6 +90,24 @@
     wait_s: float = 0.0
 
 
+@dataclass
+class UsageSource:
+    """Hold the windows that one decider counted over a span of its life.
+
+    Parameters
+    ----------
+    share
+        The share of the limits that the processes which know this usage hold together.
+    is_own
+        Whether this process counted it.
+    """
+
+    share: float
+    is_own: bool
+    sequence: int = 0
+    windows: dict[str, SlidingWindow] = field(default_factory=dict)
+
+
 @dataclass
 class LimitCounts:
     """Count what happened to a workspace's limit since the counts were read; in tokens."""
@@ -78,8 +116,27 @@
     charged_again: float = 0.0
     refunded: float = 0.0
     refused: float = 0.0
-    taken_over: float = 0.0
-    handed_over: float = 0.0
+
+
+@dataclass
+class Limit:
+    """Hold a workspace's limit.
+
+    Parameters
+    ----------
+    limit_tokens, excess_tokens
+        Tokens of a window within the limit, and tolerated beyond it.
+    reserved
+        Tokens of admitted requests that were not sent yet.
+    untold
+        Tokens charged or taken over since the keepers were told.
+    """
+
+    limit_tokens: float
+    excess_tokens: float
+    reserved: float = 0.0
+    untold: float = 0.0
+    counts: LimitCounts = field(default_factory=LimitCounts)
 
 
 @dataclass(frozen=True)
@@ -88,48 +145,50 @@
 
     Parameters
     ----------
+    used, of_others
+        The usage that counts here, and the part of it that other deciders counted.
     max_tokens
         The most that this decider lets run in a window.
     """
 
     workspace: str
     used: float
+    of_others: float
     reserved: float
     max_tokens: float
     share: float
     counts: LimitCounts
 
 
-@dataclass
-class Limit:
-    """Hold a workspace's limit and its use in the current window.
+class Quotas:
+    """Admit requests within the limits of their workspaces.
 
     Parameters
     ----------
-    limit_tokens
-        Tokens of a window within the limit.
-    max_tokens, further_tokens
-        Tokens of a window including the excess that first and further runs may use.
-    reserved
-        Tokens of admitted requests that were not sent yet.
+    name
+        Names this decider among all that ever count usage.
     """
 
-    limit_tokens: float
-    max_tokens: float
-    further_tokens: float
-    window: SlidingWindow
-    reserved: float = 0.0
-    counts: LimitCounts = field(default_factory=LimitCounts)
-
-
-class Quotas:
-    """Admit requests within the limits of their workspaces."""
-
-    def __init__(self, bounds: QuotaBounds) -> None:
+    def __init__(self, bounds: QuotaBounds, name: str = "decider") -> None:
         self._bounds = bounds
-        self._window_s = bounds.window_s + _WINDOW_MARGIN_S
+        self._name = name
         self._limits: dict[str, Limit] = {}
-        self.share = 1.0
+        self._share = 1.0
+        self._span = 0
+        self._split_s = float("-inf")
+        self._sources: dict[str, UsageSource] = {}
+        self._own = self._start_span()
+        self._book = UsageBook(bounds.counted_s)
+        self._excess_from_s = float("-inf")
+
+    def _start_span(self) -> UsageSource:
+        """Count own usage under a new source from now on."""
+        self._span += 1
+        source = UsageSource(self._share, is_own=True)
+        self._sources[f"{self._name}.{self._span}"] = source
+        return source
+
+    # Limits
 
     def update_workspaces(self, workspaces: Iterable[RoutedWorkspace], now_s: float) -> None:
         """Apply new limits; usage in the current window still counts."""
@@ -137,20 +196,44 @@
         for name in set(self._limits) - set(limited):
             del self._limits[name]
         for name, workspace in limited.items():
-            self._set_limit(name, workspace.tokens_per_s, workspace.burst_tokens)
-
-    def _set_limit(self, name: str, rate_per_s: float, burst: float) -> None:
-        limit_tokens = self._bounds.compute_limit(rate_per_s, burst)
-        excess_tokens = self._bounds.compute_excess(rate_per_s, burst)
-        max_tokens = limit_tokens + _FIRST_RUN_EXCESS_SHARE * excess_tokens
-        further_tokens = limit_tokens + _FURTHER_RUN_EXCESS_SHARE * excess_tokens
-        limit = self._limits.get(name)
-        if limit is None:
-            window = SlidingWindow(self._window_s)
-            self._limits[name] = Limit(limit_tokens, max_tokens, further_tokens, window)
-            return
-        limit.limit_tokens, limit.max_tokens = limit_tokens, max_tokens
-        limit.further_tokens = further_tokens
+            rate_per_s, burst = workspace.tokens_per_s, workspace.burst_tokens
+            limit_tokens = self._bounds.compute_limit(rate_per_s, burst)
+            excess_tokens = self._bounds.compute_excess(rate_per_s, burst)
+            limit = self._limits.setdefault(name, Limit(limit_tokens, excess_tokens))
+            limit.limit_tokens, limit.excess_tokens = limit_tokens, excess_tokens
+
+    @property
+    def share(self) -> float:
+        """Return the share of all limits that this decider may use, 0 to 1."""
+        return self._share
+
+    def set_share(self, share: float, told_until_s: float = float("inf")) -> None:
+        """Set the share of all limits that this decider may use.
+
+        Parameters
+        ----------
+        told_until_s
+            If the share falls: the time until which those who leave know this decider's usage.
+            They count their part of it; later usage counts here alone.
+        """
+        falls = share < self._share
+        self._share = share
+        if falls and told_until_s - self._split_s >= _MIN_SPAN_S:
+            self._split_s = told_until_s
+            self._split_span(told_until_s)
+
+    def _split_span(self, told_until_s: float) -> None:
+        """Start a span for the usage that was not told to others until a time."""
+        before = self._own
+        self._own = self._start_span()
+        for name, window in before.windows.items():
+            self._own.windows[name] = window.split_off(told_until_s)
+
+    def hold_back_excess(self, until_s: float) -> None:
+        """Admit no excess until a time, while another decider may still use the same share."""
+        self._excess_from_s = max(self._excess_from_s, until_s)
+
+    # Charges
 
     def reserve(
         self, workspace: str, amount: float, now_s: float, is_first: bool = True
@@ -165,23 +248,29 @@
         limit = self._limits.get(workspace)
         if limit is None or amount <= 0:
             return QuotaDecision(Verdict.WITHIN_LIMIT)
-        window = limit.window
-        window.advance(now_s)
-        # A request larger than the limit passes if the window is empty.
-        max_tokens = self.share * (limit.max_tokens if is_first else limit.further_tokens)
-        capped = min(amount, max_tokens)
-        if window.total + limit.reserved + capped > max_tokens:
+        used = self._count_used(workspace, now_s) + limit.reserved
+        whole_tokens = self._compute_max(limit, now_s, is_first)
+        max_tokens = self._share * whole_tokens
+        # A request larger than the whole limit passes if the window is empty.
+        if used + min(amount, whole_tokens) > max_tokens:
             limit.counts.refused += amount
-            wait_s = window.compute_wait(capped + limit.reserved, max_tokens, now_s)
+            wait_s = self._compute_wait(workspace, limit, amount, max_tokens, now_s)
             return QuotaDecision(Verdict.REFUSED, wait_s)
-        limit_tokens = limit.limit_tokens * self.share
-        capped_to_limit = min(amount, limit_tokens)
-        wait_s = window.compute_wait(capped_to_limit + limit.reserved, limit_tokens, now_s)
+        limit_tokens = self._share * limit.limit_tokens
+        wait_s = self._compute_wait(workspace, limit, amount, limit_tokens, now_s)
         limit.reserved += amount
         return (
             QuotaDecision(Verdict.EXCESS, wait_s) if wait_s else QuotaDecision(Verdict.WITHIN_LIMIT)
         )
 
+    def is_over(self, workspace: str, now_s: float) -> bool:
+        """Return whether more is reserved than the limit allows, after a share has fallen."""
+        limit = self._limits.get(workspace)
+        if limit is None or limit.reserved <= 0:
+            return False
+        used = self._count_used(workspace, now_s) + limit.reserved
+        return used > self._share * self._compute_max(limit, now_s, is_first=False)
+
     def release(self, workspace: str, amount: float) -> None:
         """Return the reservation of a request that is not sent."""
         limit = self._limits.get(workspace)
@@ -190,13 +279,15 @@
 
     def charge(self, workspace: str, amount: float, now_s: float, is_first: bool = True) -> None:
         """Charge the reservation of a request that is sent now."""
+        if amount <= 0:
+            return
+        self._get_own_window(workspace).add(amount, now_s)
         limit = self._limits.get(workspace)
-        if limit is None or amount <= 0:
+        if limit is None:
             return
         limit.reserved = max(0.0, limit.reserved - amount)
-        limit.window.advance(now_s)
-        limit.window.add(amount, now_s)
         limit.counts.charged += amount
+        limit.untold += amount
         if not is_first:
             limit.counts.charged_again += amount
 
@@ -214,67 +305,174 @@
         limit = self._limits.get(workspace)
         if limit is None or amount <= 0:
             return
-        limit.window.advance(now_s)
-        limit.window.remove(amount, charged_s)
-        limit.counts.refunded += amount
+        for source in reversed(list(self._sources.values())):
+            window = source.windows.get(workspace) if source.is_own else None
+            if window is None:
+                continue
+            window.advance(now_s)
+            if window.holds(charged_s):
+                window.remove(amount, charged_s)
+                limit.counts.refunded += amount
+                return
+
+    def _get_own_window(self, workspace: str) -> SlidingWindow:
+        window = self._own.windows.get(workspace)
+        if window is None:
+            window = self._own.windows[workspace] = SlidingWindow(self._bounds.counted_s)
+        return window
+
+    def _compute_max(self, limit: Limit, now_s: float, is_first: bool) -> float:
+        """Return the tokens of a window with the excess that may be used now."""
+        if now_s < self._excess_from_s:
+            return limit.limit_tokens
+        share = _FIRST_RUN_EXCESS_SHARE if is_first else _FURTHER_RUN_EXCESS_SHARE
+        return limit.limit_tokens + share * limit.excess_tokens
+
+    # Usage
+
+    def _weigh(self, source: UsageSource) -> float:
+        """Return the part of a source's usage that counts here.
+
+        All who know it count it, in proportion to their shares of the limits. What is not told
+        to others for certain counts here as a whole.
+        """
+        return 1.0 if source is self._own else min(1.0, self._share / source.share)
+
+    def _count_used(self, workspace: str, now_s: float) -> float:
+        used = 0.0
+        for source in self._sources.values():
+            window = source.windows.get(workspace)
+            if window is not None:
+                window.advance(now_s)
+                used += self._weigh(source) * window.total
+        return used
+
+    def _compute_wait(
+        self, workspace: str, limit: Limit, amount: float, max_tokens: float, now_s: float
+    ) -> float:
+        """Return the seconds until an amount fits."""
+        amount = min(amount, max_tokens)
+        excess = self._count_used(workspace, now_s) + limit.reserved + amount - max_tokens
+        if excess <= 0:
+            return 0.0
+        expiries = [
+            source.windows[workspace].list_expiries(self._weigh(source))
+            for source in self._sources.values()
+            if workspace in source.windows
+        ]
+        for expiry in heapq.merge(*expiries):
+            excess -= expiry.amount
+            if excess <= 0:
+                return max(0.0, expiry.at_s - now_s)
+        return self._bounds.counted_s
+
+    def get_usage_share(self, workspace: str) -> float:
+        """Return a workspace's usage as a share of its limit, without advancing the windows."""
+        limit = self._limits.get(workspace)
+        if limit is None:
+            return 0.0
+        used = sum(
+            self._weigh(source) * source.windows[workspace].total
+            for source in self._sources.values()
+            if workspace in source.windows
+        )
+        return (used + limit.reserved) / (limit.limit_tokens * self._share)
 
     def drain_usage(self, now_s: float) -> list[LimitUsage]:
-        """Return the usage of each limit that was used or asked for since the last call."""
+        """Return the usage of each limit that was asked for since the last call."""
+        self._prune(now_s)
         usage: list[LimitUsage] = []
         for name, limit in self._limits.items():
             if limit.counts == LimitCounts():
                 continue
-            limit.window.advance(now_s)
-            max_tokens = limit.max_tokens * self.share
+            used = self._count_used(name, now_s)
+            own = sum(
+                self._weigh(source) * source.windows[name].total
+                for source in self._sources.values()
+                if source.is_own and name in source.windows
+            )
+            max_tokens = self._share * self._compute_max(limit, now_s, is_first=True)
             usage.append(
                 LimitUsage(
-                    name, limit.window.total, limit.reserved, max_tokens, self.share, limit.counts
+                    name, used, used - own, limit.reserved, max_tokens, self._share, limit.counts
                 )
             )
             limit.counts = LimitCounts()
         return usage
 
-    # Handover between schedulers
-
-    def get_usage_share(self, workspace: str) -> float:
-        """Return a workspace's usage as a share of its limit, without advancing the window."""
-        limit = self._limits.get(workspace)
-        if limit is None:
-            return 0.0
-        return limit.window.total / max(limit.limit_tokens * self.share, _MIN_LIMIT_TOKENS)
-
-    def export_usage(self, now_s: float) -> dict[str, list[int]]:
-        """Return the non-empty windows as parts, in thousandths of the limit with excess."""
-        usage: dict[str, list[int]] = {}
-        for name, limit in self._limits.items():
-            limit.window.advance(now_s)
-            if limit.window.total > 0:
-                max_tokens = max(limit.max_tokens * self.share, _MIN_LIMIT_TOKENS)
-                usage[name] = limit.window.export_parts(max_tokens, now_s)
-        return usage
-
-    def import_usage(
-        self, workspace: str, parts: Sequence[int], portion: float, now_s: float
-    ) -> None:
-        """Add the usage that another scheduler counted against a portion of the limit.
-
-        Parameters
-        ----------
-        parts
-            The exported window, in thousandths of the other scheduler's share.
-        portion
-            The portion of the whole limit that is handed over, such as one gateway's.
-        """
-        limit = self._limits.get(workspace)
-        if limit is None:
-            return
-        limit.window.advance(now_s)
-        before = limit.window.total
-        limit.window.import_parts(parts, limit.max_tokens * portion, now_s)
-        limit.counts.taken_over += limit.window.total - before
-
-    def release_share(self, share: float) -> None:
-        """Drop a share of the usage that was handed over, so that it is not counted twice."""
+    # Handover between deciders
+
+    def export_usage(self, now_s: float) -> list[UsageSnapshot]:
+        """Return all usage that is known here, for those who share the limits with this decider."""
+        self._prune(now_s)
+        for source in self._sources.values():
+            source.share = max(source.share, self._share)
+        self._book.raise_share(self._share)
+        own: list[UsageSnapshot] = []
+        for name, source in self._sources.items():
+            if not source.is_own:
+                continue
+            source.sequence += 1
+            levels = [
+                Level(workspace, window.export_parts(now_s))
+                for workspace, window in source.windows.items()
+                if window.total > 0
+            ]
+            if levels:
+                own.append(UsageSnapshot(name, source.sequence, source.share, levels=levels))
+        return own + self._book.list_snapshots(now_s)
+
+    def assume_usage(self, source: str) -> UsageSnapshot:
+        """Return the most that a decider with this share can have used in a window."""
+        levels = [
+            Level(name, [math.ceil(self._share * (limit.limit_tokens + limit.excess_tokens))])
+            for name, limit in self._limits.items()
+        ]
+        return UsageSnapshot(source, 1, self._share, levels=levels)
+
+    def get_untold_share(self) -> float:
+        """Return the largest share of a limit of which the keepers were not told."""
+        return max((x.untold / x.limit_tokens for x in self._limits.values()), default=0.0)
+
+    def mark_told(self) -> None:
+        """Record that the keepers are told of all usage."""
         for limit in self._limits.values():
-            limit.counts.handed_over += share * limit.window.total
-            limit.window.scale(1.0 - share)
+            limit.untold = 0.0
+
+    def merge_usage(self, snapshots: Iterable[UsageSnapshot], now_s: float) -> list[HeldSnapshot]:
+        """Count the usage that other deciders counted; return what was not known."""
+        foreign: list[UsageSnapshot] = []
+        for snapshot in snapshots:
+            own = self._sources.get(snapshot.source)
+            if own is None or not own.is_own:
+                foreign.append(snapshot)
+            elif snapshot.share > own.share:
+                # Others count a part of what they were told of this decider's usage.
+                if own is self._own:
+                    self._split_span(now_s - snapshot.age_ms / _MS_PER_S)
+                own.share = snapshot.share
+        changed = self._book.merge(foreign, now_s)
+        for held in changed:
+            snapshot = held.snapshot
+            source = UsageSource(snapshot.share, is_own=False, sequence=snapshot.sequence)
+            for level in snapshot.levels:
+                source.windows[level.workspace] = import_parts(
+                    level.taken, self._bounds.counted_s, held.taken_s
+                )
+                limit = self._limits.get(level.workspace)
+                if limit is not None:
+                    limit.untold += sum(level.taken)
+            self._sources[snapshot.source] = source
+        return changed
+
+    def _prune(self, now_s: float) -> None:
+        """Drop the sources whose usage has left the windows."""
+        for name in self._book.prune(now_s):
+            self._sources.pop(name, None)
+        for name, source in list(self._sources.items()):
+            for workspace, window in list(source.windows.items()):
+                window.advance(now_s)
+                if not len(window):
+                    del source.windows[workspace]
+            if source.is_own and source is not self._own and not source.windows:
+                del self._sources[name]
--- a/troutstand/core/limits/slidingwindow.py
+++ b/troutstand/core/limits/slidingwindow.py
@@ -5,15 +5,13 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
-from operator import attrgetter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
 # Number of equal parts of an exported window.
 PART_COUNT = 9
-_THOUSANDTHS = 1000
 # Amounts within this span share a bucket, which bounds the length of the deque; they
 # expire up to this much late.
 _BUCKET_SPAN_S = 0.02
@@ -28,6 +26,13 @@
     amount: float
 
 
+class Expiry(NamedTuple):
+    """Tell when an amount leaves a window."""
+
+    at_s: float
+    amount: float
+
+
 @dataclass
 class SlidingWindow:
     """Sum amounts that expire after the window's length."""
@@ -43,6 +48,9 @@
         """Drop the expired buckets."""
         while self._buckets and self._buckets[0].last_s <= now_s - self.length_s:
             self.total -= self._buckets.popleft().amount
+        if not self._buckets:
+            # Drops the rounding errors of the sums.
+            self.total = 0.0
 
     def add(self, amount: float, now_s: float) -> None:
         """Add an amount."""
@@ -62,25 +70,27 @@
                 self.total -= amount
                 return
 
-    def scale(self, factor: float) -> None:
-        """Multiply all amounts by a factor."""
+    def holds(self, added_s: float) -> bool:
+        """Return whether an amount that was added at a time may still be in the window."""
+        return bool(self._buckets) and self._buckets[0].first_s <= added_s
+
+    def split_off(self, after_s: float) -> SlidingWindow:
+        """Move the buckets that end later than a time into a new window, and return it."""
+        newer = SlidingWindow(self.length_s)
+        while self._buckets and self._buckets[-1].last_s > after_s:
+            bucket = self._buckets.pop()
+            newer._buckets.appendleft(bucket)
+            newer.total += bucket.amount
+        self.total -= newer.total
+        return newer
+
+    def list_expiries(self, weight: float = 1.0) -> Iterator[Expiry]:
+        """Yield when each amount leaves, soonest first, multiplied by a weight."""
         for bucket in self._buckets:
-            bucket.amount *= factor
-        self.total *= factor
-
-    def compute_wait(self, amount: float, max_total: float, now_s: float) -> float:
-        """Return the seconds until an amount fits within a maximum total."""
-        excess = self.total + amount - max_total
-        if excess <= 0:
-            return 0.0
-        for bucket in self._buckets:
-            excess -= bucket.amount
-            if excess <= 0:
-                return max(0.0, bucket.last_s + self.length_s - now_s)
-        return self.length_s
+            yield Expiry(bucket.last_s + self.length_s, weight * bucket.amount)
 
-    def export_parts(self, unit: float, now_s: float) -> list[int]:
-        """Return the sums of the window's parts, newest first, in thousandths of a unit.
+    def export_parts(self, now_s: float) -> list[int]:
+        """Return the sums of the window's parts, newest first.
 
         Sums are rounded up, and an import dates a part to its newest time, so that a
         handover never frees capacity.
@@ -90,31 +100,14 @@
         for bucket in self._buckets:
             age = int((now_s - bucket.last_s) / part_s)
             sums[min(PART_COUNT - 1, max(0, age))] += bucket.amount
-        return [max(0, math.ceil(_THOUSANDTHS * part / unit)) for part in sums]
+        return [max(0, math.ceil(part)) for part in sums]
 
-    def import_parts(self, parts: Sequence[int], unit: float, now_s: float) -> None:
-        """Add the exported parts of another window."""
-        part_s = self.length_s / PART_COUNT
-        added = [
-            _Bucket(now_s - index * part_s, now_s - index * part_s, part * unit / _THOUSANDTHS)
-            for index, part in enumerate(parts[:PART_COUNT])
-            if part
-        ]
-        self._buckets = _merge_buckets(sorted([*self._buckets, *added], key=_get_last_s))
-        self.total = sum(bucket.amount for bucket in self._buckets)
-
-
-_get_last_s = attrgetter("last_s")
-
-
-def _merge_buckets(ordered: list[_Bucket]) -> deque[_Bucket]:
-    """Return ordered buckets with those of one bucket span merged."""
-    merged: deque[_Bucket] = deque()
-    for bucket in ordered:
-        newest = merged[-1] if merged else None
-        if newest is not None and bucket.last_s < newest.first_s + _BUCKET_SPAN_S:
-            newest.last_s = bucket.last_s
-            newest.amount += bucket.amount
-        else:
-            merged.append(bucket)
-    return merged
+
+def import_parts(parts: Sequence[int], length_s: float, taken_s: float) -> SlidingWindow:
+    """Return the window that was exported in parts at a time."""
+    part_s = length_s / PART_COUNT
+    window = SlidingWindow(length_s)
+    for index in reversed(range(min(len(parts), PART_COUNT))):
+        if parts[index]:
+            window.add(float(parts[index]), taken_s - index * part_s)
+    return window
--- a/troutstand/daemon/storage.py
+++ b/troutstand/daemon/storage.py
@@ -33,13 +33,13 @@
 _LOCK = "lock"
 
 
-def frame_record(record: StoredRecord) -> bytes:
+def frame_record(record: object) -> bytes:
     """Encode a record with its header."""
     data = encode_record(record)
     return _HEADER.pack(_MAGIC, len(data), xxhash.xxh3_64_intdigest(data)) + data
 
 
-def _read_frame(data: bytes, offset: int) -> bytes | None:
+def read_frame(data: bytes, offset: int) -> bytes | None:
     """Return the record's bytes at an offset, or None if the frame is invalid."""
     if offset + _HEADER.size > len(data):
         return None
@@ -53,7 +53,7 @@
 def _has_valid_frame_after(data: bytes, offset: int) -> bool:
     position = data.find(_MAGIC, offset + 1)
     while position >= 0:
-        if _read_frame(data, position) is not None:
+        if read_frame(data, position) is not None:
             return True
         position = data.find(_MAGIC, position + 1)
     return False
@@ -71,7 +71,7 @@
     records: list[StoredRecord] = []
     offset = 0
     while offset < len(data):
-        body = _read_frame(data, offset)
+        body = read_frame(data, offset)
         if body is None:
             break
         records.append(decode_record(body, StoredRecord))
--- a/troutstand/routing/follower.py
+++ b/troutstand/routing/follower.py
@@ -88,7 +88,8 @@
             self._is_lost = True
             self._node.events.emit("keepers_lost", version=self.version)
 
-    def _list_keepers(self) -> list[ProcessId]:
+    def list_keepers(self) -> list[ProcessId]:
+        """Return the known keepers, or those of the seeds before any is known."""
         role = RoutingRole.keeper
         known = self._node.contacts.list_by_role(role.value)
         if known:
@@ -98,7 +99,7 @@
 
     async def ask_next_keeper(self) -> bool:
         """Poll the next keeper; return whether it replied in time."""
-        keepers = self._list_keepers()
+        keepers = self.list_keepers()
         if not keepers:
             return False
         self._keeper_index += 1
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -76,8 +76,7 @@
         self.placement = Placement(
             self.node,
             self.targets,
-            self.follower.rollouts,
-            self.follower.part_evidence,
+            self.follower,
             paths,
             self.tunnels,
         )
--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -6,6 +6,8 @@
 import contextlib
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import Attached
 from troutstand.generated.routing import RoutingRole
@@ -87,6 +89,9 @@
             # Standbys have a longer timeout, which must not make this scheduler live again.
             self.mark_lost(self.current)
         previous, self.current = self.current, decider
+        if not isinstance(previous, LocalDecider) and previous in self._health:
+            # The previous scheduler counts this gateway until it learns of the switch.
+            self._health[previous].wake.set()
         self._listener.switch_decider(previous)
 
     # Known schedulers
@@ -175,7 +180,9 @@
     async def _send_heartbeat(self, process: ProcessId, health: SchedulerHealth) -> None:
         is_attached = self.current == process
         is_first = is_attached and not health.is_attached
-        heartbeat = self._listener.make_heartbeat(is_attached, is_first)
+        heartbeat = msgspec.structs.replace(
+            self._listener.make_heartbeat(is_attached, is_first), echo=health.reply_number
+        )
         health.is_attached = is_attached
         if is_attached:
             health.record_request(read_clock_s())
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -13,6 +13,8 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.compression import compress, decompress
 from troutstand.core.errors import TroutstandError
+from troutstand.core.ids import ProcessId
+from troutstand.core.limits.quota import make_bounds
 from troutstand.core.membership import INITIAL_DISK_ID, make_initial_set
 from troutstand.daemon.links import handle_locally
 from troutstand.daemon.registers import RegisterClient
@@ -39,6 +41,9 @@
     StoredConfiguration,
     StoredIdentity,
     StoredKeepers,
+    UsageAsk,
+    UsageNews,
+    UsageTold,
     VersionsSeen,
 )
 from troutstand.generated.routing import RoutingRole
@@ -49,12 +54,12 @@
 from troutstand.routing.partevidencestore import PartEvidenceStore, decode_stored
 from troutstand.routing.recoveringjournal import RecoveringJournal
 from troutstand.routing.rolloutstore import RolloutStore, decode_book
+from troutstand.routing.usagestore import UsageStore
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from troutstand.core.ids import ProcessId
     from troutstand.core.stored import StoredRecord
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.dialect import Dialect
@@ -126,8 +131,11 @@
         self.part_evidence = PartEvidenceStore(
             self._make_line_client(Line.part_evidence), self.node.events
         )
+        counted_s = make_bounds(settings).counted_s
+        self.usage = UsageStore(Path(settings.data_folder), counted_s, self.node.events)
         self.replacement = KeeperReplacement(self)
         self._compressed_configuration = (0, b"")
+        self._absences: dict[ProcessId, float] = {}
         # Peers whose last configuration could not be decompressed.
         self._corrupt_peers: set[ProcessId] = set()
         self._control = ControlServer(
@@ -204,6 +212,13 @@
             case PartNews(evidence):
                 change = self.part_evidence.record(evidence)
                 return self._reply_change(change, "part_evidence_unclear")
+            case UsageNews(usage):
+                self.usage.merge(usage)
+                return None
+            case UsageAsk(process, incarnation):
+                return UsageTold(
+                    self.usage.list_usage(), self._measure_absence(process, incarnation)
+                )
             case KeepersAsk():
                 return self.acceptor.report_keepers()
             case KeepersInstall(keepers):
@@ -324,8 +339,24 @@
             self._compressed_configuration = (current.version, compress(current.content))
         return self._compressed_configuration[1]
 
+    def _measure_absence(self, process: str, incarnation: str) -> float:
+        """Return for how long a process was not heard from before its start, below 0 if unknown."""
+        known = self.node.contacts.find(process)
+        if known is not None and known.contact.incarnation != incarnation:
+            return read_clock_s() - known.last_heard_s
+        return self._absences.get(ProcessId(process), -1.0)
+
+    def _record_absence(self, contact: Contact, now_s: float) -> None:
+        """Record how long a process that has just restarted was not heard from."""
+        known = self.node.contacts.find(contact.process)
+        if known is None:
+            self._absences.pop(ProcessId(contact.process), None)
+        elif known.contact.incarnation != contact.incarnation:
+            self._absences[ProcessId(contact.process)] = now_s - known.last_heard_s
+
     def _update_contacts(self, contact: Contact, known: list[Contact]) -> None:
         now_s = read_clock_s()
+        self._record_absence(contact, now_s)
         for peer in (contact, *known):
             if peer.process != self.node.process and self.node.contacts.update(peer, now_s):
                 self.node.events.emit("contact_found", peer=peer.process, host=peer.host)
@@ -408,6 +439,7 @@
                 await self.journal.recover()
                 if not self.journal.is_failed:
                     await self.replacement.run_step()
+                self.usage.write()
                 if self.storage.log_bytes > _SNAPSHOT_BYTES:
                     self.journal.write_snapshot()
             except OSError as error:
--- a/troutstand/routing/placedrequests.py
+++ b/troutstand/routing/placedrequests.py
@@ -20,6 +20,8 @@
     work: RoutedWork
     target: str
     started_s: float
+    # When its run was last charged to its workspace's limit.
+    charged_s: float
     # Prompt tokens that the target processes before its first byte.
     prefill_tokens: float = 0.0
     has_first_byte: bool = False
@@ -42,7 +44,7 @@
     def start(self, work: RoutedWork, placed: Placed, now_s: float) -> None:
         """Add a request that was placed at a target."""
         self._requests[work.request] = PlacedRequest(
-            work, placed.target, now_s, placed.to_read, born_ms=placed.born_ms
+            work, placed.target, now_s, now_s, placed.to_read, born_ms=placed.born_ms
         )
 
     def record_first_byte(self, request: str, first_s: float, now_s: float) -> FirstByte | None:
@@ -67,6 +69,17 @@
         placed = self._requests.get(request)
         return placed.work if placed is not None else None
 
+    def get_charge_age_s(self, request: str, now_s: float) -> float:
+        """Return the seconds since a request's run was charged, 0 if it is unknown."""
+        placed = self._requests.get(request)
+        return now_s - placed.charged_s if placed is not None else 0.0
+
+    def record_charge(self, request: str, now_s: float) -> None:
+        """Record that a further run of a request was charged."""
+        placed = self._requests.get(request)
+        if placed is not None:
+            placed.charged_s = now_s
+
     def mark_path_lost(self, request: str, target: str) -> None:
         """Record that the response to a request cannot arrive."""
         placed = self._requests.get(request)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -16,7 +16,7 @@
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
-from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.limits.quota import WINDOW_MARGIN_S, Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.noticestore import NoticeStore
 from troutstand.generated.messages import (
@@ -29,7 +29,6 @@
     Ended,
     Ending,
     Hold,
-    Level,
     PathLost,
     Place,
     Placed,
@@ -51,7 +50,14 @@
     LocalDecider,
 )
 from troutstand.routing.targetlist import TargetListError
+from troutstand.routing.usagehandover import (
+    MAX_RESTART_S,
+    UsageHandover,
+    is_counted_by,
+    name_decider,
+)
 from troutstand.routing.usagelog import UsageLog
+from troutstand.routing.usagesync import TAKEOVER_S, UsageSync, load_usage
 from troutstand.util.clock import read_clock_s
 from troutstand.util.crashlog import emit_part_changes, emit_suspicion_changes
 from troutstand.util.noticelog import emit_notice_received
@@ -63,10 +69,14 @@
     from troutstand.core.ids import ProcessId
     from troutstand.core.paths import PathTable
     from troutstand.core.selfreport import BlockReason
-    from troutstand.generated.messages import PeerGateway, PeerMessage, TargetNotice
+    from troutstand.generated.messages import (
+        PeerGateway,
+        PeerMessage,
+        TargetNotice,
+        UsageSnapshot,
+    )
+    from troutstand.routing.follower import Follower
     from troutstand.routing.node import RoutingNode
-    from troutstand.routing.partevidencecache import PartEvidenceCache
-    from troutstand.routing.rolloutcache import RolloutCache
     from troutstand.routing.targetlist import TargetList
     from troutstand.routing.tunnelclient import TunnelClient
 
@@ -86,8 +96,7 @@
         self,
         node: RoutingNode,
         targets: TargetList,
-        rollouts: RolloutCache,
-        part_evidence: PartEvidenceCache,
+        follower: Follower,
         paths: PathTable,
         tunnels: TunnelClient,
     ) -> None:
@@ -95,7 +104,8 @@
         self._targets = targets
         self._paths = paths
         self._tunnels = tunnels
-        self._rollouts = rollouts
+        self._follower = follower
+        self._rollouts = follower.rollouts
         self._table: RouteTable | None = None
         self._pending: dict[str, PendingPlacement] = {}
         self._placed = PlacedRequests()
@@ -105,25 +115,28 @@
         self._local_active.set()
         self._heartbeats = Heartbeats(node, self)
         self._attachment = 0
-        self._quota_levels: list[Level] = []
+        counted_s = make_bounds(node.settings).counted_s
+        self._usage = UsageHandover(node.process, node.incarnation, counted_s)
+        self._usage_sync = UsageSync(node, follower, lambda: self._gateway_count)
+        self._usage_log = UsageLog(node.events, LOCAL)
+        self._usage_loaded = asyncio.Event()
         self._slot_times: list[Hold] = []
         self._crashes = CrashTracker()
         self._isolation = PartIsolation(self._crashes.parts)
         self._part_sync = PartEvidenceSync(
-            node, self._crashes.parts, part_evidence, self._merge_part_evidence
+            node, self._crashes.parts, follower.part_evidence, self._merge_part_evidence
         )
         self._notices = NoticeStore()
-        self._usage_log = UsageLog(node.events, LOCAL)
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
         settings = self._node.settings
         share = self._limit_share
-        quotas = Quotas(
-            QuotaBounds(settings.quota_window_s, settings.quota_excess, settings.quota_extra)
-        )
+        name = name_decider(self._node.process, self._node.incarnation, self._attachment)
+        quotas = Quotas(make_bounds(settings), name)
+        quotas.set_share(share)
         retries = RetryBudget(settings.retry_ratio, settings.retry_extra, settings.retry_window_s)
-        quotas.share = retries.share = share
+        retries.share = share
         local = Dispatcher(
             quotas, retries, self._node.random, self._crashes, self._node.load_options
         )
@@ -131,8 +144,9 @@
         local.set_rate_limit_share(share, now_s)
         if self._table is not None:
             local.update_table(self._table, now_s)
-        for level in self._quota_levels:
-            quotas.import_usage(level.workspace, level.taken, share, now_s)
+        self._merge_usage(quotas, self._usage.list_usage(share, now_s), "gateway", now_s)
+        # The scheduler before may still count this gateway.
+        quotas.hold_back_excess(now_s + TAKEOVER_S)
         local.merge_holds(self._slot_times)
         self._update_rollouts(local, now_s)
         local.update_targets(self._targets.targets, now_s)
@@ -142,6 +156,37 @@
             local.adopt(run, self._node.process, now_s)
         return local
 
+    def _merge_usage(
+        self, quotas: Quotas, usage: list[UsageSnapshot], source: str, now_s: float
+    ) -> None:
+        """Count for local decisions what others counted."""
+        self._usage_log.emit_merged(quotas.merge_usage(usage, now_s), source, now_s)
+
+    def _is_counted_here(self, snapshot: UsageSnapshot) -> bool:
+        """Return whether usage counts for this gateway, not for another one that decides alone."""
+        is_own = is_counted_by(snapshot, self._node.process)
+        return is_own or snapshot.share > self._local.quotas.share
+
+    async def _start_deciding(self) -> None:
+        """Learn from the keepers what was used before this process started, and attach."""
+        loaded = await load_usage(self._node, self._follower)
+        now_s = read_clock_s()
+        quotas = self._local.quotas
+        if not loaded.keepers:
+            quotas.hold_back_excess(now_s + make_bounds(self._node.settings).counted_s)
+        # The next scheduler may not know all of it.
+        self._usage.merge(loaded.usage, now_s)
+        usage = [snapshot for snapshot in loaded.usage if self._is_counted_here(snapshot)]
+        if loaded.absent_s > MAX_RESTART_S:
+            # This gateway may have decided locally, cut off from all that it could tell.
+            source = f"{name_decider(self._node.process, self._node.incarnation)}.assumed"
+            assumed = quotas.assume_usage(source)
+            self._usage.merge([assumed], now_s)
+            usage = [*usage, assumed]
+        self._merge_usage(quotas, usage, "keepers", now_s)
+        self._usage_loaded.set()
+        self._heartbeats.start()
+
     @property
     def _limit_share(self) -> float:
         """Return this gateway's share of all limits, 0 to 1."""
@@ -178,7 +223,7 @@
 
     def start(self) -> None:
         """Start heartbeats and the local decider's tasks."""
-        self._heartbeats.start()
+        self._node.spawn(self._start_deciding(), "limit usage")
         self._node.spawn(self._run_ticks(), "placement ticks")
         self._node.spawn(self._run_local_list(), "local target list")
 
@@ -190,6 +235,8 @@
         if quarantine is not None:
             # The decider may have restarted and not know the quarantine yet.
             return decline_quarantined(work.request, quarantine)
+        if self._is_local():
+            await self._usage_loaded.wait()
         loop = asyncio.get_running_loop()
         pending = PendingPlacement(work, read_clock_s(), loop.create_future())
         self._pending[work.request] = pending
@@ -207,6 +254,8 @@
         match answer:
             case Placed():
                 self._placed.start(work, answer, now_s)
+                if not isinstance(pending.decider, LocalDecider):
+                    self._usage.record_sent(work.workspace, work.charge, now_s)
             case Declined(crashes=crashes):
                 # Keeps the crash histories if the decider ends before the next heartbeat.
                 self._crashes.merge(crashes, now_s)
@@ -310,23 +359,41 @@
         else:
             self._node.send(self._current, PathLost(request, target))
 
+    async def confirm_charge(self, request: str) -> bool:
+        """Return whether a request may be sent now by the charge that its decider made.
+
+        A charge that was made long ago, as before a suspension of this host, leaves its window
+        too soon, and is made again.
+        """
+        age_s = self._placed.get_charge_age_s(request, read_clock_s())
+        return age_s <= WINDOW_MARGIN_S or await self.charge_resend(request)
+
     async def charge_resend(self, request: str) -> bool:
         """Charge a further run of a request at its target; return whether the limit allows it."""
         work = self._placed.find_work(request)
         if work is None or work.charge <= 0:
             return True
+        if not await self._ask_charge(work):
+            return False
+        self._placed.record_charge(request, read_clock_s())
+        return True
+
+    async def _ask_charge(self, work: RoutedWork) -> bool:
         decider = self._current
         if isinstance(decider, LocalDecider):
             return self._local.charge_resend(work.workspace, work.charge, read_clock_s())
-        ask = ChargeAsk(request, work.workspace, work.charge)
+        ask = ChargeAsk(work.request, work.workspace, work.charge)
         try:
             reply = await self._node.ask(decider, ask, _CHARGE_TIMEOUT_S)
         except TroutstandError as error:
             self._node.events.emit(
-                "charge_unclear", request, code=error.code, peer=decider, detail=error.detail
+                "charge_unclear", work.request, code=error.code, peer=decider, detail=error.detail
             )
             return False
-        return isinstance(reply, Acknowledged)
+        if not isinstance(reply, Acknowledged):
+            return False
+        self._usage.record_sent(work.workspace, work.charge, read_clock_s())
+        return True
 
     # Notices of targets
 
@@ -367,10 +434,9 @@
             is_first=is_first,
             attachment=self._attachment,
             gateways=self._gateway_count,
-            part=self._limit_share,
             asks="" if self._is_local() else str(self._current),
             running=self._placed.list_running(now_s) if is_first else [],
-            levels=self._quota_levels if is_first else [],
+            usage=self._usage.list_usage(self._limit_share, now_s) if is_first else [],
             holds=self._slot_times if is_first else [],
             crashes=self._crashes.list_histories(now_s) if is_first else [],
             crashes_version=self._crashes.version,
@@ -393,7 +459,7 @@
             self._update_peers(reply.peers, str(process))
         if process == self._current:
             self._gateway_count = reply.gateways
-            self._quota_levels = reply.levels
+            self._usage.merge_reply(reply.usage, read_clock_s())
             self._slot_times = reply.holds
             if reply.crashes_version != self._crashes.version:
                 self._crashes.replace(reply.crashes, read_clock_s())
@@ -410,8 +476,8 @@
         """Switch to the current decider and move the waiting requests to it."""
         if isinstance(before, LocalDecider):
             # The next scheduler counts the quota used by local decisions.
-            usage = self._local.quotas.export_usage(read_clock_s())
-            self._quota_levels = [Level(name, parts) for name, parts in usage.items()]
+            now_s = read_clock_s()
+            self._usage.merge(self._local.quotas.export_usage(now_s), now_s)
         self._attachment += 1
         if isinstance(self._current, LocalDecider):
             self._local = self._make_local()
@@ -467,6 +533,7 @@
                 now_s = read_clock_s()
                 self._update_rollouts(self._local, now_s)
                 self._local.tick(now_s)
+                self._usage_sync.tell(self._local.quotas)
                 self._usage_log.emit_usage(self._local.quotas, now_s)
                 self._deliver_local()
             else:
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -159,6 +159,10 @@
         """Charge a further run of a request at its target; return whether the limit allows it."""
         ...
 
+    async def confirm_charge(self, request: str) -> bool:
+        """Return whether a request may be sent now by the charge that its decider made."""
+        ...
+
 
 class Sender:
     """Send requests to targets."""
@@ -226,6 +230,9 @@
         self, outgoing: OutgoingRequest, placed: Placed, deadline_s: float, max_idle_s: float | None
     ) -> SentRequest:
         connection = await self._pool.acquire(placed.address, max_idle_s)
+        if not await self._notices.confirm_charge(outgoing.request):
+            self._pool.release(connection)
+            raise SendError(Ending.kept_back, "the workspace's limit allows no run so late")
         started_s = read_clock_s()
         try:
             request_head = self._encode_head(outgoing, placed, deadline_s - started_s)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -6,10 +6,16 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from troutstand.core.codes import ResultCode
 from troutstand.core.dispatch import Dispatcher
-from troutstand.core.gatewayregistry import GATEWAY_TIMEOUT_S, GatewayRegistry
-from troutstand.core.limits.quota import QuotaBounds, Quotas
+from troutstand.core.gatewayregistry import (
+    GATEWAY_TIMEOUT_S,
+    GatewayRegistry,
+    compute_lease,
+)
+from troutstand.core.limits.quota import Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.messages import (
     Abandon,
@@ -19,7 +25,6 @@
     ChargeAsk,
     Ended,
     FirstByte,
-    Level,
     PathLost,
     PeerMessage,
     Place,
@@ -38,7 +43,9 @@
 from troutstand.routing.partevidencecache import PartEvidenceSync
 from troutstand.routing.rolloutdriver import RolloutDriver
 from troutstand.routing.targetlist import TargetList, TargetListError, TargetListUpdate
+from troutstand.routing.usagehandover import name_decider
 from troutstand.routing.usagelog import UsageLog
+from troutstand.routing.usagesync import TAKEOVER_S, UsageSync, load_usage
 from troutstand.util.clock import read_clock_s
 from troutstand.util.crashlog import SCHEDULER, emit_part_changes, emit_suspicion_changes
 from troutstand.util.noticelog import emit_notice_accepted
@@ -49,7 +56,7 @@
     from troutstand.core.configuration import RouteTable
     from troutstand.core.crashes.partevidence import PartEvidence
     from troutstand.core.ids import ProcessId
-    from troutstand.generated.messages import TargetNotice
+    from troutstand.generated.messages import TargetNotice, UsageSnapshot
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.dialect import Dialect
 
@@ -59,7 +66,7 @@
 _SLOW_TICK_S = 0.2 * _TICK_PERIOD_S
 _SLOW_TICK_LOG_PERIOD_S = 1.0
 # Cached, since summing the windows of all limits costs as much as several placements.
-_LEVELS_TTL_S = 0.1
+_USAGE_TTL_S = 0.1
 _LIST_PERIOD_S = 0.9
 _STANDBY_LIST_PERIOD_S = 5.0
 _MIN_HEARTBEAT_PERIOD_S = 0.1
@@ -74,7 +81,7 @@
     def __init__(self, settings: RoutingSettings, dialect: Dialect) -> None:
         self.node = RoutingNode(settings)
         self.quotas = Quotas(
-            QuotaBounds(settings.quota_window_s, settings.quota_excess, settings.quota_extra)
+            make_bounds(settings), name_decider(self.node.process, self.node.incarnation)
         )
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s
@@ -90,13 +97,15 @@
         self.targets = TargetList(settings.target_list, dialect)
         self._gateways = GatewayRegistry()
         self._load_report = LoadReport(self.node)
-        self._usage_log = UsageLog(self.node.events, SCHEDULER)
         self.rollouts = RolloutDriver(
             self.node, self.dispatcher, self.follower, self._gateways.get_attached_share
         )
         self._pending: dict[tuple[str, str], asyncio.Future[PeerMessage | None]] = {}
         self._logged_limits: dict[str, tuple[float, float]] = {}
-        self._cached_levels: tuple[float, list[Level]] = (float("-inf"), [])
+        self._cached_usage: tuple[float, list[UsageSnapshot]] = (float("-inf"), [])
+        self._usage_sync = UsageSync(self.node, self.follower, lambda: self._gateways.gateway_count)
+        self._usage_log = UsageLog(self.node.events, SCHEDULER)
+        self._has_usage = False
         self._is_stopping = False
         self._has_list = False
         self._ready_since_s = read_clock_s()
@@ -110,6 +119,7 @@
         await self.node.start_metrics()
         self.node.state = ProcessState.serving
         self.node.spawn(self.follower.run(), "follower")
+        self.node.spawn(self._load_usage(), "limit usage")
         self.node.spawn(self._run_list_reads(), "target list")
         self.node.spawn(self._run_ticks(), "ticks")
         self.node.spawn(self.rollouts.run(), "rollouts")
@@ -125,7 +135,8 @@
     @property
     def is_ready(self) -> bool:
         """Return whether gateways may attach to this scheduler."""
-        return self._has_list and self.follower.table is not None and not self._is_stopping
+        has_state = self._has_list and self._has_usage and self.follower.table is not None
+        return has_state and not self._is_stopping
 
     # Messages
 
@@ -215,8 +226,9 @@
             self._detach_gateway(peer, "restarted", now_s)
         if state is not None and state.is_attached and not heartbeat.is_attached:
             self._detach_gateway(peer, "attached to another scheduler", now_s)
-        if not heartbeat.is_attached:
-            self._release_usage(peer)
+        if heartbeat.is_attached and not self._gateways.count_attached():
+            # The scheduler before may still count the same gateways.
+            self.quotas.hold_back_excess(now_s + TAKEOVER_S)
         self._gateways.record_heartbeat(peer, heartbeat, now_s)
         is_repeated = (
             is_known
@@ -226,7 +238,7 @@
         )
         if heartbeat.is_first and not is_repeated:
             self._import_gateway_state(peer, heartbeat, now_s)
-        self._update_limit_share()
+        self._update_limit_share(now_s)
         return self._make_attach_reply(peer, heartbeat, now_s)
 
     def _import_gateway_state(self, peer: ProcessId, heartbeat: AttachAsk, now_s: float) -> None:
@@ -239,7 +251,7 @@
         self.dispatcher.apply_notices(peer, heartbeat.notices, now_s)
         for work in heartbeat.running:
             self.dispatcher.adopt(work, peer, now_s)
-        self._import_usage(peer, heartbeat, now_s)
+        self._merge_usage(heartbeat.usage, peer, now_s)
         self.dispatcher.merge_holds(heartbeat.holds)
         self.dispatcher.merge_speeds(heartbeat.speeds)
         self.dispatcher.crashes.merge(heartbeat.crashes, now_s)
@@ -248,33 +260,26 @@
             peer=peer,
             running=len(heartbeat.running),
             speeds=len(heartbeat.speeds),
-            limits=len(heartbeat.levels),
+            usage_sources=len(heartbeat.usage),
             crashers=len(heartbeat.crashes),
             notices=len(heartbeat.notices),
-            fullest=max(
-                (sum(level.taken) / _MILLI_PER_UNIT for level in heartbeat.levels), default=0.0
-            ),
             gateways=self._gateways.gateway_count,
         )
 
-    def _import_usage(self, peer: ProcessId, heartbeat: AttachAsk, now_s: float) -> None:
-        """Import a gateway's usage of the limits at its previous scheduler.
+    def _merge_usage(self, usage: list[UsageSnapshot], source: str, now_s: float) -> None:
+        """Count what other deciders counted, unless it is known."""
+        changed = self.quotas.merge_usage(usage, now_s)
+        self._usage_log.emit_merged(changed, source, now_s)
 
-        A gateway that has just started sends none; usage by its previous incarnation remains.
-        """
-        if not heartbeat.levels:
-            return
-        self._release_usage(peer)
-        share = heartbeat.part or 1.0 / self._gateways.gateway_count
-        for level in heartbeat.levels:
-            self.quotas.import_usage(level.workspace, level.taken, share, now_s)
-        self._gateways.mark_usage_counted(peer)
-
-    def _release_usage(self, peer: ProcessId) -> None:
-        """Subtract the share of the usage of a gateway that detaches."""
-        share = self._gateways.release_usage(peer)
-        if share:
-            self.quotas.release_share(share)
+    async def _load_usage(self) -> None:
+        """Learn from the keepers what was used before this process started."""
+        loaded = await load_usage(self.node, self.follower)
+        now_s = read_clock_s()
+        if loaded.keepers:
+            self._merge_usage(loaded.usage, "keepers", now_s)
+        else:
+            self.quotas.hold_back_excess(now_s + make_bounds(self.node.settings).counted_s)
+        self._has_usage = True
 
     def _make_attach_reply(self, peer: ProcessId, heartbeat: AttachAsk, now_s: float) -> Attached:
         # A gateway uses the list of its own scheduler, or of any while it decides locally.
@@ -293,9 +298,7 @@
         has_peers = assigned.version != heartbeat.peers_version
         return Attached(
             incarnation=self.node.incarnation,
-            period_s=max(
-                _MIN_HEARTBEAT_PERIOD_S, _HEARTBEAT_PERIOD_PER_GATEWAY_S * len(self._gateways)
-            ),
+            period_s=self._get_heartbeat_period_s(),
             version=self.follower.version,
             gateways=self._gateways.gateway_count,
             attached=self._gateways.count_attached(),
@@ -308,28 +311,34 @@
             ready_s=self._get_ready_time_s(now_s),
             most_asked=most_used.scheduler,
             most_asked_by=most_used.gateways,
-            levels=self._list_levels(now_s) if heartbeat.is_attached else [],
+            usage=self._list_usage(now_s) if heartbeat.is_attached else [],
             holds=self.dispatcher.list_holds() if heartbeat.is_attached else [],
             crashes=crashes.list_histories(now_s) if sends_crashes else [],
             crashes_version=crashes.version,
+            number=self._gateways.number_reply(peer, now_s),
             has_peers=has_peers,
             peers=assigned.peers if has_peers else [],
         )
 
+    def _get_heartbeat_period_s(self) -> float:
+        """Return the seconds between two heartbeats of an attached gateway."""
+        return max(_MIN_HEARTBEAT_PERIOD_S, _HEARTBEAT_PERIOD_PER_GATEWAY_S * len(self._gateways))
+
     def _get_ready_time_s(self, now_s: float) -> float:
         """Return the seconds since this process became ready, 0 if it is not ready."""
         if not self.is_ready:
             self._ready_since_s = now_s
         return now_s - self._ready_since_s
 
-    def _list_levels(self, now_s: float) -> list[Level]:
+    def _list_usage(self, now_s: float) -> list[UsageSnapshot]:
         """Return the usage of the limits, cached across heartbeats."""
-        computed_s, levels = self._cached_levels
-        if now_s - computed_s > _LEVELS_TTL_S:
+        computed_s, usage = self._cached_usage
+        if now_s - computed_s > _USAGE_TTL_S:
             usage = self.quotas.export_usage(now_s)
-            levels = [Level(workspace, taken) for workspace, taken in usage.items()]
-            self._cached_levels = (now_s, levels)
-        return levels
+            self._cached_usage = (now_s, usage)
+            return usage
+        age_ms = int((now_s - computed_s) * _MILLI_PER_UNIT)
+        return [msgspec.structs.replace(u, age_ms=u.age_ms + age_ms) for u in usage]
 
     def _detach_gateway(self, gateway: ProcessId, reason: str, now_s: float) -> None:
         self.node.events.emit("gateway_detached", peer=gateway, reason=reason)
@@ -337,17 +346,20 @@
         for owner, request in [key for key in self._pending if key[0] == gateway]:
             self._resolve(owner, request, None)
 
-    def _update_limit_share(self) -> None:
+    def _update_limit_share(self, now_s: float) -> None:
         """Apply the share of the limits for the gateways attached here."""
-        share = self._gateways.get_limit_share()
-        self.quotas.share = share
-        self.retries.share = share
-        self.dispatcher.set_rate_limit_share(share, read_clock_s())
+        period_s = self._get_heartbeat_period_s()
+        lease_s = compute_lease(period_s)
+        share = self._gateways.get_limit_share(now_s, lease_s)
+        # A gateway whose lease has ended got a reply before it.
+        told_until_s = now_s - lease_s - period_s - _USAGE_TTL_S
+        self.dispatcher.set_limit_share(share, told_until_s, now_s)
+        self.dispatcher.set_rate_limit_share(share, now_s)
 
     def _detach_silent(self, now_s: float) -> None:
         for gateway, silent_s in self._gateways.detach_silent(now_s).items():
             self._detach_gateway(gateway, f"silent for {silent_s:.1f} s", now_s)
-        self._update_limit_share()
+        self._update_limit_share(now_s)
 
     # Configuration and targets
 
@@ -413,7 +425,9 @@
             self._update_rollouts(now_s)
             self.dispatcher.tick(now_s)
             self._load_report.update(self.dispatcher, now_s)
-            self._usage_log.emit_usage(self.quotas, now_s)
+            if self._gateways.count_attached():
+                self._usage_sync.tell(self.quotas)
+                self._usage_log.emit_usage(self.quotas, now_s)
             self._log_slow_tick(read_clock_s() - now_s, now_s)
             self._deliver_decisions()
 
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from troutstand.core.gatewayregistry import SCHEDULER_TIMEOUT_S
 from troutstand.core.ids import ProcessId
 
 if TYPE_CHECKING:
@@ -25,7 +26,7 @@
 _LIVE_SLACK_S = 0.15
 # Time without any response after which the current scheduler counts as lost. Longer than
 # the minimum TCP retransmission timeout (0.2 s), so that one lost packet is tolerated.
-RESPONSE_TIMEOUT_S = 0.4
+RESPONSE_TIMEOUT_S = SCHEDULER_TIMEOUT_S
 # Response timeout right after a switch: the new scheduler gets all gateways and their
 # waiting requests at once, 0.3 to 0.4 s for 73 gateways in a burst. Left too early, a quarter
 # of the gateways moved on to a third scheduler, and two schedulers decided at the same time.
@@ -66,6 +67,8 @@
     live_since_s: float = float("inf")
     period_s: float = _INITIAL_PERIOD_S
     incarnation: str = ""
+    # Number of the scheduler's last reply.
+    reply_number: int = 0
     is_ready: bool = False
     is_attached: bool = False
     # When the scheduler became ready, as it reports.
@@ -103,6 +106,7 @@
     def update(self, reply: Attached, now_s: float) -> None:
         """Apply the answer to a heartbeat."""
         self.record_response()
+        self.reply_number = reply.number
         self.last_heard_s = now_s
         self.period_s = reply.period_s
         self.is_ready = reply.is_ready
--- a/troutstand/routing/usagelog.py
+++ b/troutstand/routing/usagelog.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from troutstand.core.limits.quota import LimitUsage, Quotas
+    from troutstand.core.limits.usagebook import HeldSnapshot
     from troutstand.util.events import EventBus
 
 _PERIOD_S = 1.0
@@ -36,6 +39,7 @@
                 "limit_usage",
                 workspace=limit.workspace,
                 used=limit.used,
+                of_others=limit.of_others,
                 reserved=limit.reserved,
                 most=limit.max_tokens,
                 share=limit.share,
@@ -43,9 +47,25 @@
                 charged_again=limit.counts.charged_again,
                 refunded=limit.counts.refunded,
                 refused=limit.counts.refused,
-                taken_over=limit.counts.taken_over,
-                handed_over=limit.counts.handed_over,
                 decider=self.decider,
             )
         if len(usage) > _MAX_LINES:
             self.events.emit("limit_usage_left_out", limits=len(usage) - _MAX_LINES)
+
+    def emit_merged(self, changed: Iterable[HeldSnapshot], source: str, now_s: float) -> None:
+        """Log the usage of other deciders that counts here from now on."""
+        for held in changed:
+            snapshot = held.snapshot
+            fullest = max(snapshot.levels, key=lambda level: sum(level.taken))
+            self.events.emit(
+                "limit_usage_taken_over",
+                counted_by=snapshot.source,
+                sequence=snapshot.sequence,
+                share=snapshot.share,
+                age_s=now_s - held.taken_s,
+                workspaces=len(snapshot.levels),
+                workspace=fullest.workspace,
+                tokens=sum(fullest.taken),
+                told_by=source,
+                decider=self.decider,
+            )
--- a/troutstand/tests/limits.feature
+++ b/troutstand/tests/limits.feature
@@ -56,3 +56,22 @@
     Then the window holds at most 450 amounts
     And it holds what was taken and not refunded, to the token
     And nothing leaves it sooner than 8.5 s after it was taken
+
+  # Guards against a charge that is dated at a request's arrival, when it had yet to wait.
+  Scenario: A charge counts from when a request is sent
+    Given a service with 1 targets of 1 slots
+    And a workspace with a limit of 100 tokens a second
+    When a request of 300 tokens holds the slot, and one of 500 tokens waits 3 s for it
+    Then 8 s after it was sent at most 300 further tokens are admitted
+
+  Scenario: A request that did not run gives its tokens back
+    Given a service with 1 targets of 1 slots
+    And a workspace with a limit of 100 tokens a second
+    When a request of 800 tokens is placed and ends as turned_away
+    Then a request of 800 tokens is placed
+
+  Scenario: A further run of a request is charged like the first
+    Given a service with 1 targets of 1 slots
+    And a workspace with a limit of 100 tokens a second
+    When a request of 500 tokens is placed and ends as broken
+    Then its second attempt is refused for the limit with a wait of 5 s or more
--- /dev/null
+++ b/troutstand/tests/limitsimulation.feature
@@ -0,0 +1,34 @@
+Feature: No window holds more than a limit allows, whatever counts it fails
+
+  # Every run of 60 simulated seconds is counted in every window, second runs included, of a
+  # workspace that asks for three times its limit while requests wait in queues.
+
+  Scenario Outline: A limit holds at <gateways> gateways when <fault>
+    Given simulations of <gateways> gateways with seeds from 0 to 7
+    When <fault> again and again
+    Then no window of them holds more than the limit and its tolerated excess
+    And each of them runs at least 0.9 of what the limit alone allows
+
+    Examples:
+      | gateways | fault                           |
+      | 4        | nothing fails                   |
+      | 4        | a scheduler dies                |
+      | 4        | half of the gateways die        |
+      | 4        | all gateways and schedulers die |
+      | 4        | all processes die               |
+      | 4        | two halves are cut              |
+      | 4        | a gateway is cut                |
+      | 4        | the schedulers are cut          |
+      | 8        | two halves are cut              |
+      | 8        | all processes die               |
+
+  Scenario: A limit holds when faults of all kinds overlap
+    Given simulations of 4 gateways with seeds from 0 to 15
+    When faults of all kinds follow one another
+    Then no window of them holds more than the limit and its tolerated excess
+
+  # Guards against gateways of a large site that each use a share too small for one request.
+  Scenario: A limit holds at 330 gateways over changes of decider
+    Given simulations of 330 gateways with seeds from 0 to 0
+    When faults of all kinds follow one another
+    Then no window of them holds more than the limit and its tolerated excess
--- a/troutstand/tests/relay.feature
+++ b/troutstand/tests/relay.feature
@@ -42,6 +42,13 @@
     When two repeatable requests are sent one after the other
     Then both outcomes are whole and came on 2 connections
 
+  # Guards against a second run that no limit counts.
+  Scenario: A request is not resent if its workspace's limit allows no further run
+    Given a target that answers in full, resets at the next request, then answers in full
+    And the workspace's limit allows no further run
+    When two repeatable requests are sent one after the other
+    Then the second outcome is broken and the target saw 2 requests
+
   Scenario: A request that crashed its target on a reused connection counts as sent
     Given a target that answers in full, ends at the next request
     When two repeatable requests are sent one after the other
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 from behave import given, then, when
 
+from troutstand.core.codes import ResultCode
 from troutstand.core.limits.quota import QuotaBounds, Quotas, Verdict
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.configuration import RoutedWorkspace
+from troutstand.generated.messages import Ending
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -16,6 +19,8 @@
 _STEP_S = 0.05
 _REQUEST_TOKENS = 200.0
 _EPSILON = 1e-6
+# Tells the deciders of all scenarios apart.
+_NUMBERS = itertools.count()
 
 
 @given(
@@ -31,8 +36,8 @@
 
 
 def _make_quotas(context: Context, now_s: float, share: float = 1.0) -> Quotas:
-    quotas = Quotas(context.bounds)
-    quotas.share = share
+    quotas = Quotas(context.bounds, f"decider-{next(_NUMBERS)}")
+    quotas.set_share(share)
     quotas.update_workspaces([context.workspace], now_s)
     return quotas
 
@@ -48,7 +53,7 @@
         if now_s - changed_s >= period_s:
             changed_s = now_s
             before, quotas = quotas, _make_quotas(context, now_s)
-            _hand_over(before, quotas, 1.0, now_s)
+            _hand_over(before, quotas, now_s)
         if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
             context.taken.append((now_s, _REQUEST_TOKENS))
         now_s += _STEP_S
@@ -69,9 +74,8 @@
         now_s += _STEP_S
 
 
-def _hand_over(source: Quotas, goal: Quotas, portion: float, now_s: float) -> None:
-    for workspace, parts in source.export_usage(now_s).items():
-        goal.import_usage(workspace, parts, portion, now_s)
+def _hand_over(source: Quotas, goal: Quotas, now_s: float) -> None:
+    goal.merge_usage(source.export_usage(now_s), now_s)
 
 
 @when(
@@ -86,14 +90,14 @@
     now_s = 0.0
     while now_s < length_s:
         if start_s <= now_s < end_s and not cut_off:
-            scheduler.share = 1.0 - alone / all_
             cut_off = [_make_quotas(context, now_s, 1.0 / all_) for _ in range(alone)]
             for gateway in cut_off:
-                _hand_over(scheduler, gateway, 1.0 / all_, now_s)
+                _hand_over(scheduler, gateway, now_s)
+            scheduler.set_share(1.0 - alone / all_)
         if now_s >= end_s and cut_off:
             for gateway in cut_off:
-                _hand_over(gateway, scheduler, 1.0 / all_, now_s)
-            scheduler.share = 1.0
+                _hand_over(gateway, scheduler, now_s)
+            scheduler.set_share(1.0)
             cut_off = []
         for quotas in (scheduler, *cut_off):
             if quotas.take("w", _REQUEST_TOKENS, now_s).verdict is not Verdict.REFUSED:
@@ -187,7 +191,7 @@
             quotas.refund("w", 100.0, now_s, now_s + 0.3 * (number % 3))
         else:
             context.kept.append(now_s)
-    context.window = quotas._limits["w"].window
+    context.window = quotas._own.windows["w"]
 
 
 @then("the window holds at most {most:d} amounts")
@@ -206,3 +210,58 @@
         context.window.advance(now_s)
         owed = 100.0 * sum(1 for at_s in context.kept if at_s > now_s - length_s)
         assert context.window.total >= owed - 1e-6, (now_s, context.window.total, owed)
+
+
+# Charges of a dispatcher
+
+
+@given("a workspace with a limit of {rate:d} tokens a second")
+def limit_workspace(context: Context, rate: int) -> None:
+    context.desk.quotas.update_workspaces(
+        [RoutedWorkspace("w", tokens_per_s=rate)], context.desk.now_s
+    )
+
+
+def _arrive(context: Context, tokens: int, **fields: object) -> str:
+    return context.desk.arrive(workspace="w", charge=float(tokens), **fields)
+
+
+@when(
+    "a request of {first:d} tokens holds the slot, "
+    "and one of {second:d} tokens waits {wait_s:d} s for it"
+)
+def wait_for_slot(context: Context, first: int, second: int, wait_s: int) -> None:
+    running = _arrive(context, first)
+    waiting = _arrive(context, second, objective_s=20.0, remaining_s=60.0)
+    context.desk.pass_time(wait_s)
+    assert waiting not in context.desk.placed
+    context.desk.end(running, total_s=float(wait_s))
+    assert waiting in context.desk.placed
+    context.desk.end(waiting)
+
+
+@then("{length_s:d} s after it was sent at most {most:d} further tokens are admitted")
+def check_admitted(context: Context, length_s: int, most: int) -> None:
+    context.desk.pass_time(length_s - 0.1)
+    assert _arrive(context, most + 100) in context.desk.declined
+    assert _arrive(context, most) in context.desk.placed
+
+
+@when("a request of {tokens:d} tokens is placed and ends as {ending}")
+def end_request(context: Context, tokens: int, ending: str) -> None:
+    request = _arrive(context, tokens)
+    assert request in context.desk.placed
+    context.desk.end(request, Ending[ending])
+    context.desk.pass_time(1.0)
+
+
+@then("a request of {tokens:d} tokens is placed")
+def check_placed(context: Context, tokens: int) -> None:
+    assert _arrive(context, tokens) in context.desk.placed
+
+
+@then("its second attempt is refused for the limit with a wait of {wait_s:d} s or more")
+def check_second_attempt(context: Context, wait_s: int) -> None:
+    declined = context.desk.declined[_arrive(context, 500, attempt=2, attempts=2)]
+    assert ResultCode(declined.code) is ResultCode.WORKSPACE_LIMIT, declined
+    assert declined.retry_after_s >= wait_s - _EPSILON, declined
--- a/troutstand/tests/steps/limitshandover.py
+++ b/troutstand/tests/steps/limitshandover.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
@@ -11,7 +11,7 @@
 from troutstand.core.ids import ProcessId
 from troutstand.core.limits.quota import QuotaBounds, Quotas
 from troutstand.generated.configuration import RoutedWorkspace
-from troutstand.generated.messages import AttachAsk, Attached, Level
+from troutstand.generated.messages import AttachAsk, Attached, UsageSnapshot
 from troutstand.tests.steps.attaching import make_scheduler
 
 if TYPE_CHECKING:
@@ -22,6 +22,8 @@
 _WORKSPACE = RoutedWorkspace("one", tokens_per_s=1000.0)
 _WINDOW_S = 8.0
 _PERIOD_S = 0.05
+_HEARTBEAT_S = 0.1
+_ABSENCE_S = 1.5
 _ROUNDED = 0.05
 
 
@@ -30,10 +32,12 @@
     """Hold one gateway's share of the limits."""
 
     name: ProcessId
-    levels: list[Level]
+    usage: list[UsageSnapshot]
     gateways: int
     incarnation: str = "i1"
     attachment: int = 0
+    # The last reply of each scheduler.
+    echoes: dict[int, int] = field(default_factory=dict)
 
 
 class Clock:
@@ -46,20 +50,20 @@
         return self.now_s
 
 
-def _take_alone(count: int, share: float, clock: Clock) -> list[Level]:
+def _take_alone(number: int, count: int, share: float, clock: Clock) -> list[UsageSnapshot]:
     """Return the usage of a gateway that decided locally and used part of its share."""
-    quotas = Quotas(QuotaBounds(_WINDOW_S))
-    quotas.share = 1.0 / count
+    quotas = Quotas(QuotaBounds(_WINDOW_S), f"gateway-{number}|i1|0")
+    quotas.set_share(1.0 / count)
     quotas.update_workspaces([_WORKSPACE], clock.now_s)
     quotas.take(_WORKSPACE.name, share * 1000.0 * _WINDOW_S / count, clock.now_s)
-    return [Level(name, parts) for name, parts in quotas.export_usage(clock.now_s).items()]
+    return quotas.export_usage(clock.now_s)
 
 
 @given("{count:d} gateways that took {share:g} of a workspace's limit together")
 def use_gateways(context: Context, count: int, share: float) -> None:
     context.clock = Clock()
     context.parts = [
-        HeldPart(ProcessId(f"gateway-{n}"), _take_alone(count, share, context.clock), count)
+        HeldPart(ProcessId(f"gateway-{n}"), _take_alone(n, count, share, context.clock), count)
         for n in range(count)
     ]
     context.schedulers = []
@@ -81,15 +85,16 @@
         is_first=is_first,
         attachment=part.attachment,
         asks=asked,
-        levels=part.levels if is_first else [],
+        usage=part.usage if is_first else [],
         gateways=part.gateways,
-        part=1.0 / part.gateways,
+        echo=part.echoes.get(id(scheduler), 0),
     )
     with patch("troutstand.routing.scheduler.read_clock_s", context.clock.read):
         reply = scheduler.handle(part.name, ask)
     assert isinstance(reply, Attached), reply
+    part.echoes[id(scheduler)] = reply.number
     if is_attached:
-        part.levels, part.gateways = reply.levels, reply.gateways
+        part.usage, part.gateways = reply.usage, reply.gateways
     return reply
 
 
@@ -120,19 +125,21 @@
 def come_back(context: Context) -> None:
     half = context.parts[: len(context.parts) // 2]
     kept = context.parts[len(context.parts) // 2 :]
-    for _ in range(3):
-        context.clock.now_s += 0.5
+    for _ in range(int(_ABSENCE_S / _HEARTBEAT_S)):
+        context.clock.now_s += _HEARTBEAT_S
         for part in kept:
             _beat(context, context.scheduler, part, "here", False)
         context.scheduler._detach_silent(context.clock.now_s)
     _attach_all(context, context.scheduler, half)
+    for part in kept:
+        _beat(context, context.scheduler, part, "here", False)
 
 
 @when("half of them restart and attach")
 def start_again(context: Context) -> None:
     half = context.parts[: len(context.parts) // 2]
     for part in half:
-        part.incarnation, part.levels, part.gateways = "i2", [], 8
+        part.incarnation, part.usage, part.gateways = "i2", [], 8
     _attach_all(context, context.scheduler, half)
 
 
--- /dev/null
+++ b/troutstand/tests/steps/limitsimulation.py
@@ -0,0 +1,62 @@
+"""Check the windows of simulated sites."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from behave import given, then, when
+
+from troutstand.testing.limitload import LimitPlan
+from troutstand.testing.limitsimulation import LimitSimulation, SimulatedFault, SimulationPlan
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+_LARGE_SITE = 50
+# Seconds and tokens of a large site's simulation, whose steps take longer.
+_LARGE_LENGTH_S = 20.0
+_SMALL_TOKENS = 60.0
+
+
+@given("simulations of {gateways:d} gateways with seeds from {first:d} to {last:d}")
+def plan_simulations(context: Context, gateways: int, first: int, last: int) -> None:
+    context.plans = [SimulationPlan(seed, gateways) for seed in range(first, last + 1)]
+    if gateways > _LARGE_SITE:
+        context.plans = [
+            replace(plan, length_s=_LARGE_LENGTH_S, mean_tokens=_SMALL_TOKENS)
+            for plan in context.plans
+        ]
+
+
+def _run_all(context: Context, faults: tuple[SimulatedFault, ...]) -> None:
+    context.simulations = [LimitSimulation(replace(p, faults=faults)) for p in context.plans]
+    context.fullest = [simulation.run() for simulation in context.simulations]
+
+
+@when("{fault} again and again")
+def run_one_fault(context: Context, fault: str) -> None:
+    _run_all(context, () if fault == "nothing fails" else (SimulatedFault(fault),))
+
+
+@when("faults of all kinds follow one another")
+def run_all_faults(context: Context) -> None:
+    _run_all(context, tuple(SimulatedFault))
+
+
+@then("no window of them holds more than the limit and its tolerated excess")
+def check_windows(context: Context) -> None:
+    most = LimitPlan().max_tokens
+    over = [
+        f"seed {simulation.plan.seed}: {fullest.tokens / most:.3f} "
+        f"from {fullest.start_s:.2f} s on, {simulation.history}"
+        for simulation, fullest in zip(context.simulations, context.fullest, strict=True)
+        if fullest.tokens > most
+    ]
+    assert not over, "\n".join(over)
+
+
+@then("each of them runs at least {share:g} of what the limit alone allows")
+def check_used(context: Context, share: float) -> None:
+    used = [simulation.get_used_share() for simulation in context.simulations]
+    assert min(used) >= share, used
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -112,6 +112,8 @@
 class NoticeWatch:
     """Store the notices of targets, like a gateway."""
 
+    allows_resend = True
+
     def __init__(self, looks_before_rest: int | None = None) -> None:
         self.book = NoticeStore()
         self._looks_before_rest = looks_before_rest
@@ -132,7 +134,11 @@
         """Ignore the report: no scheduler is asked here."""
 
     async def charge_resend(self, request: str) -> bool:
-        """Allow every further run."""
+        """Return whether further runs are allowed."""
+        return self.allows_resend
+
+    async def confirm_charge(self, request: str) -> bool:
+        """Allow every run."""
         return True
 
 
@@ -142,7 +148,9 @@
         await target.start()
         context.address = target.address
     pool = ConnectionPool(Dialer(1.0))
-    sender = Sender(pool, HeaderNames(), NoticeWatch(context.looks_before_rest))
+    watch = NoticeWatch(context.looks_before_rest)
+    watch.allows_resend = context.allows_resend
+    sender = Sender(pool, HeaderNames(), watch)
     context.outcomes = []
     for outgoing in outgoings:
         placed = Placed(_REQUEST, "t1", context.address)
@@ -173,14 +181,19 @@
 @given("an address where nothing listens")
 def use_nothing(context: Context) -> None:
     context.target = None
-    context.looks_before_rest = None
+    context.looks_before_rest, context.allows_resend = None, True
     context.address = "127.0.0.1:9"
 
 
 @given("a target that answers {answer}")
 def use_target(context: Context, answer: str) -> None:
     context.target = ScriptedTarget(_REPLIES[answer])
-    context.looks_before_rest = None
+    context.looks_before_rest, context.allows_resend = None, True
+
+
+@given("the workspace's limit allows no further run")
+def refuse_further_runs(context: Context) -> None:
+    context.allows_resend = False
 
 
 @given("the target asks for rest while the second request is under way")
