Grant a workspace no second burst after a change of a domain's scheduler

What it costs: a workspace that had not used its burst has it again after five seconds at most. Further attempts are charged there already, since each one is submitted again.

--- a/troutstand/core/domainview.py
+++ b/troutstand/core/domainview.py
@@ -25,6 +25,7 @@
         self._pools: dict[str, list[TargetEstimate]] = {}
         self._load = RunningLoad()
         self._leaving: frozenset[str] = frozenset()
+        self._started_s = float("-inf")
 
     def update_table(self, table: Table) -> None:
         """Apply a newer version of the table."""
@@ -40,7 +41,7 @@
 
     def _update_workspaces(self, rows: dict[str, Workspace]) -> None:
         for name, row in rows.items():
-            usage = self._workspaces.setdefault(name, WorkspaceUsage(row))
+            usage = self._workspaces.setdefault(name, WorkspaceUsage(row, self._started_s))
             usage.row = row
         for name in set(self._workspaces) - set(rows):
             del self._workspaces[name]
--- a/troutstand/core/limits/workspaceusage.py
+++ b/troutstand/core/limits/workspaceusage.py
@@ -18,9 +18,16 @@
 
     A request is charged its estimated tokens on submission; it is admitted, whatever its
     size, if the bucket is not empty.
+
+    Parameters
+    ----------
+    started_s
+        When the scheduler started. What its predecessor granted just before is unknown, so that
+        the bucket is empty then.
     """
 
     row: Workspace
+    started_s: float = float("-inf")
     running: int = 0
     _bucket_tokens: float = 0.0
     _refilled_at_s: float | None = None
@@ -43,9 +50,7 @@
     def _refill(self, now_s: float) -> None:
         rate = self.row.tokens_per_s
         capacity = rate * BURST_S
-        if self._refilled_at_s is None:
-            self._bucket_tokens = capacity
-        else:
-            refill = (now_s - self._refilled_at_s) * rate
-            self._bucket_tokens = min(capacity, self._bucket_tokens + refill)
+        last_s = self.started_s if self._refilled_at_s is None else self._refilled_at_s
+        refill = (now_s - last_s) * rate
+        self._bucket_tokens = min(capacity, self._bucket_tokens + refill)
         self._refilled_at_s = now_s
--- a/troutstand/core/scheduler.py
+++ b/troutstand/core/scheduler.py
@@ -80,6 +80,7 @@
         self.crashes = CrashTracker()
         self._waiting_limit = waiting_limit
         self._policy = Policy(policy, seed)
+        self._started_s = started_s
         self._grants_from_s = started_s + REPORT_WAIT_S
         self._new_notices: list[TargetNotice] = []
 
--- a/troutstand/tests/scheduler.feature
+++ b/troutstand/tests/scheduler.feature
@@ -51,6 +51,13 @@
     When it submits 50 requests of 100 tokens at once
     Then at most 6 are granted and the others refused with 3003
 
+  # Guards against a full token bucket at each new scheduler, on top of what the one before granted.
+  Scenario: A scheduler that takes over grants a workspace no second burst
+    Given a scheduler that took over 1 s ago
+    And a workspace limited to 100 tokens a second
+    When it submits 50 requests of 100 tokens at once
+    Then at most 1 are granted and the others refused with 3003
+
   Scenario: Requests of a deleted target do not count against their workspace's limit
     Given a workspace limited to 1 running request
     When a request runs on a target that is then deleted
--- a/troutstand/tests/steps/scheduler.py
+++ b/troutstand/tests/steps/scheduler.py
@@ -297,6 +297,13 @@
     assert abs(counts["big"] - big) <= slack and abs(counts["small"] - small) <= slack, counts
 
 
+@given("a scheduler that took over {age_s:d} s ago")
+def take_over(context: Context, age_s: int) -> None:
+    driver = context.driver
+    driver.scheduler = Scheduler("north", 10_000, _SEED, driver.now_s - age_s)
+    driver.set_rows([])
+
+
 @given("a workspace limited to 100 tokens a second")
 def make_limited(context: Context) -> None:
     context.driver.set_rows([Workspace("w", "0" * 64, "t0", 1.0, 100.0)])
