Hold the soak to the stated limit, and let a workspace ask for more than it

The soak allowed 1.5 times what a limit and its excess allow, and its workspace asked for 0.7 of its limit, so that no fault could break it. It is held to the stated bound now and asks for three times the limit. Its refused calls are told from others when recovery is judged; one of them at least must be served after the faults.

--- a/troutstand/testing/soak/check.py
+++ b/troutstand/testing/soak/check.py
@@ -31,6 +31,7 @@
 _READ_MAX_LAG_S = 2.5
 _OK = 200
 _MIN_SERVED_SHARE = 0.9
+_LIMITED = 429
 # From this time after gateways were cut from all targets, their callers are served at least
 # this share as often as the others', unless few requests fail there.
 _CUT_GRACE_S = 3.0
@@ -151,6 +152,8 @@
     list_outages: list[tuple[float, float]] = field(default_factory=list)
     rollouts: list[RolloutRecord] = field(default_factory=list)
     crash_parts: CrashParts = field(default_factory=lambda: CrashParts({CRASHING_PART}))
+    # Requests of the workspace that asks for more than its limit.
+    limited_calls: set[str] = field(default_factory=set)
     # Requests with a prompt part that crashes targets.
     crashing_calls: list[CallResult] = field(default_factory=list)
     events_per_stream: int = 4
@@ -423,7 +426,11 @@
 
 
 def _check_recovery(record: SoakRecord) -> list[str]:
-    recovered = [call for call in record.calls if call.began_s >= record.recovered_s]
+    after = [call for call in record.calls if call.began_s >= record.recovered_s]
+    limited = [call for call in after if call.request in record.limited_calls]
+    if limited and not any(call.status == _OK for call in limited):
+        return [f"after the faults none of {len(limited)} limited calls was served"]
+    recovered = [c for c in after if c.request not in record.limited_calls or c.status != _LIMITED]
     served = [call for call in recovered if call.status == _OK]
     if recovered and len(served) < _MIN_SERVED_SHARE * len(recovered):
         return [f"after the faults only {len(served)} of {len(recovered)} calls were served"]
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -16,6 +16,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.behindproxy import put_all_behind_proxies, put_behind_proxy
 from troutstand.testing.faultproxy import FaultKind, FaultProxy, LinkFault
+from troutstand.testing.limitload import LimitPlan
 from troutstand.testing.partition import CutKind
 from troutstand.testing.routedcaller import RoutedCaller
 from troutstand.testing.routedsite import (
@@ -56,9 +57,8 @@
 _RESTART_DELAY_S = 0.3
 _LIMITED_WORKSPACE = "limited"
 _LIMITED_KEY = "key-limited"
-_LIMIT_TOKENS_PER_S = 400.0
-_LIMIT_BURST_TOKENS = 400.0
-_LIMIT_WINDOW_S = 8.0
+# A third of what its callers ask for.
+_LIMIT = LimitPlan(tokens_per_s=100.0, burst_tokens=400.0, excess=0.1, extra_tokens=400.0)
 _COMMON_PARTS = ["common-1", "common-2"]
 _ROUTES = ("/get/", "/do/", "/do/", "/stream/", "/stream/resume/", "/stream/resume-once/")
 
@@ -129,6 +129,8 @@
             subnet=self.plan.subnet,
             shares_fairly=True,
             protects_tiers=True,
+            quota_excess=_LIMIT.excess,
+            quota_extra=_LIMIT.extra_tokens,
         )
         self.site = RoutedSite(self.folder, plan, self.list)
         self.site.prepare()
@@ -139,6 +141,7 @@
         self.site.start_all()
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.caller = RoutedCaller(self.session, f"soak-{self.plan.seed}")
+        self.limited_caller = RoutedCaller(self.session, f"limited-{self.plan.seed}")
         # Separate, since requests that crash targets need not be answered.
         self.crashing_caller = RoutedCaller(self.session, f"crashing-{self.plan.seed}")
         version = next(self._versions)
@@ -149,11 +152,7 @@
             ConfigurationWrite(version, content, started_s, time.monotonic(), 200)
         )
         await self.site.wait_ready(self.session)
-        max_tokens = (
-            _LIMIT_TOKENS_PER_S * _LIMIT_WINDOW_S + _LIMIT_BURST_TOKENS
-        ) * 1.1 + plan.quota_extra
-        # Requests held during a suspension may arrive in a burst.
-        self.record.limits = [TokenLimit(_LIMITED_WORKSPACE, _LIMIT_WINDOW_S, max_tokens * 1.5)]
+        self.record.limits = [TokenLimit(_LIMITED_WORKSPACE, _LIMIT.window_s, _LIMIT.max_tokens)]
 
     async def _stop_site(self) -> None:
         for task in list(self._tasks):
@@ -198,7 +197,8 @@
             task.cancel()
         await asyncio.gather(*traffic, *self._calls, return_exceptions=True)
         await self._read_configuration()
-        self.record.calls = self.caller.results
+        self.record.calls = [*self.caller.results, *self.limited_caller.results]
+        self.record.limited_calls = {call.request for call in self.limited_caller.results}
         self.record.crashing_calls = self.crashing_caller.results
 
     def _generate_events(self) -> list[SoakEvent]:
@@ -224,7 +224,8 @@
             tokens = "40,40" if is_limited else ""
             has_parts = self.plan.crashing_parts and route.startswith("/stream")
             parts = _format_parts([*_COMMON_PARTS, f"{number}"]) if has_parts else ""
-            coroutine = self.caller.call(gateway, route, b"x", key, tokens, parts=parts)
+            caller = self.limited_caller if is_limited else self.caller
+            coroutine = caller.call(gateway, route, b"x", key, tokens, parts=parts)
             task: asyncio.Task[object] = asyncio.create_task(coroutine)
             calls.add(task)
             task.add_done_callback(calls.discard)
@@ -247,8 +248,8 @@
             RoutedWorkspace(
                 _LIMITED_WORKSPACE,
                 keys=[_LIMITED_KEY],
-                tokens_per_s=_LIMIT_TOKENS_PER_S,
-                burst_tokens=_LIMIT_BURST_TOKENS,
+                tokens_per_s=_LIMIT.tokens_per_s,
+                burst_tokens=_LIMIT.burst_tokens,
             ),
         ]
         return ConfigurationPlan(version, workspaces=workspaces).encode()
