--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -4,7 +4,7 @@
 window. Every run of a request counts, from when it is sent. Requests beyond the limit are
 served only if capacity is spare, up to a tolerated excess. Each decider enforces the share of
 the limit that belongs to the gateways it serves, and counts what others used by
-`troutstand.core.limits.usagebook`.
+`troutstand.core.limits.sharedusage`.
 """
 
 from __future__ import annotations
@@ -16,8 +16,7 @@
 from typing import TYPE_CHECKING
 
 from troutstand.core.limits.promises import Promises
-from troutstand.core.limits.slidingwindow import SlidingWindow, import_parts
-from troutstand.core.limits.usagebook import UsageBook
+from troutstand.core.limits.sharedusage import SharedUsage
 from troutstand.generated.messages import Level, UsageSnapshot
 
 if TYPE_CHECKING:
@@ -33,9 +32,6 @@
 _FURTHER_RUN_EXCESS_SHARE = 0.9
 # Longest time from sending a request to its run.
 WINDOW_MARGIN_S = 0.5
-# Gateways that leave one by one start no more spans than one in this time.
-_MIN_SPAN_S = 0.5
-_MS_PER_S = 1000.0
 
 
 @dataclass(frozen=True)
@@ -91,24 +87,6 @@
     wait_s: float = 0.0
 
 
-@dataclass
-class UsageSource:
-    """Hold the windows that one decider counted over a span of its life.
-
-    Parameters
-    ----------
-    share
-        The share of the limits that the processes which know this usage hold together.
-    is_own
-        Whether this process counted it.
-    """
-
-    share: float
-    is_own: bool
-    sequence: int = 0
-    windows: dict[str, SlidingWindow] = field(default_factory=dict)
-
-
 @dataclass
 class LimitCounts:
     """Count what happened to a workspace's limit since the counts were read; in tokens."""
@@ -173,23 +151,10 @@
 
     def __init__(self, bounds: QuotaBounds, name: str = "decider") -> None:
         self._bounds = bounds
-        self._name = name
         self._limits: dict[str, Limit] = {}
-        self._share = 1.0
-        self._span = 0
-        self._split_s = float("-inf")
-        self._sources: dict[str, UsageSource] = {}
-        self._own = self._start_span()
-        self._book = UsageBook(bounds.counted_s)
+        self._usage = SharedUsage(bounds.counted_s, name)
         self._excess_from_s = float("-inf")
 
-    def _start_span(self) -> UsageSource:
-        """Count own usage under a new source from now on."""
-        self._span += 1
-        source = UsageSource(self._share, is_own=True)
-        self._sources[f"{self._name}.{self._span}"] = source
-        return source
-
     # Limits
 
     def update_workspaces(self, workspaces: Iterable[RoutedWorkspace], now_s: float) -> None:
@@ -212,7 +177,7 @@
     @property
     def share(self) -> float:
         """Return the share of all limits that this decider may use, 0 to 1."""
-        return self._share
+        return self._usage.share
 
     def set_share(self, share: float, told_until_s: float = float("inf")) -> None:
         """Set the share of all limits that this decider may use.
@@ -223,18 +188,7 @@
             If the share falls: the time until which those who leave know this decider's usage.
             They count their part of it; later usage counts here alone.
         """
-        falls = share < self._share
-        self._share = share
-        if falls and told_until_s - self._split_s >= _MIN_SPAN_S:
-            self._split_s = told_until_s
-            self._split_span(told_until_s)
-
-    def _split_span(self, told_until_s: float) -> None:
-        """Start a span for the usage that was not told to others until a time."""
-        before = self._own
-        self._own = self._start_span()
-        for name, window in before.windows.items():
-            self._own.windows[name] = window.split_off(told_until_s)
+        self._usage.set_share(share, told_until_s)
 
     def hold_back_excess(self, until_s: float) -> None:
         """Admit no excess until a time, while another decider may still use the same share."""
@@ -255,15 +209,15 @@
         limit = self._limits.get(workspace)
         if limit is None or amount <= 0:
             return QuotaDecision(Verdict.WITHIN_LIMIT)
-        used = self._count_used(workspace, now_s) + limit.reserved
+        used = self._usage.count(workspace, now_s).used + limit.reserved
         whole_tokens = self._compute_max(limit, now_s, is_first)
-        max_tokens = self._share * whole_tokens
+        max_tokens = self.share * whole_tokens
         # A request larger than the whole limit passes if the window is empty.
         if used + min(amount, whole_tokens) > max_tokens:
             limit.counts.refused += amount
             wait_s = self._compute_wait(workspace, limit, amount, max_tokens, now_s)
             return QuotaDecision(Verdict.REFUSED, limit.promises.add(amount, wait_s, now_s))
-        limit_tokens = self._share * limit.limit_tokens
+        limit_tokens = self.share * limit.limit_tokens
         wait_s = self._compute_wait(workspace, limit, amount, limit_tokens, now_s)
         limit.reserved += amount
         return (
@@ -275,8 +229,8 @@
         limit = self._limits.get(workspace)
         if limit is None or limit.reserved <= 0:
             return False
-        used = self._count_used(workspace, now_s) + limit.reserved
-        return used > self._share * self._compute_max(limit, now_s, is_first=False)
+        used = self._usage.count(workspace, now_s).used + limit.reserved
+        return used > self.share * self._compute_max(limit, now_s, is_first=False)
 
     def release(self, workspace: str, amount: float) -> None:
         """Return the reservation of a request that is not sent."""
@@ -288,7 +242,7 @@
         """Charge the reservation of a request that is sent now."""
         if amount <= 0:
             return
-        self._get_own_window(workspace).add(amount, now_s)
+        self._usage.add(workspace, amount, now_s)
         limit = self._limits.get(workspace)
         if limit is None:
             return
@@ -312,21 +266,8 @@
         limit = self._limits.get(workspace)
         if limit is None or amount <= 0:
             return
-        for source in reversed(list(self._sources.values())):
-            window = source.windows.get(workspace) if source.is_own else None
-            if window is None:
-                continue
-            window.advance(now_s)
-            if window.holds(charged_s):
-                window.remove(amount, charged_s)
-                limit.counts.refunded += amount
-                return
-
-    def _get_own_window(self, workspace: str) -> SlidingWindow:
-        window = self._own.windows.get(workspace)
-        if window is None:
-            window = self._own.windows[workspace] = SlidingWindow(self._bounds.counted_s)
-        return window
+        if self._usage.subtract(workspace, amount, charged_s, now_s):
+            limit.counts.refunded += amount
 
     def _compute_max(self, limit: Limit, now_s: float, is_first: bool) -> float:
         """Return the tokens of a window with the excess that may be used now."""
@@ -337,38 +278,16 @@
 
     # Usage
 
-    def _weigh(self, source: UsageSource) -> float:
-        """Return the part of a source's usage that counts here.
-
-        All who know it count it, in proportion to their shares of the limits. What is not told
-        to others for certain counts here as a whole.
-        """
-        return 1.0 if source is self._own else min(1.0, self._share / source.share)
-
-    def _count_used(self, workspace: str, now_s: float) -> float:
-        used = 0.0
-        for source in self._sources.values():
-            window = source.windows.get(workspace)
-            if window is not None:
-                window.advance(now_s)
-                used += self._weigh(source) * window.total
-        return used
-
     def _compute_wait(
         self, workspace: str, limit: Limit, amount: float, max_tokens: float, now_s: float
     ) -> float:
         """Return the seconds until an amount fits, behind those who were told to come back."""
         amount = min(amount, max_tokens)
-        excess = self._count_used(workspace, now_s) + limit.reserved + amount - max_tokens
+        excess = self._usage.count(workspace, now_s).used + limit.reserved + amount - max_tokens
         if excess <= 0:
             return 0.0
         excess += limit.promises.count(now_s)
-        expiries = [
-            source.windows[workspace].list_expiries(self._weigh(source))
-            for source in self._sources.values()
-            if workspace in source.windows
-        ]
-        for expiry in heapq.merge(*expiries):
+        for expiry in heapq.merge(*self._usage.list_expiries(workspace)):
             excess -= expiry.amount
             if excess <= 0:
                 return max(0.0, expiry.at_s - now_s)
@@ -379,30 +298,26 @@
         limit = self._limits.get(workspace)
         if limit is None:
             return 0.0
-        used = sum(
-            self._weigh(source) * source.windows[workspace].total
-            for source in self._sources.values()
-            if workspace in source.windows
-        )
-        return (used + limit.reserved) / (limit.limit_tokens * self._share)
+        used = self._usage.count(workspace).used
+        return (used + limit.reserved) / (limit.limit_tokens * self.share)
 
     def drain_usage(self, now_s: float) -> list[LimitUsage]:
         """Return the usage of each limit that was asked for since the last call."""
-        self._prune(now_s)
+        self._usage.prune(now_s)
         usage: list[LimitUsage] = []
         for name, limit in self._limits.items():
             if limit.counts == LimitCounts():
                 continue
-            used = self._count_used(name, now_s)
-            own = sum(
-                self._weigh(source) * source.windows[name].total
-                for source in self._sources.values()
-                if source.is_own and name in source.windows
-            )
-            max_tokens = self._share * self._compute_max(limit, now_s, is_first=True)
+            total = self._usage.count(name, now_s)
             usage.append(
                 LimitUsage(
-                    name, used, used - own, limit.reserved, max_tokens, self._share, limit.counts
+                    workspace=name,
+                    used=total.used,
+                    of_others=total.of_others,
+                    reserved=limit.reserved,
+                    max_tokens=self.share * self._compute_max(limit, now_s, is_first=True),
+                    share=self.share,
+                    counts=limit.counts,
                 )
             )
             limit.counts = LimitCounts()
@@ -412,31 +327,15 @@
 
     def export_usage(self, now_s: float) -> list[UsageSnapshot]:
         """Return all usage that is known here, for those who share the limits with this decider."""
-        self._prune(now_s)
-        for source in self._sources.values():
-            source.share = max(source.share, self._share)
-        self._book.raise_share(self._share)
-        own: list[UsageSnapshot] = []
-        for name, source in self._sources.items():
-            if not source.is_own:
-                continue
-            source.sequence += 1
-            levels = [
-                Level(workspace, window.export_parts(now_s))
-                for workspace, window in source.windows.items()
-                if window.total > 0
-            ]
-            if levels:
-                own.append(UsageSnapshot(name, source.sequence, source.share, levels=levels))
-        return own + self._book.list_snapshots(now_s)
+        return self._usage.export(now_s)
 
     def assume_usage(self, source: str) -> UsageSnapshot:
         """Return the most that a decider with this share can have used in a window."""
         levels = [
-            Level(name, [math.ceil(self._share * (limit.limit_tokens + limit.excess_tokens))])
+            Level(name, [math.ceil(self.share * (limit.limit_tokens + limit.excess_tokens))])
             for name, limit in self._limits.items()
         ]
-        return UsageSnapshot(source, 1, self._share, levels=levels)
+        return UsageSnapshot(source, 1, self.share, levels=levels)
 
     def get_untold_share(self) -> float:
         """Return the largest share of a limit of which the keepers were not told."""
@@ -449,38 +348,9 @@
 
     def merge_usage(self, snapshots: Iterable[UsageSnapshot], now_s: float) -> list[HeldSnapshot]:
         """Count the usage that other deciders counted; return what was not known."""
-        foreign: list[UsageSnapshot] = []
-        for snapshot in snapshots:
-            own = self._sources.get(snapshot.source)
-            if own is None or not own.is_own:
-                foreign.append(snapshot)
-            elif snapshot.share > own.share:
-                # Others count a part of what they were told of this decider's usage.
-                if own is self._own:
-                    self._split_span(now_s - snapshot.age_ms / _MS_PER_S)
-                own.share = snapshot.share
-        changed = self._book.merge(foreign, now_s)
-        for held in changed:
-            snapshot = held.snapshot
-            source = UsageSource(snapshot.share, is_own=False, sequence=snapshot.sequence)
-            for level in snapshot.levels:
-                source.windows[level.workspace] = import_parts(
-                    level.taken, self._bounds.counted_s, held.taken_s
-                )
-                limit = self._limits.get(level.workspace)
-                if limit is not None:
-                    limit.untold += sum(level.taken)
-            self._sources[snapshot.source] = source
+        changed = self._usage.merge(snapshots, now_s)
+        for level in (level for held in changed for level in held.snapshot.levels):
+            limit = self._limits.get(level.workspace)
+            if limit is not None:
+                limit.untold += sum(level.taken)
         return changed
-
-    def _prune(self, now_s: float) -> None:
-        """Drop the sources whose usage has left the windows."""
-        for name in self._book.prune(now_s):
-            self._sources.pop(name, None)
-        for name, source in list(self._sources.items()):
-            for workspace, window in list(source.windows.items()):
-                window.advance(now_s)
-                if not len(window):
-                    del source.windows[workspace]
-            if source.is_own and source is not self._own and not source.windows:
-                del self._sources[name]
--- a/troutstand/tests/steps/limits.py
+++ b/troutstand/tests/steps/limits.py
@@ -196,7 +196,7 @@
             quotas.refund("w", 100.0, now_s, now_s + 0.3 * (number % 3))
         else:
             context.kept.append(now_s)
-    context.window = quotas._own.windows["w"]
+    context.window = quotas._usage._own.windows["w"]
 
 
 @then("the window holds at most {most:d} amounts")
