--- a/troutstand/core/gatewayregistry.py
+++ b/troutstand/core/gatewayregistry.py
@@ -20,7 +20,8 @@
 _GATEWAY_TTL_S = 30.0
 
 
-# A gateway uses another decider if its scheduler has not answered for this long.
+# A gateway uses another decider if its scheduler has not answered for this long. Longer than
+# the minimum TCP retransmission timeout (0.2 s), so that one lost packet is tolerated.
 SCHEDULER_TIMEOUT_S = 0.4
 _MAX_SILENT_PERIODS = 2.5
 
--- a/troutstand/core/limits/sharedusage.py
+++ b/troutstand/core/limits/sharedusage.py
@@ -94,6 +94,8 @@
             self._split_span(told_until_s)
             if math.isfinite(told_until_s):
                 self._split_s = told_until_s
+        # What was told of a span that is not split counts as a whole here, and after this decider.
+        self._own.share = share
 
     def _split_span(self, told_until_s: float) -> None:
         """Start a span for the usage that was not told to others until a time."""
--- a/troutstand/core/limits/usagebook.py
+++ b/troutstand/core/limits/usagebook.py
@@ -46,7 +46,7 @@
     def merge(self, snapshots: Iterable[UsageSnapshot], now_s: float) -> list[HeldSnapshot]:
         """Keep the snapshots that are newer than those held, and return them.
 
-        The larger of two holder shares stays: more processes know the usage.
+        Of two copies of one snapshot the larger holder share stays: more processes know it.
         """
         changed: list[HeldSnapshot] = []
         for snapshot in snapshots:
@@ -56,14 +56,12 @@
             held = self._held.get(snapshot.source)
             if held is None:
                 held = self._held[snapshot.source] = HeldSnapshot(snapshot, taken_s)
+            elif snapshot.sequence > held.snapshot.sequence:
+                held.snapshot, held.taken_s = snapshot, taken_s
+            elif snapshot.share > held.snapshot.share:
+                held.snapshot = msgspec.structs.replace(held.snapshot, share=snapshot.share)
             else:
-                share = max(held.snapshot.share, snapshot.share)
-                is_newer = snapshot.sequence > held.snapshot.sequence
-                if not is_newer and share == held.snapshot.share:
-                    continue
-                if is_newer:
-                    held.snapshot, held.taken_s = snapshot, taken_s
-                held.snapshot = msgspec.structs.replace(held.snapshot, share=share)
+                continue
             changed.append(held)
         return changed
 
--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -9,13 +9,13 @@
 import msgspec
 
 from troutstand.core.errors import TroutstandError
+from troutstand.core.gatewayregistry import SCHEDULER_TIMEOUT_S
 from troutstand.generated.messages import Attached
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.node import parse_address
 from troutstand.routing.schedulerwatch import (
     HEARTBEAT_TIMEOUT_S,
     MIN_STALL_S,
-    RESPONSE_TIMEOUT_S,
     Decider,
     LocalDecider,
     SchedulerHealth,
@@ -188,7 +188,7 @@
             health.record_request(read_clock_s())
         try:
             reply = await self._node.ask(
-                process, heartbeat, RESPONSE_TIMEOUT_S if is_attached else HEARTBEAT_TIMEOUT_S
+                process, heartbeat, SCHEDULER_TIMEOUT_S if is_attached else HEARTBEAT_TIMEOUT_S
             )
         except TroutstandError:
             # A single lost heartbeat does not mark the scheduler in use as lost.
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -216,9 +216,8 @@
                 self.usage.merge(usage)
                 return None
             case UsageAsk(process, incarnation):
-                return UsageTold(
-                    self.usage.list_usage(), self._measure_absence(process, incarnation)
-                )
+                absent_s = self._measure_absence(process, incarnation)
+                return UsageTold(self.usage.list_usage(), absent_s, self.usage.is_restored)
             case KeepersAsk():
                 return self.acceptor.report_keepers()
             case KeepersInstall(keepers):
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -16,15 +16,13 @@
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
-from troutstand.core.limits.quota import WINDOW_MARGIN_S, Quotas, make_bounds
+from troutstand.core.limits.quota import Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.noticestore import NoticeStore
 from troutstand.generated.messages import (
     Abandon,
-    Acknowledged,
     AttachAsk,
     Attached,
-    ChargeAsk,
     Declined,
     Ended,
     Ending,
@@ -44,6 +42,7 @@
 from troutstand.routing.partevidencecache import PartEvidenceSync
 from troutstand.routing.pendingplacement import PendingPlacement, update_remaining_time
 from troutstand.routing.placedrequests import PlacedRequests
+from troutstand.routing.runcharges import RunCharges
 from troutstand.routing.schedulerwatch import (
     PROBE_DELAY_S,
     Decider,
@@ -86,7 +85,6 @@
 _DEFAULT_GATEWAY_COUNT = 8
 # A few round trips.
 _MIN_REQUEST_TIMEOUT_S = 0.05
-_CHARGE_TIMEOUT_S = 0.3
 
 
 class Placement:
@@ -117,6 +115,7 @@
         self._attachment = 0
         counted_s = make_bounds(node.settings).counted_s
         self._usage = UsageHandover(node.process, node.incarnation, counted_s)
+        self._charges = RunCharges(node, self._placed, self._usage)
         self._usage_sync = UsageSync(node, follower, lambda: self._gateway_count)
         self._usage_log = UsageLog(node.events, LOCAL)
         self._usage_loaded = asyncio.Event()
@@ -172,7 +171,7 @@
         loaded = await load_usage(self._node, self._follower)
         now_s = read_clock_s()
         quotas = self._local.quotas
-        if not loaded.keepers:
+        if not loaded.is_complete:
             quotas.hold_back_excess(now_s + make_bounds(self._node.settings).counted_s)
         # The next scheduler may not know all of it.
         self._usage.merge(loaded.usage, now_s)
@@ -360,40 +359,14 @@
             self._node.send(self._current, PathLost(request, target))
 
     async def confirm_charge(self, request: str) -> bool:
-        """Return whether a request may be sent now by the charge that its decider made.
-
-        A charge that was made long ago, as before a suspension of this host, leaves its window
-        too soon, and is made again.
-        """
-        age_s = self._placed.get_charge_age_s(request, read_clock_s())
-        return age_s <= WINDOW_MARGIN_S or await self.charge_resend(request)
+        """Return whether the limit allows a request to be sent now."""
+        return self._charges.is_current(request) or await self.charge_resend(request)
 
     async def charge_resend(self, request: str) -> bool:
         """Charge a further run of a request at its target; return whether the limit allows it."""
-        work = self._placed.find_work(request)
-        if work is None or work.charge <= 0:
-            return True
-        if not await self._ask_charge(work):
-            return False
-        self._placed.record_charge(request, read_clock_s())
-        return True
-
-    async def _ask_charge(self, work: RoutedWork) -> bool:
         decider = self._current
-        if isinstance(decider, LocalDecider):
-            return self._local.charge_resend(work.workspace, work.charge, read_clock_s())
-        ask = ChargeAsk(work.request, work.workspace, work.charge)
-        try:
-            reply = await self._node.ask(decider, ask, _CHARGE_TIMEOUT_S)
-        except TroutstandError as error:
-            self._node.events.emit(
-                "charge_unclear", work.request, code=error.code, peer=decider, detail=error.detail
-            )
-            return False
-        if not isinstance(reply, Acknowledged):
-            return False
-        self._usage.record_sent(work.workspace, work.charge, read_clock_s())
-        return True
+        is_local = isinstance(decider, LocalDecider)
+        return await self._charges.charge(request, self._local if is_local else decider)
 
     # Notices of targets
 
--- /dev/null
+++ b/troutstand/routing/runcharges.py
@@ -0,0 +1,63 @@
+"""Charge the further runs of a gateway's requests to the limits of their workspaces."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from troutstand.core.errors import TroutstandError
+from troutstand.core.limits.quota import WINDOW_MARGIN_S
+from troutstand.generated.messages import Acknowledged, ChargeAsk
+from troutstand.util.clock import read_clock_s
+
+if TYPE_CHECKING:
+    from troutstand.core.dispatch import Dispatcher
+    from troutstand.core.ids import ProcessId
+    from troutstand.generated.messages import RoutedWork
+    from troutstand.routing.node import RoutingNode
+    from troutstand.routing.placedrequests import PlacedRequests
+    from troutstand.routing.usagehandover import UsageHandover
+
+_TIMEOUT_S = 0.3
+
+
+class RunCharges:
+    """Ask for the charge of a run that is not the one for which a request was placed."""
+
+    def __init__(self, node: RoutingNode, placed: PlacedRequests, usage: UsageHandover) -> None:
+        self._node = node
+        self._placed = placed
+        self._usage = usage
+
+    def is_current(self, request: str) -> bool:
+        """Return whether a request may be sent now by the charge that its decider made.
+
+        A charge that was made long ago, as before a suspension of this host, leaves its window
+        sooner than the run.
+        """
+        return self._placed.get_charge_age_s(request, read_clock_s()) <= WINDOW_MARGIN_S
+
+    async def charge(self, request: str, decider: ProcessId | Dispatcher) -> bool:
+        """Charge a further run of a request; return whether the limit allows it."""
+        work = self._placed.find_work(request)
+        if work is None or work.charge <= 0:
+            return True
+        if not await self._ask(work, decider):
+            return False
+        self._placed.record_charge(request, read_clock_s())
+        return True
+
+    async def _ask(self, work: RoutedWork, decider: ProcessId | Dispatcher) -> bool:
+        if not isinstance(decider, str):
+            return decider.charge_resend(work.workspace, work.charge, read_clock_s())
+        ask = ChargeAsk(work.request, work.workspace, work.charge)
+        try:
+            reply = await self._node.ask(decider, ask, _TIMEOUT_S)
+        except TroutstandError as error:
+            self._node.events.emit(
+                "charge_unclear", work.request, code=error.code, peer=decider, detail=error.detail
+            )
+            return False
+        if not isinstance(reply, Acknowledged):
+            return False
+        self._usage.record_sent(work.workspace, work.charge, read_clock_s())
+        return True
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -276,9 +276,8 @@
         """Learn from the keepers what was used before this process started."""
         loaded = await load_usage(self.node, self.follower)
         now_s = read_clock_s()
-        if loaded.keepers:
-            self._merge_usage(loaded.usage, "keepers", now_s)
-        else:
+        self._merge_usage(loaded.usage, "keepers", now_s)
+        if not loaded.is_complete:
             self.quotas.hold_back_excess(now_s + make_bounds(self.node.settings).counted_s)
         self._has_usage = True
 
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -24,9 +24,6 @@
 _NEAR_STANDBY_COUNT = 2
 _FAR_STANDBY_PERIOD_S = 4.0
 _LIVE_SLACK_S = 0.15
-# Time without any response after which the current scheduler counts as lost. Longer than
-# the minimum TCP retransmission timeout (0.2 s), so that one lost packet is tolerated.
-RESPONSE_TIMEOUT_S = SCHEDULER_TIMEOUT_S
 # Response timeout right after a switch: the new scheduler gets all gateways and their
 # waiting requests at once, 0.3 to 0.4 s for 73 gateways in a burst. Left too early, a quarter
 # of the gateways moved on to a third scheduler, and two schedulers decided at the same time.
@@ -132,7 +129,7 @@
         """
         has_just_switched = now_s - self.switched_s <= _SWITCH_TIMEOUT_S
         if now_s - self.unanswered_since_s > (
-            _SWITCH_TIMEOUT_S if has_just_switched else RESPONSE_TIMEOUT_S
+            _SWITCH_TIMEOUT_S if has_just_switched else SCHEDULER_TIMEOUT_S
         ):
             return False
         if has_just_switched:
--- a/troutstand/routing/usagestore.py
+++ b/troutstand/routing/usagestore.py
@@ -37,6 +37,7 @@
 
     def __init__(self, folder: Path, counted_s: float, events: EventBus) -> None:
         self._folder = folder
+        self._restored_until_s = read_clock_s() + counted_s
         self._events = events
         self._book = UsageBook(counted_s)
         self._number = 0
@@ -72,6 +73,11 @@
         if self._book.merge(usage, read_clock_s()):
             self._is_changed = True
 
+    @property
+    def is_restored(self) -> bool:
+        """Return whether the usage may lack what was told just before a start."""
+        return read_clock_s() < self._restored_until_s
+
     def list_usage(self) -> list[UsageSnapshot]:
         """Return the usage that is known here."""
         return self._book.list_snapshots(read_clock_s())
--- a/troutstand/routing/usagesync.py
+++ b/troutstand/routing/usagesync.py
@@ -41,13 +41,13 @@
 
     Parameters
     ----------
-    keepers
-        Number of keepers that answered.
+    is_complete
+        Whether a keeper answered that did not start itself within the window.
     absent_s
         Seconds for which no keeper heard from the process before its start; 0 if unknown.
     """
 
-    keepers: int
+    is_complete: bool
     usage: list[UsageSnapshot]
     absent_s: float
 
@@ -62,13 +62,14 @@
     replies = await asyncio.gather(*(_ask(node, k) for k in follower.list_keepers()))
     told = [reply for reply in replies if reply is not None]
     loaded = LoadedUsage(
-        keepers=len(told),
+        is_complete=any(not reply.is_restored for reply in told),
         usage=[snapshot for reply in told for snapshot in reply.usage],
         absent_s=min((reply.absent_s for reply in told if reply.absent_s >= 0), default=0.0),
     )
     node.events.emit(
         "limit_usage_loaded",
-        keepers=loaded.keepers,
+        keepers=len(told),
+        complete=loaded.is_complete,
         sources=len({snapshot.source for snapshot in loaded.usage}),
         absent_s=loaded.absent_s,
     )
--- a/troutstand/testing/limitsimulation.py
+++ b/troutstand/testing/limitsimulation.py
@@ -138,6 +138,7 @@
         self._disk: list[UsageSnapshot] = []
         self._disk_s = 0.0
         self._is_disk_behind = False
+        self._restored_until_s = float("-inf")
         self._queue: list[_Request] = []
         self._heal_s = math.inf
         self._schedulers = [
@@ -193,6 +194,7 @@
             scheduler.is_up, scheduler.is_loading = True, False
             known = self._memory.list_snapshots(self._now_s)
             scheduler.quotas.merge_usage(known, self._now_s)
+            self._hold_back_after_restore(scheduler.quotas)
         if not scheduler.is_up:
             return
         for number, heard_s in list(scheduler.attached.items()):
@@ -264,6 +266,12 @@
         gateway.usage.merge(known, self._now_s)
         counted = [u for u in known if is_counted_by(u, process) or u.share > share]
         gateway.local.merge_usage(counted, self._now_s)
+        self._hold_back_after_restore(gateway.local)
+
+    def _hold_back_after_restore(self, quotas: Quotas) -> None:
+        """Admit no excess for a window if the keepers have just started themselves."""
+        if self._now_s < self._restored_until_s:
+            quotas.hold_back_excess(self._now_s + self._bounds.counted_s)
 
     def _switch(self, gateway: _Gateway) -> None:
         reachable = [n for n in range(_SCHEDULERS) if self._reaches(gateway, n)]
@@ -323,6 +331,7 @@
                 if fault is SimulatedFault.KILL_ALL:
                     self._memory = UsageBook(self._bounds.counted_s)
                     self._memory.merge(self._disk, self._now_s)
+                    self._restored_until_s = self._now_s + self._bounds.counted_s
                 for scheduler in self._schedulers:
                     self._kill_scheduler(scheduler)
                 for gateway in self._gateways:
