Let each gateway hand over its own usage, and nobody pass it on

Usage that a gateway counted is marked private: the gateway hands it to its next scheduler itself, the keepers keep it for the case that it dies, and others neither pass it on nor scale it.

limitshandover.feature's gateways keep their own usage as gateways do.

--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -147,12 +147,16 @@
     ----------
     name
         Names this decider among all that ever count usage.
+    is_private
+        Whether this decider is a gateway, which hands over its usage itself.
     """
 
-    def __init__(self, bounds: QuotaBounds, name: str = "decider") -> None:
+    def __init__(
+        self, bounds: QuotaBounds, name: str = "decider", is_private: bool = False
+    ) -> None:
         self._bounds = bounds
         self._limits: dict[str, Limit] = {}
-        self._usage = SharedUsage(bounds.counted_s, name)
+        self._usage = SharedUsage(bounds.counted_s, name, is_private)
         self._excess_from_s = float("-inf")
 
     # Limits
@@ -335,7 +339,7 @@
             Level(name, [math.ceil(self.share * (limit.limit_tokens + limit.excess_tokens))])
             for name, limit in self._limits.items()
         ]
-        return UsageSnapshot(source, 1, self.share, levels=levels)
+        return UsageSnapshot(source, 1, self.share, levels=levels, is_private=True)
 
     def get_untold_share(self) -> float:
         """Return the largest share of a limit of which the keepers were not told."""
--- a/troutstand/core/limits/sharedusage.py
+++ b/troutstand/core/limits/sharedusage.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from troutstand.core.limits.slidingwindow import SlidingWindow, import_parts
 from troutstand.core.limits.usagebook import UsageBook
 from troutstand.generated.messages import Level, UsageSnapshot
@@ -35,10 +37,13 @@
         The share of the limits that the processes which know this usage hold together.
     is_own
         Whether this process counted it.
+    is_private
+        Whether a gateway counted it that hands it over itself.
     """
 
     share: float
     is_own: bool
+    is_private: bool = False
     sequence: int = 0
     windows: dict[str, SlidingWindow] = field(default_factory=dict)
 
@@ -60,10 +65,13 @@
         Seconds for which usage counts.
     name
         Names this decider among all that ever count usage.
+    is_private
+        Whether this decider is a gateway, which hands over its usage itself.
     """
 
-    def __init__(self, counted_s: float, name: str) -> None:
+    def __init__(self, counted_s: float, name: str, is_private: bool = False) -> None:
         self.share = 1.0
+        self._is_private = is_private
         self._counted_s = counted_s
         self._name = name
         self._span = 0
@@ -164,10 +172,11 @@
     # Handover between deciders
 
     def export(self, now_s: float) -> list[UsageSnapshot]:
-        """Return all usage that is known here, for those who share the limits with this decider."""
+        """Return the usage that is known here, for those who share the limits with this decider."""
         self.prune(now_s)
         for source in self._sources.values():
-            source.share = max(source.share, self.share)
+            if source.is_own or not source.is_private:
+                source.share = max(source.share, self.share)
         self._book.raise_share(self.share)
         own: list[UsageSnapshot] = []
         for name, source in self._sources.items():
@@ -180,8 +189,9 @@
                 if window.total > 0
             ]
             if levels:
-                own.append(UsageSnapshot(name, source.sequence, source.share, levels=levels))
-        return own + self._book.list_snapshots(now_s)
+                snapshot = UsageSnapshot(name, source.sequence, source.share, levels=levels)
+                own.append(msgspec.structs.replace(snapshot, is_private=self._is_private))
+        return own + [s for s in self._book.list_snapshots(now_s) if not s.is_private]
 
     def merge(self, snapshots: Iterable[UsageSnapshot], now_s: float) -> list[HeldSnapshot]:
         """Count the usage that other deciders counted; return what was not known."""
@@ -198,7 +208,9 @@
         changed = self._book.merge(foreign, now_s)
         for held in changed:
             snapshot = held.snapshot
-            source = UsageSource(snapshot.share, is_own=False, sequence=snapshot.sequence)
+            source = UsageSource(
+                snapshot.share, False, snapshot.is_private, sequence=snapshot.sequence
+            )
             for level in snapshot.levels:
                 source.windows[level.workspace] = import_parts(
                     level.taken, self._counted_s, held.taken_s
--- a/troutstand/core/limits/usagebook.py
+++ b/troutstand/core/limits/usagebook.py
@@ -68,7 +68,7 @@
     def raise_share(self, share: float) -> None:
         """Record that processes which hold a share of the limits are told of all usage."""
         for held in self._held.values():
-            if held.snapshot.share < share:
+            if held.snapshot.share < share and not held.snapshot.is_private:
                 held.snapshot = msgspec.structs.replace(held.snapshot, share=share)
 
     def prune(self, now_s: float) -> list[str]:
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -132,7 +132,7 @@
         settings = self._node.settings
         share = self._limit_share
         name = name_decider(self._node.process, self._node.incarnation, self._attachment)
-        quotas = Quotas(make_bounds(settings), name)
+        quotas = Quotas(make_bounds(settings), name, is_private=True)
         quotas.set_share(share)
         retries = RetryBudget(settings.retry_ratio, settings.retry_extra, settings.retry_window_s)
         retries.share = share
@@ -164,7 +164,7 @@
     def _is_counted_here(self, snapshot: UsageSnapshot) -> bool:
         """Return whether usage counts for this gateway, not for another one that decides alone."""
         is_own = is_counted_by(snapshot, self._node.process)
-        return is_own or snapshot.share > self._local.quotas.share
+        return is_own or not snapshot.is_private
 
     async def _start_deciding(self) -> None:
         """Learn from the keepers what was used before this process started, and attach."""
--- a/troutstand/routing/usagehandover.py
+++ b/troutstand/routing/usagehandover.py
@@ -98,4 +98,4 @@
         self._closed_count += 1
         source = f"{name_decider(self._process, self._incarnation)}.sent{self._closed_count}"
         levels = [Level(name, window.export_parts(now_s)) for name, window in windows.items()]
-        self._book.merge([UsageSnapshot(source, 1, share, levels=levels)], now_s)
+        self._book.merge([UsageSnapshot(source, 1, share, levels=levels, is_private=True)], now_s)
--- a/troutstand/testing/limitsimulation.py
+++ b/troutstand/testing/limitsimulation.py
@@ -146,8 +146,8 @@
         ]
         self._gateways = [_Gateway(n, self._make_handover(n, 0)) for n in range(plan.gateways)]
 
-    def _make_quotas(self, name: str) -> Quotas:
-        quotas = Quotas(self._bounds, name)
+    def _make_quotas(self, name: str, is_private: bool = False) -> Quotas:
+        quotas = Quotas(self._bounds, name, is_private)
         quotas.update_workspaces([self.limit.make_workspace()], self._now_s)
         return quotas
 
@@ -261,10 +261,10 @@
             assumed = gateway.local.assume_usage(f"{name}.assumed")
             gateway.usage.merge([assumed], self._now_s)
             gateway.local.merge_usage([assumed], self._now_s)
-        process, share = ProcessId(f"g{gateway.number}"), gateway.local.share
+        process = ProcessId(f"g{gateway.number}")
         known = self._memory.list_snapshots(self._now_s)
         gateway.usage.merge(known, self._now_s)
-        counted = [u for u in known if is_counted_by(u, process) or u.share > share]
+        counted = [u for u in known if is_counted_by(u, process) or not u.is_private]
         gateway.local.merge_usage(counted, self._now_s)
         self._hold_back_after_restore(gateway.local)
 
@@ -296,7 +296,7 @@
         name = name_decider(
             ProcessId(f"g{gateway.number}"), str(gateway.starts), int(self._now_s * 1000)
         )
-        gateway.scheduler, gateway.local = None, self._make_quotas(name)
+        gateway.scheduler, gateway.local = None, self._make_quotas(name, is_private=True)
         gateway.local.set_share(share)
         gateway.local.merge_usage(gateway.usage.list_usage(share, self._now_s), self._now_s)
         gateway.local.hold_back_excess(self._now_s + TAKEOVER_S)
--- a/troutstand/tests/steps/limitshandover.py
+++ b/troutstand/tests/steps/limitshandover.py
@@ -52,7 +52,7 @@
 
 def _take_alone(number: int, count: int, share: float, clock: Clock) -> list[UsageSnapshot]:
     """Return the usage of a gateway that decided locally and used part of its share."""
-    quotas = Quotas(QuotaBounds(_WINDOW_S), f"gateway-{number}|i1|0")
+    quotas = Quotas(QuotaBounds(_WINDOW_S), f"gateway-{number}|i1|0", is_private=True)
     quotas.set_share(1.0 / count)
     quotas.update_workspaces([_WORKSPACE], clock.now_s)
     quotas.take(_WORKSPACE.name, share * 1000.0 * _WINDOW_S / count, clock.now_s)
@@ -94,7 +94,8 @@
     assert isinstance(reply, Attached), reply
     part.echoes[id(scheduler)] = reply.number
     if is_attached:
-        part.usage, part.gateways = reply.usage, reply.gateways
+        own = [snapshot for snapshot in part.usage if snapshot.is_private]
+        part.usage, part.gateways = [*own, *reply.usage], reply.gateways
     return reply
 
 
