Test that a workspace without a limit loses nothing beside a limited one

20 calls a second without a limit beside a workspace that asks for three times its own, 10 s on real processes: at least 0.99 answered, no window above the limit.

--- a/troutstand/testing/limitload.py
+++ b/troutstand/testing/limitload.py
@@ -101,13 +101,14 @@
 
 @dataclass
 class LimitLoad:
-    """Send the requests of the limited workspace at a steady rate through all gateways in turn."""
+    """Send the requests of a workspace at a steady rate through all gateways in turn."""
 
     scene: Scene
     route: str
     per_s: float
     mean_tokens: float = 200.0
     seed: int = 61
+    key: str = LIMITED_KEY
     calls: list[CallResult] = field(default_factory=list)
     began_s: float = 0.0
 
@@ -123,7 +124,7 @@
                 break
             tokens = draw_tokens(rng, self.mean_tokens)
             call = self.scene.caller.call(
-                next(gateways), self.route, f"{number}".encode(), LIMITED_KEY, f"{tokens},0"
+                next(gateways), self.route, f"{number}".encode(), self.key, f"{tokens},0"
             )
             tasks.append(asyncio.create_task(call))
         self.calls.extend(await asyncio.gather(*tasks))
--- a/troutstand/tests/limitruns.feature
+++ b/troutstand/tests/limitruns.feature
@@ -6,6 +6,12 @@
     Then no window holds more runs than the limit and its tolerated excess allow
     And some window holds at least 0.9 of the limit with its excess
 
+  Scenario: A workspace without a limit loses nothing beside one that is refused
+    Given a routed site with a workspace that is limited
+    When for 10 s three times as much is asked for, beside 20 calls a second without a limit
+    Then no window holds more runs than the limit and its tolerated excess allow
+    And at least 0.99 of the calls without a limit are answered
+
   # Guards against runs after the first one that no limit counts.
   Scenario Outline: Second runs are charged when targets <fault>
     Given a routed site with a workspace that is limited
--- a/troutstand/tests/steps/limitruns.py
+++ b/troutstand/tests/steps/limitruns.py
@@ -16,6 +16,7 @@
     list_limited_runs,
 )
 from troutstand.testing.routedscene import Scene
+from troutstand.testing.routedsite import KEY
 from troutstand.testing.standins import Fault
 from troutstand.tests.environment import make_folder
 from troutstand.tests.steps.resting import open_scene
@@ -153,6 +154,23 @@
     scene.background.run(_play(context, kind, length_s, asyncio.sleep(0)))
 
 
+@when(
+    "for {length_s:g} s three times as much is asked for, "
+    "beside {per_s:g} calls a second without a limit"
+)
+def play_beside(context: Context, length_s: float, per_s: float) -> None:
+    scene = context.scene
+    context.beside = LimitLoad(scene, _ROUTES["repeatable"], per_s, key=KEY)
+    scene.background.run(_play(context, "repeatable", length_s, context.beside.run(length_s)))
+
+
+@then("at least {share:g} of the calls without a limit are answered")
+def check_beside(context: Context, share: float) -> None:
+    calls = context.beside.calls
+    answered = sum(call.status == 200 for call in calls)
+    assert answered >= share * len(calls), f"{answered} of {len(calls)}\n{_describe(context)}"
+
+
 @when("for {length_s:g} s three times as much is asked for, and targets are slow, then quick")
 def play_slow(context: Context, length_s: float) -> None:
     scene = context.scene
