Count usage once when it moves to another source

Callers saw refusals below their limits after a scheduler or a gateway had started: it counted the same tokens up to four times.

Cause: when a share falls, a decider moves what those who left were not told of to a new source. A share that falls in steps, as when gateways leave one after the other, adds a copy at each step.

An emptied source is told without levels for a window, which replaces what was told before.

limitshandover.feature, "Usage of a scheduler whose share falls again and again counts once": 1600 tokens before where 400 were used, 400 now.

--- a/troutstand/core/limits/sharedusage.py
+++ b/troutstand/core/limits/sharedusage.py
@@ -49,6 +49,8 @@
     is_assumed: bool = False
     sequence: int = 0
     windows: dict[str, SlidingWindow] = field(default_factory=dict)
+    # When an own source last held usage that was told.
+    told_s: float = float("-inf")
 
 
 @dataclass(frozen=True)
@@ -219,10 +221,17 @@
                 if window.total > 0
             ]
             if levels:
+                source.told_s = now_s
+            # Without levels it replaces what was told of usage that has moved to another source.
+            if self._is_told(source, now_s):
                 snapshot = UsageSnapshot(name, source.sequence, source.share, levels=levels)
                 own.append(msgspec.structs.replace(snapshot, is_private=self._is_private))
         return own + [s for s in self._book.list_snapshots(now_s) if not s.is_private]
 
+    def _is_told(self, source: UsageSource, now_s: float) -> bool:
+        """Return whether others may still count what they were told of a source."""
+        return now_s - source.told_s < self._counted_s
+
     def merge(self, snapshots: Iterable[UsageSnapshot], now_s: float) -> list[HeldSnapshot]:
         """Count the usage that other deciders counted; return what was not known."""
         foreign: list[UsageSnapshot] = []
@@ -257,5 +266,6 @@
                 window.advance(now_s)
                 if not len(window):
                     del source.windows[workspace]
-            if source.is_own and source is not self._own and not source.windows:
+            is_past = source.is_own and source is not self._own and not source.windows
+            if is_past and not self._is_told(source, now_s):
                 del self._sources[name]
--- a/troutstand/core/limits/usagebook.py
+++ b/troutstand/core/limits/usagebook.py
@@ -51,9 +51,9 @@
         changed: list[HeldSnapshot] = []
         for snapshot in snapshots:
             taken_s = now_s - snapshot.age_ms / _MS_PER_S
-            if now_s - taken_s >= self._window_s or not snapshot.levels:
-                continue
             held = self._held.get(snapshot.source)
+            if now_s - taken_s >= self._window_s:
+                continue
             if held is None:
                 held = self._held[snapshot.source] = HeldSnapshot(snapshot, taken_s)
             elif snapshot.sequence > held.snapshot.sequence:
--- a/troutstand/routing/usagelog.py
+++ b/troutstand/routing/usagelog.py
@@ -96,6 +96,8 @@
         """Log the usage of other deciders that counts here from now on."""
         for held in changed:
             snapshot = held.snapshot
+            if not snapshot.levels:
+                continue
             fullest = max(snapshot.levels, key=lambda level: sum(level.taken))
             self.events.emit(
                 "limit_usage_taken_over",
--- a/troutstand/tests/limitshandover.feature
+++ b/troutstand/tests/limitshandover.feature
@@ -55,3 +55,10 @@
     Given a keeper's store of usage
     When a decider tells it of 400 tokens, and again of 500 in all
     Then a decider that starts with what it knows counts 500 tokens
+
+  # Guards against usage that counts once under each source that it was moved to.
+  Scenario: Usage of a scheduler whose share falls again and again counts once
+    Given a keeper's store of usage
+    And a decider that has used 400 tokens and told it
+    When the decider's share falls 3 times before others were told of what it used
+    Then a decider that starts with what it knows counts 400 tokens
--- a/troutstand/tests/steps/usagestore.py
+++ b/troutstand/tests/steps/usagestore.py
@@ -98,3 +98,19 @@
 @then("a decider that starts with what it knows counts {tokens:d} tokens")
 def check_counted(context: Context, tokens: int) -> None:
     check_restored(context, tokens)
+
+
+@given("a decider that has used {tokens:d} tokens and told it")
+def use_and_tell(context: Context, tokens: int) -> None:
+    context.used_s = time.monotonic()
+    context.decider = _make_quotas("decider", context.used_s)
+    context.decider.take(_WORKSPACE.name, tokens, context.used_s)
+    context.store.merge(context.decider.export_usage(context.used_s))
+
+
+@when("the decider's share falls {times:d} times before others were told of what it used")
+def lower_share(context: Context, times: int) -> None:
+    for number in range(times):
+        share = 1.0 - 0.1 * (number + 1)
+        context.decider.set_share(share, context.used_s - (times - number))
+        context.store.merge(context.decider.export_usage(context.used_s))
