Give the shares of gateways that have ended to those that remain

Cause: a silent gateway may decide alone with its share, so that its scheduler gives the share up; but the callers of a gateway that has ended go to those that remain.

Only a host whose process has ended refuses at once; then its share belongs to those that remain, until it is heard again or a connection is no longer refused. A host that answers nothing may be cut off, and keeps its share as before.

--- a/troutstand/core/gatewayregistry.py
+++ b/troutstand/core/gatewayregistry.py
@@ -54,6 +54,8 @@
     reply_number: int = 0
     replied_s: float = float("-inf")
     confirmed_s: float = float("-inf")
+    # Whether its host refuses connections to it, so that no such process decides anything.
+    has_ended: bool = False
 
 
 @dataclass(frozen=True)
@@ -64,17 +66,20 @@
     ----------
     counted
         Gateways that use this scheduler for certain.
+    ended
+        Gateways that are known to have ended, so that nobody uses their part.
     gateways
         Gateways of the site.
     """
 
     counted: int
+    ended: int
     gateways: int
 
     @property
     def value(self) -> float:
         """Return the share, 0 to 1."""
-        return max(1, self.counted) / self.gateways
+        return min(1.0, max(1, self.counted) / max(1, self.gateways - self.ended))
 
 
 @dataclass(frozen=True)
@@ -187,7 +192,38 @@
         """
         states = self._states.values()
         counted = sum(1 for state in states if _holds_lease(state, now_s, lease_s))
-        return LimitShare(counted, self.gateway_count)
+        ended = sum(state.has_ended for state in states)
+        return LimitShare(counted, ended, self.gateway_count)
+
+    def list_silent(self, now_s: float, lease_s: float) -> list[ProcessId]:
+        """Return the gateways that may decide alone, or have ended.
+
+        Parameters
+        ----------
+        lease_s
+            Silence after which an attached gateway uses another decider; the other ones send
+            heartbeats less often.
+        """
+        longest_s = max(lease_s, GATEWAY_TIMEOUT_S)
+        return [
+            gateway
+            for gateway, state in self._states.items()
+            if now_s - state.last_heard_s > (lease_s if state.is_attached else longest_s)
+        ]
+
+    def set_ended(self, gateway: ProcessId, heard_s: float, has_ended: bool) -> bool:
+        """Record whether a silent gateway has ended; return whether that is new.
+
+        Parameters
+        ----------
+        heard_s
+            When the gateway was last heard from, as it was found out; a later heartbeat is newer.
+        """
+        state = self._states.get(gateway)
+        if state is None or state.last_heard_s != heard_s or state.has_ended is has_ended:
+            return False
+        state.has_ended = has_ended
+        return True
 
     def detach_silent(self, now_s: float, timeout_s: float) -> dict[ProcessId, float]:
         """Detach silent gateways and remove expired ones; return each detached one's silence."""
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -39,6 +39,7 @@
     emit_link_changes,
 )
 from troutstand.routing.follower import Follower
+from troutstand.routing.gatewayprobes import GatewayProbes
 from troutstand.routing.loadreport import LoadReport
 from troutstand.routing.node import RoutingNode
 from troutstand.routing.partevidencecache import PartEvidenceSync
@@ -107,6 +108,9 @@
         self._cached_usage: tuple[float, list[UsageSnapshot]] = (float("-inf"), [])
         self._usage_sync = UsageSync(self.node, self.follower, lambda: self._gateways.gateway_count)
         self._usage_log = UsageLog(self.node.events, SCHEDULER)
+        self._probes = GatewayProbes(
+            self.node, self._gateways, self._get_lease_s, self._handle_ended_gateway
+        )
         self._has_usage = False
         self._is_stopping = False
         self._has_list = False
@@ -124,6 +128,7 @@
         self.node.spawn(self._load_usage(), "limit usage")
         self.node.spawn(self._run_list_reads(), "target list")
         self.node.spawn(self._run_ticks(), "ticks")
+        self.node.spawn(self._probes.run(), "gateway probes")
         self.node.spawn(self.rollouts.run(), "rollouts")
 
     async def stop(self) -> None:
@@ -360,6 +365,9 @@
     def _get_lease_s(self) -> float:
         return compute_lease(self._get_heartbeat_period_s())
 
+    def _handle_ended_gateway(self) -> None:
+        self._update_limit_share(read_clock_s())
+
     def _update_limit_share(self, now_s: float) -> None:
         """Apply the share of the limits for the gateways attached here."""
         lease_s = self._get_lease_s()
--- a/troutstand/tests/limitreturns.feature
+++ b/troutstand/tests/limitreturns.feature
@@ -15,3 +15,6 @@
       | 4        | 0.8  | all gateways and schedulers away for 3 s         |
       | 4        | 0.8  | all processes away for 1 s                       |
       | 14       | 0.8  | all gateways away for 3 s                        |
+      | 4        | 0.8  | three gateways away for 3 s                      |
+      | 14       | 0.8  | all gateways but three away for 3 s              |
+      | 14       | 0.5  | nine gateways away for 3 s                       |
