Tell gateways that start only what concerns them

What others counted themselves they hand over themselves, so that a gateway is told the usage of schedulers and its own. Schedulers that start are told all of it.

limitshandover.feature: a keeper that knows 330 gateways tells a starting one of its own 10 tokens (3300 before).

--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -339,7 +339,7 @@
 
     def _tell_usage(self, ask: UsageAsk) -> UsageTold:
         known = self.usage
-        usage = known.list_usage()
+        usage = known.list_usage() if ask.is_whole else known.list_usage_for(ProcessId(ask.process))
         absent_s = self._measure_absence(ask.process, ask.incarnation)
         return UsageTold(usage, absent_s, known.gateway_count, known.is_restored)
 
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -52,7 +52,6 @@
 from troutstand.routing.usagehandover import (
     MAX_RESTART_S,
     UsageHandover,
-    is_counted_by,
     name_decider,
 )
 from troutstand.routing.usagelog import UsageLog
@@ -161,14 +160,9 @@
         """Count for local decisions what others counted."""
         self._usage_log.emit_merged(quotas.merge_usage(usage, now_s), source, now_s)
 
-    def _is_counted_here(self, snapshot: UsageSnapshot) -> bool:
-        """Return whether usage counts for this gateway, not for another one that decides alone."""
-        is_own = is_counted_by(snapshot, self._node.process)
-        return is_own or not snapshot.is_private
-
     async def _start_deciding(self) -> None:
         """Learn from the keepers what was used before this process started, and attach."""
-        loaded = await load_usage(self._node, self._follower)
+        loaded = await load_usage(self._node, self._follower, is_whole=False)
         now_s = read_clock_s()
         self._gateway_count = self._gateway_count or loaded.gateways
         self._local.set_limit_share(self._limit_share, now_s, now_s)
@@ -178,16 +172,15 @@
             counted_s = make_bounds(self._node.settings).counted_s
             quotas.hold_back_excess(now_s + counted_s)
             self._usage_log.emit_held_back(counted_s, "keepers know too little")
-        # The next scheduler may not know all of it.
-        self._usage.merge(loaded.usage, now_s)
-        usage = [snapshot for snapshot in loaded.usage if self._is_counted_here(snapshot)]
+        usage = loaded.usage
         if loaded.absent_s > MAX_RESTART_S:
             # This gateway may have decided locally, cut off from all that it could tell.
             name = name_decider(self._node.process, self._node.incarnation)
             assumed = quotas.assume_usage(name, usage, loaded.absent_s)
-            self._usage.merge(assumed, now_s)
             self._usage_log.emit_assumed(assumed, loaded.absent_s)
             usage = [*usage, *assumed]
+        # The next scheduler may not know all of it.
+        self._usage.merge(usage, now_s)
         self._merge_usage(quotas, usage, "keepers", now_s)
         self._usage_loaded.set()
         self._heartbeats.start()
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -281,7 +281,7 @@
 
     async def _load_usage(self) -> None:
         """Learn from the keepers what was used before this process started."""
-        loaded = await load_usage(self.node, self.follower)
+        loaded = await load_usage(self.node, self.follower, is_whole=True)
         now_s = read_clock_s()
         self._merge_usage(loaded.usage, "keepers", now_s)
         if not loaded.is_complete:
--- a/troutstand/routing/usagestore.py
+++ b/troutstand/routing/usagestore.py
@@ -12,12 +12,14 @@
 from troutstand.core.limits.usagebook import UsageBook
 from troutstand.daemon.storage import frame_record, read_frame
 from troutstand.generated.messages import StoredUsage
+from troutstand.routing.usagehandover import is_counted_by
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from pathlib import Path
 
+    from troutstand.core.ids import ProcessId
     from troutstand.generated.messages import UsageSnapshot
     from troutstand.util.events import EventBus
 
@@ -119,6 +121,10 @@
         """Return the usage that is known here."""
         return self._book.list_snapshots(read_clock_s())
 
+    def list_usage_for(self, gateway: ProcessId) -> list[UsageSnapshot]:
+        """Return the usage without what other gateways counted, who hand it over themselves."""
+        return [u for u in self.list_usage() if not u.is_private or is_counted_by(u, gateway)]
+
     def write(self) -> None:
         """Write the usage to the disk, if it has changed and the last write is old enough."""
         started_s = read_clock_s()
--- a/troutstand/routing/usagesync.py
+++ b/troutstand/routing/usagesync.py
@@ -61,17 +61,22 @@
     gateways: int
 
 
-async def load_usage(node: RoutingNode, follower: Follower) -> LoadedUsage:
+async def load_usage(node: RoutingNode, follower: Follower, is_whole: bool) -> LoadedUsage:
     """Return what the keepers know of the usage.
 
     Waits until the follower has a configuration, since no request is served before, and then for
     the keepers, at most `_LOAD_TIMEOUT_S` after the links are up.
+
+    Parameters
+    ----------
+    is_whole
+        Whether what other gateways counted themselves is needed too.
     """
     started_s = read_clock_s()
     while follower.table is None:
         await asyncio.sleep(_POLL_S)
     asked_s = read_clock_s()
-    ask = UsageAsk(node.process, node.incarnation)
+    ask = UsageAsk(node.process, node.incarnation, is_whole)
     replies = await asyncio.gather(*(_ask(node, k, ask) for k in follower.list_keepers()))
     told = [reply for reply in replies if reply is not None]
     loaded = LoadedUsage(
--- a/troutstand/testing/limitsimulation.py
+++ b/troutstand/testing/limitsimulation.py
@@ -340,7 +340,6 @@
         assert gateway.local is not None
         process = ProcessId(f"g{gateway.number}")
         known = self._memory.list_snapshots(self._now_s)
-        gateway.usage.merge(known, self._now_s)
         counted = [u for u in known if is_counted_by(u, process) or not u.is_private]
         # A keeper that has started later than that does not know.
         is_known = gateway.heard_s >= self._keepers_up_s
@@ -348,8 +347,8 @@
         if is_known and absent_s > MAX_RESTART_S:
             name = name_decider(process, str(gateway.starts))
             assumed = gateway.local.assume_usage(name, counted, absent_s)
-            gateway.usage.merge(assumed, self._now_s)
             counted += assumed
+        gateway.usage.merge(counted, self._now_s)
         gateway.local.merge_usage(counted, self._now_s)
         self._hold_back_after_restore(gateway.local)
 
--- a/troutstand/tests/limitshandover.feature
+++ b/troutstand/tests/limitshandover.feature
@@ -62,3 +62,18 @@
     And a decider that has used 400 tokens and told it
     When the decider's share falls 3 times before others were told of what it used
     Then a decider that starts with what it knows counts 400 tokens
+
+  # Guards against replies to starting gateways that grow with the number of gateways.
+  Scenario: A keeper leaves out what other gateways counted when a gateway starts
+    Given a keeper's store of usage
+    And 330 gateways that told it of 10 tokens each
+    When one of them asks it after a start
+    Then it is told of 10 tokens
+    And a scheduler that starts is told of 3300 tokens
+
+  # Guards against gateways that are taken for lost between two heartbeats of a large site.
+  Scenario: A scheduler of 330 gateways detaches none between two heartbeats
+    Given 330 gateways that took 0.5 of a workspace's limit together
+    When all of them attach to a scheduler that has just started
+    And the longest time between two of their heartbeats passes
+    Then it detaches none of them
--- a/troutstand/tests/steps/limitshandover.py
+++ b/troutstand/tests/steps/limitshandover.py
@@ -25,6 +25,8 @@
 _HEARTBEAT_S = 0.1
 _ABSENCE_S = 1.5
 _ROUNDED = 0.05
+# Gateways spread their heartbeats around the period that they are told.
+_LONGEST_PERIOD_SHARE = 1.1
 
 
 @dataclass
@@ -178,3 +180,18 @@
 @then("it tells that there are {count:d} gateways")
 def check_told_count(context: Context, count: int) -> None:
     assert context.told[-1].gateways == count, context.told[-1].gateways
+
+
+@when("the longest time between two of their heartbeats passes")
+def pass_period(context: Context) -> None:
+    longest_s = _LONGEST_PERIOD_SHARE * context.told[-1].period_s
+    end_s = context.clock.now_s + longest_s
+    while context.clock.now_s < end_s:
+        context.clock.now_s += _PERIOD_S
+        context.scheduler._detach_silent(context.clock.now_s)
+
+
+@then("it detaches none of them")
+def check_attached(context: Context) -> None:
+    attached = context.scheduler._gateways.count_attached()
+    assert attached == len(context.parts), attached
--- a/troutstand/tests/steps/usagestore.py
+++ b/troutstand/tests/steps/usagestore.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from troutstand.core.ids import ProcessId
 from troutstand.core.limits.quota import QuotaBounds, Quotas
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.routing.usagestore import UsageStore
@@ -114,3 +115,29 @@
         share = 1.0 - 0.1 * (number + 1)
         context.decider.set_share(share, context.used_s - (times - number))
         context.store.merge(context.decider.export_usage(context.used_s))
+
+
+@given("{count:d} gateways that told it of {tokens:d} tokens each")
+def tell_alone(context: Context, count: int, tokens: int) -> None:
+    now_s = time.monotonic()
+    for number in range(count):
+        quotas = Quotas(_BOUNDS, f"gateway-{number}|i1|0", is_private=True)
+        quotas.update_workspaces([_WORKSPACE], now_s)
+        quotas.take(_WORKSPACE.name, tokens, now_s)
+        context.store.merge(quotas.export_usage(now_s), count)
+
+
+@when("one of them asks it after a start")
+def ask_as_gateway(context: Context) -> None:
+    context.told = context.store.list_usage_for(ProcessId("gateway-7"))
+
+
+@then("it is told of {tokens:d} tokens")
+def check_told(context: Context, tokens: int) -> None:
+    told = sum(sum(level.taken) for usage in context.told for level in usage.levels)
+    assert told == tokens, told
+
+
+@then("a scheduler that starts is told of {tokens:d} tokens")
+def check_whole(context: Context, tokens: int) -> None:
+    check_restored(context, tokens)
