Lose most or all processes in the soak and the simulation, and weigh the recovery of service

The soak lost one process or all keepers at a time, and judged recovery 12 s after the last fault, longer than a window of the limits, so that a refusal of a whole window passed. `--losses` ends most gateways and schedulers, or everything, with a disk at times, for 0.3 to 4 s, the last time right at the end of the faults; a workspace that asks for half of its limit may be refused 2 in 100 from 4 s after it. The checker's own scenario for it fails without the check.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -86,6 +86,9 @@
     parser.add_argument(
         "--no-crashing-parts", action="store_true", help="send no prompt parts that crash targets"
     )
+    parser.add_argument(
+        "--losses", action="store_true", help="lose most or all processes at times and at the end"
+    )
     parser.add_argument("--per-s", type=float, default=1.2, help="faults per second; 0 for none")
     parser.add_argument("--jobs", type=int, default=2)
     arguments = parser.parse_args()
@@ -99,6 +102,7 @@
         rollouts=arguments.rollouts,
         cuts=not arguments.no_cuts,
         crashing_parts=not arguments.no_crashing_parts,
+        losses=arguments.losses,
     )
     broken = asyncio.run(run_seeds(seeds, draft, arguments.jobs))
     took_s = time.monotonic() - began_s
--- a/troutstand/testing/limitsimulation.py
+++ b/troutstand/testing/limitsimulation.py
@@ -64,6 +64,7 @@
     CUT_GATEWAY = "a gateway is cut"
     CUT_SCHEDULERS = "the schedulers are cut"
     POWER_MOST_GATEWAYS = "most gateways lose power"
+    POWER_HALF_GATEWAYS = "half of the gateways lose power"
     POWER_SERVERS = "all gateways and schedulers lose power"
     POWER_ALL = "all processes lose power"
     POWER_KEEPERS = "all keepers and schedulers lose power, and most gateways before they return"
@@ -434,9 +435,12 @@
         """Take processes away for a while."""
         away_s = self._rng.uniform(*_AWAY_S)
         most = self._gateways[: math.ceil(_MOST_SHARE * self.plan.gateways)]
+        half = self._gateways[: self.plan.gateways // 2]
         match fault:
             case SimulatedFault.POWER_MOST_GATEWAYS:
                 self._stop(most, [], away_s)
+            case SimulatedFault.POWER_HALF_GATEWAYS:
+                self._stop(half, [], away_s)
             case SimulatedFault.POWER_SERVERS:
                 self._stop(self._gateways, self._schedulers, away_s)
             case SimulatedFault.POWER_ALL:
--- a/troutstand/testing/soak/check.py
+++ b/troutstand/testing/soak/check.py
@@ -32,6 +32,9 @@
 _OK = 200
 _MIN_SERVED_SHARE = 0.9
 _LIMITED = 429
+# From this time after the last fault a workspace below its limit is hardly refused.
+_RETURN_S = 4.0
+_MAX_MODEST_REFUSED_SHARE = 0.02
 # From this time after gateways were cut from all targets, their callers are served at least
 # this share as often as the others', unless few requests fail there.
 _CUT_GRACE_S = 3.0
@@ -154,9 +157,12 @@
     crash_parts: CrashParts = field(default_factory=lambda: CrashParts({CRASHING_PART}))
     # Requests of the workspace that asks for more than its limit.
     limited_calls: set[str] = field(default_factory=set)
+    # Requests of a workspace that asks for half of its limit.
+    modest_calls: set[str] = field(default_factory=set)
     # Requests with a prompt part that crashes targets.
     crashing_calls: list[CallResult] = field(default_factory=list)
     events_per_stream: int = 4
+    faults_ended_s: float = float("inf")
     recovered_s: float = float("inf")
 
 
@@ -178,6 +184,7 @@
         *_check_workspace_limits(record),
         *_check_configuration_reads(record),
         *_check_recovery(record),
+        *_check_modest_workspace(record),
         *_check_gateway_cuts(record),
         *_check_crashing_part(record),
         *_check_rollouts(record),
@@ -439,6 +446,16 @@
     return []
 
 
+def _check_modest_workspace(record: SoakRecord) -> list[str]:
+    """Return whether a workspace below its limit is refused after all faults have ended."""
+    since_s = record.faults_ended_s + _RETURN_S
+    calls = [c for c in record.calls if c.request in record.modest_calls and c.began_s >= since_s]
+    refused = [call for call in calls if call.status == _LIMITED]
+    if len(refused) > _MAX_MODEST_REFUSED_SHARE * len(calls):
+        return [f"{len(refused)} of {len(calls)} calls below a limit were refused after the faults"]
+    return []
+
+
 def _check_rollouts(record: SoakRecord) -> list[str]:
     violations: list[str] = []
     for rollout in record.rollouts:
--- a/troutstand/testing/soak/plan.py
+++ b/troutstand/testing/soak/plan.py
@@ -29,6 +29,9 @@
     CONFIGURE_CONCURRENTLY = "race"
     DISCONNECT_CALLER = "leave"
     CUT_GATEWAYS = "cut gateways from targets"
+    LOSE_ALL_POWER = "all processes are away"
+    LOSE_ALL_POWER_AND_DISK = "all processes are away, and a disk is lost"
+    LOSE_MOST = "most gateways and schedulers are away"
     SEND_CRASHING_PART = "send a prompt part that crashes targets"
 
 
@@ -61,6 +64,14 @@
 _CUT_DURATION_S = (4.0, 8.0)
 _CUT_INTERVAL_S = 10.0
 _PART_INTERVAL_S = 0.5
+_LOSSES = (
+    EventKind.LOSE_ALL_POWER,
+    EventKind.LOSE_ALL_POWER_AND_DISK,
+    EventKind.LOSE_MOST,
+    EventKind.LOSE_MOST,
+)
+_LOSS_INTERVAL_S = 6.0
+_LOSS_DURATION_S = (0.3, 4.0)
 
 
 @dataclass(frozen=True)
@@ -98,6 +109,29 @@
     return events
 
 
+def generate_losses(seed: int, duration_s: float) -> list[SoakEvent]:
+    """Generate losses of most or all processes, the last one at the end of the soak.
+
+    They have random numbers of their own, so that the other events of a seed stay the same.
+    """
+    rng = random.Random(f"losses {seed}")
+    times_s: list[float] = []
+    at_s = rng.uniform(1.0, _LOSS_INTERVAL_S)
+    while at_s < duration_s - 1.0:
+        times_s.append(at_s)
+        at_s += rng.expovariate(1.0 / _LOSS_INTERVAL_S)
+    return [
+        SoakEvent(
+            loss_s,
+            rng.choice(_LOSSES),
+            rng.uniform(*_LOSS_DURATION_S),
+            rng.randrange(1 << 16),
+            rng.randrange(1 << 16),
+        )
+        for loss_s in (*times_s, duration_s - 0.1)
+    ]
+
+
 def generate_crashing_parts(seed: int, duration_s: float) -> list[SoakEvent]:
     """Generate requests with prompt parts that crash targets, with random numbers of their own."""
     rng = random.Random(f"crashing parts {seed}")
--- a/troutstand/testing/soak/run.py
+++ b/troutstand/testing/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import random
 import shutil
 import signal
 import time
@@ -42,6 +43,7 @@
     generate_crashing_parts,
     generate_events,
     generate_gateway_cuts,
+    generate_losses,
 )
 from troutstand.testing.soak.rollouts import FIRST_VERSION, SoakRollouts
 from troutstand.testing.soak.targets import clear_target_fault, inject_target_fault
@@ -59,6 +61,16 @@
 _LIMITED_KEY = "key-limited"
 # A third of what its callers ask for.
 _LIMIT = LimitPlan(tokens_per_s=100.0, burst_tokens=400.0, excess=0.1, extra_tokens=400.0)
+_MODEST_WORKSPACE = "modest"
+_MODEST_KEY = "key-modest"
+# Twice what its callers ask for.
+_MODEST_LIMIT = LimitPlan(
+    tokens_per_s=300.0, burst_tokens=1200.0, excess=0.1, extra_tokens=_LIMIT.extra_tokens
+)
+_LOST_SHARE = 0.7
+# One in so many calls is of a limited workspace.
+_LIMITED_EVERY = 7
+_MODEST_REST = 3
 _COMMON_PARTS = ["common-1", "common-2"]
 _ROUTES = ("/get/", "/do/", "/do/", "/stream/", "/stream/resume/", "/stream/resume-once/")
 
@@ -82,6 +94,8 @@
     cuts: bool = False
     # Whether some requests have prompt parts that crash targets.
     crashing_parts: bool = False
+    # Whether most or all processes are lost at times.
+    losses: bool = False
 
 
 @dataclass
@@ -142,6 +156,7 @@
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.caller = RoutedCaller(self.session, f"soak-{self.plan.seed}")
         self.limited_caller = RoutedCaller(self.session, f"limited-{self.plan.seed}")
+        self.modest_caller = RoutedCaller(self.session, f"modest-{self.plan.seed}")
         # Separate, since requests that crash targets need not be answered.
         self.crashing_caller = RoutedCaller(self.session, f"crashing-{self.plan.seed}")
         version = next(self._versions)
@@ -152,7 +167,10 @@
             ConfigurationWrite(version, content, started_s, time.monotonic(), 200)
         )
         await self.site.wait_ready(self.session)
-        self.record.limits = [TokenLimit(_LIMITED_WORKSPACE, _LIMIT.window_s, _LIMIT.max_tokens)]
+        self.record.limits = [
+            TokenLimit(_LIMITED_WORKSPACE, _LIMIT.window_s, _LIMIT.max_tokens),
+            TokenLimit(_MODEST_WORKSPACE, _MODEST_LIMIT.window_s, _MODEST_LIMIT.max_tokens),
+        ]
 
     async def _stop_site(self) -> None:
         for task in list(self._tasks):
@@ -189,6 +207,7 @@
         await asyncio.sleep(max(0.0, started_s + self.plan.duration_s - time.monotonic()))
         await asyncio.gather(*in_progress)
         await self._clear_faults()
+        self.record.faults_ended_s = time.monotonic()
         await asyncio.sleep(_RECOVERY_S)
         self.record.recovered_s = time.monotonic()
         await asyncio.sleep(_FAULT_FREE_S)
@@ -197,8 +216,13 @@
             task.cancel()
         await asyncio.gather(*traffic, *self._calls, return_exceptions=True)
         await self._read_configuration()
-        self.record.calls = [*self.caller.results, *self.limited_caller.results]
+        self.record.calls = [
+            *self.caller.results,
+            *self.limited_caller.results,
+            *self.modest_caller.results,
+        ]
         self.record.limited_calls = {call.request for call in self.limited_caller.results}
+        self.record.modest_calls = {call.request for call in self.modest_caller.results}
         self.record.crashing_calls = self.crashing_caller.results
 
     def _generate_events(self) -> list[SoakEvent]:
@@ -208,6 +232,8 @@
             events += generate_events(plan.seed, plan.duration_s, plan.faults_per_s)
         if plan.cuts:
             events += generate_gateway_cuts(plan.seed, plan.duration_s)
+        if plan.losses:
+            events += generate_losses(plan.seed, plan.duration_s)
         if plan.crashing_parts:
             events += generate_crashing_parts(plan.seed, plan.duration_s)
         return sorted(events, key=lambda event: event.at_s)
@@ -219,18 +245,24 @@
             gateways = self.site.list_role(RoutingRole.gateway)
             gateway = gateways[number % len(gateways)]
             route = _ROUTES[number % len(_ROUTES)]
-            is_limited = number % 7 == 0
-            key = _LIMITED_KEY if is_limited else KEY
-            tokens = "40,40" if is_limited else ""
+            key, caller = self._choose_caller(number)
+            tokens = "" if caller is self.caller else "40,40"
             has_parts = self.plan.crashing_parts and route.startswith("/stream")
             parts = _format_parts([*_COMMON_PARTS, f"{number}"]) if has_parts else ""
-            caller = self.limited_caller if is_limited else self.caller
             coroutine = caller.call(gateway, route, b"x", key, tokens, parts=parts)
             task: asyncio.Task[object] = asyncio.create_task(coroutine)
             calls.add(task)
             task.add_done_callback(calls.discard)
             await asyncio.sleep(_CALL_INTERVAL_S)
 
+    def _choose_caller(self, number: int) -> tuple[str, RoutedCaller]:
+        """Return the key and the caller of a call, by its number."""
+        if number % _LIMITED_EVERY == 0:
+            return _LIMITED_KEY, self.limited_caller
+        if self.plan.losses and number % _LIMITED_EVERY == _MODEST_REST:
+            return _MODEST_KEY, self.modest_caller
+        return KEY, self.caller
+
     async def _poll_configuration(self) -> None:
         while True:
             await self._read_configuration()
@@ -251,6 +283,12 @@
                 tokens_per_s=_LIMIT.tokens_per_s,
                 burst_tokens=_LIMIT.burst_tokens,
             ),
+            RoutedWorkspace(
+                _MODEST_WORKSPACE,
+                keys=[_MODEST_KEY],
+                tokens_per_s=_MODEST_LIMIT.tokens_per_s,
+                burst_tokens=_MODEST_LIMIT.burst_tokens,
+            ),
         ]
         return ConfigurationPlan(version, workspaces=workspaces).encode()
 
@@ -316,6 +354,8 @@
                 await self._disconnect_caller(event)
             case EventKind.CUT_GATEWAYS:
                 await self._cut_gateways(event)
+            case EventKind.LOSE_ALL_POWER | EventKind.LOSE_ALL_POWER_AND_DISK | EventKind.LOSE_MOST:
+                await self._lose_processes(event)
             case EventKind.SEND_CRASHING_PART:
                 await self._send_crashing_part(event)
 
@@ -353,6 +393,27 @@
             self._start(process)
             self.record.disruptions.append(Disruption(process.name, started_s, time.monotonic()))
 
+    async def _lose_processes(self, event: SoakEvent) -> None:
+        """End most or all processes at once, and start them again after a while."""
+        processes = list(self.site.processes.values())
+        if event.kind is EventKind.LOSE_MOST:
+            servers = [p for p in processes if p.settings.role is not RoutingRole.keeper]
+            random.Random(event.choice).shuffle(servers)
+            processes = servers[: max(1, round(_LOST_SHARE * len(servers)))]
+        lost = [p for p in processes if p.name not in self._expected_down]
+        started_s = time.monotonic()
+        self._expected_down.update(process.name for process in lost)
+        for process in lost:
+            self.site.kill(process.name)
+        keepers = [p for p in lost if p.settings.role is RoutingRole.keeper]
+        if event.kind is EventKind.LOSE_ALL_POWER_AND_DISK and keepers:
+            wiped = keepers[event.second_choice % len(keepers)]
+            shutil.rmtree(wiped.settings.data_folder, ignore_errors=True)
+        await asyncio.sleep(event.duration_s)
+        for process in lost:
+            self._start(process)
+            self.record.disruptions.append(Disruption(process.name, started_s, time.monotonic()))
+
     async def _wait_for_exit(self, process: HostProcess) -> None:
         async def has_exited() -> bool:
             # A suspended process exits after the fault that suspended it resumes it.
--- a/troutstand/tests/limitsimulation.feature
+++ b/troutstand/tests/limitsimulation.feature
@@ -68,3 +68,19 @@
       | 275   | 276  |
       | 284   | 285  |
       | 290   | 291  |
+
+  # Guards against shares of gateways without power that those which remain lack.
+  Scenario Outline: A workspace at half of its rate is served while gateways of <gateways> are without power
+    Given simulations of <gateways> gateways with seeds from 0 to 3
+    When half of the gateways lose power while it asks for 0.5 of its rate
+    Then none of its requests is refused
+
+    Examples:
+      | gateways |
+      | 14       |
+      | 73       |
+
+  Scenario: A limit holds when losses of power follow one another
+    Given simulations of 4 gateways with seeds from 0 to 11
+    When losses of power of all kinds follow one another
+    Then no window of them holds more than the limit and its tolerated excess
--- a/troutstand/tests/soak.feature
+++ b/troutstand/tests/soak.feature
@@ -30,6 +30,7 @@
       | a process that ended by itself     | ended by itself     |
       | callers refused at a cut gateway   | cut gateways served |
       | a part that goes on to crash targets | targets too late  |
+      | a workspace that is refused below its limit | below a limit |
 
   Scenario Outline: The checker allows <case>
     Given the record of a correct soak
@@ -79,6 +80,15 @@
       | 3    |
       | 5    |
 
+  Scenario Outline: A short soak that loses most or all processes violates no guarantee
+    When seed <seed> is soaked for 12 s with losses
+    Then the checker finds nothing
+
+    Examples:
+      | seed |
+      | 17   |
+      | 19   |
+
   Scenario: A short soak with rollouts violates no guarantee
     When seed 11 is soaked for 12 s with rollouts
     Then the checker finds nothing
--- a/troutstand/tests/steps/limitsimulation.py
+++ b/troutstand/tests/steps/limitsimulation.py
@@ -9,6 +9,7 @@
 
 from troutstand.testing.limitload import LimitPlan
 from troutstand.testing.limitsimulation import (
+    POWER_FAULTS,
     PROCESS_FAULTS,
     LimitSimulation,
     SimulatedFault,
@@ -80,6 +81,16 @@
         assert not refused, f"{summary} at {refused[:10]} s, {simulation.history}"
 
 
+@when("losses of power of all kinds follow one another")
+def run_losses(context: Context) -> None:
+    _run_all(context, POWER_FAULTS)
+
+
+@then("none of its requests is refused")
+def check_all_served(context: Context) -> None:
+    check_served(context, 0.0)
+
+
 @then("no window of them holds more than the limit and its tolerated excess")
 def check_windows(context: Context) -> None:
     most = LimitPlan().max_tokens
--- a/troutstand/tests/steps/soak.py
+++ b/troutstand/tests/steps/soak.py
@@ -152,6 +152,11 @@
             record.calls[4] = replace(record.calls[4], status=502, body=b"")
         case "no calls after the faults":
             del record.calls[4], record.runs[4]
+        case "a workspace that is refused below its limit":
+            refused = make_call("c6", "/get/", 429, b"", 48.0)
+            record.calls.append(refused)
+            record.modest_calls.add(refused.request)
+            record.faults_ended_s = 40.0
         case "a process that ended by itself":
             record.unexpected_exits.append("gateway-1 with 1")
         case "three runs within a rest":
@@ -259,6 +264,13 @@
     assert context.record.gateway_cuts
 
 
+@when("seed {seed:d} is soaked for {length_s:d} s with losses")
+def soak_losses(context: Context, seed: int, length_s: int) -> None:
+    plan = SoakPlan(seed, float(length_s), gateways=4, subnet=next_subnet(context), losses=True)
+    context.record = asyncio.run(Soak(plan, make_folder(context)).run())
+    assert context.record.modest_calls
+
+
 @when("seed {seed:d} is soaked for {length_s:d} s with crashing parts")
 def soak_parts(context: Context, seed: int, length_s: int) -> None:
     plan = SoakPlan(
