--- a/troutstand/testing/limitload.py
+++ b/troutstand/testing/limitload.py
@@ -11,9 +11,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from troutstand.generated.configuration import RoutedWorkspace
 from troutstand.generated.routing import RoutingRole
-from troutstand.testing.routedsite import KEY, ConfigurationPlan
+from troutstand.testing.routedsite import KEY, ConfigurationPlan, make_routes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -25,6 +27,7 @@
 
 WORKSPACE = "limited"
 LIMITED_KEY = "key-limited"
+LOWEST_TIER = 2
 # Spread of the log-normal sizes of requests.
 _SIZE_SIGMA = 0.7
 _MAX_TOKENS_FACTOR = 8.0
@@ -60,9 +63,16 @@
         )
 
     def make_configuration(self) -> ConfigurationPlan:
-        """Return a configuration with the limited workspace and an unlimited one."""
+        """Return a configuration with the limited workspace and an unlimited one.
+
+        Calls that run once, to plain services, are of the lowest tier.
+        """
         workspaces = [RoutedWorkspace("one", keys=[KEY]), self.make_workspace()]
-        return ConfigurationPlan(workspaces=workspaces)
+        routes = [
+            msgspec.structs.replace(route, tier=LOWEST_TIER) if route.name == "do" else route
+            for route in make_routes()
+        ]
+        return ConfigurationPlan(workspaces=workspaces, routes=routes)
 
 
 @dataclass(frozen=True)
--- a/troutstand/tests/steps/limitreturns.py
+++ b/troutstand/tests/steps/limitreturns.py
@@ -23,6 +23,7 @@
 _LEAD_S = 4.0
 _LIMITED_STATUS = 429
 _SERVED_STATUS = 200
+_ONCE_SEED = 62
 
 
 @given("a routed site of {gateways:d} gateways with a workspace that is limited")
@@ -53,6 +54,8 @@
             await _take_away(scene, gateways[3:], 3.0)
         case "nine gateways away for 3 s":
             await _take_away(scene, gateways[:9], 3.0)
+        case "six gateways away for 3 s":
+            await _take_away(scene, gateways[:6], 3.0)
         case "all gateways away for 3 s":
             await _take_away(scene, gateways, 3.0)
         case "all gateways and schedulers away for 3 s":
@@ -65,7 +68,7 @@
 
 async def _play(context: Context, length_s: float, away: str) -> None:
     scene: Scene = context.scene
-    load = asyncio.create_task(context.load.run(length_s))
+    load = asyncio.gather(*(load.run(length_s) for load in context.loads))
     await asyncio.sleep(_LEAD_S)
     await _disrupt(scene, away)
     for process in scene.site.list_role(RoutingRole.gateway):
@@ -79,14 +82,27 @@
 def play_away(context: Context, length_s: float, rate: float, away: str) -> None:
     per_s = rate * context.limit.tokens_per_s / _MEAN_TOKENS
     context.load = ReadyLoad(context.scene, "/get/", per_s, _MEAN_TOKENS)
+    context.loads = [context.load]
+    context.scene.background.run(_play(context, length_s, away))
+
+
+@when(
+    "for {length_s:g} s it asks ready gateways for {rate:g} of its rate, "
+    "and as much in calls that run once, with {away}"
+)
+def play_away_twice(context: Context, length_s: float, rate: float, away: str) -> None:
+    per_s = rate * context.limit.tokens_per_s / _MEAN_TOKENS
+    context.load = ReadyLoad(context.scene, "/get/", per_s, _MEAN_TOKENS)
+    context.once = ReadyLoad(context.scene, "/do/", per_s, _MEAN_TOKENS, seed=_ONCE_SEED)
+    context.loads = [context.load, context.once]
     context.scene.background.run(_play(context, length_s, away))
 
 
 @then("none of its calls is refused for its limit")
 def check_refusals(context: Context) -> None:
-    calls = context.load.calls
+    calls = [call for load in context.loads for call in load.calls]
     refused = [call for call in calls if call.status == _LIMITED_STATUS]
-    print(context.load.describe())
+    print(*(load.describe() for load in context.loads))
     assert not refused, f"{len(refused)} of {len(calls)}\n{describe_limits(context)}"
 
 
@@ -103,3 +119,19 @@
     assert seconds, "no call was sent after the last return"
     worst = min(sum(served) / len(served) for served in seconds.values())
     assert worst >= share, f"{worst:.3f} in a second\n{describe_limits(context)}"
+
+
+@then(
+    "at least {share:g} of the calls that run once are answered "
+    "from {settle_s:g} s after the last return on"
+)
+def check_once(context: Context, share: float, settle_s: float) -> None:
+    since_s = context.returned_s + settle_s
+    once: ReadyLoad = context.once
+    served = [
+        call.status == _SERVED_STATUS
+        for call, sent_s in zip(once.calls, once.sent_s, strict=True)
+        if sent_s >= since_s
+    ]
+    assert served, "no call was sent after the last return"
+    assert sum(served) >= share * len(served), f"{sum(served)} of {len(served)}"
