Let a workspace at its limit go on at its rate after gateways return

Callers of a workspace that asks for more than its limit got nothing for a window after all gateways had returned (soak with losses: none of 10 calls 12 s after the last fault).

Cause: of a workspace near its limit the whole share of each returning gateway was assumed as used, so that all of them together filled its limit, whatever had run.

It is assumed to have gone on as its limit allows: the limit with its excess, over the time of the absence, spread over it. What remains takes from the excess only.

--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -359,8 +359,8 @@
     ) -> list[UsageSnapshot]:
         """Return what a decider with this share may have used without telling anybody.
 
-        A workspace near its limit is assumed to have used the whole share. Any other went on as
-        before, and what more it may have used takes from its excess only.
+        A workspace is assumed to have gone on as before, or as its limit allows if it was near it.
+        What more it may have used takes from its excess only.
 
         Parameters
         ----------
@@ -377,8 +377,7 @@
             most = math.ceil(self.share * (limit.limit_tokens + limit.excess_tokens))
             before = totals.get(name, 0.0)
             if before >= _NEAR_LIMIT_SHARE * limit.limit_tokens:
-                counted.append(Level(name, [most]))
-                continue
+                before = limit.limit_tokens + limit.excess_tokens
             parts = spread_evenly(min(most, self.share * before * absent_share), absent_share)
             counted.append(Level(name, parts))
             assumed.append(Level(name, [max(0, most - sum(parts))]))
--- a/troutstand/tests/limitsimulation.feature
+++ b/troutstand/tests/limitsimulation.feature
@@ -84,3 +84,10 @@
     Given simulations of 4 gateways with seeds from 0 to 11
     When losses of power of all kinds follow one another
     Then no window of them holds more than the limit and its tolerated excess
+
+  # Guards against a whole window of refusals of a workspace that was near its limit.
+  Scenario: A workspace at its limit goes on at its rate after all gateways return
+    Given simulations of 14 gateways with seeds from 0 to 5
+    When all gateways and schedulers lose power while it asks for 3 of its rate
+    Then at least 0.33 of its requests are served from 1 to 8 s after the last process is back
+    And no window of them holds more than the limit and its tolerated excess
--- a/troutstand/tests/steps/limitsimulation.py
+++ b/troutstand/tests/steps/limitsimulation.py
@@ -86,6 +86,19 @@
     _run_all(context, POWER_FAULTS)
 
 
+@then(
+    "at least {share:g} of its requests are served "
+    "from {first_s:g} to {last_s:g} s after the last process is back"
+)
+def check_share(context: Context, share: float, first_s: float, last_s: float) -> None:
+    for simulation in context.simulations:
+        answers = [a for a in simulation.answers if first_s <= a.returned_s < last_s]
+        served = sum(not answer.is_refused for answer in answers)
+        assert served >= share * len(answers), (
+            f"seed {simulation.plan.seed}: {served} of {len(answers)}, {simulation.history}"
+        )
+
+
 @then("none of its requests is refused")
 def check_all_served(context: Context) -> None:
     check_served(context, 0.0)
