Sum usage of other deciders by time, not by source

After all gateways of a large site had returned, each charge to a limit summed the windows of every source that they had handed over: 0.28 ms at 78 gateways and 1.8 ms at 330 (16 limits, one process, the real classes), for a window, at the scheduler that all of them had just attached to. At 5,500 requests/s that is ten cores; callers would see refusals and late answers by an overloaded scheduler.

Bins expire up to 0.1 s late.

--- a/troutstand/core/limits/sharedusage.py
+++ b/troutstand/core/limits/sharedusage.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from troutstand.core.limits.slidingwindow import SlidingWindow, import_parts
+from troutstand.core.limits.foreignusage import ForeignUsage, weigh_usage
+from troutstand.core.limits.slidingwindow import SlidingWindow
 from troutstand.core.limits.usagebook import UsageBook
 from troutstand.generated.messages import Level, UsageSnapshot
 
@@ -29,27 +30,18 @@
 
 @dataclass
 class UsageSource:
-    """Hold the windows that one decider counted over a span of its life.
+    """Hold the windows that this decider counted over a span of its life.
 
     Parameters
     ----------
     share
         The share of the limits that the processes which know this usage hold together.
-    is_own
-        Whether this process counted it.
-    is_private
-        Whether a gateway counted it that hands it over itself.
-    is_assumed
-        Whether nobody counted it: a gateway may have used as much.
     """
 
     share: float
-    is_own: bool
-    is_private: bool = False
-    is_assumed: bool = False
     sequence: int = 0
     windows: dict[str, SlidingWindow] = field(default_factory=dict)
-    # When an own source last held usage that was told.
+    # When it last held usage that was told.
     told_s: float = float("-inf")
 
 
@@ -107,12 +99,13 @@
         self._split_s = float("-inf")
         self._sources: dict[str, UsageSource] = {}
         self._own = self._start_span()
+        self._foreign = ForeignUsage(counted_s)
         self._book = UsageBook(counted_s)
 
     def _start_span(self) -> UsageSource:
         """Count own usage under a new source from now on."""
         self._span += 1
-        source = UsageSource(self.share, is_own=True)
+        source = UsageSource(self.share)
         self._sources[f"{self._name}.{self._span}"] = source
         return source
 
@@ -153,7 +146,7 @@
     def subtract(self, workspace: str, amount: float, added_s: float, now_s: float) -> bool:
         """Take back usage of this decider; return whether it still counted."""
         for source in reversed(list(self._sources.values())):
-            window = source.windows.get(workspace) if source.is_own else None
+            window = source.windows.get(workspace)
             if window is None:
                 continue
             window.advance(now_s)
@@ -177,29 +170,30 @@
                 continue
             if now_s is not None:
                 window.advance(now_s)
-            weighed = self._weigh(source) * window.total
-            if source.is_assumed:
+            used += self._weigh(source) * window.total
+        for group, tokens in self._foreign.sum_groups(workspace, now_s):
+            weighed = weigh_usage(self.share, group.share) * tokens
+            if group.is_assumed:
                 assumed += weighed
-                continue
-            used += weighed
-            of_others += 0.0 if source.is_own else weighed
-        return WorkspaceTotal(used, of_others, assumed)
+            else:
+                of_others += weighed
+        return WorkspaceTotal(used + of_others, of_others, assumed)
 
     def list_expiries(self, workspace: str, with_assumed: bool) -> list[Iterator[Expiry]]:
         """Return for each source when its usage leaves, soonest first."""
-        return [
+        own = [
             source.windows[workspace].list_expiries(self._weigh(source))
             for source in self._sources.values()
-            if workspace in source.windows and (with_assumed or not source.is_assumed)
+            if workspace in source.windows
         ]
+        return own + self._foreign.list_expiries(workspace, with_assumed, self.share)
 
     def _weigh(self, source: UsageSource) -> float:
-        """Return the part of a source's usage that counts here.
+        """Return the part of an own source's usage that counts here.
 
-        All who know it count it, in proportion to their shares of the limits. What is not told
-        to others for certain counts here as a whole.
+        What is not told to others for certain counts here as a whole.
         """
-        return 1.0 if source is self._own else min(1.0, self.share / source.share)
+        return 1.0 if source is self._own else weigh_usage(self.share, source.share)
 
     # Handover between deciders
 
@@ -207,13 +201,11 @@
         """Return the usage that is known here, for those who share the limits with this decider."""
         self.prune(now_s)
         for source in self._sources.values():
-            if source.is_own or not source.is_private:
-                source.share = max(source.share, self.share)
+            source.share = max(source.share, self.share)
+        self._foreign.raise_share(self.share)
         self._book.raise_share(self.share)
         own: list[UsageSnapshot] = []
         for name, source in self._sources.items():
-            if not source.is_own:
-                continue
             source.sequence += 1
             levels = [
                 Level(workspace, window.export_parts(now_s))
@@ -237,7 +229,7 @@
         foreign: list[UsageSnapshot] = []
         for snapshot in snapshots:
             own = self._sources.get(snapshot.source)
-            if own is None or not own.is_own:
+            if own is None:
                 foreign.append(snapshot)
             elif snapshot.share > own.share:
                 # Others count a part of what they were told of this decider's usage.
@@ -246,26 +238,19 @@
                 own.share = snapshot.share
         changed = self._book.merge(foreign, now_s)
         for held in changed:
-            snapshot = held.snapshot
-            source = UsageSource(
-                snapshot.share, False, snapshot.is_private, snapshot.is_assumed, snapshot.sequence
-            )
-            for level in snapshot.levels:
-                source.windows[level.workspace] = import_parts(
-                    level.taken, self._counted_s, held.taken_s
-                )
-            self._sources[snapshot.source] = source
+            self._foreign.merge(held)
         return changed
 
     def prune(self, now_s: float) -> None:
         """Drop the sources whose usage has left the windows."""
         for name in self._book.prune(now_s):
-            self._sources.pop(name, None)
+            self._foreign.forget(name)
+        self._foreign.prune(now_s)
         for name, source in list(self._sources.items()):
             for workspace, window in list(source.windows.items()):
                 window.advance(now_s)
                 if not len(window):
                     del source.windows[workspace]
-            is_past = source.is_own and source is not self._own and not source.windows
+            is_past = source is not self._own and not source.windows
             if is_past and not self._is_told(source, now_s):
                 del self._sources[name]
--- a/troutstand/core/limits/slidingwindow.py
+++ b/troutstand/core/limits/slidingwindow.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterator
 
 # Number of equal parts of an exported window.
 PART_COUNT = 9
@@ -92,8 +92,7 @@
     def export_parts(self, now_s: float) -> list[int]:
         """Return the sums of the window's parts, newest first.
 
-        Sums are rounded up, and an import dates a part to its newest time, so that a
-        handover never frees capacity.
+        Sums are rounded up, so that a handover never frees capacity.
         """
         sums = [0.0] * PART_COUNT
         part_s = self.length_s / PART_COUNT
@@ -107,13 +106,3 @@
     """Return the sums of an exported window's parts if its newest share was used evenly."""
     count = max(1, math.ceil(PART_COUNT * min(1.0, length_share)))
     return [math.ceil(amount / count)] * count
-
-
-def import_parts(parts: Sequence[int], length_s: float, taken_s: float) -> SlidingWindow:
-    """Return the window that was exported in parts at a time."""
-    part_s = length_s / PART_COUNT
-    window = SlidingWindow(length_s)
-    for index in reversed(range(min(len(parts), PART_COUNT))):
-        if parts[index]:
-            window.add(float(parts[index]), taken_s - index * part_s)
-    return window
--- a/troutstand/tests/limitshandover.feature
+++ b/troutstand/tests/limitshandover.feature
@@ -77,3 +77,8 @@
     When all of them attach to a scheduler that has just started
     And the longest time between two of their heartbeats passes
     Then it detaches none of them
+
+  # Guards against charges that take longer the more gateways have handed over their usage.
+  Scenario: A charge costs the same after 330 gateways have returned as after 4
+    When 4 gateways return to one decider, and 330 to another
+    Then a charge takes at most 5 times as long at the other
--- a/troutstand/tests/steps/usagestore.py
+++ b/troutstand/tests/steps/usagestore.py
@@ -20,6 +20,8 @@
 _BOUNDS = QuotaBounds()
 _WORKSPACE = RoutedWorkspace("one", tokens_per_s=1000.0)
 _LATER_S = 120.0
+_TIMED_ROUNDS = 7
+_TIMED_CHARGES = 30
 
 
 class _Events:
@@ -141,3 +143,34 @@
 @then("a scheduler that starts is told of {tokens:d} tokens")
 def check_whole(context: Context, tokens: int) -> None:
     check_restored(context, tokens)
+
+
+def _time_charges(gateways: int) -> float:
+    """Return the seconds of a charge after gateways have handed over what they used."""
+    now_s = time.monotonic()
+    decider = _make_quotas("decider", now_s)
+    for number in range(gateways):
+        quotas = Quotas(_BOUNDS, f"gateway-{number}|i1|0", is_private=True)
+        quotas.update_workspaces([_WORKSPACE], now_s)
+        quotas.set_share(1.0 / gateways)
+        quotas.take(_WORKSPACE.name, 1.0, now_s)
+        usage = quotas.export_usage(now_s)
+        decider.merge_usage([*usage, *quotas.assume_usage(f"g{number}", usage, 3.0)], now_s)
+    times_s: list[float] = []
+    for _ in range(_TIMED_ROUNDS):
+        started_s = time.perf_counter()
+        for _ in range(_TIMED_CHARGES):
+            decider.take(_WORKSPACE.name, 1.0, now_s)
+        times_s.append((time.perf_counter() - started_s) / _TIMED_CHARGES)
+    return min(times_s)
+
+
+@when("{few:d} gateways return to one decider, and {many:d} to another")
+def time_returns(context: Context, few: int, many: int) -> None:
+    context.charge_s = [_time_charges(gateways) for gateways in (few, many)]
+
+
+@then("a charge takes at most {times:g} times as long at the other")
+def check_charge(context: Context, times: float) -> None:
+    few_s, many_s = context.charge_s
+    assert many_s <= times * few_s, f"{many_s * 1e6:.0f} us, {few_s * 1e6:.0f} us"
