--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -62,6 +62,11 @@
         self._waited_ms = 0.0
         self._longest_pause_s = 0.0
         self._suspend_watch = SuspendWatch()
+        # When the attempt started or its target last sent data, on the steady clock.
+        self._heard_s = 0.0
+        # How the last failed attempt ended, and how long its target had been silent by then.
+        self._last_ending: Ending | None = None
+        self._last_silence_ms = 0.0
 
     async def run(self) -> web.StreamResponse:
         """Return the response, at the latest at the deadline of the request."""
@@ -149,6 +154,7 @@
         self._first_byte_s = -1.0
         self._event_count = 0
         self._suspend_watch = SuspendWatch()
+        self._heard_s = started_s
         try:
             response, ending = await self._send_and_relay(placed, overdue)
         except SendError as error:
@@ -290,6 +296,8 @@
 
     def _record_failure(self, placed: Placed, error: SendError) -> None:
         self._attempts.record_failure(placed, error)
+        self._last_ending = error.ending
+        self._last_silence_ms = (read_clock_s() - self._heard_s) * 1000.0
         self._gateway.node.events.emit(
             "attempt_failed",
             self._call.request,
@@ -308,6 +316,7 @@
             parts="+".join(self._call.shared_parts) or None,
             begun_ms=self._get_response_start_ms(),
             arrivals=self._attempts.arrived_count,
+            silent_ms=self._last_silence_ms,
         )
 
     def _should_retry(self, error: SendError) -> bool:
@@ -348,6 +357,7 @@
             while True:
                 waiting_since_s = read_clock_s()
                 chunk = await self._next_chunk(chunks)
+                self._heard_s = read_clock_s()
                 if chunk is None:
                     break
                 if has_data:
@@ -467,9 +477,18 @@
         return response
 
     def _abort_response(self, code: ResultCode, detail: str) -> web.StreamResponse:
-        """Abort a response that cannot be completed."""
+        """Abort a response that cannot be completed; log why no other target continues it."""
         response = self._caller_response.abort()
-        self._emit("stream_broken_off", code, response.status, detail=detail)
+        ended_by = self._last_ending.value if self._last_ending is not None else ""
+        silent_ms = f"{self._last_silence_ms:g}"
+        self._emit(
+            "stream_broken_off",
+            code,
+            response.status,
+            ended_by=ended_by,
+            silent_ms=silent_ms,
+            detail=detail,
+        )
         return response
 
     def _get_response_start_ms(self) -> float | None:
