Keep the attempt at a silent target until another one answers

Callers saw streams cut in their middle, and answers refused with 502, while their target still worked on them. Cause: a gateway took silence for the end of an attempt. Three times the pause of the route after the last event it closed the connection, and only then asked for another target; where none was placed (no room within the wait, retry budget, limit) the caller's connection was closed. Before the head the attempt was dropped as soon as another one was placed, or after three times the objective.

Attempts of a call now live side by side: a silent one is reported (Silence), keeps its slot, and may get another one beside it; the first that sends data is relayed, and only then the others are dropped. A path that is found cut does the same, at once, and closes nothing. A placement that is taken back names the targets where attempts go on (running_at).

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -37,6 +37,7 @@
         FirstByte,
         ListedTarget,
         RoutedWork,
+        Silence,
     )
 
 # Waiting requests without a suitable target after which an event stops scanning the queue.
@@ -144,17 +145,34 @@
             work.tier, work.workspace, pool.estimate_typical_slot_time(work), weight
         )
 
-    def abandon(self, request: str, now_s: float) -> None:
-        """Remove a request, waiting or running."""
+    def abandon(self, request: str, now_s: float, running_at: Iterable[str] = ()) -> None:
+        """Remove a request, waiting or running.
+
+        Parameters
+        ----------
+        running_at
+            Targets where earlier attempts of the request go on.
+        """
         for pool in self.pools.values():
             self._dequeue(pool, request, now_s)
             for state in pool.targets.values():
+                if state.listed.target in running_at:
+                    continue
                 run = state.finish(request)
                 if run is not None:
                     # Its gateway did not get the placement, and has sent nothing.
                     self._refund_run(run, now_s)
                     self._serve_target(pool, state, now_s)
 
+    def abandon_placement(self, placed: Placed, now_s: float) -> None:
+        """Free the slot of a placement that its gateway did not get."""
+        for pool in self.pools.values():
+            state = pool.targets.get(placed.target)
+            run = state.finish(placed.request) if state is not None else None
+            if state is not None and run is not None:
+                self._refund_run(run, now_s)
+                self._serve_target(pool, state, now_s)
+
     def record_first_byte(self, first: FirstByte, now_s: float) -> None:
         """Record the first byte of an answer."""
         for pool in self.pools.values():
@@ -210,6 +228,26 @@
             if run is not None:
                 run.is_path_lost = True
 
+    def record_silence(self, silence: Silence, now_s: float) -> None:
+        """Record that a target is silent in the middle of an answer, or goes on after that.
+
+        The request keeps its slot, since a sound target still works on it.
+        """
+        for pool in self.pools.values():
+            state = pool.targets.get(silence.target)
+            run = state.running.get(silence.request) if state is not None else None
+            if state is None or run is None or run.is_silent is not silence.is_over:
+                continue
+            run.is_silent = not silence.is_over
+            link = find_link(run.work, state)
+            if run.is_silent:
+                state.record_loss(run, now_s)
+                self.reach.record_unreachable(link, silence.target, now_s)
+            else:
+                state.record_resumed(now_s)
+                self.reach.record_reachable(link)
+                self._serve_target(pool, state, now_s)
+
     def tick(self, now_s: float) -> None:
         """Process timeouts and place or shed waiting requests."""
         for pool in self.pools.values():
@@ -241,7 +279,8 @@
         if ended.is_path_lost:
             # Says nothing of the target, nor of the link between the failure domains.
             return
-        self.reach.record_ending(find_link(run.work, state), ended, now_s)
+        if not run.is_silent:
+            self.reach.record_ending(find_link(run.work, state), ended, now_s)
         if pool.canary.order is not None:
             typical = pool.estimate_typical_times(run)
             pool.canary.record_ended(run, ended, state.listed.version, typical, now_s)
@@ -268,6 +307,9 @@
                     state.service_s.add_sample(ended.total_s)
             case Ending.failed:
                 state.record_fault(now_s)
+            case Ending.silent if run.is_silent:
+                # The loss was recorded when the silence began.
+                pass
             case Ending.broken | Ending.silent | Ending.unsent:
                 state.record_loss(run, now_s)
             case Ending.turned_away:
--- a/troutstand/core/targetchoice.py
+++ b/troutstand/core/targetchoice.py
@@ -117,9 +117,13 @@
     def _is_eligible(
         self, pool: Pool, waiting: WaitingRequest, state: TargetState, now_s: float
     ) -> bool:
-        """Return whether a target has memory, is reachable and accepts requests of the gateway."""
+        """Return whether a target has memory, is reachable and accepts requests of the gateway.
+
+        A target where an earlier attempt of the request still runs is not eligible.
+        """
         return (
-            state.has_memory(waiting.work, pool.memory_tokens)
+            state.listed.target not in waiting.work.running_at
+            and state.has_memory(waiting.work, pool.memory_tokens)
             and self._is_reachable(waiting.work, state, now_s)
             and state.report.get_block_reason(waiting.owner, now_s) is None
         )
--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -52,6 +52,8 @@
     is_promoted: bool = False
     # Whether its gateway has lost the path on which the answer would come.
     is_path_lost: bool = False
+    # Whether the target has sent nothing for long; another attempt may run elsewhere.
+    is_silent: bool = False
     # Whether it runs isolated, so that a crash of the target is its own, and for which parts.
     is_isolated: bool = False
     # Whether enough targets were sound when it was placed, so that a crash is not theirs.
@@ -108,9 +110,14 @@
     @property
     def free_slots(self) -> int:
         """Return the number of free request slots."""
-        # After a loss a target gets one request at a time, as a probe.
-        slots = 1 if self.consecutive_losses else self.listed.slots
-        return max(0, slots - len(self.running))
+        if self.consecutive_losses:
+            # After a loss a target gets one request at a time, as a probe.
+            return max(0, 1 - self._count_sounding())
+        return max(0, self.listed.slots - len(self.running))
+
+    def _count_sounding(self) -> int:
+        """Return the number of running requests whose target is not silent for long."""
+        return sum(not run.is_silent for run in self.running.values())
 
     def is_open(self, now_s: float) -> bool:
         """Return whether the target may be sent any request now."""
@@ -124,7 +131,7 @@
         """Return whether the target has room for a request now, if only for an isolated one."""
         if now_s < self.blocked_until_s or not self.report.may_send(now_s):
             return False
-        return len(self.running) < (1 if self.consecutive_losses else self.listed.slots)
+        return self.free_slots > 0
 
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target is ejected after losses; it may still get probes."""
@@ -265,6 +272,12 @@
         self.blocked_until_s = 0.0
         self.last_response_s = now_s
 
+    def record_resumed(self, now_s: float) -> None:
+        """Record that the target goes on with an answer after a silence, which ends an ejection."""
+        self.consecutive_losses = 0
+        self.blocked_until_s = 0.0
+        self.last_response_s = now_s
+
     def record_fault(self, now_s: float) -> None:
         """Record an error response of the target."""
         self.success_rate += _HEALTH_EWMA_WEIGHT * (0.0 - self.success_rate)
--- /dev/null
+++ b/troutstand/routing/callattempts.py
@@ -0,0 +1,384 @@
+"""Run the attempts of one call; those at silent targets go on until another one answers.
+
+Silence does not tell a target that is gone from one that still works on the request. Another
+attempt may be started after it, but the silent one is kept: the first that sends data is
+relayed, and only then are the others dropped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from troutstand.core.paths import Reach
+from troutstand.generated.configuration import RouteKind
+from troutstand.generated.messages import Declined, Ended, Ending, Placed
+from troutstand.routing.attempt import Attempt
+from troutstand.routing.attempthistory import AttemptHistory
+from troutstand.routing.calls import add_resume_header
+from troutstand.routing.relay import SendError, SentRequest
+from troutstand.util.clock import MIN_SUSPEND_S, read_clock_s
+
+if TYPE_CHECKING:
+    from troutstand.routing.callerresponse import CallerResponse
+    from troutstand.routing.calls import Call
+    from troutstand.routing.gateway import Gateway
+    from troutstand.routing.relay import OutgoingRequest
+
+_MIN_SERVER_ERROR_STATUS = 500
+_MIN_RESPONSE_TIMEOUT_S = 0.2
+_STREAM_TIMEOUT_FACTOR = 1.5
+# Time after a declined placement before another one is requested beside silent targets.
+_PLACEMENT_RETRY_S = 0.5
+# Endings that may be the fault of the target or of the path to it.
+_LOSSES = frozenset({Ending.unsent, Ending.broken})
+
+
+class PlacementDeclinedError(Exception):
+    """Report that the decider placed no attempt and none is in flight."""
+
+    def __init__(self, declined: Declined) -> None:
+        super().__init__(declined.reason)
+        self.declined = declined
+
+
+class CallAttempts:
+    """Place and send the attempts of one call, and report how each of them ends."""
+
+    def __init__(
+        self, gateway: Gateway, call: Call, outgoing: OutgoingRequest, response: CallerResponse
+    ) -> None:
+        self.history = AttemptHistory(call.route.attempts, call.is_repeatable)
+        self.was_placed = False
+        self.waited_ms = 0.0
+        # The last server error of a target that was not relayed, with its body.
+        self.server_error: tuple[SentRequest, bytes] | None = None
+        # Why the decider placed no other attempt beside those in flight.
+        self.declined: Declined | None = None
+        # How the last attempt that failed ended, and how long its target was silent by then.
+        self.last_ending: Ending | None = None
+        self.last_silence_s = 0.0
+        self._gateway = gateway
+        self._call = call
+        self._outgoing = outgoing
+        self._response = response
+        self._live: list[Attempt] = []
+        self._placing: asyncio.Task[Placed | Declined] | None = None
+        self._place_after_s = float("-inf")
+
+    async def receive(self) -> Attempt:
+        """Return the first attempt that has something to relay; all others are dropped.
+
+        Raises
+        ------
+        PlacementDeclinedError
+            If no attempt is in flight and none was placed.
+        SendError
+            If the last attempt failed and no other one is allowed.
+        """
+        while True:
+            self._start_placing()
+            await self._wait()
+            self._take_placement()
+            self._find_silent()
+            attempt = await self._find_answering()
+            if attempt is not None:
+                self._keep_only(attempt)
+                return attempt
+
+    def close(self) -> None:
+        """Drop the attempts in flight, since the call has ended."""
+        for attempt in list(self._live):
+            self.last_silence_s = max(self.last_silence_s, attempt.measure_silence_s())
+            self._drop(attempt, Ending.left)
+        self._cancel_placing()
+
+    def may_fail_over(self, attempt: Attempt) -> bool:
+        """Return whether another attempt may be started while this one is in flight."""
+        return self.history.can_repeat_beside(attempt.placed) and self._response.can_resume
+
+    def should_retry(self, error: SendError) -> bool:
+        """Return whether the call may be tried again after the last attempt has failed."""
+        can_continue = self.history.can_repeat and self._response.can_resume
+        if self._response.has_started and not can_continue:
+            return False
+        return self.history.allows_retry(error)
+
+    # Placement
+
+    def _start_placing(self) -> None:
+        if self._placing is None and self._needs_placement():
+            self._placing = asyncio.create_task(self._place())
+
+    def _needs_placement(self) -> bool:
+        return not self._live or (self._may_start_other() and read_clock_s() >= self._place_after_s)
+
+    def _may_start_other(self) -> bool:
+        return (
+            all(attempt.is_silent for attempt in self._live)
+            and self.history.can_repeat
+            and self._response.can_resume
+        )
+
+    async def _place(self) -> Placed | Declined:
+        work = self._call.create_work(
+            read_clock_s(),
+            self.history.arrived_count + 1,
+            self.history.excluded,
+            self._gateway.settings.failure_domain,
+            self._response.has_started,
+            [attempt.placed.target for attempt in self._live],
+        )
+        decision = await self._gateway.placement.place(work)
+        if isinstance(decision, Placed):
+            self.was_placed = True
+            self.waited_ms += decision.waited_ms
+            route = self._call.route
+            wait_s = self._gateway.metrics.wait_s.labels(route.kind.value, str(route.tier))
+            wait_s.observe(decision.waited_ms / 1000.0)
+        return decision
+
+    def _take_placement(self) -> None:
+        """Start the attempt that was placed, if any."""
+        if self._placing is None or not self._placing.done():
+            return
+        decision, self._placing = self._placing.result(), None
+        if isinstance(decision, Placed):
+            self._start(decision)
+            return
+        if not self._live:
+            raise PlacementDeclinedError(decision)
+        self.declined = decision
+        self._place_after_s = read_clock_s() + _PLACEMENT_RETRY_S
+
+    def _cancel_placing(self) -> None:
+        placing, self._placing = self._placing, None
+        if placing is None or placing.cancel() or placing.cancelled():
+            return
+        decision = placing.result()
+        if isinstance(decision, Placed):
+            self._gateway.placement.finish(
+                Ended(self._call.request, decision.target, Ending.kept_back)
+            )
+
+    # Attempts
+
+    def _start(self, placed: Placed) -> None:
+        attempt = Attempt(placed, self._compute_response_timeout())
+        attempt.start(self._begin(attempt, is_beside_others=bool(self._live)))
+        self._live.append(attempt)
+
+    def _compute_response_timeout(self) -> float:
+        objective_s = self._call.objective_s
+        if self._call.route.kind is RouteKind.streaming:
+            objective_s *= _STREAM_TIMEOUT_FACTOR
+        return max(_MIN_RESPONSE_TIMEOUT_S, objective_s)
+
+    async def _begin(self, attempt: Attempt, is_beside_others: bool) -> None:
+        """Send the request and receive the head, and beside others the first data.
+
+        Raises
+        ------
+        SendError
+            If the response cannot be relayed.
+        """
+        outgoing = self._outgoing
+        if self._response.last_id:
+            headers = self._gateway.dialect.headers
+            outgoing = add_resume_header(outgoing, headers, self._response.last_id)
+        sent = attempt.sent = await self._gateway.sender.send(
+            outgoing,
+            attempt.placed,
+            self._call.deadline_s,
+            lambda: self._handle_path_lost(attempt),
+        )
+        if self._response.has_started and not self._response.is_continued_by(sent):
+            # The caller already has a response head, so only events can follow; another
+            # response would appear with its own head between the events.
+            sent.connection.abort()
+            detail = "the response does not continue the event stream"
+            raise SendError(Ending.failed, detail, sent.head.status)
+        if sent.is_stream:
+            if is_beside_others:
+                await attempt.receive()
+            return
+        is_error = sent.head.status >= _MIN_SERVER_ERROR_STATUS
+        if is_error and (len(self._live) > 1 or self.may_fail_over(attempt)):
+            self.server_error = sent, await self._gateway.sender.read_body(sent)
+            detail = "the target responded with a server error"
+            raise SendError(Ending.failed, detail, sent.head.status)
+
+    async def _wait(self) -> None:
+        """Wait until an attempt or a placement makes progress, or a target counts as silent."""
+        now_s = read_clock_s()
+        awaited: set[asyncio.Future[object]] = set()
+        timeouts_s: list[float] = []
+        for attempt in self._live:
+            awaited.add(attempt.progress)  # type: ignore[arg-type]
+            if not attempt.is_silent and self.may_fail_over(attempt):
+                awaited.add(attempt.path_lost)  # type: ignore[arg-type]
+                timeouts_s.append(attempt.waiting_since_s + attempt.timeout_s - now_s)
+        if self._placing is not None:
+            awaited.add(self._placing)  # type: ignore[arg-type]
+        elif self._may_start_other():
+            timeouts_s.append(self._place_after_s - now_s)
+        timeout_s = max(0.0, min(timeouts_s)) if timeouts_s else None
+        await asyncio.wait(awaited, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+
+    async def _find_answering(self) -> Attempt | None:
+        """Return an attempt that has something to relay, after removing those that failed."""
+        error: SendError | None = None
+        for attempt in [a for a in self._live if a.progress.done()]:
+            error = attempt.get_error()
+            if error is None:
+                return attempt
+            await self.record_failure(attempt, error)
+        if error is not None and not self._live:
+            self._place_after_s = float("-inf")
+            if self._placing is None and not self.should_retry(error):
+                raise error
+        return None
+
+    def _keep_only(self, kept: Attempt) -> None:
+        for attempt in [a for a in self._live if a is not kept]:
+            self._emit("attempt_dropped", attempt, answered_by=kept.placed.target)
+            self._drop(attempt, Ending.silent if attempt.is_silent else Ending.left)
+        self._cancel_placing()
+        if kept.is_silent:
+            kept.is_silent = False
+            self._emit("attempt_resumed", kept)
+            self._gateway.placement.report_silence(
+                self._call.request, kept.placed.target, is_over=True
+            )
+
+    def _drop(self, attempt: Attempt, ending: Ending) -> None:
+        """Close the connection of an attempt, so that its target stops the request."""
+        attempt.drop()
+        self.history.record_arrival(attempt.placed)
+        self.record_end(attempt, ending)
+
+    # Silence
+
+    def _find_silent(self) -> None:
+        for attempt in self._live:
+            if attempt.is_silent or attempt.progress.done() or not self.may_fail_over(attempt):
+                continue
+            if attempt.path_lost.done() or attempt.measure_silence_s() >= attempt.timeout_s:
+                self._mark_silent(attempt)
+
+    def record_silence(self, attempt: Attempt) -> None:
+        """Record that a target is silent in the middle of its response, and listen on."""
+        attempt.start_listening()
+        self._mark_silent(attempt)
+
+    def _mark_silent(self, attempt: Attempt) -> None:
+        attempt.is_silent = True
+        self.history.record_arrival(attempt.placed)
+        self._emit("attempt_silent", attempt)
+        if self._gateway.sender.is_checking(attempt.placed.address):
+            self._gateway.node.spawn(self._report_after_check(attempt), "report silence")
+        else:
+            self._report_silence(attempt)
+
+    async def _report_after_check(self, attempt: Attempt) -> None:
+        await self._gateway.sender.check(attempt.placed.address)
+        if attempt.is_silent:
+            self._report_silence(attempt)
+
+    def _report_silence(self, attempt: Attempt) -> None:
+        request, target = self._call.request, attempt.placed.target
+        if self._gateway.sender.is_path_lost(attempt.placed.address):
+            self._gateway.placement.report_path_lost(request, target)
+        else:
+            self._gateway.placement.report_silence(request, target, is_over=False)
+
+    def _handle_path_lost(self, attempt: Attempt) -> None:
+        """Let another target be tried; the response may still come once the path is back."""
+        attempt.record_path_lost()
+        self._gateway.placement.report_path_lost(self._call.request, attempt.placed.target)
+
+    # Endings
+
+    async def record_failure(self, attempt: Attempt, error: SendError) -> None:
+        """Record that an attempt failed, and find out whether its target or path is at fault."""
+        self._live.remove(attempt)
+        self.history.record_failure(attempt.placed, error)
+        self.last_ending = error.ending
+        self.last_silence_s = attempt.measure_silence_s()
+        total_s = read_clock_s() - attempt.started_s
+        try:
+            await self._find_fault(attempt.placed, error)
+        finally:
+            self._report_end(attempt, error.ending, total_s, error)
+        self._emit(
+            "attempt_failed",
+            attempt,
+            address=attempt.placed.address,
+            ending=error.ending.value,
+            detail=error.detail,
+            status=error.status,
+            target_gone=error.is_target_gone,
+            path_lost=error.is_path_lost,
+            resent=error.was_resent,
+            rest_s=error.notice.rest_s or None,
+            leaving=error.notice.is_leaving or None,
+            limit_per_s=error.notice.limit_per_s,
+            fingerprint=self._call.fingerprint,
+            parts="+".join(self._call.shared_parts) or None,
+        )
+
+    async def _find_fault(self, placed: Placed, error: SendError) -> None:
+        """Find out whether the target has ended or this gateway has lost its path to it."""
+        if error.ending not in _LOSSES:
+            return
+        sender = self._gateway.sender
+        if error.ending is Ending.broken and not error.is_target_gone:
+            error.is_target_gone = await sender.check(placed.address) is Reach.REFUSED
+        error.is_path_lost = not error.is_target_gone and sender.is_path_lost(placed.address)
+
+    def record_end(self, attempt: Attempt, ending: Ending) -> None:
+        """Record how an attempt ended that did not fail."""
+        self._live.remove(attempt)
+        self._report_end(attempt, ending, read_clock_s() - attempt.started_s)
+
+    def _report_end(
+        self, attempt: Attempt, ending: Ending, total_s: float, failure: SendError | None = None
+    ) -> None:
+        # Times that include a suspend of this host are not reported.
+        is_measured = attempt.suspend_watch.pop_suspended_s() < MIN_SUSPEND_S
+        ended = Ended(
+            self._call.request,
+            attempt.placed.target,
+            ending,
+            first_s=attempt.first_byte_s if is_measured else -1.0,
+            total_s=total_s if is_measured else -1.0,
+            longest_pause_s=attempt.longest_pause_s,
+            produced_events=attempt.event_count,
+            is_target_gone=failure is not None and failure.is_target_gone,
+            is_path_lost=failure is not None and failure.is_path_lost,
+        )
+        if ending is Ending.broken:
+            ended = self._call.identify_broken(ended)
+        self._gateway.metrics.endings.labels(ending.value).inc()
+        self._gateway.placement.finish(ended)
+
+    def record_first_byte(self, attempt: Attempt, first_s: float) -> None:
+        """Record the time to the first byte of a response, in seconds."""
+        attempt.first_byte_s = first_s
+        is_measured = attempt.suspend_watch.peek_suspended_s() < MIN_SUSPEND_S
+        self._gateway.placement.record_first_byte(
+            self._call.request, attempt.placed.target, first_s if is_measured else -1.0
+        )
+
+    def _emit(self, name: str, attempt: Attempt, **fields: Any) -> None:
+        started_s = self._response.started_s
+        begun_ms = None if started_s is None else (started_s - self._call.arrived_s) * 1000.0
+        self._gateway.node.events.emit(
+            name,
+            self._call.request,
+            target=attempt.placed.target,
+            silent_ms=attempt.measure_silence_s() * 1000.0,
+            begun_ms=begun_ms,
+            arrivals=self.history.arrived_count,
+            **fields,
+        )
--- a/troutstand/routing/callerresponse.py
+++ b/troutstand/routing/callerresponse.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from multidict import CIMultiDict
 
+    from troutstand.routing.eventstreams import EventSplitter
+    from troutstand.routing.relay import SentRequest
+
 
 class CallerResponse:
     """Write a response in chunks.
@@ -20,9 +23,12 @@
     ----------
     request
         The caller's request.
+    splitter
+        Splits the events of a stream that may be resumed; None for any other response.
     """
 
-    def __init__(self, request: web.BaseRequest) -> None:
+    def __init__(self, request: web.BaseRequest, splitter: EventSplitter | None) -> None:
+        self.splitter = splitter
         self._request = request
         self._response: web.StreamResponse | None = None
         self._started_s = 0.0
@@ -43,6 +49,26 @@
         assert self._response is not None
         return self._response
 
+    @property
+    def last_id(self) -> str:
+        """Return the id of the last event that the caller has; empty without one."""
+        return self.splitter.last_id if self.splitter is not None else ""
+
+    @property
+    def can_resume(self) -> bool:
+        """Return whether another target can continue the response.
+
+        A started response can only be resumed after an event with a known id; otherwise
+        events would be repeated.
+        """
+        if not self.has_started:
+            return True
+        return self.splitter is not None and self.splitter.can_resume and bool(self.last_id)
+
+    def is_continued_by(self, sent: SentRequest) -> bool:
+        """Return whether a target's response can continue this one."""
+        return sent.is_stream and sent.head.status == self.response.status
+
     async def start(self, status: int, headers: CIMultiDict[str], closes_connection: bool) -> None:
         """Write the head.
 
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -114,7 +114,8 @@
         attempt: int,
         excluded: list[str],
         failure_domain: str,
-        has_response_begun: bool = False,
+        has_response_begun: bool,
+        running_at: list[str],
     ) -> RoutedWork:
         """Create the placement request for a scheduler.
 
@@ -122,6 +123,8 @@
         ----------
         has_response_begun
             Whether the caller got a part of the response; the silence limit no longer applies.
+        running_at
+            Targets where earlier attempts still run.
         """
         return RoutedWork(
             request=self.request,
@@ -147,6 +150,7 @@
             is_sticky=self.route.sticky,
             failure_domain=failure_domain,
             fingerprint=self.fingerprint,
+            running_at=running_at,
         )
 
 
--- a/troutstand/routing/placedrequests.py
+++ b/troutstand/routing/placedrequests.py
@@ -32,10 +32,14 @@
 
 
 class PlacedRequests:
-    """Track the requests of one gateway that run at targets."""
+    """Track the requests of one gateway that run at targets.
+
+    A request runs at several targets while some of them are silent.
+    """
 
     def __init__(self) -> None:
-        self._requests: dict[str, PlacedRequest] = {}
+        # By request and target.
+        self._requests: dict[tuple[str, str], PlacedRequest] = {}
         self._speeds = ObservedSpeeds()
 
     def __len__(self) -> int:
@@ -43,13 +47,15 @@
 
     def start(self, work: RoutedWork, placed: Placed, now_s: float) -> None:
         """Add a request that was placed at a target."""
-        self._requests[work.request] = PlacedRequest(
+        self._requests[work.request, placed.target] = PlacedRequest(
             work, placed.target, now_s, now_s, placed.to_read, born_ms=placed.born_ms
         )
 
-    def record_first_byte(self, request: str, first_s: float, now_s: float) -> FirstByte | None:
+    def record_first_byte(
+        self, request: str, target: str, first_s: float, now_s: float
+    ) -> FirstByte | None:
         """Record the first byte of a response; return the message for the decider."""
-        placed = self._requests.get(request)
+        placed = self._requests.get((request, target))
         if placed is None:
             return None
         placed.has_first_byte = True
@@ -64,35 +70,33 @@
             )
         return FirstByte(request, placed.target, first_s)
 
-    def find_work(self, request: str) -> RoutedWork | None:
+    def find_work(self, request: str, target: str) -> RoutedWork | None:
         """Return a request that runs at a target, or None if it is unknown."""
-        placed = self._requests.get(request)
+        placed = self._requests.get((request, target))
         return placed.work if placed is not None else None
 
-    def get_charge_age_s(self, request: str, now_s: float) -> float:
+    def get_charge_age_s(self, request: str, target: str, now_s: float) -> float:
         """Return the seconds since a request's run was charged, 0 if it is unknown."""
-        placed = self._requests.get(request)
+        placed = self._requests.get((request, target))
         return now_s - placed.charged_s if placed is not None else 0.0
 
-    def record_charge(self, request: str, now_s: float) -> None:
+    def record_charge(self, request: str, target: str, now_s: float) -> None:
         """Record that a further run of a request was charged."""
-        placed = self._requests.get(request)
+        placed = self._requests.get((request, target))
         if placed is not None:
             placed.charged_s = now_s
 
     def mark_path_lost(self, request: str, target: str) -> None:
         """Record that the response to a request cannot arrive."""
-        placed = self._requests.get(request)
-        if placed is not None and placed.target == target:
+        placed = self._requests.get((request, target))
+        if placed is not None:
             placed.is_path_lost = True
 
     def finish(self, ended: Ended, table: RouteTable | None, now_s: float) -> None:
         """Remove a request; record its target's speed if the answer is complete."""
-        placed = self._requests.get(ended.request)
-        if placed is None or placed.target != ended.target:
-            # The request was placed at another target meanwhile.
+        placed = self._requests.pop((ended.request, ended.target), None)
+        if placed is None:
             return
-        del self._requests[ended.request]
         if ended.ending is not Ending.whole or ended.total_s < 0.0:
             return
         service = placed.work.service
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -31,6 +31,7 @@
     Place,
     Placed,
     RoutedWork,
+    Silence,
     TargetNotices,
 )
 from troutstand.routing.decisionlog import (
@@ -312,7 +313,7 @@
         try:
             if await self._node.wait_for_link(scheduler):
                 # Frees the slot if the answer to the first request was lost.
-                self._node.send(scheduler, Abandon(work.request))
+                self._node.send(scheduler, Abandon(work.request, work.running_at))
             return await self._node.ask(scheduler, Place(work), timeout_s)
         except TroutstandError:
             # The request moves to the next decider.
@@ -320,15 +321,15 @@
             return None
 
     def _cancel(self, pending: PendingPlacement) -> None:
-        request = pending.work.request
+        request, running_at = pending.work.request, pending.work.running_at
         if pending.decider is None or isinstance(pending.decider, LocalDecider):
-            self._local.abandon(request, read_clock_s())
+            self._local.abandon(request, read_clock_s(), running_at)
         else:
-            self._node.send(pending.decider, Abandon(request))
+            self._node.send(pending.decider, Abandon(request, running_at))
 
-    def record_first_byte(self, request: str, first_s: float) -> None:
+    def record_first_byte(self, request: str, target: str, first_s: float) -> None:
         """Report the first byte of a target's response."""
-        first = self._placed.record_first_byte(request, first_s, read_clock_s())
+        first = self._placed.record_first_byte(request, target, first_s, read_clock_s())
         if first is None:
             return
         if isinstance(self._current, LocalDecider):
@@ -357,15 +358,25 @@
         else:
             self._node.send(self._current, PathLost(request, target))
 
-    async def confirm_charge(self, request: str) -> bool:
+    def report_silence(self, request: str, target: str, is_over: bool) -> None:
+        """Report that a target is silent in the middle of a response, or goes on after that."""
+        silence = Silence(request, target, is_over)
+        if isinstance(self._current, LocalDecider):
+            self._local.record_silence(silence, read_clock_s())
+            self._deliver_local()
+        else:
+            self._node.send(self._current, silence)
+
+    async def confirm_charge(self, request: str, target: str) -> bool:
         """Return whether the limit allows a request to be sent now."""
-        return self._charges.is_current(request) or await self.charge_resend(request)
+        is_current = self._charges.is_current(request, target)
+        return is_current or await self.charge_resend(request, target)
 
-    async def charge_resend(self, request: str) -> bool:
+    async def charge_resend(self, request: str, target: str) -> bool:
         """Charge a further run of a request at its target; return whether the limit allows it."""
         decider = self._current
         is_local = isinstance(decider, LocalDecider)
-        return await self._charges.charge(request, self._local if is_local else decider)
+        return await self._charges.charge(request, target, self._local if is_local else decider)
 
     # Notices of targets
 
@@ -474,7 +485,8 @@
         if pending.answer.done():
             return
         if pending.decider is not None and not isinstance(pending.decider, LocalDecider):
-            self._node.send(pending.decider, Abandon(pending.work.request))
+            abandon = Abandon(pending.work.request, pending.work.running_at)
+            self._node.send(pending.decider, abandon)
         self._request(pending)
 
     def resend_requests(self, process: ProcessId) -> None:
@@ -496,7 +508,7 @@
             if pending is not None and not pending.answer.done():
                 pending.answer.set_result(answer)
             elif isinstance(answer, Placed):
-                self._local.abandon(answer.request, read_clock_s())
+                self._local.abandon_placement(answer, read_clock_s())
             version = self._table.version if self._table is not None else 0
             emit_decision(self._node.events, decision, LOCAL, version, self._targets.version)
 
--- a/troutstand/routing/runcharges.py
+++ b/troutstand/routing/runcharges.py
@@ -28,22 +28,22 @@
         self._placed = placed
         self._usage = usage
 
-    def is_current(self, request: str) -> bool:
+    def is_current(self, request: str, target: str) -> bool:
         """Return whether a request may be sent now by the charge that its decider made.
 
         A charge that was made long ago, as before a suspension of this host, leaves its window
         sooner than the run.
         """
-        return self._placed.get_charge_age_s(request, read_clock_s()) <= WINDOW_MARGIN_S
+        return self._placed.get_charge_age_s(request, target, read_clock_s()) <= WINDOW_MARGIN_S
 
-    async def charge(self, request: str, decider: ProcessId | Dispatcher) -> bool:
+    async def charge(self, request: str, target: str, decider: ProcessId | Dispatcher) -> bool:
         """Charge a further run of a request; return whether the limit allows it."""
-        work = self._placed.find_work(request)
+        work = self._placed.find_work(request, target)
         if work is None or work.charge <= 0:
             return True
         if not await self._ask(work, decider):
             return False
-        self._placed.record_charge(request, read_clock_s())
+        self._placed.record_charge(request, target, read_clock_s())
         return True
 
     async def _ask(self, work: RoutedWork, decider: ProcessId | Dispatcher) -> bool:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -32,6 +32,7 @@
     Placed,
     ProcessState,
     Refused,
+    Silence,
     TargetNotices,
 )
 from troutstand.routing.decisionlog import (
@@ -169,8 +170,10 @@
                 self.dispatcher.mark_path_lost(request, target)
             case TargetNotices(notices):
                 self._apply_notices(peer, notices, now_s)
-            case Abandon(request):
-                self.dispatcher.abandon(request, now_s)
+            case Silence():
+                self.dispatcher.record_silence(message, now_s)
+            case Abandon(request, running_at):
+                self.dispatcher.abandon(request, now_s, running_at)
                 self._resolve(peer, request, None)
             case ChargeAsk(_, workspace, charge):
                 if self.dispatcher.charge_resend(workspace, charge, now_s):
@@ -215,7 +218,7 @@
             )
             if isinstance(answer, Placed) and not was_pending:
                 # The gateway no longer waits for the placement; frees its slot.
-                self.dispatcher.abandon(answer.request, now_s)
+                self.dispatcher.abandon_placement(answer, now_s)
 
     def _merge_part_evidence(self, evidence: PartEvidence) -> None:
         self.dispatcher.merge_part_evidence(evidence, read_clock_s())
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -175,7 +175,7 @@
             )
             connection.send(head, b"", False)
             response = await connection.receive_head()
-            data = b"".join([chunk async for chunk in connection.receive_chunks()])
+            data = await connection.receive_body()
         except BaseException:
             connection.abort()
             raise
