Show that a silent attempt outlives failed attempts beside it

A target's attempts beside a silent one are rejected, fail, break or are silent themselves: 6 of 6 streams come whole each time, and the scheduler has all slots free afterwards. Where others begin 1 s after their head, the silent attempt is closed only once the first event was sent, within 0.4 s.

--- a/troutstand/testing/partition.py
+++ b/troutstand/testing/partition.py
@@ -57,9 +57,16 @@
 
 
 class GatedWriter:
-    """Write to a connection, or hold its bytes back while it is cut."""
+    """Write to a connection, or hold its bytes back while it is cut.
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    Parameters
+    ----------
+    reader
+        Reads from the same connection.
+    """
+
+    def __init__(self, writer: asyncio.StreamWriter, reader: asyncio.StreamReader) -> None:
+        self._reader = reader
         self.source: str = writer.get_extra_info("peername")[0]
         self._writer = writer
         self._held: list[bytes] | None = None
@@ -70,6 +77,11 @@
         """Return the transport of the connection."""
         return self._writer.transport
 
+    @property
+    def is_left(self) -> bool:
+        """Return whether the peer has closed the connection."""
+        return self._reader.at_eof() or self._writer.transport.is_closing()
+
     @property
     def socket(self) -> socket.socket:
         """Return the socket of the connection."""
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -252,7 +252,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, stream_writer: asyncio.StreamWriter
     ) -> None:
-        writer = GatedWriter(stream_writer)
+        writer = GatedWriter(stream_writer, reader)
         match self.cuts.get(writer.source):
             case CutKind.RESET | CutKind.REJECT_NEW:
                 reset_connection(writer)
--- a/troutstand/tests/silentstreams.feature
+++ b/troutstand/tests/silentstreams.feature
@@ -50,6 +50,27 @@
       | /get/           | 2.5     |
       | /do/            | 2.5     |
 
+  Scenario Outline: Streams of silent targets come whole when attempts beside them <fail>
+    Given a routed site with 3 engines whose streams may pause for 200 ms
+    When 6 streams are read whose targets are silent for 2 s and other attempts <fail>
+    Then all of these streams come whole
+    And no target has anything running at the scheduler
+
+    Examples:
+      | fail                        |
+      | are rejected                |
+      | get a server error          |
+      | break before their head     |
+      | break after their head      |
+      | are silent after their head |
+
+  Scenario: A silent attempt is dropped only once another one has sent its first event
+    Given a routed site with 3 engines whose streams may pause for 200 ms
+    When 12 streams are read and one target is silent for good and others begin after 1 s
+    Then all of these streams come whole
+    And each silent attempt is dropped at most 0.4 s after another one has sent its first event
+    And no target has anything running at the scheduler
+
   Scenario Outline: Streams of a target that never goes on are resumed elsewhere with pauses of <pause> ms
     Given a routed site with 3 engines whose streams may pause for <pause> ms
     When 12 streams are read and one target is silent for good after the first event
--- a/troutstand/tests/steps/silentstreams.py
+++ b/troutstand/tests/steps/silentstreams.py
@@ -13,8 +13,8 @@
 from troutstand.generated.configuration import RoutedWorkspace, RouteKind
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.routedscene import Scene
-from troutstand.testing.routedsite import KEY, ConfigurationPlan, make_route
-from troutstand.testing.silentstreams import FOREVER_S, SilentStreams, make_events
+from troutstand.testing.routedsite import KEY, ConfigurationPlan, make_route, wait_until
+from troutstand.testing.silentstreams import FOREVER_S, OtherAttempt, SilentStreams, make_events
 from troutstand.testing.standins import make_body
 from troutstand.tests.environment import make_folder
 from troutstand.tests.steps.resting import open_scene
@@ -32,6 +32,8 @@
 # Charged for each request that the callers send.
 _TOKENS = 20
 _EVENT_AT_S = 0.8
+# Time for which calls hold the slots of all targets at once.
+_FILLED_S = 0.8
 
 
 def _make_routes(pause_ms: float) -> list[Route]:
@@ -134,6 +136,26 @@
     _read_silent(context, count, SilentStreams(FOREVER_S, silent_targets=frozenset(engines[:1])))
 
 
+@when(
+    "{count:d} streams are read whose targets are silent for {silence_s:g} s "
+    "and other attempts {fail}"
+)
+def read_failing(context: Context, count: int, silence_s: float, fail: str) -> None:
+    _read_silent(context, count, SilentStreams(silence_s, other_attempts=OtherAttempt(fail)))
+
+
+@when(
+    "{count:d} streams are read and one target is silent for good and others begin after "
+    "{delay_s:g} s"
+)
+def read_late_others(context: Context, count: int, delay_s: float) -> None:
+    engines = [t.target for t in context.scene.targets if t.service == "engine"]
+    streams = SilentStreams(
+        FOREVER_S, silent_targets=frozenset(engines[:1]), resumed_delay_s=delay_s
+    )
+    _read_silent(context, count, streams)
+
+
 @when(
     "{count:d} answers of {route} are read whose targets are silent for {silence_s:g} s "
     "before the head"
@@ -175,3 +197,36 @@
 def check_duration(context: Context, most_s: float) -> None:
     longest_s = max(call.duration_s for call in context.calls)
     assert longest_s <= most_s, f"{longest_s:.2f} s, at most {most_s} s is accepted"
+
+
+@then(
+    "each silent attempt is dropped at most {most_s:g} s after another one has sent its first event"
+)
+def check_dropped(context: Context, most_s: float) -> None:
+    streams = context.streams
+    assert streams.resumed_s, "no stream was resumed"
+
+    async def is_closed() -> bool:
+        return set(streams.closed_s) >= set(streams.resumed_s)
+
+    context.scene.background.run(wait_until(is_closed, "silent attempts are dropped", 2.0))
+    for request, resumed_s in streams.resumed_s.items():
+        after_s = streams.closed_s[request] - resumed_s
+        assert 0.0 <= after_s <= most_s, f"{request}: dropped after {after_s:.3f} s"
+
+
+@then("no target has anything running at the scheduler")
+def check_slots(context: Context) -> None:
+    """Fill every slot of the targets once more, which needs all of them free."""
+    scene = context.scene
+    engines = [t for t in scene.targets if t.service == "engine"]
+    for target in engines:
+        target.response_writer = None
+        target.work_s, target.event_s = _FILLED_S, 0.0
+    count = sum(target.slots for target in engines)
+
+    async def is_free() -> bool:
+        calls = await _read_all(scene, "/stream/", count)
+        return all(call.status == 200 and call.duration_s < 1.5 * _FILLED_S for call in calls)
+
+    scene.background.run(wait_until(is_free, "all slots of the targets are free", 12.0))
