Mend what the review of attempts beside a silent one found

An independent review played the attempts of a call against scripted targets: a silent attempt whose path was cut ejected its target when it was dropped; a placement that waited when the silent attempt broke left out the target that had become free (never placed again); attempts that could not be sent were placed without a bound (159 in 1.2 s); an attempt that ended without data, or the bare head of the silent one, replaced an attempt that would have sent data; data waited for the check of another attempt (0.25 s); an attempt that was not sent counted as one.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -236,17 +236,18 @@
         for pool in self.pools.values():
             state = pool.targets.get(silence.target)
             run = state.running.get(silence.request) if state is not None else None
-            if state is None or run is None or run.is_silent is not silence.is_over:
+            if state is None or run is None:
                 continue
-            run.is_silent = not silence.is_over
             link = find_link(run.work, state)
-            if run.is_silent:
-                state.record_loss(run, now_s)
-                self.reach.record_unreachable(link, silence.target, now_s)
-            else:
+            if silence.is_over:
+                run.is_silent = run.is_path_lost = False
                 state.record_resumed(now_s)
                 self.reach.record_reachable(link)
                 self._serve_target(pool, state, now_s)
+            elif not run.is_silent:
+                run.is_silent = True
+                state.record_loss(run, now_s)
+                self.reach.record_unreachable(link, silence.target, now_s)
 
     def tick(self, now_s: float) -> None:
         """Process timeouts and place or shed waiting requests."""
--- a/troutstand/routing/attempthistory.py
+++ b/troutstand/routing/attempthistory.py
@@ -38,6 +38,11 @@
         """Return whether the request may run again."""
         return self._is_repeatable and self.arrived_count < self._max_arrivals
 
+    @property
+    def can_send(self) -> bool:
+        """Return whether few enough attempts ended before they were sent."""
+        return self._unsent_count <= _MAX_UNSENT_ATTEMPTS
+
     def can_repeat_beside(self, placed: Placed) -> bool:
         """Return whether the request may run again while an attempt is in flight."""
         is_counted = any(counted is placed for counted in self._counted)
@@ -71,7 +76,7 @@
     def allows_retry(self, error: SendError) -> bool:
         """Return whether the request may be sent again after a failed attempt."""
         if not error.may_have_arrived:
-            return self._unsent_count <= _MAX_UNSENT_ATTEMPTS
+            return self.can_send
         if not error.may_have_run and not self.may_have_run:
             return self.arrived_count < self._max_arrivals
         return self.can_repeat
--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -77,14 +77,19 @@
             If the last attempt failed and no other one is allowed.
         """
         while True:
-            self._start_placing()
+            if not self._live and self._placing is None:
+                self._use_decision(await self._place())
             await self._wait()
-            self._take_placement()
+            if self._placing is not None and self._placing.done():
+                placing, self._placing = self._placing, None
+                self._use_decision(placing.result())
             self._find_silent()
-            attempt = await self._find_answering()
-            if attempt is not None:
-                self._keep_only(attempt)
-                return attempt
+            answering = await self._sort_finished()
+            if answering is not None:
+                self._keep_only(answering)
+                return answering
+            if self._may_place_beside():
+                self._placing = asyncio.create_task(self._place())
 
     def close(self) -> None:
         """Drop the attempts in flight, since the call has ended."""
@@ -106,17 +111,15 @@
 
     # Placement
 
-    def _start_placing(self) -> None:
-        if self._placing is None and self._needs_placement():
-            self._placing = asyncio.create_task(self._place())
-
-    def _needs_placement(self) -> bool:
-        return not self._live or (self._may_start_other() and read_clock_s() >= self._place_after_s)
+    def _may_place_beside(self) -> bool:
+        is_due = self._placing is None and read_clock_s() >= self._place_after_s
+        return bool(self._live) and is_due and self._may_start_other()
 
     def _may_start_other(self) -> bool:
         return (
             all(attempt.is_silent for attempt in self._live)
             and self.history.can_repeat
+            and self.history.can_send
             and self._response.can_resume
         )
 
@@ -138,18 +141,15 @@
             wait_s.observe(decision.waited_ms / 1000.0)
         return decision
 
-    def _take_placement(self) -> None:
-        """Start the attempt that was placed, if any."""
-        if self._placing is None or not self._placing.done():
-            return
-        decision, self._placing = self._placing.result(), None
+    def _use_decision(self, decision: Placed | Declined) -> None:
+        """Start the attempt that was placed; if it was declined, leave those in flight."""
         if isinstance(decision, Placed):
             self._start(decision)
-            return
-        if not self._live:
+        elif self._live:
+            self.declined = decision
+            self._place_after_s = read_clock_s() + _PLACEMENT_RETRY_S
+        else:
             raise PlacementDeclinedError(decision)
-        self.declined = decision
-        self._place_after_s = read_clock_s() + _PLACEMENT_RETRY_S
 
     def _cancel_placing(self) -> None:
         placing, self._placing = self._placing, None
@@ -165,7 +165,7 @@
 
     def _start(self, placed: Placed) -> None:
         attempt = Attempt(placed, self._compute_response_timeout())
-        attempt.start(self._begin(attempt, is_beside_others=bool(self._live)))
+        attempt.start(self._begin(attempt))
         self._live.append(attempt)
 
     def _compute_response_timeout(self) -> float:
@@ -174,7 +174,12 @@
             objective_s *= _STREAM_TIMEOUT_FACTOR
         return max(_MIN_RESPONSE_TIMEOUT_S, objective_s)
 
-    async def _begin(self, attempt: Attempt, is_beside_others: bool) -> None:
+    @property
+    def _has_others(self) -> bool:
+        """Return whether an attempt has others beside it, or will have one."""
+        return len(self._live) > 1 or self._placing is not None
+
+    async def _begin(self, attempt: Attempt) -> None:
         """Send the request and receive the head, and beside others the first data.
 
         Raises
@@ -199,15 +204,29 @@
             detail = "the response does not continue the event stream"
             raise SendError(Ending.failed, detail, sent.head.status)
         if sent.is_stream:
-            if is_beside_others:
-                await attempt.receive()
+            if self._has_others:
+                await self._receive_first(attempt, sent)
             return
         is_error = sent.head.status >= _MIN_SERVER_ERROR_STATUS
-        if is_error and (len(self._live) > 1 or self.may_fail_over(attempt)):
+        if is_error and (self._has_others or self.may_fail_over(attempt)):
             self.server_error = sent, await self._gateway.sender.read_body(sent)
             detail = "the target responded with a server error"
             raise SendError(Ending.failed, detail, sent.head.status)
 
+    async def _receive_first(self, attempt: Attempt, sent: SentRequest) -> None:
+        """Receive the first data of a stream.
+
+        Raises
+        ------
+        SendError
+            If the stream ends without data, unless it resumes one and its end is certain.
+        """
+        await attempt.receive()
+        is_end_certain = sent.connection.is_framed and self._response.has_started
+        if attempt.chunk is None and not is_end_certain:
+            sent.connection.abort()
+            raise SendError(Ending.broken, "the response ended without data")
+
     async def _wait(self) -> None:
         """Wait until an attempt or a placement makes progress, or a target counts as silent."""
         now_s = read_clock_s()
@@ -225,19 +244,21 @@
         timeout_s = max(0.0, min(timeouts_s)) if timeouts_s else None
         await asyncio.wait(awaited, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
 
-    async def _find_answering(self) -> Attempt | None:
+    async def _sort_finished(self) -> Attempt | None:
         """Return an attempt that has something to relay, after removing those that failed."""
-        error: SendError | None = None
-        for attempt in [a for a in self._live if a.progress.done()]:
+        finished = [attempt for attempt in self._live if attempt.progress.done()]
+        answering = next((a for a in finished if a.get_error() is None), None)
+        for attempt in finished:
             error = attempt.get_error()
             if error is None:
-                return attempt
+                continue
+            if len(self._live) > 1:
+                self._record_failure_aside(attempt, error)
+                continue
             await self.record_failure(attempt, error)
-        if error is not None and not self._live:
-            self._place_after_s = float("-inf")
-            if self._placing is None and not self.should_retry(error):
+            if not self.should_retry(error):
                 raise error
-        return None
+        return answering
 
     def _keep_only(self, kept: Attempt) -> None:
         for attempt in [a for a in self._live if a is not kept]:
@@ -282,12 +303,13 @@
 
     async def _report_after_check(self, attempt: Attempt) -> None:
         await self._gateway.sender.check(attempt.placed.address)
-        if attempt.is_silent:
+        if attempt.is_silent and attempt in self._live:
             self._report_silence(attempt)
 
     def _report_silence(self, attempt: Attempt) -> None:
         request, target = self._call.request, attempt.placed.target
         if self._gateway.sender.is_path_lost(attempt.placed.address):
+            attempt.record_path_lost()
             self._gateway.placement.report_path_lost(request, target)
         else:
             self._gateway.placement.report_silence(request, target, is_over=False)
@@ -301,11 +323,26 @@
 
     async def record_failure(self, attempt: Attempt, error: SendError) -> None:
         """Record that an attempt failed, and find out whether its target or path is at fault."""
+        self._remove_failed(attempt, error)
+        await self._report_failure(attempt, error, read_clock_s() - attempt.started_s)
+
+    def _record_failure_aside(self, attempt: Attempt, error: SendError) -> None:
+        """Record that an attempt failed; the others go on while its fault is found out."""
+        self._remove_failed(attempt, error)
+        self._place_after_s = read_clock_s() + _PLACEMENT_RETRY_S
+        total_s = read_clock_s() - attempt.started_s
+        report = self._report_failure(attempt, error, total_s)
+        self._gateway.node.spawn(report, "report failure")
+
+    def _remove_failed(self, attempt: Attempt, error: SendError) -> None:
         self._live.remove(attempt)
         self.history.record_failure(attempt.placed, error)
         self.last_ending = error.ending
         self.last_silence_s = attempt.measure_silence_s()
-        total_s = read_clock_s() - attempt.started_s
+        # A waiting placement would still leave out the target of this attempt.
+        self._cancel_placing()
+
+    async def _report_failure(self, attempt: Attempt, error: SendError, total_s: float) -> None:
         try:
             await self._find_fault(attempt.placed, error)
         finally:
@@ -355,7 +392,7 @@
             longest_pause_s=attempt.longest_pause_s,
             produced_events=attempt.event_count,
             is_target_gone=failure is not None and failure.is_target_gone,
-            is_path_lost=failure is not None and failure.is_path_lost,
+            is_path_lost=attempt.path_lost.done() if failure is None else failure.is_path_lost,
         )
         if ending is Ending.broken:
             ended = self._call.identify_broken(ended)
--- a/troutstand/routing/placedrequests.py
+++ b/troutstand/routing/placedrequests.py
@@ -86,11 +86,11 @@
         if placed is not None:
             placed.charged_s = now_s
 
-    def mark_path_lost(self, request: str, target: str) -> None:
-        """Record that the response to a request cannot arrive."""
+    def mark_path_lost(self, request: str, target: str, is_lost: bool = True) -> None:
+        """Record whether the path is cut on which the response to a request would come."""
         placed = self._requests.get((request, target))
         if placed is not None:
-            placed.is_path_lost = True
+            placed.is_path_lost = is_lost
 
     def finish(self, ended: Ended, table: RouteTable | None, now_s: float) -> None:
         """Remove a request; record its target's speed if the answer is complete."""
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -361,6 +361,8 @@
     def report_silence(self, request: str, target: str, is_over: bool) -> None:
         """Report that a target is silent in the middle of a response, or goes on after that."""
         silence = Silence(request, target, is_over)
+        if is_over:
+            self._placed.mark_path_lost(request, target, is_lost=False)
         if isinstance(self._current, LocalDecider):
             self._local.record_silence(silence, read_clock_s())
             self._deliver_local()
