Close connections to targets whose bytes never end

Callers waited to their deadline, and the gateway read and kept all that a target wrote: a head was collected without a bound, each of its bytes copied anew, and a body that is not a stream was joined in memory, of any size. A process with a memory limit is killed by one such target.

httpclient counts the bytes since the request, or since the latest part of the body, and closes the connection after 64 KiB of them; a head must also end within 10 s of its first byte, checked only when further bytes have come, so that silence closes nothing. Headers of a trailer are dropped. A body that is received whole has at most 16 MiB, those above 1 MiB have 64 MiB together, and the body of a rejection, which is only read to keep its connection, 64 KiB. The attempt ends as broken, so that the request is sent to another target if it may run again, and is refused with 502 otherwise; attempt_failed says what was got and what is accepted.

--- /dev/null
+++ b/troutstand/routing/bodymemory.py
@@ -0,0 +1,86 @@
+"""Bound the memory of response bodies that are received whole before they are relayed."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_BODY_BYTES = 16 << 20
+# Bytes of all large bodies together that are being received.
+MAX_LARGE_BODIES_BYTES = 64 << 20
+# A body counts as large beyond this, so that small ones are received whatever others do.
+_SMALL_BODY_BYTES = 1 << 20
+
+
+class BodyTooLargeError(Exception):
+    """Report a body that exceeds a bound."""
+
+
+class BodyMemory:
+    """Count the bytes of the large bodies that are being received.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Maximum size of one body.
+    """
+
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._large_bytes = 0
+
+    @contextlib.contextmanager
+    def track(self) -> Iterator[TrackedBody]:
+        """Count the bytes of one body while it is received."""
+        body = TrackedBody(self)
+        try:
+            yield body
+        finally:
+            self._large_bytes -= body.large_bytes
+
+    def count(self, body: TrackedBody, added: int) -> None:
+        """Count received bytes of a body.
+
+        Raises
+        ------
+        BodyTooLargeError
+        """
+        body.received_bytes += added
+        if body.received_bytes > self._max_body_bytes:
+            raise BodyTooLargeError(
+                f"got {body.received_bytes} bytes of the response body, "
+                f"at most {self._max_body_bytes} bytes are accepted"
+            )
+        if body.received_bytes <= _SMALL_BODY_BYTES:
+            return
+        growth = body.received_bytes - body.large_bytes
+        if self._large_bytes + growth > MAX_LARGE_BODIES_BYTES:
+            raise BodyTooLargeError(
+                f"got {body.received_bytes} bytes of the response body beside "
+                f"{self._large_bytes - body.large_bytes} bytes of other large ones, "
+                f"at most {MAX_LARGE_BODIES_BYTES} bytes together are accepted"
+            )
+        self._large_bytes += growth
+        body.large_bytes += growth
+
+
+class TrackedBody:
+    """Hold the size of one body that is being received."""
+
+    def __init__(self, memory: BodyMemory) -> None:
+        self.received_bytes = 0
+        # What of it counts among the large bodies.
+        self.large_bytes = 0
+        self._memory = memory
+
+    def add(self, count: int) -> None:
+        """Count received bytes.
+
+        Raises
+        ------
+        BodyTooLargeError
+        """
+        self._memory.count(self, count)
--- a/troutstand/routing/httpclient.py
+++ b/troutstand/routing/httpclient.py
@@ -14,16 +14,21 @@
 
 import httptools
 
+from troutstand.routing.bodymemory import BodyTooLargeError
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
     from troutstand.core.paths import HeardTimes
+    from troutstand.routing.bodymemory import BodyMemory
 Headers = list[tuple[str, str]]
 
 _MAX_BUFFERED_BYTES = 256 << 10
 _DEFAULT_IDLE_LIMIT_S = 3.0
 _KEEP_ALIVE_SHARE = 0.6
-_MAX_HEAD_BYTES = 64 << 10
+# Bytes before the end of the head, and between two parts of the body.
+_MAX_FRAMING_BYTES = 64 << 10
+# Time from the first byte of a head after which further bytes must end it.
+_MAX_HEAD_S = 10.0
 _MIN_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -95,6 +100,7 @@
         self.heard_s = float("-inf")
         self.idle_since_s = 0.0
         self.idle_limit_s = _DEFAULT_IDLE_LIMIT_S
+        self.max_head_s = _MAX_HEAD_S
         self.is_closed = False
         self.has_response_bytes = False
         self._transport: asyncio.Transport | None = None
@@ -107,6 +113,10 @@
         self._head: ResponseHead | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        # Bytes since the request, or since the latest part of the body.
+        self._framing_bytes = 0
+        # When the head that is being received began, on the steady clock.
+        self._head_began_s: float | None = None
         self._is_complete = False
         self._is_framed = False
         self._is_informational = False
@@ -133,6 +143,7 @@
             self.abort()
             return
         self.has_response_bytes = True
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -143,10 +154,31 @@
                 self._must_close = True
             else:
                 self._fail(f"the response is not valid HTTP: {error}")
+        self._check_progress()
         if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._transport:
             self._transport.pause_reading()
         self._state_changed.set()
 
+    def _check_progress(self) -> None:
+        """Close a connection whose bytes become neither a head nor a body.
+
+        Silence is no reason: the time counts only once further bytes have come.
+        """
+        if self._is_complete or self._error is not None:
+            return
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            part = "before the end of the response head"
+            if self._head is not None:
+                part = "between two parts of the response body"
+            self._fail(
+                f"got {self._framing_bytes} bytes {part}, "
+                f"at most {_MAX_FRAMING_BYTES} bytes are accepted"
+            )
+            self.abort()
+        elif self._head_began_s is not None and self.heard_s - self._head_began_s > self.max_head_s:
+            self._fail(f"the response head has not ended after {self.max_head_s:g} s")
+            self.abort()
+
     def eof_received(self) -> bool:
         """Complete a response without a length at an orderly close."""
         if self._head is not None and not self._is_framed and not self._is_complete:
@@ -172,14 +204,16 @@
         """Record a second response after a complete one."""
         if self._is_complete:
             self._must_close = True
+        self._head_began_s = read_clock_s()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        if not self._is_complete:
+        """Collect a header; those of a trailer are dropped."""
+        if not self._is_complete and self._head is None:
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Store the head of a response; skip an informational one."""
+        self._head_began_s = None
         if self._is_complete:
             return
         status = self._parser.get_status_code()
@@ -205,6 +239,7 @@
         if not self._is_complete:
             self._chunks.append(body)
             self._buffered_bytes += len(body)
+            self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """Complete a response with a length or chunked encoding."""
@@ -279,18 +314,29 @@
             self._transport.resume_reading()
         return data
 
-    async def receive_body(self) -> bytes:
-        """Return the rest of the body.
+    async def receive_body(self, memory: BodyMemory) -> bytes:
+        """Return the rest of the body; close the connection if it is too large.
+
+        Parameters
+        ----------
+        memory
+            Bounds the size of the body.
 
         Raises
         ------
         ExchangeError
-            If the response is incomplete.
+            If the response is incomplete or too large.
         """
         chunks: list[bytes] = []
-        while (chunk := await self.receive_chunk()) is not None:
-            chunks.append(chunk)
-        return b"".join(chunks)
+        with memory.track() as received:
+            while (chunk := await self.receive_chunk()) is not None:
+                try:
+                    received.add(len(chunk))
+                except BodyTooLargeError as error:
+                    self.abort()
+                    raise ExchangeError(str(error), True) from error
+                chunks.append(chunk)
+            return b"".join(chunks)
 
     @property
     def is_framed(self) -> bool:
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -12,6 +12,7 @@
 
 from troutstand.core.notices import parse_notice
 from troutstand.generated.messages import Ending, TargetNotice
+from troutstand.routing.bodymemory import BodyMemory
 from troutstand.routing.httpclient import ExchangeError, encode_request_head
 from troutstand.routing.silencewatch import SilenceWatch
 from troutstand.util.clock import read_clock_s
@@ -38,6 +39,8 @@
 # A target may have closed an idle connection, so requests that must not be repeated
 # reuse only a connection that was idle for less than this.
 _UNREPEATABLE_MAX_IDLE_S = 2.0
+# A rejection with a longer body costs its connection.
+_MAX_REJECTION_BYTES = 64 << 10
 CONNECTION_HEADERS = frozenset(
     {
         "connection",
@@ -177,6 +180,8 @@
         self._names = names
         self._notices = notices
         self._silence = SilenceWatch(pool)
+        self._body_memory = BodyMemory()
+        self._rejection_memory = BodyMemory(_MAX_REJECTION_BYTES)
 
     async def send(
         self,
@@ -307,7 +312,7 @@
             return
         try:
             async with asyncio.timeout(0.1):
-                await self.read_body(sent)
+                await self._read_body(sent, self._rejection_memory)
         except (SendError, TimeoutError):
             sent.connection.abort()
 
@@ -317,10 +322,13 @@
         Raises
         ------
         SendError
-            If the body is incomplete.
+            If the body is incomplete or too large.
         """
+        return await self._read_body(sent, self._body_memory)
+
+    async def _read_body(self, sent: SentRequest, memory: BodyMemory) -> bytes:
         try:
-            body = await sent.connection.receive_body()
+            body = await sent.connection.receive_body(memory)
         except ExchangeError as error:
             sent.connection.abort()
             raise SendError(Ending.broken, str(error)) from error
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -17,6 +17,7 @@
     diff_target_lists,
 )
 from troutstand.generated.messages import ListedState
+from troutstand.routing.bodymemory import BodyMemory
 from troutstand.routing.connectionpool import ConnectionPool
 from troutstand.routing.dialer import Dialer
 from troutstand.routing.httpclient import ExchangeError, encode_request_head
@@ -69,6 +70,7 @@
         self._address = address
         self._dialect = dialect
         self._pool = ConnectionPool(Dialer(_CONNECT_TIMEOUT_S))
+        self._body_memory = BodyMemory()
         self._valid_entries = ValidEntryCache()
         self._invalid: frozenset[InvalidEntry] = frozenset()
         self._new_invalid: list[InvalidEntry] = []
@@ -175,7 +177,7 @@
             )
             connection.send(head, b"", False)
             response = await connection.receive_head()
-            data = await connection.receive_body()
+            data = await connection.receive_body(self._body_memory)
         except BaseException:
             connection.abort()
             raise
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -81,7 +81,8 @@
 }
 
 
-def _make_outgoing(is_repeatable: bool, body: bytes = b"") -> OutgoingRequest:
+def make_outgoing_request(is_repeatable: bool, body: bytes = b"") -> OutgoingRequest:
+    """Write a request with headers of its own and headers that are not forwarded."""
     names = HeaderNames()
     headers = [
         ("X-Request-Id", _REQUEST),
@@ -201,20 +202,20 @@
 
 @when("two {kind} requests are sent one after the other")
 def send_two(context: Context, kind: str) -> None:
-    outgoing = _make_outgoing(kind == "repeatable")
+    outgoing = make_outgoing_request(kind == "repeatable")
     asyncio.run(_send_all(context, [outgoing, outgoing]))
 
 
 @when("a request with a body of {length:d} bytes is sent, then another")
 def send_long(context: Context, length: int) -> None:
-    both = [_make_outgoing(True, b"x" * length), _make_outgoing(True, b"y" * 10)]
+    both = [make_outgoing_request(True, b"x" * length), make_outgoing_request(True, b"y" * 10)]
     asyncio.run(_send_all(context, both))
 
 
 @when("a {kind} request is sent")
 @when("an {kind} request is sent")
 def send_one(context: Context, kind: str) -> None:
-    asyncio.run(_send_all(context, [_make_outgoing(kind == "repeatable")]))
+    asyncio.run(_send_all(context, [make_outgoing_request(kind == "repeatable")]))
 
 
 @then("the outcome is {outcome}")
