Bound the event of a resumable stream that is held until it is whole

Callers of a resumable stream got no further event and then a stream cut at the deadline, although another target would have gone on: a gateway collects an event until its end, without a bound, and searched all of it again with each piece that came.

An event has at most 4 MiB; beyond them the connection is closed, the attempt ends as broken, and the stream goes on elsewhere after its last event. The search begins where the last one ended, and the buffer grows in place.

--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -14,7 +14,7 @@
 from troutstand.routing.callattempts import CallAttempts, PlacementDeclinedError
 from troutstand.routing.callerresponse import CallerResponse
 from troutstand.routing.errorresponse import make_error_response
-from troutstand.routing.eventstreams import EventSplitter
+from troutstand.routing.eventstreams import MAX_EVENT_BYTES, EventSplitter
 from troutstand.routing.relay import SendError, SentRequest, filter_headers
 from troutstand.util.clock import read_clock_s
 
@@ -193,6 +193,12 @@
         data = splitter.feed(chunk) if splitter is not None else chunk
         if data:
             await self._write_body(sent, data)
+        if splitter is not None and splitter.partial_bytes > MAX_EVENT_BYTES:
+            detail = (
+                f"got {splitter.partial_bytes} bytes of an event, "
+                f"at most {MAX_EVENT_BYTES} bytes are accepted"
+            )
+            raise SendError(Ending.broken, detail, sent.head.status)
 
     async def _start_response(self, sent: SentRequest) -> None:
         """Write the response head unless it is already written."""
--- a/troutstand/routing/eventstreams.py
+++ b/troutstand/routing/eventstreams.py
@@ -9,6 +9,8 @@
 _DATA_FIELD = re.compile(rb"^data", re.MULTILINE)
 _EVENT_ENDINGS = (b"\n\n", b"\n\r\n")
 _MAX_ENDING_BYTES = 3
+# Maximum size of one event of a stream that may be resumed, which is relayed once it is whole.
+MAX_EVENT_BYTES = 4 << 20
 
 
 class EventSplitter:
@@ -28,18 +30,27 @@
         # False once an event with data has no id, so that its position is unknown.
         self.can_resume = True
         self._resume_id = last_id
-        self._buffer = b""
+        self._buffer = bytearray()
+        # The first bytes of the buffer, in which no boundary begins.
+        self._searched_bytes = 0
+
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the event that is not whole yet."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the complete events that the caller does not have yet."""
         self._buffer += data
         events: list[bytes] = []
         start = 0
-        for match in _EVENT_BOUNDARY.finditer(self._buffer):
-            event, start = self._buffer[start : match.end()], match.end()
+        for match in _EVENT_BOUNDARY.finditer(self._buffer, self._searched_bytes):
+            event, start = bytes(self._buffer[start : match.end()]), match.end()
             if self._record_event(event):
                 events.append(event)
-        self._buffer = self._buffer[start:]
+        if start:
+            self._buffer = self._buffer[start:]
+        self._searched_bytes = max(0, len(self._buffer) - _MAX_ENDING_BYTES)
         return b"".join(events)
 
     def _record_event(self, event: bytes) -> bool:
@@ -61,11 +72,13 @@
 
     def drop_partial(self) -> None:
         """Discard an incomplete event."""
-        self._buffer = b""
+        self.take_remainder()
 
     def take_remainder(self) -> bytes:
         """Return and clear the data after the last complete event."""
-        remainder, self._buffer = self._buffer, b""
+        remainder = bytes(self._buffer)
+        self._buffer.clear()
+        self._searched_bytes = 0
         return remainder
 
 
--- a/troutstand/tests/endlessbytes.feature
+++ b/troutstand/tests/endlessbytes.feature
@@ -74,6 +74,8 @@
       | what                               | route           | most  | detail         |
       | a header without end               | /get/           | 8192  | 65536 bytes    |
       | a body without end                 | /get/           | 32768 | 16777216 bytes |
+      | an event without end               | /stream/resume/ | 16384 | 4194304 bytes  |
+      | an event of many lines without end | /stream/resume/ | 16384 | 4194304 bytes  |
 
   # Guards against a refusal that promises that a request has not run.
   Scenario Outline: A call that may run once gets 502 after <what>
