Keep a tunnel busy until its response has ended

Callers of a gateway that reaches targets through a peer saw their streams cut when the peer was stopped as planned while a target was silent. Cause: the stopping peer took a tunnel for idle once 0.3 s had passed since any byte of the response, counted no open work after 0.6 s more, and ended: a pause of a sound target was taken for the end of its answer, also after an informational response and within a body.

The peer now follows the responses with the HTTP parser: a request is under way until its response has ended, and one that ends with its connection until then. A tunnel whose response is whole still counts as idle after 0.3 s. The step now waits the whole time before the stop, so that it can show an idle tunnel; the scenario that it had is as strict.

--- a/troutstand/routing/tunnelserver.py
+++ b/troutstand/routing/tunnelserver.py
@@ -7,12 +7,13 @@
 import secrets
 import socket
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.routing.node import parse_address
+from troutstand.routing.responseprogress import ResponseProgress
 from troutstand.routing.tunnel import (
     CHALLENGE_BYTES,
     END_FRAME,
@@ -35,8 +36,7 @@
 _HANDSHAKE_TIMEOUT_S = 1.0
 _READ_BYTES = 1 << 16
 _MAX_TUNNELS = 512
-# A tunnel without traffic for this long has no request under way, unless one waits for its
-# response.
+# A tunnel may get its next request for this long after its latest traffic.
 _IDLE_S = 0.3
 # A gateway whose host is lost is noticed after 8 s, so that its tunnels do not stay open.
 _KEEP_ALIVE_IDLE_S = 5
@@ -50,11 +50,11 @@
     """Track the traffic of one tunnel; times in seconds on the steady clock."""
 
     last_traffic_s: float
-    is_awaiting_response: bool = False
+    progress: ResponseProgress = field(default_factory=ResponseProgress)
 
     def is_busy(self, now_s: float) -> bool:
-        """Return whether a request is probably under way."""
-        return self.is_awaiting_response or now_s - self.last_traffic_s < _IDLE_S
+        """Return whether a request is under way, or was until just now."""
+        return self.progress.is_under_way or now_s - self.last_traffic_s < _IDLE_S
 
 
 class TunnelServer:
@@ -105,7 +105,7 @@
 
     @property
     def busy_count(self) -> int:
-        """Return the number of tunnels that probably carry a request now."""
+        """Return the number of tunnels that carry a request, or did until just now."""
         now_s = read_clock_s()
         return sum(tunnel.is_busy(now_s) for tunnel in self._tunnels)
 
@@ -205,7 +205,7 @@
 ) -> None:
     while data := await reader.read(_READ_BYTES):
         tunnel.last_traffic_s = read_clock_s()
-        tunnel.is_awaiting_response = True
+        tunnel.progress.record_request()
         writer.write(data)
         await writer.drain()
 
@@ -215,7 +215,7 @@
 ) -> None:
     while data := await reader.read(_READ_BYTES):
         tunnel.last_traffic_s = read_clock_s()
-        tunnel.is_awaiting_response = False
+        tunnel.progress.feed(data)
         writer.write(FRAME_HEADER.pack(len(data)) + data)
         await writer.drain()
     writer.write(END_FRAME)
--- a/troutstand/tests/steps/tunnels.py
+++ b/troutstand/tests/steps/tunnels.py
@@ -50,6 +50,7 @@
 _READ_BYTES = 1 << 16
 _GONE = "that has ended"
 _DARK = "that lets connections time out"
+_CHUNKED = "Transfer-Encoding: chunked\r\n"
 _REPLIES = {
     "that answers in full": Reply(make_answer()),
     "that answers without a length and ends": Reply(make_answer(framing=""), AfterReply.END),
@@ -58,6 +59,15 @@
         make_answer(framing=""), AfterReply.SILENT
     ),
     "that answers nothing and stays open": Reply(b"", AfterReply.SILENT),
+    "that writes half of an answer and stays open": Reply(make_answer()[:-2], AfterReply.SILENT),
+    "that writes a chunk of a stream and stays open": Reply(
+        make_answer(body=b"5\r\nhello\r\n", framing=_CHUNKED), AfterReply.SILENT
+    ),
+    "that writes 100 and stays open": Reply(b"HTTP/1.1 100 Continue\r\n\r\n", AfterReply.SILENT),
+    "that answers in full and stays open": Reply(make_answer(), AfterReply.SILENT),
+    "that answers in chunks and stays open": Reply(
+        make_answer(body=b"5\r\nhello\r\n0\r\n\r\n", framing=_CHUNKED), AfterReply.SILENT
+    ),
     _GONE: Reply(b""),
     _DARK: Reply(b""),
 }
@@ -282,11 +292,13 @@
 @when("a request is sent through a peer that is told to stop {after_s:g} s later")
 def stop_peer(context: Context, after_s: float) -> None:
     async def stop(scene: TunnelScene, sending: asyncio.Task[None]) -> None:
-        await asyncio.wait({sending}, timeout=after_s)
+        await asyncio.sleep(after_s)
         server = scene.peers[0].server
         assert server is not None
         server.is_stopping = True
         scene.busy_count = server.busy_count
+        if sending.done():
+            return
         await _ask(scene)
         assert not sending.done(), "the open connection was closed"
         sending.cancel()
@@ -338,6 +350,11 @@
     assert "busy" in context.tunnels.refusal, context.tunnels.refusal
 
 
+@then("the stopping peer is {state}")
+def check_busy(context: Context, state: str) -> None:
+    assert context.tunnels.busy_count == (state == "busy"), context.tunnels.busy_count
+
+
 @then("the target sees its connection closed within {limit_s:g} s")
 def check_closed(context: Context, limit_s: float) -> None:
     assert context.tunnels.closed_s <= limit_s, context.tunnels.closed_s
--- a/troutstand/tests/tunnels.feature
+++ b/troutstand/tests/tunnels.feature
@@ -83,3 +83,19 @@
     Given 1 peers with another key, and a target that answers in full
     When a connection through a peer is asked for
     Then no connection is opened
+
+  # Guards against a peer that ends in the middle of a response whose target is silent for a while.
+  Scenario Outline: A peer that stops is <state> 0.5 s after a target <what>
+    Given 1 peers, and a target <what>
+    When a request is sent through a peer that is told to stop 0.5 s later
+    Then the stopping peer is <state>
+
+    Examples:
+      | what                                              | state |
+      | that answers nothing and stays open               | busy  |
+      | that answers without a length and stays open      | busy  |
+      | that writes half of an answer and stays open      | busy  |
+      | that writes a chunk of a stream and stays open    | busy  |
+      | that writes 100 and stays open                    | busy  |
+      | that answers in full and stays open               | idle  |
+      | that answers in chunks and stays open             | idle  |
