Send no request again over a connection that has carried it

Callers' commands ran twice, or were refused as "not run" though they had run: a full target sent its rejection a second time, right before the next answer on the same kept connection. Cause: a rejection's connection went back to the pool, where the next attempt of the same request took it; the copy carries the ID of this very request, and by its ID alone it passed for the answer. The same held for a server error of a request that is tried again, a stream that is resumed, an attempt beside a silent one and a connection through a peer.

A request now carries the connections of its attempts, and the pool passes over them; they stay open for other requests. A forced new connection no longer takes one that became idle at that very instant.

--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -264,11 +264,4 @@
         return outgoing
     headers = [(k, v) for k, v in outgoing.headers if k.lower() != names.resume]
     headers.append((names.resume, last_id))
-    return OutgoingRequest(
-        outgoing.request,
-        outgoing.method,
-        outgoing.path,
-        headers,
-        outgoing.body,
-        outgoing.is_repeatable,
-    )
+    return replace(outgoing, headers=headers)
--- a/troutstand/routing/connectionpool.py
+++ b/troutstand/routing/connectionpool.py
@@ -7,6 +7,8 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from troutstand.routing.dialer import Dialer
     from troutstand.routing.httpclient import TargetConnection
 
@@ -26,33 +28,50 @@
         self._idle: dict[str, list[TargetConnection]] = {}
         dialer.on_unused = self._return_idle
 
-    async def acquire(self, address: str, max_idle_s: float | None = None) -> TargetConnection:
+    async def acquire(
+        self,
+        address: str,
+        max_idle_s: float | None = None,
+        used: Collection[TargetConnection] = (),
+    ) -> TargetConnection:
         """Return an idle connection, or a new one.
 
         Parameters
         ----------
         max_idle_s
             Connections that were idle for longer are not used; 0 forces a new one.
+        used
+            Connections that are not returned; they stay idle.
 
         Raises
         ------
         ExchangeError
             If no connection could be opened; nothing was written.
         """
+        connection = self._take_idle(address, max_idle_s, used)
+        if connection is None:
+            return await self.dialer.connect(address)
+        self.reused_count += 1
+        return connection
+
+    def _take_idle(
+        self, address: str, max_idle_s: float | None, used: Collection[TargetConnection]
+    ) -> TargetConnection | None:
+        """Return the connection that became idle last; close those that are too old."""
         idle = self._idle.get(address, [])
         now_s = read_clock_s()
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
             idle_s = now_s - connection.idle_since_s
             if connection.is_closed or idle_s > connection.idle_limit_s:
+                idle.remove(connection)
                 connection.abort()
                 continue
-            if max_idle_s is not None and idle_s > max_idle_s:
-                idle.append(connection)
-                break
-            self.reused_count += 1
-            return connection
-        return await self.dialer.connect(address)
+            if max_idle_s is not None and idle_s >= max_idle_s:
+                return None
+            if connection not in used:
+                idle.remove(connection)
+                return connection
+        return None
 
     def release(self, connection: TargetConnection) -> None:
         """Return a reusable connection to the pool; close any other."""
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from troutstand.core.notices import parse_notice
@@ -65,6 +65,9 @@
     headers: Headers
     body: bytes
     is_repeatable: bool
+    # Connections that carried an attempt. A late copy of its answer has the same request ID as
+    # the answer of the next attempt, so no other attempt uses them.
+    used: list[TargetConnection] = field(default_factory=list)
 
 
 class SendError(Exception):
@@ -250,13 +253,14 @@
         max_idle_s: float | None,
         on_path_lost: Callable[[], None],
     ) -> SentRequest:
-        connection = await self._pool.acquire(placed.address, max_idle_s)
+        connection = await self._pool.acquire(placed.address, max_idle_s, outgoing.used)
         if not await self._notices.confirm_charge(outgoing.request, placed.target):
             self._pool.release(connection)
             raise SendError(Ending.kept_back, "the workspace's limit allows no run so late")
         started_s = read_clock_s()
         try:
             request_head = self._encode_head(outgoing, placed, deadline_s - started_s)
+            outgoing.used.append(connection)
             connection.send(request_head, outgoing.body, outgoing.method == "HEAD")
             with self._silence.watch(connection, on_path_lost):
                 head = await connection.receive_head()
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -201,8 +201,8 @@
 
 @when("two {kind} requests are sent one after the other")
 def send_two(context: Context, kind: str) -> None:
-    outgoing = _make_outgoing(kind == "repeatable")
-    asyncio.run(_send_all(context, [outgoing, outgoing]))
+    both = [_make_outgoing(kind == "repeatable") for _ in range(2)]
+    asyncio.run(_send_all(context, both))
 
 
 @when("a request with a body of {length:d} bytes is sent, then another")
