Fail an attempt whose response head is joined to a part of another one

A target that sends part of a surplus answer, cut within its status line or the value of a header, before the next answer on a kept connection gives that one its status and first headers: "HTTP/1.1 421 Mis" before a success made the request count as not run, so that a command ran twice; a cut success gave a server error its status and its seal. The ID that came back was the right one. Cause: the parser reads the status line of the true answer as the rest of the cut line.

--- a/troutstand/routing/httpclient.py
+++ b/troutstand/routing/httpclient.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -26,6 +27,8 @@
 _MAX_HEAD_BYTES = 64 << 10
 _MIN_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Where it stands within a line of a head, another response was cut in front of this one.
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 
 
 class ExchangeError(Exception):
@@ -104,6 +107,7 @@
 
     def _reset_response(self) -> None:
         self._headers: Headers = []
+        self._reason = b""
         self._head: ResponseHead | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -173,6 +177,11 @@
         if self._is_complete:
             self._must_close = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Collect the text behind the status."""
+        if not self._is_complete:
+            self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         if not self._is_complete:
@@ -184,6 +193,10 @@
             return
         status = self._parser.get_status_code()
         headers, self._headers = self._headers, []
+        reason, self._reason = self._reason.decode("latin-1"), b""
+        if self.request_count > 1 and _holds_status_line(reason, headers):
+            self._fail("the response head is joined to a part of another one")
+            return
         self._is_informational = status < _MIN_FINAL_STATUS
         if self._is_informational:
             return
@@ -318,6 +331,11 @@
             self._transport.abort()
 
 
+def _holds_status_line(reason: str, headers: Headers) -> bool:
+    """Return whether a status line stands within a line of a head."""
+    return any(_STATUS_LINE.search(text) for text in (reason, *(value for _, value in headers)))
+
+
 def encode_request_head(method: str, path: str, headers: Headers) -> bytes:
     """Encode the request line and the headers."""
     lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers), "", ""]
--- a/troutstand/tests/answeridentity.feature
+++ b/troutstand/tests/answeridentity.feature
@@ -52,3 +52,25 @@
     Given a faulty target that is full and sends nothing, then runs requests
     When a command is sent, and another one after its rejection
     Then both arrived on one connection, and the second was answered
+
+  Scenario Outline: A surplus <surplus> in front of an answer on a reused connection
+    Given a faulty target that answers a request and sends <surplus> in front of the next answer
+    When that request and then a command are sent
+    Then the command is not reported as not run, and no answer of another is returned
+
+    Examples:
+      | surplus                              |
+      | rejection                            |
+      | rejection cut within a header        |
+      | rejection cut within its status line |
+      | success                              |
+      | success cut within a header          |
+
+  Scenario Outline: A surplus <surplus> cut at any byte in front of an answer on a reused connection
+    When a surplus <surplus>, cut at each of its bytes, is sent in front of the answer to a command
+    Then no command was reported as not run, and no answer of another was returned
+
+    Examples:
+      | surplus   |
+      | rejection |
+      | success   |
--- a/troutstand/tests/steps/answeridentity.py
+++ b/troutstand/tests/steps/answeridentity.py
@@ -290,6 +290,28 @@
     _check_result(context.faulty, "c", context.result)
 
 
+@when("a surplus {surplus}, cut at each of its bytes, is sent in front of the answer to a command")
+def cut_everywhere(context: Context, surplus: str) -> None:
+    data = _SURPLUS[surplus]
+    context.cuts = []
+
+    async def play(bench: Bench) -> Result:
+        await bench.attempt(_make_outgoing("first"))
+        return await bench.call(_make_outgoing("c"), patience_s=_PATIENCE_S)
+
+    for position in range(1, len(data)):
+        steps = [Step(Outcome.RUNS, surplus=data[:position]), Step(Outcome.FAILS)]
+        context.cuts.append(_play(steps, play))
+
+
+@then("no command was reported as not run, and no answer of another was returned")
+def check_cuts(context: Context) -> None:
+    assert len(context.cuts) > 50
+    for target, result in context.cuts:
+        assert target.runs["c"] == 1, target.runs
+        _check_result(target, "c", result)
+
+
 @when("a repeatable request is sent after another one")
 def send_repeatable(context: Context) -> None:
     async def play(bench: Bench) -> Result:
