Close the connection of a rejection without a request ID

A rejection counts as "not run" also without a request ID, and its connection was used again. A late copy of it, right before the answer to the next request on that connection, then made that one count as not run, and a command ran twice. Not seen outside the tests: targets send the ID with each answer.

A connection is now used again only behind an answer that has the ID of its request. The stand-in target of routed tests left the ID out of its rejections; it sends it now, as targets do, so that they keep the connections that they kept before.

--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -305,8 +305,12 @@
             raise SendError(Ending.broken, "the response has a content encoding", head.status)
 
     async def _drain_rejection(self, sent: SentRequest, error: SendError) -> None:
-        """Read a rejection to its end, so that its connection can be reused."""
-        if error.ending is not Ending.turned_away:
+        """Read a rejection to its end, so that its connection can be reused.
+
+        Nothing tells a late copy of a rejection without a request ID from the next answer.
+        """
+        has_id = bool(sent.head.get(self._names.request))
+        if error.ending is not Ending.turned_away or not has_id:
             sent.connection.abort()
             return
         try:
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -306,9 +306,11 @@
     def _reject(self, head: Head, writer: GatedWriter) -> None:
         self._record_arrival(head, self.backoff_s)
         retry_after = f"Retry-After: {self.backoff_s:g}\r\n" if self.backoff_s else ""
-        notices = self._make_notice_headers(head.headers.get("x-request-id", ""))
+        request = head.headers.get("x-request-id", "")
+        notices = self._make_notice_headers(request)
         lines = (
-            f"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n{retry_after}{notices}Content-Length: 0\r\n\r\n"
+            f"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Request-Id: {request}\r\n"
+            f"{retry_after}{notices}Content-Length: 0\r\n\r\n"
         )
         writer.write(lines.encode())
 
--- a/troutstand/tests/answeridentity.feature
+++ b/troutstand/tests/answeridentity.feature
@@ -74,3 +74,8 @@
       | surplus   |
       | rejection |
       | success   |
+
+  Scenario: The connection of a rejection without an id is not used again
+    Given a faulty target that is full, leaves out the id and sends a late copy, then runs requests
+    When a command is sent, and another one after its rejection
+    Then both arrived on two connections, and the second was answered
