Count a request that a stale connection may have carried as one that may have run

A repeatable request that was written on a reused connection, which was then reset, is sent again on a new one. If that one was rejected or kept back, its caller was refused with "run": "no", though the first writing may have run. Not seen outside the tests. Cause: the ending of the second writing stood for both.

SendError now says that the request was written before, and the history of the call counts it. The ending that is reported to the scheduler stays that of the second writing.

--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -86,10 +86,12 @@
     notice
         The notice in the target's response; empty without a response.
 
-    `is_path_lost` is set if this gateway's path is at fault rather than the target.
+    `is_path_lost` is set if this gateway's path is at fault rather than the target, and
+    `was_written_before` if the request was also written on a reused connection that failed.
     """
 
     is_path_lost = False
+    was_written_before = False
 
     def __init__(
         self,
@@ -111,12 +113,13 @@
     @property
     def may_have_arrived(self) -> bool:
         """Return whether the target may have received the request."""
-        return self.ending not in _UNSENT
+        return self.was_written_before or self.ending not in _UNSENT
 
     @property
     def may_have_run(self) -> bool:
         """Return whether the target may have run the request."""
-        return self.may_have_arrived and self.ending is not Ending.turned_away
+        is_turned_away = self.ending is Ending.turned_away
+        return self.was_written_before or (self.may_have_arrived and not is_turned_away)
 
 
 def filter_headers(headers: Headers, drop: frozenset[str]) -> Headers:
@@ -209,6 +212,9 @@
                 max_idle_s = 0.0
             try:
                 return await self._send_once(outgoing, placed, deadline_s, max_idle_s, on_path_lost)
+            except SendError as error:
+                error.was_written_before = was_written
+                raise
             except ExchangeError as error:
                 was_written = was_written or error.was_written
                 if not error.was_written and not error.was_stale:
--- a/troutstand/tests/answeridentity.feature
+++ b/troutstand/tests/answeridentity.feature
@@ -79,3 +79,8 @@
     Given a faulty target that is full, leaves out the id and sends a late copy, then runs requests
     When a command is sent, and another one after its rejection
     Then both arrived on two connections, and the second was answered
+
+  Scenario: A repeated request that may have run before is not reported as not run
+    Given a faulty target that runs a request and resets its reused connection, then is full
+    When a repeatable request is sent after another one
+    Then it is not reported as not run
