--- a/troutstand/routing/attempt.py
+++ b/troutstand/routing/attempt.py
@@ -29,6 +29,8 @@
     started_s: float = field(default_factory=read_clock_s)
     # Since when data of the target is awaited, on the steady clock.
     waiting_since_s: float = field(default_factory=read_clock_s)
+    # Whether the target may have received the request.
+    was_written: bool = False
     sent: SentRequest | None = None
     # Data that was received and is not relayed yet.
     chunk: bytes | None = None
@@ -100,6 +102,10 @@
         if not self.path_lost.done():
             self.path_lost.set_result(None)
 
+    def record_written(self) -> None:
+        """Record that the request is written."""
+        self.was_written = True
+
     def measure_silence_s(self) -> float:
         """Return the seconds for which data of the target has been awaited."""
         return read_clock_s() - self.waiting_since_s
--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -196,6 +196,7 @@
             attempt.placed,
             self._call.deadline_s,
             lambda: self._handle_path_lost(attempt),
+            attempt.record_written,
         )
         if self._response.has_started and not self._response.is_continued_by(sent):
             # The caller already has a response head, so only events can follow; another
@@ -275,8 +276,11 @@
     def _drop(self, attempt: Attempt, ending: Ending) -> None:
         """Close the connection of an attempt, so that its target stops the request."""
         attempt.drop()
-        self.history.record_arrival(attempt.placed)
-        self.record_end(attempt, ending)
+        if attempt.was_written:
+            self.history.record_arrival(attempt.placed)
+            self.record_end(attempt, ending)
+        else:
+            self.record_end(attempt, Ending.kept_back)
 
     # Silence
 
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from troutstand.core.notices import parse_notice
@@ -68,6 +68,9 @@
     headers: Headers
     body: bytes
     is_repeatable: bool
+    # Connections that carried an attempt. A late copy of its answer has the same request ID as
+    # the answer of the next attempt, so no other attempt uses them.
+    used: list[TargetConnection] = field(default_factory=list)
 
 
 class SendError(Exception):
@@ -86,10 +89,12 @@
     notice
         The notice in the target's response; empty without a response.
 
-    `is_path_lost` is set if this gateway's path is at fault rather than the target.
+    `is_path_lost` is set if this gateway's path is at fault rather than the target, and
+    `was_written_before` if the request was also written on a reused connection that failed.
     """
 
     is_path_lost = False
+    was_written_before = False
 
     def __init__(
         self,
@@ -111,12 +116,13 @@
     @property
     def may_have_arrived(self) -> bool:
         """Return whether the target may have received the request."""
-        return self.ending not in _UNSENT
+        return self.was_written_before or self.ending not in _UNSENT
 
     @property
     def may_have_run(self) -> bool:
         """Return whether the target may have run the request."""
-        return self.may_have_arrived and self.ending is not Ending.turned_away
+        is_turned_away = self.ending is Ending.turned_away
+        return self.was_written_before or (self.may_have_arrived and not is_turned_away)
 
 
 def filter_headers(headers: Headers, drop: frozenset[str]) -> Headers:
@@ -172,6 +178,10 @@
         ...
 
 
+def _ignore_written() -> None:
+    """Ignore that a request is written."""
+
+
 class Sender:
     """Send requests to targets."""
 
@@ -189,6 +199,7 @@
         placed: Placed,
         deadline_s: float,
         on_path_lost: Callable[[], None],
+        on_written: Callable[[], None] = _ignore_written,
     ) -> SentRequest:
         """Send a request and receive the head of its response.
 
@@ -196,6 +207,8 @@
         ----------
         on_path_lost
             Called if the path to the target is found cut while the head is awaited.
+        on_written
+            Called before the request is written.
 
         Raises
         ------
@@ -210,7 +223,12 @@
             if use_new_connection:
                 max_idle_s = 0.0
             try:
-                return await self._send_once(outgoing, placed, deadline_s, max_idle_s, on_path_lost)
+                connection = await self._acquire(outgoing, placed, max_idle_s)
+                on_written()
+                return await self._send_once(connection, outgoing, placed, deadline_s, on_path_lost)
+            except SendError as error:
+                error.was_written_before = was_written
+                raise
             except ExchangeError as error:
                 was_written = was_written or error.was_written
                 if not error.was_written and not error.was_stale:
@@ -247,21 +265,33 @@
             ending = Ending.broken if was_written else Ending.kept_back
             raise SendError(ending, f"the target is {reason.value}", was_resent=was_written)
 
+    async def _acquire(
+        self, outgoing: OutgoingRequest, placed: Placed, max_idle_s: float | None
+    ) -> TargetConnection:
+        """Return a connection on which the request may be written now."""
+        connection = await self._pool.acquire(placed.address, max_idle_s, outgoing.used)
+        is_allowed = False
+        try:
+            is_allowed = await self._notices.confirm_charge(outgoing.request, placed.target)
+        finally:
+            if not is_allowed:
+                self._pool.release(connection)
+        if not is_allowed:
+            raise SendError(Ending.kept_back, "the workspace's limit allows no run so late")
+        return connection
+
     async def _send_once(
         self,
+        connection: TargetConnection,
         outgoing: OutgoingRequest,
         placed: Placed,
         deadline_s: float,
-        max_idle_s: float | None,
         on_path_lost: Callable[[], None],
     ) -> SentRequest:
-        connection = await self._pool.acquire(placed.address, max_idle_s)
-        if not await self._notices.confirm_charge(outgoing.request, placed.target):
-            self._pool.release(connection)
-            raise SendError(Ending.kept_back, "the workspace's limit allows no run so late")
         started_s = read_clock_s()
         try:
             request_head = self._encode_head(outgoing, placed, deadline_s - started_s)
+            outgoing.used.append(connection)
             connection.send(request_head, outgoing.body, outgoing.method == "HEAD")
             with self._silence.watch(connection, on_path_lost):
                 head = await connection.receive_head()
@@ -306,8 +336,12 @@
             raise SendError(Ending.broken, "the response has a content encoding", head.status)
 
     async def _drain_rejection(self, sent: SentRequest, error: SendError) -> None:
-        """Read a rejection to its end, so that its connection can be reused."""
-        if error.ending is not Ending.turned_away:
+        """Read a rejection to its end, so that its connection can be reused.
+
+        Nothing tells a late copy of a rejection without a request ID from the next answer.
+        """
+        has_id = bool(sent.head.get(self._names.request))
+        if error.ending is not Ending.turned_away or not has_id:
             sent.connection.abort()
             return
         try:
--- a/troutstand/testing/attemptscript.py
+++ b/troutstand/testing/attemptscript.py
@@ -47,6 +47,7 @@
     failure: Ending | None = None
     is_framed: bool = True
     is_path_lost: bool = False
+    is_written: bool = True
 
 
 class ScriptedConnection:
@@ -173,9 +174,12 @@
         placed: Placed,
         deadline_s: float,
         on_path_lost: Callable[[], None],
+        on_written: Callable[[], None],
     ) -> SentRequest:
         response = self.responses[placed.target]
         started_s = read_clock_s()
+        if response.is_written:
+            on_written()
         if response.is_path_lost:
             on_path_lost()
         await wait_for(started_s, response.head_s)
