--- a/troutstand/testing/silentstreams.py
+++ b/troutstand/testing/silentstreams.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from troutstand.testing.standins import make_event
+from troutstand.testing.standins import make_body, make_event
 
 if TYPE_CHECKING:
     from troutstand.testing.partition import GatedWriter
@@ -39,6 +39,8 @@
     cut: list[tuple[str, str]] = field(default_factory=list)
     # Streams that targets were asked to resume.
     resumed: list[str] = field(default_factory=list)
+    # Responses whose first event was written.
+    started_count: int = 0
 
     async def answer(self, target: str, head: Head, writer: GatedWriter) -> bool:
         """Write one response and return whether the connection stays open."""
@@ -53,6 +55,7 @@
             writer.write(_make_head(target, request))
             for number in range(after + 1, EVENT_COUNT + 1):
                 await _write_event(writer, make_event(request, number))
+                self.started_count += number == after + 1
                 if is_silent and number == 1:
                     await asyncio.sleep(self.silence_s)
             writer.write(b"0\r\n\r\n")
@@ -63,6 +66,33 @@
         return True
 
 
+@dataclass
+class SilentBodies:
+    """Write responses with a length that are silent within their body, in seconds."""
+
+    silence_s: float
+
+    async def answer(self, target: str, head: Head, writer: GatedWriter) -> bool:
+        """Write one response and return whether the connection stays open."""
+        request = head.headers["x-request-id"]
+        body = make_body(request, b"x")
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request}",
+            f"X-Answer-Seal: {target}",
+            f"Content-Length: {len(body)}",
+        ]
+        try:
+            writer.write("\r\n".join([*lines, "", ""]).encode() + body[:3])
+            await writer.drain()
+            await asyncio.sleep(self.silence_s)
+            writer.write(body[3:])
+            await writer.drain()
+        except OSError:
+            return False
+        return True
+
+
 def make_events(request: str) -> bytes:
     """Return the expected events of a request's stream."""
     return b"".join(make_event(request, number) for number in range(1, EVENT_COUNT + 1))
--- a/troutstand/tests/steps/silentstreams.py
+++ b/troutstand/tests/steps/silentstreams.py
@@ -12,18 +12,21 @@
 
 from troutstand.generated.configuration import RoutedWorkspace, RouteKind
 from troutstand.generated.routing import RoutingRole
+from troutstand.testing.partition import CutKind
 from troutstand.testing.routedscene import Scene
-from troutstand.testing.routedsite import KEY, ConfigurationPlan, make_route
-from troutstand.testing.silentstreams import FOREVER_S, SilentStreams, make_events
+from troutstand.testing.routedsite import KEY, ConfigurationPlan, make_route, wait_until
+from troutstand.testing.silentstreams import FOREVER_S, SilentBodies, SilentStreams, make_events
 from troutstand.testing.standins import make_body
 from troutstand.tests.environment import make_folder
 from troutstand.tests.steps.resting import open_scene
+from troutstand.tests.steps.routed import find_deciding
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
     from troutstand.generated.configuration import Route
     from troutstand.testing.routedcaller import CallResult
+    from troutstand.testing.routedsite import HostProcess
 
 _TIMEOUT_MS = 9000
 _DEADLINE_S = 8.0
@@ -32,6 +35,7 @@
 # Charged for each request that the callers send.
 _TOKENS = 20
 _EVENT_AT_S = 0.8
+_OTHER_KEY = "key-two"
 
 
 def _make_routes(pause_ms: float) -> list[Route]:
@@ -109,6 +113,32 @@
         case "a SIGTERM of the gateways":
             for name in names:
                 scene.site.send_signal(name, signal.SIGTERM)
+        case "a configuration without their route":
+            assert scene.configuration is not None
+            others = [r for r in scene.configuration.routes or [] if r.prefix != _RESUMABLE]
+            plan = ConfigurationPlan(version=2, routes=others)
+            await scene.site.write_anywhere(scene.session, plan.encode())
+        case "a configuration that revokes their key":
+            assert scene.configuration is not None
+            revoked = RoutedWorkspace("one", keys=[_OTHER_KEY])
+            plan = ConfigurationPlan(
+                version=2, routes=scene.configuration.routes, workspaces=[revoked]
+            )
+            await scene.site.write_anywhere(scene.session, plan.encode())
+        case "a list in which their targets drain":
+            for target in scene.targets:
+                target.is_draining = True
+        case "a list without their targets":
+            scene.list.targets = [t for t in scene.targets if t.service != "engine"]
+        case "the end of the scheduler in use":
+            deciding = await find_deciding(scene)
+            scene.site.kill(deciding)
+        case "the end of all schedulers":
+            for scheduler in scene.site.list_role(RoutingRole.scheduler):
+                scene.site.kill(scheduler.name)
+        case "the end of all keepers":
+            for keeper in scene.site.list_role(RoutingRole.keeper):
+                scene.site.kill(keeper.name)
         case _:
             assert not event, event
 
@@ -149,6 +179,62 @@
     context.calls = scene.background.run(_read_all(scene, route, count))
 
 
+@when(
+    "{count:d} streams are read through a peer whose targets are silent for {silence_s:g} s, "
+    "beside {event}"
+)
+def read_through_peer(context: Context, count: int, silence_s: float, event: str) -> None:
+    scene = context.scene
+    gateway, peer = scene.site.list_role(RoutingRole.gateway)
+    streams = SilentStreams(silence_s)
+    # Without a peer, requests are refused until one is assigned.
+    scene.background.run(wait_until(lambda: _knows_peer(gateway, peer), "the peer is known"))
+    for target in scene.targets:
+        target.cut(gateway.settings.ip, CutKind.HANG)
+        if target.service == "engine":
+            target.response_writer = streams.answer
+    context.streams = streams
+
+    async def play() -> list[CallResult]:
+        calls = [
+            scene.caller.call(gateway, "/stream/", b"x", deadline_s=_DEADLINE_S)
+            for _ in range(count)
+        ]
+        reading = asyncio.ensure_future(asyncio.gather(*calls))
+        started = asyncio.ensure_future(
+            wait_until(lambda: _is_started(streams, count), "all streams have started")
+        )
+        await asyncio.wait({started, reading}, return_when=asyncio.FIRST_COMPLETED)
+        if not started.done():
+            # The check of the answers tells what became of them.
+            started.cancel()
+            return await reading
+        if event == "a SIGTERM of the peer":
+            scene.site.send_signal(peer.name, signal.SIGTERM)
+        else:
+            assert event == "nothing else", event
+        return await reading
+
+    context.calls = scene.background.run(play())
+
+
+async def _knows_peer(gateway: HostProcess, peer: HostProcess) -> bool:
+    lines = gateway.log.read_text().splitlines()
+    return any("event=peers_changed" in line and peer.settings.ip in line for line in lines)
+
+
+async def _is_started(streams: SilentStreams, count: int) -> bool:
+    return streams.started_count >= count
+
+
+@when("{count:d} answers of {route} are read whose targets are silent for {silence_s:g} s within")
+def read_silent_bodies(context: Context, count: int, route: str, silence_s: float) -> None:
+    scene = context.scene
+    for target in scene.targets:
+        target.response_writer = SilentBodies(silence_s).answer
+    context.calls = scene.background.run(_read_all(scene, route, count))
+
+
 @then("all of these streams come whole")
 @then("all of these answers come whole")
 def check_whole(context: Context) -> None:
