--- a/troutstand/testing/silentstreams.py
+++ b/troutstand/testing/silentstreams.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from troutstand.testing.standins import make_event
+from troutstand.testing.standins import make_body, make_event
 
 if TYPE_CHECKING:
     from troutstand.testing.partition import GatedWriter
@@ -56,6 +56,8 @@
     closed_s: dict[str, float] = field(default_factory=dict)
     # When a target sent the first event of a resumed stream.
     resumed_s: dict[str, float] = field(default_factory=dict)
+    # Responses whose first event was written.
+    started_count: int = 0
 
     async def answer(self, target: str, head: Head, writer: GatedWriter) -> bool:
         """Write one response and return whether the connection stays open."""
@@ -68,6 +70,7 @@
             await asyncio.sleep(self.before_head_s)
         writer.write(_make_head(target, request))
         await _write_event(writer, make_event(request, 1))
+        self.started_count += 1
         if is_silent and not await self._wait(request, writer):
             return False
         return await _write_events(writer, request, 1)
@@ -109,6 +112,33 @@
                 return await _write_events(writer, request, after)
 
 
+@dataclass
+class SilentBodies:
+    """Write responses with a length that are silent within their body, in seconds."""
+
+    silence_s: float
+
+    async def answer(self, target: str, head: Head, writer: GatedWriter) -> bool:
+        """Write one response and return whether the connection stays open."""
+        request = head.headers["x-request-id"]
+        body = make_body(request, b"x")
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request}",
+            f"X-Answer-Seal: {target}",
+            f"Content-Length: {len(body)}",
+        ]
+        try:
+            writer.write("\r\n".join([*lines, "", ""]).encode() + body[:3])
+            await writer.drain()
+            await asyncio.sleep(self.silence_s)
+            writer.write(body[3:])
+            await writer.drain()
+        except OSError:
+            return False
+        return True
+
+
 def make_events(request: str) -> bytes:
     """Return the expected events of a request's stream."""
     return b"".join(make_event(request, number) for number in range(1, EVENT_COUNT + 1))
