Abort links that peers do not close when a process stops

Keepers and schedulers that got SIGTERM while a peer was frozen ended late: a keeper after 10.05, 10.05 and 10.04 s beside a frozen gateway, scheduler and keeper, a scheduler after 11.04 s beside a frozen gateway, where they have 8 s. With replies of 32 MB that a peer does not read, the link server had not ended after 20 s.

The link server waited for each peer to close its link: by the library's timeout of 10 s, which starts only after the waiting data is written. It waits 0.5 s for all links now, then aborts those that remain and logs link_aborted with the peer.

--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -36,6 +36,8 @@
 _MAX_BACKOFF_S = 1.0
 # Sequence number of a message that expects no reply.
 _ONE_WAY_SEQUENCE = 0
+# How long a stopping process waits for its peers to close their links.
+_STOP_TIMEOUT_S = 0.5
 # Limit of unsent replies on a connection whose peer reads slowly.
 _MAX_QUEUED_REPLIES = 20_000
 
@@ -117,6 +119,8 @@
         self._handler = handler
         self._server: Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        # The open links, with the name of the peer once it is known.
+        self._connections: dict[ServerConnection, str] = {}
 
     async def start(self, address: Address) -> None:
         """Open the listening socket."""
@@ -127,15 +131,36 @@
             max_size=self._limits.message_bytes,
             compression=None,
             ping_interval=None,
+            open_timeout=self._limits.lease_s,
+            close_timeout=self._limits.lease_s,
         )
 
     async def stop(self) -> None:
-        """Close the listening socket and every link."""
-        if self._server:
-            self._server.close()
+        """Close the listening socket and every link; abort those that peers do not close."""
+        if self._server is None:
+            return
+        self._server.close()
+        try:
+            async with asyncio.timeout(_STOP_TIMEOUT_S):
+                await self._server.wait_closed()
+        except TimeoutError:
+            self._abort_links()
             await self._server.wait_closed()
 
+    def _abort_links(self) -> None:
+        """Abort the links that are open; the data of a peer that does not read is dropped."""
+        for connection, peer in self._connections.items():
+            self._events.emit("link_aborted", code=ResultCode.LINK_TIMEOUT, peer=peer)
+            connection.transport.abort()
+
     async def _handle_connection(self, connection: ServerConnection) -> None:
+        self._connections[connection] = ""
+        try:
+            await self._serve_link(connection)
+        finally:
+            del self._connections[connection]
+
+    async def _serve_link(self, connection: ServerConnection) -> None:
         try:
             peer = await asyncio.wait_for(self._authenticate(connection), self._limits.lease_s)
         except (TroutstandError, TimeoutError, websockets.ConnectionClosed) as error:
@@ -143,6 +168,7 @@
             self._events.emit("link_refused", code=ResultCode.LINK_REFUSED, detail=detail)
             await connection.close(code=1008, reason=str(ResultCode.LINK_REFUSED.value))
             return
+        self._connections[connection] = peer
         self._events.emit("link_accepted", peer=peer)
         replies: asyncio.Queue[bytes] = asyncio.Queue(_MAX_QUEUED_REPLIES)
         writer = asyncio.create_task(_send_queued(connection, replies))
