Refuse at once what a stopping gateway cannot answer before its end

Callers whose stream on a kept connection ended after SIGTERM sent the next one at once; the gateway took it and cut it. Streams of 6 s, 8 s to stop, six callers: 6 of 12 cut (5 of 12 in a second run, and a sixth sent into a connection that was being closed). Short requests right after a stream met a closed connection: 6 and 2 of 6.

Connections whose head was written before SIGTERM were told nothing, and what arrived on them was taken without a look at what is left of the stop. A connection counted as idle the moment its answer had ended.

Connections are closed once idle for 0.1 s.

--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -25,6 +25,7 @@
     from troutstand.routing.gateway import Gateway
     from troutstand.routing.relay import OutgoingRequest
 
+_MIN_ERROR_STATUS = 400
 _MIN_SERVER_ERROR_STATUS = 500
 _RETRY_AFTER_S = 0.1
 _MIN_EVENT_TIMEOUT_S = 0.5
@@ -55,6 +56,8 @@
     async def run(self) -> web.StreamResponse:
         """Return the response, at the latest at the deadline of the request."""
         call = self._call
+        if reason := self._gateway.explain_refusal(call):
+            return self._refuse(ResultCode.DRAINING, reason, _RETRY_AFTER_S)
         remaining_s = call.deadline_s - read_clock_s()
         try:
             async with asyncio.timeout(remaining_s):
@@ -127,6 +130,8 @@
         self, response: web.StreamResponse, sent: SentRequest
     ) -> web.StreamResponse:
         first_s = read_clock_s() - self._call.arrived_s
+        if response.status < _MIN_ERROR_STATUS:
+            self._gateway.answer_lengths.record(self._call.route.name, first_s)
         self._gateway.metrics.first_byte_s.labels(*self._get_metric_labels()).observe(first_s)
         self._emit(
             "request_answered",
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -10,6 +10,7 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
+from troutstand.core.plannedstop import AnswerLengths, PlannedStop
 from troutstand.generated.messages import ProcessState
 from troutstand.routing.callhandler import CallHandler
 from troutstand.routing.calls import add_fingerprint, make_outgoing, parse_call
@@ -30,6 +31,7 @@
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
     from troutstand.generated.routing import RoutingSettings
+    from troutstand.routing.calls import Call
     from troutstand.routing.dialect import Dialect
 
 _CONNECT_TIMEOUT_S = 0.3
@@ -39,14 +41,14 @@
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _DRAIN_POLL_INTERVAL_S = 0.02
 _IDLE_BEFORE_STOP_S = 0.6
+# After an answer, the caller's next request may already be on its way.
+_IDLE_BEFORE_CLOSE_S = 0.1
 # Shares of the stop timeout. The server waits the cleanup share for open requests and again
 # after it cancels them; all must end before the process is killed from outside. With 0.4 s
 # each, a gateway with 8 s to stop was killed 0.3 s before its end.
 _CLEANUP_SHARE = 0.02
 # New connections are accepted until this share, while load balancers see it is not ready.
 _ACCEPT_SHARE = 0.375
-# Open requests are aborted at this share.
-_DRAIN_SHARE = 0.92
 _STARTING_RETRY_AFTER_S = 0.5
 
 
@@ -83,7 +85,10 @@
         self.pool = ConnectionPool(self.dialer)
         self.sender = Sender(self.pool, dialect.headers, self.placement)
         self._busy_connections: set[web.RequestHandler] = set()
-        self.is_stopping = False
+        # When the last answer ended on a connection that was not told to close, while stopping.
+        self._answered_s: dict[web.RequestHandler, float] = {}
+        self.answer_lengths = AnswerLengths()
+        self.planned_stop: PlannedStop | None = None
         # Set when the drain of a planned stop is over and open requests are aborted.
         self.is_aborting = False
         self._runners: list[web.BaseRunner] = []
@@ -134,6 +139,11 @@
         address = parse_address(self.settings.readiness)
         self._runners.append(await listen(app, address, "readiness"))
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the gateway was told to stop."""
+        return self.planned_stop is not None
+
     @property
     def is_ready(self) -> bool:
         """Return whether the gateway accepts new callers."""
@@ -152,14 +162,15 @@
 
     async def stop(self) -> None:
         """Drain the open requests, abort those that remain, and close."""
-        started_s = read_clock_s()
-        self.is_stopping = self.tunnel_server.is_stopping = True
+        stop_s = self.settings.stop_s
+        self.planned_stop = stop = PlannedStop.begin(read_clock_s(), stop_s)
+        self.tunnel_server.is_stopping = True
         self.node.state = ProcessState.draining
         self.node.events.emit("stop_started", open=self.open_requests)
-        await asyncio.sleep(_ACCEPT_SHARE * self.settings.stop_s)
+        await asyncio.sleep(_ACCEPT_SHARE * stop_s)
         if self._site is not None:
             await self._site.stop()
-        await self._wait_drained(started_s + _DRAIN_SHARE * self.settings.stop_s)
+        await self._wait_drained(stop.aborted_s)
         self.node.events.emit("stop_ended", left=self.open_requests)
         self.is_aborting = True
         for runner in self._runners:
@@ -186,12 +197,25 @@
 
     # Requests
 
+    def explain_refusal(self, call: Call) -> str:
+        """Return why a stopping gateway cannot take a request; empty if it can."""
+        stop, now_s = self.planned_stop, read_clock_s()
+        if stop is None:
+            return ""
+        length_s = self.answer_lengths.estimate_s(call.route.name)
+        if stop.can_answer(now_s, call.deadline_s, length_s):
+            return ""
+        usual = "unknown" if length_s is None else f"{length_s:.3f}"
+        return f"the gateway is stopping: left_s={stop.aborted_s - now_s:.3f} usual_s={usual}"
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
         self._busy_connections.add(protocol)
         try:
             response = await self._respond(request)
             await self._write_response(request, response)
+            if self.is_stopping and response.keep_alive:
+                self._answered_s[protocol] = read_clock_s()
         finally:
             self._busy_connections.discard(protocol)
         return response
@@ -224,8 +248,11 @@
         """Close idle connections; a busy one closes after its response."""
         if self._server is None:
             return
+        least_s = read_clock_s() - _IDLE_BEFORE_CLOSE_S
         for connection in self._server.connections:
-            if connection not in self._busy_connections and connection.transport is not None:
+            if connection in self._busy_connections or connection.transport is None:
+                continue
+            if self._answered_s.get(connection, least_s) <= least_s:
                 connection.transport.close()
 
     async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
