Count a request once that is placed again at its target

A request whose placement was lost with its link is placed again, and the decider may choose the same target while it still counts the first run there. The second run replaced the first in the table of running requests, but its prompt and its pause limit were counted twice, and ended once: the target seemed to have prompts before it that nobody had sent, for as long as requests ran there. No caller was seen to lose by it; found by a simulation of links that lose messages.

TargetState.start now ends an earlier run of the same request. The scenario "A request that is placed twice at a target counts once" failed before (2 pause counts for 1 request) and passes now.

--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -157,7 +157,8 @@
         return not has_probe and self.report.backoff.may_probe(now_s)
 
     def start(self, run: RunningRequest) -> None:
-        """Add a request that was sent to the target."""
+        """Add a request that was sent to the target, in place of an earlier run of it here."""
+        self.finish(run.work.request)
         for other in self.running.values():
             # A crash could be caused by either from now on.
             other.is_isolated = False
