Correct what a scheduler believes of its gateways after their links have lost messages

Callers saw 429 while targets were idle, for as long as the scheduler in use lived: gateways tell the end of a request by a message without a reply, a link drops such messages while it is reset, and the scheduler counted those requests as running for ever. A gateway told it what runs only when it attached.

Cause: running requests, first bytes, silences, lost paths and notices are kept by messages whose loss neither side noticed. The messages stay as they are. Each heartbeat now has a digest: the sum of 64-bit identities of the running requests with their marks, the number of the last placement got and the number of messages with notices. The scheduler compares it with a ledger of what it was told, without placements that the gateway cannot know yet. Where they differ the reply asks for the whole state; the gateway sends it at once with its recent endings, and the scheduler replaces what it believes. An ending that was lost is applied as if it had come in time, and once only. Charges are given back only by such an ending. A heartbeat is made after its link is open, so that no message overtakes it.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -173,6 +173,18 @@
                 self._refund_run(run, now_s)
                 self._serve_target(pool, state, now_s)
 
+    def release(self, request: str, target: str, owner: str, now_s: float) -> None:
+        """Free the slot of a request that its gateway does not run.
+
+        Its charge stays, since it may have run.
+        """
+        for pool in self.pools.values():
+            state = pool.targets.get(target)
+            run = state.running.get(request) if state is not None else None
+            if state is not None and run is not None and run.owner == owner:
+                state.finish(request)
+                self._serve_target(pool, state, now_s)
+
     def record_first_byte(self, first: FirstByte, now_s: float) -> None:
         """Record the first byte of an answer."""
         for pool in self.pools.values():
--- a/troutstand/core/gatewayregistry.py
+++ b/troutstand/core/gatewayregistry.py
@@ -160,6 +160,11 @@
             return now_s
         return known.replied_s if _is_echo(known, ask) else known.confirmed_s
 
+    def find_replied_s(self, gateway: ProcessId, ask: AttachAsk) -> float:
+        """Return when the reply was sent that a heartbeat answers; -inf if it is not the last."""
+        state = self._states.get(gateway)
+        return state.replied_s if state is not None and _is_echo(state, ask) else float("-inf")
+
     def number_reply(self, gateway: ProcessId, now_s: float) -> int:
         """Return the number of a reply that is sent to a gateway now."""
         state = self._states.get(gateway)
--- a/troutstand/core/siteview.py
+++ b/troutstand/core/siteview.py
@@ -182,6 +182,7 @@
             expected_first_s=placed.elapsed_s + pool.estimate_first_byte(state, work),
             has_first_byte=placed.has_first,
             is_path_lost=placed.is_path_lost,
+            is_silent=placed.is_silent,
         )
         state.start(run)
 
--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -38,8 +38,11 @@
     def switch_decider(self, before: Decider) -> None:
         """Switch from the previous decider to the current one."""
 
-    def make_heartbeat(self, is_attached: bool, is_first: bool) -> AttachAsk:
-        """Return a heartbeat; the first one to a scheduler includes the full gateway state."""
+    def make_heartbeat(self, is_attached: bool, is_first: bool, is_whole: bool) -> AttachAsk:
+        """Return a heartbeat; the first one to a scheduler includes the full gateway state.
+
+        A whole one includes what a scheduler keeps by messages without a reply.
+        """
         ...
 
     def handle_reply(self, process: ProcessId, reply: Attached) -> None:
@@ -178,29 +181,42 @@
             health.wake.clear()
 
     async def _send_heartbeat(self, process: ProcessId, health: SchedulerHealth) -> None:
+        if self.current == process:
+            health.record_request(read_clock_s())
+        # Messages that are sent while a link opens must not overtake an older heartbeat.
+        if not await self._node.wait_for_link(process):
+            self._handle_failure(process, health)
+            return
         is_attached = self.current == process
         is_first = is_attached and not health.is_attached
+        is_whole = is_attached and not is_first and health.is_state_asked
         heartbeat = msgspec.structs.replace(
-            self._listener.make_heartbeat(is_attached, is_first), echo=health.reply_number
+            self._listener.make_heartbeat(is_attached, is_first, is_whole),
+            echo=health.reply_number,
         )
         health.is_attached = is_attached
-        if is_attached:
-            health.record_request(read_clock_s())
+        health.is_state_asked = False
         try:
             reply = await self._node.ask(
                 process, heartbeat, SCHEDULER_TIMEOUT_S if is_attached else HEARTBEAT_TIMEOUT_S
             )
         except TroutstandError:
-            # A single lost heartbeat does not mark the scheduler in use as lost.
-            health.live_since_s = float("inf")
-            if not is_attached:
-                health.mark_lost()
+            self._handle_failure(process, health)
             if is_first:
                 health.is_attached = False
             return
         if isinstance(reply, Attached):
             self._handle_reply(process, health, reply)
 
+    def _handle_failure(self, process: ProcessId, health: SchedulerHealth) -> None:
+        """Handle a heartbeat that was not answered.
+
+        A single lost heartbeat does not mark the scheduler in use as lost.
+        """
+        health.live_since_s = float("inf")
+        if self.current != process:
+            health.mark_lost()
+
     def _handle_reply(self, process: ProcessId, health: SchedulerHealth, reply: Attached) -> None:
         if health.incarnation != reply.incarnation:
             # A restarted scheduler has no state of this gateway.
@@ -210,6 +226,9 @@
                 health.is_attached = False
                 self._listener.resend_requests(process)
         health.update(reply, read_clock_s())
+        if reply.asks_state:
+            health.is_state_asked = True
+            health.wake.set()
         if reply.is_ready and isinstance(self.current, LocalDecider):
             self._check_requested.set()
         self._listener.handle_reply(process, reply)
--- a/troutstand/routing/placedrequests.py
+++ b/troutstand/routing/placedrequests.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from troutstand.core.observedspeeds import ObservedSpeeds
-from troutstand.generated.messages import Ending, FirstByte, PlacedWork
+from troutstand.core.runledger import RunMark, RunSum, identify_run
+from troutstand.generated.messages import Ending, FirstByte, PlacedWork, RunDigest
 
 if TYPE_CHECKING:
     from troutstand.core.configuration import RouteTable
     from troutstand.generated.messages import Ended, Placed, RoutedWork, TargetSpeed
 
+# Endings kept for a scheduler that has missed them: longer than a link is away at a reset.
+_ENDING_TTL_S = 5.0
+_MAX_ENDINGS = 500
+
 
 @dataclass
 class PlacedRequest:
@@ -22,13 +28,12 @@
     started_s: float
     # When its run was last charged to its workspace's limit.
     charged_s: float
+    identity: int
     # Prompt tokens that the target processes before its first byte.
     prefill_tokens: float = 0.0
-    has_first_byte: bool = False
+    marks: RunMark = RunMark.NONE
     # Start time that the target reports; 0 if unknown.
     born_ms: int = 0
-    # Whether the path on which the response would come is cut.
-    is_path_lost: bool = False
 
 
 class PlacedRequests:
@@ -41,15 +46,50 @@
         # By request and target.
         self._requests: dict[tuple[str, str], PlacedRequest] = {}
         self._speeds = ObservedSpeeds()
+        self._sum = RunSum()
+        # Highest number of a placement of the current scheduler.
+        self._last_number = 0
+        # With their times, the oldest first.
+        self._endings: deque[tuple[float, Ended]] = deque(maxlen=_MAX_ENDINGS)
 
     def __len__(self) -> int:
         return len(self._requests)
 
     def start(self, work: RoutedWork, placed: Placed, now_s: float) -> None:
         """Add a request that was placed at a target."""
+        identity = identify_run(work.request, placed.target)
+        self._remove(work.request, placed.target)
         self._requests[work.request, placed.target] = PlacedRequest(
-            work, placed.target, now_s, now_s, placed.to_read, born_ms=placed.born_ms
+            work, placed.target, now_s, now_s, identity, placed.to_read, born_ms=placed.born_ms
         )
+        self._sum.add(identity, RunMark.NONE)
+
+    def _remove(self, request: str, target: str) -> PlacedRequest | None:
+        placed = self._requests.pop((request, target), None)
+        if placed is not None:
+            self._sum.remove(placed.identity, placed.marks)
+        return placed
+
+    def _set_mark(self, placed: PlacedRequest, mark: RunMark, is_set: bool = True) -> None:
+        self._sum.remove(placed.identity, placed.marks)
+        placed.marks = placed.marks | mark if is_set else placed.marks & ~mark
+        self._sum.add(placed.identity, placed.marks)
+
+    def record_number(self, number: int) -> None:
+        """Record that a placement of the current scheduler has arrived."""
+        self._last_number = max(self._last_number, number)
+
+    def reset_number(self) -> None:
+        """Forget the numbers of the placements, since the next scheduler has its own."""
+        self._last_number = 0
+
+    def make_digest(self, notices: int) -> RunDigest:
+        """Return the sum of the running requests, for the current scheduler."""
+        return RunDigest(self._sum.total, self._last_number, notices)
+
+    def list_endings(self, now_s: float) -> list[Ended]:
+        """Return the recent endings, the oldest first."""
+        return [ended for at_s, ended in self._endings if now_s - at_s <= _ENDING_TTL_S]
 
     def record_first_byte(
         self, request: str, target: str, first_s: float, now_s: float
@@ -58,7 +98,7 @@
         placed = self._requests.get((request, target))
         if placed is None:
             return None
-        placed.has_first_byte = True
+        self._set_mark(placed, RunMark.FIRST_BYTE)
         if placed.work.prompt_tokens and first_s >= 0.0:
             self._speeds.record_first_byte(
                 placed.work.service,
@@ -90,13 +130,20 @@
         """Record that the response to a request cannot arrive."""
         placed = self._requests.get((request, target))
         if placed is not None:
-            placed.is_path_lost = True
+            self._set_mark(placed, RunMark.PATH_LOST)
+
+    def mark_silent(self, request: str, target: str, is_silent: bool) -> None:
+        """Record whether a target is silent in the middle of a response."""
+        placed = self._requests.get((request, target))
+        if placed is not None:
+            self._set_mark(placed, RunMark.SILENT, is_silent)
 
     def finish(self, ended: Ended, table: RouteTable | None, now_s: float) -> None:
         """Remove a request; record its target's speed if the answer is complete."""
-        placed = self._requests.pop((ended.request, ended.target), None)
+        placed = self._remove(ended.request, ended.target)
         if placed is None:
             return
+        self._endings.append((now_s, ended))
         if ended.ending is not Ending.whole or ended.total_s < 0.0:
             return
         service = placed.work.service
@@ -116,9 +163,10 @@
                 placed.work,
                 placed.target,
                 now_s - placed.started_s,
-                placed.has_first_byte,
+                bool(placed.marks & RunMark.FIRST_BYTE),
                 placed.born_ms,
-                placed.is_path_lost,
+                bool(placed.marks & RunMark.PATH_LOST),
+                bool(placed.marks & RunMark.SILENT),
             )
             for placed in self._requests.values()
         ]
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -113,6 +113,8 @@
         self._local_active.set()
         self._heartbeats = Heartbeats(node, self)
         self._attachment = 0
+        # Messages with notices since the last attachment.
+        self._notice_count = 0
         counted_s = make_bounds(node.settings).counted_s
         self._usage = UsageHandover(node.process, node.incarnation, counted_s)
         self._charges = RunCharges(node, self._placed, self._usage)
@@ -253,6 +255,8 @@
         match answer:
             case Placed():
                 self._placed.start(work, answer, now_s)
+                if pending.decider == self._current:
+                    self._placed.record_number(answer.number)
                 if not isinstance(pending.decider, LocalDecider):
                     self._usage.record_sent(work.workspace, work.charge, now_s)
             case Declined(crashes=crashes):
@@ -361,6 +365,7 @@
     def report_silence(self, request: str, target: str, is_over: bool) -> None:
         """Report that a target is silent in the middle of a response, or goes on after that."""
         silence = Silence(request, target, is_over)
+        self._placed.mark_silent(request, target, not is_over)
         if isinstance(self._current, LocalDecider):
             self._local.record_silence(silence, read_clock_s())
             self._deliver_local()
@@ -402,13 +407,18 @@
         if isinstance(self._current, LocalDecider):
             self._local.apply_notices(self._node.process, notices, now_s)
         else:
+            self._notice_count += 1
             self._node.send(self._current, TargetNotices(notices))
 
     # Schedulers
 
-    def make_heartbeat(self, is_attached: bool, is_first: bool) -> AttachAsk:
-        """Make a heartbeat; the first one to a scheduler carries the gateway's full state."""
+    def make_heartbeat(self, is_attached: bool, is_first: bool, is_whole: bool) -> AttachAsk:
+        """Make a heartbeat; the first one to a scheduler carries the gateway's full state.
+
+        A whole one carries what the scheduler keeps by messages without a reply.
+        """
         now_s = read_clock_s()
+        is_full = is_first or is_whole
         return AttachAsk(
             process=self._node.process,
             incarnation=self._node.incarnation,
@@ -418,17 +428,20 @@
             attachment=self._attachment,
             gateways=self._gateway_count,
             asks="" if self._is_local() else str(self._current),
-            running=self._placed.list_running(now_s) if is_first else [],
+            running=self._placed.list_running(now_s) if is_full else [],
             usage=self._usage.list_usage(self._limit_share, now_s) if is_first else [],
             holds=self._slot_times if is_first else [],
             crashes=self._crashes.list_histories(now_s) if is_first else [],
             crashes_version=self._crashes.version,
             speeds=self._placed.list_speeds(now_s) if is_first else [],
             leaving=self._targets.list_leaving() if is_first else [],
-            notices=self._notices.list_notices(now_s) if is_first else [],
+            notices=self._notices.list_notices(now_s) if is_full else [],
             failure_domain=self._node.settings.failure_domain,
             is_isolated=self._paths.is_isolated,
             peers_version=self._tunnels.peers_version,
+            digest=self._placed.make_digest(self._notice_count) if is_attached else None,
+            is_whole=is_whole,
+            endings=self._placed.list_endings(now_s) if is_full else [],
         )
 
     def handle_reply(self, process: ProcessId, reply: Attached) -> None:
@@ -465,6 +478,8 @@
             # That scheduler passes it on to nobody.
             self._usage_sync.send(self._local.quotas, usage)
         self._attachment += 1
+        self._notice_count = 0
+        self._placed.reset_number()
         if isinstance(self._current, LocalDecider):
             self._local = self._make_local()
             self._local_active.set()
@@ -491,6 +506,7 @@
 
     def resend_requests(self, process: ProcessId) -> None:
         """Request placements again from a scheduler that restarted."""
+        self._placed.reset_number()
         for pending in list(self._pending.values()):
             if pending.decider == process and not pending.answer.done():
                 self._request(pending)
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -16,6 +16,7 @@
     compute_gateway_timeout,
     compute_lease,
 )
+from troutstand.core.gatewaystates import GatewayStates
 from troutstand.core.limits.quota import Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.messages import (
@@ -35,6 +36,7 @@
     Silence,
     TargetNotices,
 )
+from troutstand.routing.correctionlog import CorrectionLog
 from troutstand.routing.decisionlog import (
     emit_decision,
     emit_link_changes,
@@ -91,6 +93,7 @@
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s
         )
         self.dispatcher = Dispatcher(self.quotas, self.retries, options=self.node.load_options)
+        self._states = GatewayStates(self.dispatcher)
         self.follower = Follower(self.node, dialect, self._update_table)
         self._part_sync = PartEvidenceSync(
             self.node,
@@ -101,6 +104,7 @@
         self.targets = TargetList(settings.target_list, dialect)
         self._gateways = GatewayRegistry()
         self._load_report = LoadReport(self.node)
+        self._correction_log = CorrectionLog(self.node)
         self.rollouts = RolloutDriver(
             self.node, self.dispatcher, self.follower, self._gateways.get_attached_share
         )
@@ -153,6 +157,7 @@
     ) -> PeerMessage | Awaitable[PeerMessage | None] | None:
         """Handle a message from a gateway."""
         now_s = read_clock_s()
+        self._states.record(peer, message)
         match message:
             case Place(work):
                 future: asyncio.Future[PeerMessage | None] = (
@@ -165,7 +170,8 @@
             case FirstByte():
                 self.dispatcher.record_first_byte(message, now_s)
             case Ended():
-                self.dispatcher.finish(message, now_s)
+                if not self._states.is_late(peer, message):
+                    self.dispatcher.finish(message, now_s)
             case PathLost(request, target):
                 self.dispatcher.mark_path_lost(request, target)
             case TargetNotices(notices):
@@ -208,6 +214,8 @@
         self._part_sync.send_news(includes_single=False)
         for decision in self.dispatcher.drain_decisions():
             answer = decision.answer
+            if isinstance(answer, Placed):
+                answer = self._states.start(decision.owner, answer, now_s)
             was_pending = self._resolve(decision.owner, answer.request, answer)
             emit_decision(
                 self.node.events,
@@ -218,6 +226,7 @@
             )
             if isinstance(answer, Placed) and not was_pending:
                 # The gateway no longer waits for the placement; frees its slot.
+                self._states.abandon_placement(decision.owner, answer)
                 self.dispatcher.abandon_placement(answer, now_s)
 
     def _merge_part_evidence(self, evidence: PartEvidence) -> None:
@@ -240,6 +249,7 @@
             # The scheduler before may still count the same gateways.
             takeover_s = compute_takeover(self._get_heartbeat_period_s())
             self._hold_back_excess(takeover_s, "take-over", now_s)
+        replied_s = self._gateways.find_replied_s(peer, heartbeat)
         self._gateways.record_heartbeat(peer, heartbeat, now_s)
         is_repeated = (
             is_known
@@ -249,8 +259,15 @@
         )
         if heartbeat.is_first and not is_repeated:
             self._import_gateway_state(peer, heartbeat, now_s)
+        elif heartbeat.is_whole and replied_s > float("-inf"):
+            # One that a link has held back does not answer the last reply.
+            corrections = self._states.correct(peer, heartbeat, replied_s, now_s)
+            self._correction_log.emit(peer, corrections)
+            self._deliver_decisions()
         self._update_limit_share(now_s)
-        return self._make_attach_reply(peer, heartbeat, now_s)
+        reply = self._make_attach_reply(peer, heartbeat, now_s)
+        asks_state = self._states.check(peer, heartbeat, replied_s, now_s)
+        return msgspec.structs.replace(reply, asks_state=True) if asks_state else reply
 
     def _import_gateway_state(self, peer: ProcessId, heartbeat: AttachAsk, now_s: float) -> None:
         """Import the state that a newly attached gateway sends."""
@@ -259,9 +276,8 @@
             self._list_requested.set()
         self._update_rollouts(now_s)
         self.dispatcher.mark_leaving(heartbeat.leaving)
-        self.dispatcher.apply_notices(peer, heartbeat.notices, now_s)
-        for work in heartbeat.running:
-            self.dispatcher.adopt(work, peer, now_s)
+        corrections = self._states.correct(peer, heartbeat, float("-inf"), now_s)
+        self._correction_log.emit_attached(peer, corrections)
         self._merge_usage(heartbeat.usage, peer, now_s)
         self.dispatcher.merge_holds(heartbeat.holds)
         self.dispatcher.merge_speeds(heartbeat.speeds)
@@ -361,6 +377,7 @@
 
     def _detach_gateway(self, gateway: ProcessId, reason: str, now_s: float) -> None:
         self.node.events.emit("gateway_detached", peer=gateway, reason=reason)
+        self._states.drop(gateway)
         self.dispatcher.drop_owner(gateway, now_s)
         for owner, request in [key for key in self._pending if key[0] == gateway]:
             self._resolve(owner, request, None)
--- a/troutstand/routing/schedulerwatch.py
+++ b/troutstand/routing/schedulerwatch.py
@@ -68,6 +68,8 @@
     reply_number: int = 0
     is_ready: bool = False
     is_attached: bool = False
+    # Whether the scheduler asks for the state that it keeps of this gateway.
+    is_state_asked: bool = False
     # When the scheduler became ready, as it reports.
     ready_since_s: float = float("-inf")
     # Attached gateways, as last reported by the scheduler.
