Keep the idle time of connections through a peer when the direct path is given up

A gateway that gave up the direct connections to a target put those through a peer back as if they had just become idle, so that one could be used, also by a request that may run once, after its target had closed it. Found by reading in the search for what may end an answer. The list is kept as it is. connectionpool.feature fails on the code before (the idle time was renewed) and passes.

--- a/troutstand/routing/connectionpool.py
+++ b/troutstand/routing/connectionpool.py
@@ -108,11 +108,12 @@
 
     def drop_direct(self, address: str) -> None:
         """Close the idle connections to an address that are not open through a peer."""
-        for connection in self._idle.pop(address, []):
-            if connection.peer:
-                self._return_idle(connection)
-            else:
+        idle = self._idle.pop(address, [])
+        for connection in idle:
+            if not connection.peer:
                 connection.abort()
+        if through_peers := [connection for connection in idle if connection.peer]:
+            self._idle[address] = through_peers
 
     def drop_peer(self, peer: str) -> None:
         """Close the idle connections that are open through a peer."""
