--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -19,7 +19,7 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from troutstand.generated.messages import Ended
     from troutstand.generated.routing import TierOrder
@@ -114,8 +114,8 @@
         attempt: int,
         excluded: list[str],
         failure_domain: str,
-        has_response_begun: bool,
-        running_at: list[str],
+        has_response_begun: bool = False,
+        running_at: Sequence[str] = (),
     ) -> RoutedWork:
         """Create the placement request for a scheduler.
 
@@ -150,7 +150,7 @@
             is_sticky=self.route.sticky,
             failure_domain=failure_domain,
             fingerprint=self.fingerprint,
-            running_at=running_at,
+            running_at=list(running_at),
         )
 
 
