Refuse a request ID or model that does not fit into messages at the door

A request ID of over 128 characters broke the schema of the messages between processes: each scheduler closed the gateway's links again and again, and the call was refused only at its deadline. The same went for IDs outside ASCII, models of over 256 characters, and numbers of tokens of any length. They are refused with 400 at once, before any message; parts of a prompt that do not fit are ignored, as malformed ones are. callheaders.feature: 6 of the new scenarios fail on the code before and pass.

--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -27,6 +27,14 @@
     from troutstand.routing.httpclient import Headers
 
 _MAX_PROMPT_PARTS = 64
+# What the messages between processes accept.
+_MAX_REQUEST_CHARACTERS = 128
+_MAX_MODEL_CHARACTERS = 256
+_MAX_PART_CHARACTERS = 128
+_MAX_TOKENS = 1 << 40
+_MAX_TOKEN_DIGITS = 12
+# Characters of a value that an error quotes.
+_MAX_QUOTED = 64
 _MS_PER_S = 1000.0
 
 
@@ -160,10 +168,14 @@
         return None
     prompt, _, output = text.partition(",")
     try:
-        return TokenCount(max(0, int(prompt)), max(0, int(output or 0)))
+        counts = [max(0, int(prompt)), max(0, int(output or 0))]
     except ValueError as error:
-        detail = f"token count {text!r} is not of the form PROMPT,OUTPUT"
+        detail = f"token count {text[:_MAX_QUOTED]!r} is not of the form PROMPT,OUTPUT"
         raise TroutstandError(ResultCode.FIELD_INVALID, detail) from error
+    if max(counts) > _MAX_TOKENS:
+        detail = f"token count {text[:_MAX_QUOTED]!r} exceeds {_MAX_TOKENS}"
+        raise TroutstandError(ResultCode.FIELD_INVALID, detail)
+    return TokenCount(*counts)
 
 
 def parse_prompt_parts(text: str | None) -> list[Part]:
@@ -171,11 +183,23 @@
     parts: list[Part] = []
     for entry in (text or "").split(",")[:_MAX_PROMPT_PARTS]:
         name, _, tokens = entry.strip().partition(":")
-        if name and tokens.isdigit():
+        is_name = name.isascii() and 0 < len(name) <= _MAX_PART_CHARACTERS
+        is_count = tokens.isdecimal() and tokens.isascii() and len(tokens) <= _MAX_TOKEN_DIGITS
+        if is_name and is_count:
             parts.append(Part(name, int(tokens)))
     return parts
 
 
+def _check_name(header: str, value: str, max_characters: int) -> None:
+    """Raise if a value from a caller would not fit into a message to another process."""
+    if len(value) > max_characters or not value.isascii():
+        detail = (
+            f"header {header}: got {len(value)} characters, "
+            f"at most {max_characters} of ASCII are accepted"
+        )
+        raise TroutstandError(ResultCode.FIELD_INVALID, detail)
+
+
 def list_shared_parts(parts: list[Part]) -> list[str]:
     """Return the names of a prompt's parts but the last, which is the request's own."""
     return [part.part for part in parts[:-1]]
@@ -212,6 +236,9 @@
     request = headers.get(names.request)
     if not request:
         raise TroutstandError(ResultCode.FIELD_INVALID, f"header {names.request} is missing")
+    model = headers.get(names.model, "")
+    _check_name(names.request, request, _MAX_REQUEST_CHARACTERS)
+    _check_name(names.model, model, _MAX_MODEL_CHARACTERS)
     workspace = None
     if table.requires_keys and not route.anonymous:
         workspace = table.find_workspace(headers.get(names.key, ""))
@@ -231,7 +258,7 @@
         version=table.version,
         tokens=tokens,
         expected_output=min(max_output, int(estimated_output)) if estimated_output else max_output,
-        model=headers.get(names.model, ""),
+        model=model,
         parts=parse_prompt_parts(headers.get(names.parts)),
         arrived_s=now_s,
         deadline_s=now_s + limit_ms / _MS_PER_S,
--- a/troutstand/tests/callheaders.feature
+++ b/troutstand/tests/callheaders.feature
@@ -29,3 +29,22 @@
       | inf   |
       | nan   |
       | 0     |
+
+  # Guards against a value of a caller that breaks the schema of a message, which closes links.
+  Scenario Outline: A call with <value> is refused as invalid at once
+    Given a call with 100 prompt tokens and at most 50 output tokens
+    When it is sent with <value>
+    Then it is refused as a field that is not valid
+
+    Examples:
+      | value                               |
+      | a request ID of 129 characters      |
+      | a request ID of 4000 characters     |
+      | a request ID outside ASCII          |
+      | a model of 257 characters           |
+      | a token count of 40 digits          |
+
+  Scenario: Parts of a prompt whose names or counts do not fit into messages are ignored
+    Given a call with 100 prompt tokens and at most 50 output tokens
+    When it is sent with parts that do not fit and one that does
+    Then only the part that fits is kept
