Pass compressed request bodies on as they were sent

A body with a content encoding reached its target decompressed, under the header that names the encoding: 20 of 20 commands. The server library decompresses by default; that is off. The scenario fails before (20 of 20 changed) and passes (0 of 20).

--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -120,6 +120,8 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             keepalive_timeout=_KEEP_ALIVE_TIMEOUT_S,
+            # Bodies reach targets as they were sent.
+            auto_decompress=False,
         )
         self._server = server
         runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_SHARE * self.settings.stop_s)
--- a/troutstand/tests/callheaders.feature
+++ b/troutstand/tests/callheaders.feature
@@ -48,3 +48,9 @@
     Given a call with 100 prompt tokens and at most 50 output tokens
     When it is sent with parts that do not fit and one that does
     Then only the part that fits is kept
+
+  # Guards against bodies that reach a target decompressed, under the header that says otherwise.
+  Scenario: A compressed body reaches its target as it was sent
+    Given a routed site with 0 engines and 1 plain targets
+    When 20 commands are sent with a compressed body
+    Then each of these commands reaches its target byte for byte
