--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -182,6 +182,32 @@
     """Ignore that a request is written."""
 
 
+def _find_failure(
+    error: ExchangeError, outgoing: OutgoingRequest, was_written: bool, is_resent: bool
+) -> SendError | None:
+    """Return how an attempt failed, or None if it may be sent again on a new connection.
+
+    Parameters
+    ----------
+    was_written
+        Whether the request was written, on the connection that failed or on one before it.
+    """
+    if not error.was_written and not error.was_stale:
+        # A request written on the reused connection may have run, even if no new connection
+        # could be opened. Counted as unsent it would be sent again and could be refused as
+        # "not run".
+        return SendError(
+            Ending.broken if was_written else Ending.unsent,
+            str(error),
+            is_target_gone=error.is_refused,
+            was_resent=is_resent,
+        )
+    may_resend = outgoing.is_repeatable or not error.was_written
+    if error.was_stale and may_resend and not is_resent:
+        return None
+    return SendError(Ending.broken, str(error), was_resent=is_resent)
+
+
 class Sender:
     """Send requests to targets."""
 
@@ -231,27 +257,14 @@
                 raise
             except ExchangeError as error:
                 was_written = was_written or error.was_written
-                if not error.was_written and not error.was_stale:
-                    # A request written on the reused connection may have run, even if no
-                    # new connection could be opened. Counted as unsent it would be sent again
-                    # and could be refused as "not run".
-                    raise SendError(
-                        Ending.broken if was_written else Ending.unsent,
-                        str(error),
-                        is_target_gone=error.is_refused,
-                        was_resent=use_new_connection,
-                    ) from error
-                may_resend = outgoing.is_repeatable or not error.was_written
-                if not (error.was_stale and may_resend and not use_new_connection):
-                    raise SendError(
-                        Ending.broken, str(error), was_resent=use_new_connection
-                    ) from error
+                failure = _find_failure(error, outgoing, was_written, use_new_connection)
+                if failure is not None:
+                    raise failure from error
                 if error.was_written and not await self._notices.charge_resend(
                     outgoing.request, placed.target
                 ):
-                    raise SendError(
-                        Ending.broken, f"{error}; the workspace's limit allows no further run"
-                    ) from error
+                    detail = f"{error}; the workspace's limit allows no further run"
+                    raise SendError(Ending.broken, detail) from error
                 # The target closed the idle connection; retry on a new one.
                 use_new_connection = True
 
