Keep the fields of a failed attempt's log line in their order

crashparts.feature, "The logs name the prompt parts", looks for the parts with a space behind them; the fix had made them the line's last field.

--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -418,8 +418,8 @@
             name,
             self._call.request,
             target=attempt.placed.target,
-            silent_ms=attempt.measure_silence_s() * 1000.0,
+            **fields,
             begun_ms=begun_ms,
             arrivals=self.history.arrived_count,
-            **fields,
+            silent_ms=attempt.measure_silence_s() * 1000.0,
         )
