Watch opened connections for as long as the path takes to drop them

Callers at gateways whose connections to targets open and are reset a moment later got 502, and callers at sound gateways 429, since the targets were ejected for all. Seen in whole runs of the checks as cutgateways.feature "are reset", "live on" and "Other gateways lose nothing".

Cause: a check of a path opens a connection and believes it after 30 ms. The stand-ins reset connections in their own process, which on a saturated machine takes longer, so the gateway believed a cut path to work and blamed the target.

Change: a connection that the other side closes before any byte came, within 0.25 s, sets the time for which others are watched: twice its age, 0.5 s at most, for 5 s. One that is dropped after it was believed has its path checked again at once, and a peer watches before it reports a tunnel as open.

--- a/troutstand/core/paths.py
+++ b/troutstand/core/paths.py
@@ -12,6 +12,15 @@
 _PROBE_INTERVAL_S = 1.0
 # Paths that are probed at once after one of them works again.
 _MAX_PROBED_AT_ONCE = 16
+# Time for which an opened connection is watched before its path counts as working: longer if
+# connections were lately dropped after they had opened.
+_MIN_SETTLE_S = 0.03
+_MAX_SETTLE_S = 0.5
+_SETTLE_FACTOR = 2.0
+# A connection that lived longer was not dropped by its path.
+_MAX_DROPPED_AGE_S = 0.25
+# Time after which a dropped connection no longer matters.
+_DROPS_TTL_S = 5.0
 # The addresses heard from longest ago are forgotten first.
 _MAX_HEARD = 4096
 # A cut path that no request has used for this long is forgotten.
@@ -60,6 +69,35 @@
         return self._by_address_s.get(address, float("-inf"))
 
 
+class DroppedConnections:
+    """Tell how long to watch an opened connection, from those dropped before any byte came.
+
+    Where packets are filtered on the way, a connection may open and be reset only afterwards.
+    """
+
+    def __init__(self) -> None:
+        self._longest_age_s = 0.0
+        self._last_s = float("-inf")
+
+    def record(self, age_s: float, now_s: float) -> bool:
+        """Record a dropped connection of this age; return whether its path is in doubt."""
+        if age_s > _MAX_DROPPED_AGE_S:
+            return False
+        longest_s = self._longest_age_s if self.is_recent(now_s) else 0.0
+        self._longest_age_s, self._last_s = max(longest_s, age_s), now_s
+        return True
+
+    def is_recent(self, now_s: float) -> bool:
+        """Return whether a connection was dropped lately."""
+        return now_s - self._last_s < _DROPS_TTL_S
+
+    def get_settle_s(self, now_s: float) -> float:
+        """Return the seconds after which an opened connection counts as staying open."""
+        if not self.is_recent(now_s):
+            return _MIN_SETTLE_S
+        return min(_MAX_SETTLE_S, max(_MIN_SETTLE_S, _SETTLE_FACTOR * self._longest_age_s))
+
+
 class PathTable:
     """Hold the addresses that this gateway reaches only through peers.
 
@@ -70,6 +108,8 @@
     def __init__(self) -> None:
         # When bytes came over direct connections.
         self.heard = HeardTimes()
+        # Direct connections that were closed by the other side before any byte came.
+        self.dropped = DroppedConnections()
         self._cut: dict[str, CutPath] = {}
         self._last_direct_s = float("-inf")
         self._next_probe_s = float("-inf")
--- a/troutstand/routing/dialer.py
+++ b/troutstand/routing/dialer.py
@@ -20,8 +20,6 @@
 
 # A connection that is not open after this time is opened through a peer meanwhile.
 _HEAD_START_S = 0.1
-# A checked connection that is closed within this time does not count as open.
-_SETTLE_S = 0.03
 
 
 class Dialer:
@@ -83,7 +81,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(address, self.paths.heard),
+                    lambda: self._make_direct(address),
                     endpoint.ip,
                     endpoint.port,
                     local_addr=self._bind_address,
@@ -98,6 +96,11 @@
         self.opened_count += 1
         return connection
 
+    def _make_direct(self, address: str) -> TargetConnection:
+        connection = TargetConnection(address, self.paths.heard)
+        connection.on_dropped = self._handle_dropped
+        return connection
+
     async def _connect_through_peer(
         self, address: str, timeout_s: float | None = None
     ) -> TargetConnection:
@@ -177,12 +180,12 @@
 
     async def check(self, address: str) -> Reach:
         """Check how an address is reached; concurrent calls share one check."""
-        check = self._checks.get(address)
-        if check is None:
-            check = asyncio.create_task(self._check(address))
-            self._checks[address] = check
-            check.add_done_callback(lambda _: self._checks.pop(address, None))
-        return await asyncio.shield(check)
+        return await asyncio.shield(self._checks.get(address) or self._start_check(address))
+
+    def _start_check(self, address: str) -> asyncio.Task[Reach]:
+        check = self._checks[address] = asyncio.create_task(self._check(address))
+        check.add_done_callback(lambda _: self._checks.pop(address, None))
+        return check
 
     def is_checking(self, address: str) -> bool:
         """Return whether a check of an address is in progress."""
@@ -206,11 +209,19 @@
         """
         connection = await self._connect_directly(address)
         if self.has_peers:
-            await asyncio.sleep(_SETTLE_S)
+            await asyncio.sleep(self.paths.dropped.get_settle_s(read_clock_s()))
         if connection.is_closed:
             raise ExchangeError("the connection was closed after it was opened", False)
         self.on_unused(connection)
 
+    def _handle_dropped(self, connection: TargetConnection) -> None:
+        """Check a path again whose connection was dropped after it counted as open."""
+        now_s, address = read_clock_s(), connection.address
+        is_in_doubt = self.paths.dropped.record(now_s - connection.opened_s, now_s)
+        is_known = self.is_checking(address) or self.paths.is_cut(address)
+        if is_in_doubt and self.has_peers and not is_known:
+            self._start_check(address)
+
     async def _check_through_peer(self, address: str, direct_error: ExchangeError) -> Reach:
         if not self.has_peers:
             return Reach.REFUSED if direct_error.is_refused else Reach.UNREACHED
@@ -253,6 +264,7 @@
                 detail=str(error),
                 cut=len(self.paths),
                 isolated=self.paths.is_isolated,
+                settle_ms=self.paths.dropped.get_settle_s(read_clock_s()) * 1000.0,
             )
 
     def _record_direct(self, address: str) -> None:
--- a/troutstand/routing/httpclient.py
+++ b/troutstand/routing/httpclient.py
@@ -19,8 +19,11 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from troutstand.core.paths import HeardTimes
     from troutstand.routing.bodymemory import BodyMemory
+
 Headers = list[tuple[str, str]]
 
 _MAX_BUFFERED_BYTES = 256 << 10
@@ -99,6 +102,9 @@
         # The peer gateway through which it is open; empty if it is direct.
         self.peer = ""
         self.request_count = 0
+        self.opened_s = 0.0
+        # Called if the other side closes the connection before any byte came.
+        self.on_dropped: Callable[[TargetConnection], None] | None = None
         # Time of the latest bytes, on the steady clock.
         self.heard_s = float("-inf")
         self.idle_since_s = 0.0
@@ -136,6 +142,7 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.opened_s = read_clock_s()
 
     def data_received(self, data: bytes) -> None:
         """Parse the data; unexpected bytes make the connection unusable."""
@@ -192,7 +199,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an incomplete response."""
+        is_dropped = not self.is_closed and self.heard_s == float("-inf")
         self.is_closed = True
+        if is_dropped and self.on_dropped is not None:
+            self.on_dropped(self)
         if not self._is_complete:
             self._fail(f"connection lost: {exc or 'closed'}")
         self._state_changed.set()
--- a/troutstand/routing/tunnelserver.py
+++ b/troutstand/routing/tunnelserver.py
@@ -173,8 +173,22 @@
         except ValueError:
             # The address has no valid port.
             return TunnelOutcome.DENIED, None
+        if await self._is_dropped(target[0]):
+            target[1].transport.abort()
+            return TunnelOutcome.UNREACHED, None
         return TunnelOutcome.OPENED, target
 
+    async def _is_dropped(self, reader: asyncio.StreamReader) -> bool:
+        """Return whether a new connection is dropped; waits only if others were lately."""
+        opened_s, dropped = read_clock_s(), self._paths.dropped
+        if not dropped.is_recent(opened_s):
+            return False
+        await asyncio.sleep(dropped.get_settle_s(opened_s))
+        is_dropped = reader.at_eof() or reader.exception() is not None
+        if is_dropped:
+            dropped.record(read_clock_s() - opened_s, read_clock_s())
+        return is_dropped
+
 
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
--- a/troutstand/testing/partition.py
+++ b/troutstand/testing/partition.py
@@ -31,8 +31,12 @@
     HANG = "hang"
     # Open connections are reset, and new ones too.
     RESET = "are reset"
+    # The same, but new connections open first and are reset a moment later.
+    RESET_LATE = "are reset late"
     # Open connections go on, and new ones are reset.
     REJECT_NEW = "live on"
+    # Open connections go on, and new ones open and are reset a moment later.
+    REJECT_NEW_LATE = "live on with late resets"
 
 
 def drop_packets(sock: socket.socket, sources: Sequence[str]) -> None:
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -29,6 +29,8 @@
 _STREAM_HEADERS = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 # Share of the crashes on a prompt part that come after the head of the response.
 _HEAD_FIRST_SHARE = 0.5
+# Time after which a connection is reset that a cut lets open.
+_LATE_RESET_S = 0.06
 # The event in which a stream is cut off, counted from the first event of the response.
 _CUT_EVENT = 2
 
@@ -177,9 +179,9 @@
             match kind:
                 case CutKind.HANG:
                     writer.hold()
-                case CutKind.RESET:
+                case CutKind.RESET | CutKind.RESET_LATE:
                     reset_connection(writer)
-                case CutKind.REJECT_NEW:
+                case CutKind.REJECT_NEW | CutKind.REJECT_NEW_LATE:
                     pass
 
     def heal(self, source: str | None = None) -> None:
@@ -257,6 +259,10 @@
             case CutKind.RESET | CutKind.REJECT_NEW:
                 reset_connection(writer)
                 return
+            case CutKind.RESET_LATE | CutKind.REJECT_NEW_LATE:
+                await asyncio.sleep(_LATE_RESET_S)
+                reset_connection(writer)
+                return
             case CutKind.HANG:
                 # It was accepted before the cut.
                 writer.hold()
--- a/troutstand/tests/lostpaths.feature
+++ b/troutstand/tests/lostpaths.feature
@@ -49,6 +49,26 @@
     When the first one is reached directly
     Then the second is probed at once
 
+  # Guards against a handshake that passes for a working path.
+  Scenario Outline: Opened connections are watched <for_s> s after one was dropped at <age_s> s
+    Given a gateway with paths to 4 targets
+    When a connection is dropped <age_s> s after it opened
+    Then new connections are watched for <for_s> s
+    And 6 s later for 0.03 s
+
+    Examples:
+      | age_s | for_s |
+      | 0.001 | 0.03  |
+      | 0.06  | 0.12  |
+      | 0.25  | 0.5   |
+      | 0.3   | 0.03  |
+
+  Scenario: The longest-lived of several dropped connections tells how long others are watched
+    Given a gateway with paths to 4 targets
+    When a connection is dropped 0.1 s after it opened
+    And a connection is dropped 0.02 s after it opened
+    Then new connections are watched for 0.2 s
+
   Scenario: A cut path that no request uses is forgotten
     Given a gateway with paths to 4 targets
     When only a peer reaches the first one
--- a/troutstand/tests/steps/lostpaths.py
+++ b/troutstand/tests/steps/lostpaths.py
@@ -20,6 +20,7 @@
     from troutstand.core.targetstate import TargetState
 
 _GATEWAY = "gateway-1"
+_TOLERANCE_S = 1e-9
 _ORDINALS = ("first", "second", "third", "fourth")
 
 
@@ -122,6 +123,23 @@
     context.paths.heard.record(_name_address(which), context.now_s)
 
 
+@when("a connection is dropped {age_s:g} s after it opened")
+def drop_connection(context: Context, age_s: float) -> None:
+    context.paths.dropped.record(age_s, context.now_s)
+
+
+@then("new connections are watched for {for_s:g} s")
+def check_settle(context: Context, for_s: float) -> None:
+    found = context.paths.dropped.get_settle_s(context.now_s)
+    assert abs(found - for_s) < _TOLERANCE_S, found
+
+
+@then("{later_s:g} s later for {for_s:g} s")
+def check_settle_later(context: Context, later_s: float, for_s: float) -> None:
+    context.now_s += later_s
+    check_settle(context, for_s)
+
+
 @when("{length_s:g} s pass without a request")
 def pass_unused(context: Context, length_s: float) -> None:
     context.now_s += length_s
