--- a/troutstand/testing/scriptedtarget.py
+++ b/troutstand/testing/scriptedtarget.py
@@ -63,6 +63,8 @@
     replies: Sequence[Reply]
     received: list[ReceivedRequest] = field(default_factory=list)
     address: str = ""
+    # Resets each connection this long after it has opened; None resets none.
+    reset_after_s: float | None = None
     # Set when a caller has closed a connection.
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     _connections: int = 0
@@ -90,6 +92,10 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections += 1
         connection = self._connections
+        if self.reset_after_s is not None:
+            await asyncio.sleep(self.reset_after_s)
+            reset_connection(writer)
+            return
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while await self._serve_one(reader, writer, connection):
                 pass
--- a/troutstand/tests/steps/tunnels.py
+++ b/troutstand/tests/steps/tunnels.py
@@ -50,6 +50,8 @@
 _READ_BYTES = 1 << 16
 _GONE = "that has ended"
 _DARK = "that lets connections time out"
+_DROPS = "that resets connections a moment after they open"
+_DROPPED_AGE_S = 0.03
 _CHUNKED = "Transfer-Encoding: chunked\r\n"
 _REPLIES = {
     "that answers in full": Reply(make_answer()),
@@ -70,6 +72,7 @@
     ),
     _GONE: Reply(b""),
     _DARK: Reply(b""),
+    _DROPS: Reply(b""),
 }
 
 
@@ -116,6 +119,8 @@
             now_s = time.monotonic()
             for number in range(2):
                 paths.record_cut(f"{_IP}:{number + 1}", True, now_s)
+        if self.kind == "had connections reset a moment after they opened":
+            paths.dropped.record(_DROPPED_AGE_S, time.monotonic())
         await self.server.start()
 
     async def _serve_and_end(
@@ -188,6 +193,8 @@
 
 def _open(context: Context, what: str, peers: list[Peer]) -> None:
     target = ScriptedTarget([_REPLIES[what]])
+    if what == _DROPS:
+        target.reset_after_s = _DROPPED_AGE_S
     context.tunnels = TunnelScene(target, what == _GONE, peers, is_dark=what == _DARK)
 
 
@@ -350,6 +357,11 @@
     assert "busy" in context.tunnels.refusal, context.tunnels.refusal
 
 
+@then("it is refused, since the peer reports that the target is unreached")
+def check_unreached(context: Context) -> None:
+    assert "unreached" in context.tunnels.refusal, context.tunnels.refusal
+
+
 @then("the stopping peer is {state}")
 def check_busy(context: Context, state: str) -> None:
     assert context.tunnels.busy_count == (state == "busy"), context.tunnels.busy_count
--- a/troutstand/tests/tunnels.feature
+++ b/troutstand/tests/tunnels.feature
@@ -99,3 +99,14 @@
       | that writes 100 and stays open                    | busy  |
       | that answers in full and stays open               | idle  |
       | that answers in chunks and stays open             | idle  |
+
+  # Guards against a peer that reports a path as working which lets connections open and resets them.
+  Scenario: A peer that had connections reset lately watches the next one before it reports it
+    Given 1 peers of which 1 had connections reset a moment after they opened, and a target that resets connections a moment after they open
+    When a connection through a peer is asked for
+    Then it is refused, since the peer reports that the target is unreached
+
+  Scenario: A peer that had connections reset lately opens one that stays open
+    Given 1 peers of which 1 had connections reset a moment after they opened, and a target that answers in full
+    When a request is sent through a peer
+    Then its outcome is whole, and the target saw 1 requests
