Withdraw usage that returning gateways assume though they had ended

Cause: a gateway that no keeper heard from for more than 1.5 s assumes at its start that it went on as before. The scheduler had found it ended (its host refused connections) and given its part to the others meanwhile, and counted the assumption as well: limit_usage told used=42401 of_others=12741 assumed=26370 most=53120 share=1 refused=271.

Change: the scheduler sums the part of a silence in which a gateway may have decided alone: from the last reply that it has echoed to the first refused connection, and from the last refused one to its first heartbeat. Hosts that answer nothing change nothing.

Evidence: gatewayreturns.feature, on a virtual clock.

--- a/troutstand/core/gatewayregistry.py
+++ b/troutstand/core/gatewayregistry.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from troutstand.core.peers import PeerDirectory
@@ -39,6 +40,14 @@
     return max(GATEWAY_TIMEOUT_S, compute_lease(period_s))
 
 
+class ProbeResult(Enum):
+    """Tell how a silent gateway's host answered a connection."""
+
+    REFUSED = "refused"
+    ACCEPTED = "accepted"
+    UNANSWERED = "unanswered"
+
+
 @dataclass
 class GatewayState:
     """Hold the state of a gateway from its latest heartbeat."""
@@ -58,6 +67,20 @@
     has_echoed: bool = False
     # Whether its host refuses connections to it, so that no such process decides anything.
     has_ended: bool = False
+    # When its host last refused a connection.
+    refused_s: float = float("-inf")
+    # Seconds of its silence for which it may have decided alone.
+    unclear_s: float = 0.0
+    # The same of the silence before this incarnation.
+    absent_s: float = float("inf")
+
+    @property
+    def clear_s(self) -> float:
+        """Return when the gateway last used no share unheard, -inf if unknown.
+
+        A heartbeat that a link has held back does not tell.
+        """
+        return max(self.confirmed_s if self.has_echoed else float("-inf"), self.refused_s)
 
 
 @dataclass(frozen=True)
@@ -144,6 +167,9 @@
             known.replied_s,
             self._find_confirmed_s(known, ask, now_s),
             not ask.is_first and (known.has_echoed or _is_echo(known, ask)),
+            absent_s=known.absent_s
+            if known.incarnation == ask.incarnation
+            else known.unclear_s + now_s - known.clear_s,
         )
         self._peers.update(gateway, ask.failure_domain, is_usable=not ask.is_isolated)
         self._first_heartbeat_s = min(self._first_heartbeat_s, now_s)
@@ -214,6 +240,14 @@
         ended = sum(state.has_ended for state in states)
         return LimitShare(len(counted), told, ended, self.gateway_count)
 
+    def get_absence_s(self, gateway: ProcessId) -> float:
+        """Return the seconds before its start for which a gateway may have decided alone.
+
+        It did not after it was found to have ended.
+        """
+        state = self._states.get(gateway)
+        return state.absent_s if state is not None else float("inf")
+
     def list_silent(self, now_s: float, lease_s: float) -> list[ProcessId]:
         """Return the gateways that may decide alone, or have ended.
 
@@ -230,19 +264,27 @@
             if now_s - state.last_heard_s > (lease_s if state.is_attached else longest_s)
         ]
 
-    def set_ended(self, gateway: ProcessId, heard_s: float, has_ended: bool) -> bool:
+    def record_probe(
+        self, gateway: ProcessId, heard_s: float, result: ProbeResult, began_s: float, now_s: float
+    ) -> bool:
         """Record whether a silent gateway has ended; return whether that is new.
 
         Parameters
         ----------
         heard_s
             When the gateway was last heard from, as it was found out; a later heartbeat is newer.
+        began_s
+            When its host was asked.
         """
         state = self._states.get(gateway)
-        if state is None or state.last_heard_s != heard_s or state.has_ended is has_ended:
+        if state is None or state.last_heard_s != heard_s:
             return False
-        state.has_ended = has_ended
-        return True
+        had_ended, state.has_ended = state.has_ended, result is ProbeResult.REFUSED
+        if state.has_ended:
+            if not had_ended:
+                state.unclear_s += now_s - state.clear_s
+            state.refused_s = began_s
+        return state.has_ended is not had_ended
 
     def detach_silent(self, now_s: float, timeout_s: float) -> dict[ProcessId, float]:
         """Detach silent gateways and remove expired ones; return each detached one's silence."""
--- a/troutstand/core/limits/quota.py
+++ b/troutstand/core/limits/quota.py
@@ -15,6 +15,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from troutstand.core.limits.assumedusage import name_assumed, name_continued
 from troutstand.core.limits.promises import Promises
 from troutstand.core.limits.sharedusage import SharedUsage, sum_tokens
 from troutstand.core.limits.slidingwindow import spread_evenly
@@ -386,9 +387,14 @@
             counted.append(Level(name, parts))
             assumed.append(Level(name, [max(0, most - sum(parts))]))
         snapshots = [
-            UsageSnapshot(f"{source}.continued", 1, self.share, levels=counted, is_private=True),
+            UsageSnapshot(name_continued(source), 1, self.share, levels=counted, is_private=True),
             UsageSnapshot(
-                f"{source}.assumed", 1, self.share, levels=assumed, is_private=True, is_assumed=True
+                name_assumed(source),
+                1,
+                self.share,
+                levels=assumed,
+                is_private=True,
+                is_assumed=True,
             ),
         ]
         return [snapshot for snapshot in snapshots if snapshot.levels]
--- a/troutstand/routing/gatewayprobes.py
+++ b/troutstand/routing/gatewayprobes.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from troutstand.core.gatewayregistry import ProbeResult
 from troutstand.routing.node import parse_address
 from troutstand.util.clock import read_clock_s
 
@@ -71,16 +72,19 @@
         if state is None:
             return
         heard_s = state.last_heard_s
-        has_ended = await self._is_refused(gateway)
-        if self._gateways.set_ended(gateway, heard_s, has_ended):
+        began_s = read_clock_s()
+        result = await self._connect(gateway)
+        now_s = read_clock_s()
+        if self._gateways.record_probe(gateway, heard_s, result, began_s, now_s):
             self._node.events.emit(
-                "gateway_ended" if has_ended else "gateway_unclear",
+                "gateway_ended" if result is ProbeResult.REFUSED else "gateway_unclear",
                 peer=gateway,
-                silent_s=read_clock_s() - heard_s,
+                result=result.value,
+                silent_s=now_s - heard_s,
             )
             self._on_change()
 
-    async def _is_refused(self, gateway: ProcessId) -> bool:
+    async def _connect(self, gateway: ProcessId) -> ProbeResult:
         address = parse_address(gateway)
         bind_ip = self._node.settings.bind_ip
         try:
@@ -89,11 +93,11 @@
                     address.ip, address.port, local_addr=(bind_ip, 0) if bind_ip else None
                 )
         except ConnectionRefusedError:
-            return True
+            return ProbeResult.REFUSED
         except OSError:
             # Silence, also as TimeoutError, does not tell whether the process has ended.
-            return False
+            return ProbeResult.UNANSWERED
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
-        return False
+        return ProbeResult.ACCEPTED
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -16,6 +16,7 @@
 from troutstand.core.decision import decline_quarantined
 from troutstand.core.dispatch import Dispatcher
 from troutstand.core.errors import TroutstandError
+from troutstand.core.limits.assumedusage import MAX_RESTART_S
 from troutstand.core.limits.quota import Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.noticestore import NoticeStore
@@ -50,11 +51,7 @@
     LocalDecider,
 )
 from troutstand.routing.targetlist import TargetListError
-from troutstand.routing.usagehandover import (
-    MAX_RESTART_S,
-    UsageHandover,
-    name_decider,
-)
+from troutstand.routing.usagehandover import UsageHandover, name_decider
 from troutstand.routing.usagelog import UsageLog
 from troutstand.routing.usagesync import TAKEOVER_S, UsageSync, load_usage
 from troutstand.util.clock import read_clock_s
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -17,6 +17,7 @@
     compute_lease,
 )
 from troutstand.core.gatewaystates import GatewayStates
+from troutstand.core.limits.assumedusage import withdraw_assumed
 from troutstand.core.limits.quota import Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.generated.messages import (
@@ -278,7 +279,11 @@
         self.dispatcher.mark_leaving(heartbeat.leaving)
         corrections = self._states.correct(peer, heartbeat, float("-inf"), now_s)
         self._correction_log.emit_attached(peer, corrections)
-        self._merge_usage(heartbeat.usage, peer, now_s)
+        absent_s = self._gateways.get_absence_s(peer)
+        source = name_decider(peer, heartbeat.incarnation)
+        usage = withdraw_assumed(heartbeat.usage, source, absent_s)
+        self._usage_log.emit_withdrawn(heartbeat.usage, usage, absent_s)
+        self._merge_usage(usage, peer, now_s)
         self.dispatcher.merge_holds(heartbeat.holds)
         self.dispatcher.merge_speeds(heartbeat.speeds)
         self.dispatcher.crashes.merge(heartbeat.crashes, now_s)
--- a/troutstand/routing/usagehandover.py
+++ b/troutstand/routing/usagehandover.py
@@ -17,9 +17,6 @@
 _MS_PER_S = 1000.0
 # Covers that a placement overtakes a heartbeat's reply.
 _REORDERING_S = 0.05
-# A gateway that no keeper heard from for longer before its start may have been cut off and have
-# used its share of the limits without telling anybody.
-MAX_RESTART_S = 1.5
 
 
 class SentCharge(NamedTuple):
--- a/troutstand/routing/usagelog.py
+++ b/troutstand/routing/usagelog.py
@@ -63,6 +63,20 @@
                 decider=self.decider,
             )
 
+    def emit_withdrawn(
+        self, told: Iterable[UsageSnapshot], counted: Iterable[UsageSnapshot], absent_s: float
+    ) -> None:
+        """Log the usage that a gateway assumed and that does not count, since it had ended."""
+        for before, after in zip(told, counted, strict=True):
+            if before is not after:
+                self.events.emit(
+                    "limit_usage_withdrawn",
+                    counted_by=before.source,
+                    absent_s=absent_s,
+                    tokens=sum(sum(level.taken) for level in before.levels),
+                    decider=self.decider,
+                )
+
     def emit_held_back(self, length_s: float, reason: str) -> None:
         """Log for how long no excess is admitted; what the limits allow still is."""
         self.events.emit(
--- a/troutstand/testing/limitsimulation.py
+++ b/troutstand/testing/limitsimulation.py
@@ -20,11 +20,11 @@
     compute_lease,
 )
 from troutstand.core.ids import ProcessId
+from troutstand.core.limits.assumedusage import MAX_RESTART_S
 from troutstand.core.limits.quota import QuotaBounds, Quotas, Verdict
 from troutstand.core.limits.usagebook import UsageBook
 from troutstand.routing.placement import DEFAULT_GATEWAY_COUNT
 from troutstand.routing.usagehandover import (
-    MAX_RESTART_S,
     UsageHandover,
     is_counted_by,
     name_decider,
