Count no assumed usage of gateways that are starting where they are seen

Cause: that time counted as time in which the gateway may have been cut off and alone, and with the time before the first refused connection it came to more than 1.5 s, so that the assumption stayed.

Change: a connection that is accepted after refused ones shows that the gateway starts and is not cut off. It counts so for 3 s, and no longer after a probe without an answer.

--- a/troutstand/core/gatewayregistry.py
+++ b/troutstand/core/gatewayregistry.py
@@ -25,6 +25,8 @@
 # the minimum TCP retransmission timeout (0.2 s), so that one lost packet is tolerated.
 SCHEDULER_TIMEOUT_S = 0.4
 _MAX_SILENT_PERIODS = 2.5
+# A gateway that starts sends heartbeats within this time of accepting connections.
+_MAX_START_S = 3.0
 
 
 def compute_lease(period_s: float) -> float:
@@ -67,8 +69,10 @@
     has_echoed: bool = False
     # Whether its host refuses connections to it, so that no such process decides anything.
     has_ended: bool = False
-    # When its host last refused a connection.
-    refused_s: float = float("-inf")
+    # When a probe last told that it had ended, or that it starts after that.
+    probed_s: float = float("-inf")
+    # When its host accepted a connection after it had ended.
+    accepted_s: float = float("-inf")
     # Seconds of its silence for which it may have decided alone.
     unclear_s: float = 0.0
     # The same of the silence before this incarnation.
@@ -80,7 +84,7 @@
 
         A heartbeat that a link has held back does not tell.
         """
-        return max(self.confirmed_s if self.has_echoed else float("-inf"), self.refused_s)
+        return max(self.confirmed_s if self.has_echoed else float("-inf"), self.probed_s)
 
 
 @dataclass(frozen=True)
@@ -243,7 +247,7 @@
     def get_absence_s(self, gateway: ProcessId) -> float:
         """Return the seconds before its start for which a gateway may have decided alone.
 
-        It did not after it was found to have ended.
+        It did not from when it was found to have ended until it accepted connections for too long.
         """
         state = self._states.get(gateway)
         return state.absent_s if state is not None else float("inf")
@@ -280,10 +284,18 @@
         if state is None or state.last_heard_s != heard_s:
             return False
         had_ended, state.has_ended = state.has_ended, result is ProbeResult.REFUSED
-        if state.has_ended:
-            if not had_ended:
-                state.unclear_s += now_s - state.clear_s
-            state.refused_s = began_s
+        match result:
+            case ProbeResult.REFUSED:
+                if not had_ended:
+                    state.unclear_s += now_s - state.clear_s
+                state.probed_s, state.accepted_s = began_s, float("-inf")
+            case ProbeResult.ACCEPTED:
+                if had_ended:
+                    state.accepted_s = now_s
+                if _is_starting(state, now_s):
+                    state.probed_s = began_s
+            case ProbeResult.UNANSWERED:
+                state.accepted_s = float("-inf")
         return state.has_ended is not had_ended
 
     def detach_silent(self, now_s: float, timeout_s: float) -> dict[ProcessId, float]:
@@ -311,6 +323,11 @@
     return state.is_attached and now_s - state.confirmed_s <= lease_s
 
 
+def _is_starting(state: GatewayState, now_s: float) -> bool:
+    """Return whether a gateway has ended, and accepts connections again."""
+    return not state.has_ended and now_s - state.accepted_s <= _MAX_START_S
+
+
 def _is_echo(known: GatewayState, ask: AttachAsk) -> bool:
     """Return whether a heartbeat answers the last reply to its gateway."""
     return ask.echo == known.reply_number and known.reply_number > 0
--- a/troutstand/tests/gatewayreturns.feature
+++ b/troutstand/tests/gatewayreturns.feature
@@ -3,16 +3,19 @@
   # Guards against usage that returning gateways assume although they are known to have ended.
   Scenario Outline: Gateways that are known to have ended count no usage when <away> of <gateways> return
     Given simulated returns of <away> of <gateways> gateways with seeds from 0 to 7
-    When they return within <spread> s
+    When they return within <spread> s, and take <start> s from listening to a heartbeat
     Then no usage counts that nobody counted
     And none of the requests is refused
 
     Examples:
-      | away | gateways | spread |
-      | 3    | 4        | 0.5    |
-      | 6    | 8        | 2      |
-      | 11   | 14       | 1      |
-      | 11   | 14       | 8      |
+      | away | gateways | spread | start |
+      | 3    | 4        | 0.5    | 0.2   |
+      | 6    | 8        | 2      | 0.2   |
+      | 11   | 14       | 1      | 0.2   |
+      | 11   | 14       | 8      | 0.2   |
+      | 6    | 8        | 3      | 1     |
+      | 11   | 14       | 3      | 1     |
+      | 11   | 14       | 8      | 1     |
 
   # Guards against usage of gateways that decided alone, cut off from all, which must count.
   Scenario: Gateways that may have decided alone count what they may have used
--- a/troutstand/tests/steps/gatewayreturns.py
+++ b/troutstand/tests/steps/gatewayreturns.py
@@ -17,6 +17,7 @@
 
 _GATEWAY = ProcessId("g0")
 _HEARD_S = 100.0
+_START_S = 0.2
 
 
 @given(
@@ -26,22 +27,23 @@
     context.plans = [ReturnPlan(seed, gateways, away) for seed in range(first, last + 1)]
 
 
-def _run_all(context: Context, spread_s: float, is_cut: bool) -> None:
+def _run_all(context: Context, spread_s: float, start_s: float, is_cut: bool) -> None:
     context.simulations = [
-        ReturnSimulation(replace(plan, spread_s=spread_s, is_cut=is_cut)) for plan in context.plans
+        ReturnSimulation(replace(plan, spread_s=spread_s, start_s=start_s, is_cut=is_cut))
+        for plan in context.plans
     ]
     for simulation in context.simulations:
         simulation.run()
 
 
-@when("they return within {spread_s:g} s")
-def run_returns(context: Context, spread_s: float) -> None:
-    _run_all(context, spread_s, is_cut=False)
+@when("they return within {spread_s:g} s, and take {start_s:g} s from listening to a heartbeat")
+def run_returns(context: Context, spread_s: float, start_s: float) -> None:
+    _run_all(context, spread_s, start_s, is_cut=False)
 
 
 @when("they return within {spread_s:g} s, and their hosts answered nothing")
 def run_cut_returns(context: Context, spread_s: float) -> None:
-    _run_all(context, spread_s, is_cut=True)
+    _run_all(context, spread_s, _START_S, is_cut=True)
 
 
 @then("no usage counts that nobody counted")
