Tell by which code calls were refused in limitreturns.feature, and the causes

What was seen: the step "none of its calls is refused for its limit" counts each 429.

Change: the failure names the codes. The bound is the same: no 429 of either code.

--- a/troutstand/tests/steps/limitreturns.py
+++ b/troutstand/tests/steps/limitreturns.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from behave import given, then, when
@@ -103,7 +105,10 @@
     calls = [call for load in context.loads for call in load.calls]
     refused = [call for call in calls if call.status == _LIMITED_STATUS]
     print(*(load.describe() for load in context.loads))
-    assert not refused, f"{len(refused)} of {len(calls)}\n{describe_limits(context)}"
+    # Calls that are shed have the same status and another code.
+    codes = dict(Counter(json.loads(call.body)["code"] for call in refused))
+    summary = f"{len(refused)} of {len(calls)} refused, by code: {codes}"
+    assert not refused, f"{summary}\n{describe_limits(context)}"
 
 
 @then(
