Tell a scheduler at once of placements that nobody waits for

What callers saw: a slot stayed taken for up to a heartbeat's period, 1.3 s with 330 gateways, by a request that its gateway did not wait for.

Cause: a request may wait at the scheduler after its Abandon was lost or overtaken, and is placed when its turn comes. Its gateway dropped that placement in silence, or it was written to a closed connection. Nothing showed it before the next heartbeat but one, if the next one came within 0.25 s of the placement.

Change: a gateway that gets a placement for which nothing waits records its number and sends a heartbeat at once. A link server cancels the futures of answers whose connection has closed, so that the scheduler frees such a placement in the same turn and gives its charge back.

The simulation models both changes: it wakes a gateway's heartbeat, and frees a placement whose connection is not the current one; what is compared and the faults are as before.

--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -60,6 +60,19 @@
     message: PeerMessage
 
 
+@dataclass
+class _Replies:
+    """Hold the replies of one connection that are not sent, and those that are not ready."""
+
+    queue: asyncio.Queue[bytes] = field(default_factory=lambda: asyncio.Queue(_MAX_QUEUED_REPLIES))
+    awaited: set[asyncio.Future[PeerMessage | None]] = field(default_factory=set)
+
+    def cancel(self) -> None:
+        """Cancel the futures of the replies that are not ready."""
+        for future in list(self.awaited):
+            future.cancel()
+
+
 @dataclass(frozen=True)
 class Identity:
     """Identify a process of a site and hold the site's key."""
@@ -102,6 +115,9 @@
     ----------
     peers
         The processes that may connect; None accepts every process with the site's key.
+    handler
+        Returns the reply, if there is one, or an awaitable of it. A future is cancelled if its
+        connection closes, since nobody gets its result; a coroutine runs to its end.
     """
 
     def __init__(
@@ -170,8 +186,8 @@
             return
         self._connections[connection] = peer
         self._events.emit("link_accepted", peer=peer)
-        replies: asyncio.Queue[bytes] = asyncio.Queue(_MAX_QUEUED_REPLIES)
-        writer = asyncio.create_task(_send_queued(connection, replies))
+        replies = _Replies()
+        writer = asyncio.create_task(_send_queued(connection, replies.queue))
         try:
             await self._read_frames(connection, peer, replies)
         except websockets.ConnectionClosed:
@@ -179,6 +195,7 @@
             pass
         finally:
             writer.cancel()
+            replies.cancel()
             self._events.emit("link_lost", peer=peer)
 
     async def _authenticate(self, connection: ServerConnection) -> ProcessId:
@@ -204,7 +221,7 @@
         return ProcessId(greeting.process)
 
     async def _read_frames(
-        self, connection: ServerConnection, peer: ProcessId, replies: asyncio.Queue[bytes]
+        self, connection: ServerConnection, peer: ProcessId, replies: _Replies
     ) -> None:
         async for data in connection:
             try:
@@ -216,8 +233,11 @@
             self._events.clock.receive(frame.stamp)
             self._handle_frame(peer, frame, replies)
 
-    def _handle_frame(self, peer: ProcessId, frame: Frame, replies: asyncio.Queue[bytes]) -> None:
+    def _handle_frame(self, peer: ProcessId, frame: Frame, replies: _Replies) -> None:
         result = self._handler(peer, frame.message)
+        if isinstance(result, asyncio.Future):
+            replies.awaited.add(result)
+            result.add_done_callback(replies.awaited.discard)
         if isinstance(result, Awaitable):
             task = asyncio.create_task(self._reply_when_ready(result, frame, replies))
             self._tasks.add(task)
@@ -229,7 +249,7 @@
         self,
         result: Awaitable[PeerMessage | None],
         frame: Frame,
-        replies: asyncio.Queue[bytes],
+        replies: _Replies,
     ) -> None:
         try:
             reply = await result
@@ -239,11 +259,11 @@
         if reply is not None and frame.sequence != _ONE_WAY_SEQUENCE:
             self._queue_reply(reply, frame, replies)
 
-    def _queue_reply(self, reply: PeerMessage, frame: Frame, replies: asyncio.Queue[bytes]) -> None:
+    def _queue_reply(self, reply: PeerMessage, frame: Frame, replies: _Replies) -> None:
         stamp = self._events.clock.tick().pack()
         data = encode_frame(Frame(stamp, _ONE_WAY_SEQUENCE, frame.sequence, reply))
         try:
-            replies.put_nowait(data)
+            replies.queue.put_nowait(data)
         except asyncio.QueueFull:
             self._events.emit("link_queue_full", code=ResultCode.LINK_QUEUE_FULL)
 
@@ -299,6 +319,8 @@
         The interval between keepalive pings; None for the lease duration.
     on_refused
         Called with the peer at the first refused connection.
+    on_unawaited
+        Called with the peer and each reply that nobody waits for any more.
 
     `is_refused` is set while the peer's address refuses connections, which means that
     its process has ended. Timeouts and other failures do not set it.
@@ -315,6 +337,7 @@
     bind_ip: str = ""
     ping_interval_s: float | None = None
     on_refused: Callable[[ProcessId], None] | None = None
+    on_unawaited: Callable[[ProcessId, PeerMessage], None] | None = None
     _last_sequence: int = 0
     _pending_replies: dict[int, asyncio.Future[PeerMessage]] = field(default_factory=dict)
     _send_queue: asyncio.Queue[bytes] = field(init=False)
@@ -406,6 +429,8 @@
             future = self._pending_replies.pop(frame.reply_to, None)
             if future and not future.done():
                 future.set_result(frame.message)
+            elif self.on_unawaited is not None:
+                self.on_unawaited(self.peer, frame.message)
 
     def _fail_pending_replies(self) -> None:
         pending, self._pending_replies = self._pending_replies, {}
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -75,6 +75,8 @@
         self._metrics_runner: web.AppRunner | None = None
         # Called with each peer that refuses a connection, which means that its process has ended.
         self.on_refused: Callable[[ProcessId], None] | None = None
+        # Called with each reply of a peer that nobody waits for any more.
+        self.on_unawaited: Callable[[ProcessId, PeerMessage], None] | None = None
         self._links: dict[ProcessId, tuple[Link, asyncio.Task[None]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: LinkServer | None = None
@@ -191,6 +193,7 @@
             if self.settings.disks_lost >= _MANY_LOST_COUNT
             else None,
             on_refused=self._handle_refused,
+            on_unawaited=self._handle_unawaited,
         )
         task = asyncio.create_task(link.run(), name=f"link {process}")
         self._links[process] = (link, task)
@@ -200,6 +203,10 @@
         if self.on_refused is not None:
             self.on_refused(process)
 
+    def _handle_unawaited(self, process: ProcessId, reply: PeerMessage) -> None:
+        if self.on_unawaited is not None:
+            self.on_unawaited(process, reply)
+
     def close_link(self, process: ProcessId) -> None:
         """Close the link to a process, if there is one."""
         entry = self._links.pop(process, None)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -112,6 +112,7 @@
         self._local_active = asyncio.Event()
         self._local_active.set()
         self._heartbeats = Heartbeats(node, self)
+        node.on_unawaited = self._handle_unawaited
         self._attachment = 0
         # Messages with notices since the last attachment.
         self._notice_count = 0
@@ -324,6 +325,12 @@
             self._heartbeats.mark_lost(scheduler)
             return None
 
+    def _handle_unawaited(self, process: ProcessId, reply: PeerMessage) -> None:
+        """Show the scheduler at once that this gateway does not run a placement."""
+        if isinstance(reply, Placed) and process == self._current:
+            self._placed.record_number(reply.number)
+            self._heartbeats.probe(process)
+
     def _cancel(self, pending: PendingPlacement) -> None:
         request, running_at = pending.work.request, pending.work.running_at
         if pending.decider is None or isinstance(pending.decider, LocalDecider):
--- a/troutstand/testing/linksimulation.py
+++ b/troutstand/testing/linksimulation.py
@@ -148,6 +148,9 @@
         self.echo = 0
         self.notices = 0
         self.heartbeat = 0
+        # Whether a heartbeat has no reply yet, and the next one is sent at once.
+        self.is_awaiting = False
+        self.is_woken = False
         self.next_s = 0.0
 
 
@@ -281,9 +284,12 @@
 
     def _receive(self, gateway: _Gateway, answer: Placed | Declined) -> None:
         work = gateway.pending.pop(answer.request, None)
-        if work is None or not isinstance(answer, Placed):
+        if not isinstance(answer, Placed):
             return
         gateway.placed.record_number(answer.number)
+        if work is None:
+            self._wake(gateway)
+            return
         gateway.placed.start(work, answer, self._now_s)
         self._result.placed += 1
         request, target = answer.request, answer.target
@@ -362,6 +368,7 @@
             return
         gateway.heartbeat += 1
         number = gateway.heartbeat
+        gateway.is_awaiting, gateway.is_woken = True, False
         is_first = not gateway.is_attached
         is_whole, gateway.is_state_asked = gateway.is_state_asked and not is_first, False
         gateway.is_attached = True
@@ -372,22 +379,33 @@
     def _miss_reply(self, gateway: _Gateway, number: int, is_first: bool) -> None:
         if gateway.heartbeat == number:
             gateway.is_attached = not is_first
-            gateway.heartbeat += 1
-            self._plan_beat(gateway)
+            self._plan_beat(gateway, is_at_once=gateway.is_woken)
+
+    def _plan_beat(self, gateway: _Gateway, is_at_once: bool) -> None:
+        """End the wait for a reply, and send the next heartbeat after the period or at once."""
+        gateway.heartbeat += 1
+        gateway.is_awaiting = False
+        if is_at_once:
+            self._beat(gateway)
+            return
+        number = gateway.heartbeat
+        self._act(
+            self._period_s * self._rng.uniform(0.9, 1.1),
+            lambda: self._beat(gateway) if gateway.heartbeat == number else None,
+        )
 
-    def _plan_beat(self, gateway: _Gateway) -> None:
-        self._act(self._period_s * self._rng.uniform(0.9, 1.1), lambda: self._beat(gateway))
+    def _wake(self, gateway: _Gateway) -> None:
+        """Send the next heartbeat at once, or after the reply that is due."""
+        gateway.is_woken = gateway.is_awaiting
+        if not gateway.is_awaiting:
+            self._beat(gateway)
 
     def _receive_reply(self, gateway: _Gateway, reply: Attached, number: int) -> None:
         if gateway.heartbeat != number:
             return
-        gateway.heartbeat += 1
         gateway.echo = reply.number
         gateway.is_state_asked = reply.asks_state
-        if reply.asks_state:
-            self._beat(gateway)
-        else:
-            self._plan_beat(gateway)
+        self._plan_beat(gateway, is_at_once=reply.asks_state or gateway.is_woken)
 
     # Scheduler
 
@@ -421,11 +439,12 @@
             if isinstance(answer, Placed):
                 answer = self._states.start(decision.owner, answer, self._now_s)
             connection = self._waiting.pop((decision.owner, answer.request), None)
-            if connection is None and isinstance(answer, Placed):
+            if connection == gateway.connection:
+                self._transmit(gateway, lambda g=gateway, a=answer: self._receive(g, a))
+            elif isinstance(answer, Placed):
+                # Nobody waits for it, or the connection is closed on which it would be sent.
                 self._states.abandon_placement(decision.owner, answer)
                 self._dispatcher.abandon_placement(answer, self._now_s)
-            elif connection == gateway.connection:
-                self._transmit(gateway, lambda g=gateway, a=answer: self._receive(g, a))
 
     def _handle_heartbeat(self, gateway: _Gateway, heartbeat: AttachAsk, number: int) -> None:
         state = self._registry.find(gateway.name)
--- a/troutstand/tests/linkconsistency.feature
+++ b/troutstand/tests/linkconsistency.feature
@@ -57,6 +57,17 @@
       | PathLost  | path_losses |
       | Silence   | silences    |
 
+  # A request that waited on a closed connection took a slot that nobody used.
+  Scenario: A request whose connection has closed takes no slot
+    When a gateway's connection closes while its request waits, and its only target becomes free
+    Then the request has taken no slot of it
+
+  # The slot of such a placement stayed taken until a later heartbeat.
+  Scenario: A gateway tells at once of a placement that it does not run
+    Given a gateway that is attached to a scheduler
+    When a placement arrives that none of its requests waits for
+    Then its next heartbeat is due at once and says that the placement has arrived
+
   Scenario: A request that is placed twice at a target counts once
     Given a target that runs a prompt of 1000 tokens
     When the same request is placed there again
@@ -77,3 +88,7 @@
       | 14       | 7    |
       | 79       | 11   |
       | 330      | 9    |
+      | 330      | 226  |
+      | 330      | 402  |
+      | 330      | 456  |
+      | 330      | 910  |
