Refuse requests without a response before a stopping gateway aborts them

Callers saw their connection closed without an answer when a request was taken before a planned stop and its response had not begun when open requests were aborted. They could not tell whether it had run.

Cause: at 0.92 of the stop timeout the gateway left open requests to the server's cleanup, which cancels their handlers.

Evidence: abortedrequests.feature plays one gateway in one process. On the code before, 5 of its 6 scenarios fail, each with 0 bytes received; the sixth, a started stream that gets no second head, passes before and after.

Change: just before the abort the gateway ends the timeout of each request whose response has not started. It is refused with 3006 and run no if it was never written to a target, else with 5003 and run unknown, and its connection is closed. A request whose body is still arriving is refused with 3006. A response that has started keeps the server's cleanup time. The log still tells of it as request_cut, now with the status.

After: 6 of 6 pass. routed.feature's two scenarios of aborted calls pass unchanged.

--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -60,8 +60,9 @@
             return self._refuse(ResultCode.DRAINING, reason, _RETRY_AFTER_S)
         remaining_s = call.deadline_s - read_clock_s()
         try:
-            async with asyncio.timeout(remaining_s):
-                response = await self._attempt_all()
+            async with asyncio.timeout(remaining_s) as timeout:
+                with self._gateway.refuse_on_abort(timeout, self._has_started):
+                    response = await self._attempt_all()
         except TimeoutError:
             response = self._refuse_expired()
         except asyncio.CancelledError:
@@ -69,6 +70,9 @@
             raise
         return response
 
+    def _has_started(self) -> bool:
+        return self._caller_response.has_started
+
     def _log_cancelled(self) -> None:
         """Log whether the caller disconnected or a planned stop aborted the request."""
         if self._gateway.is_aborting:
@@ -240,7 +244,16 @@
             return self._refuse(ResultCode.NO_TARGET, error.detail, _RETRY_AFTER_S)
         return self._refuse(ResultCode.ANSWER_CUT, error.detail, None)
 
+    def _refuse_aborted(self) -> web.StreamResponse:
+        """Refuse a request whose response has not started when a stopping gateway aborts it."""
+        may_have_run = self._attempts.history.may_have_run
+        code = ResultCode.ANSWER_CUT if may_have_run else ResultCode.DRAINING
+        detail = "the gateway stopped before the response began"
+        return self._refuse(code, detail, None if may_have_run else _RETRY_AFTER_S, "request_cut")
+
     def _refuse_expired(self) -> web.StreamResponse:
+        if self._gateway.is_aborting and not self._caller_response.has_started:
+            return self._refuse_aborted()
         if self._caller_response.has_started:
             return self._abort_response(
                 ResultCode.TARGET_TIMEOUT, "the request reached its deadline"
@@ -256,11 +269,15 @@
         )
 
     def _refuse(
-        self, code: ResultCode, detail: str, retry_after_s: float | None
+        self,
+        code: ResultCode,
+        detail: str,
+        retry_after_s: float | None,
+        event: str = "request_refused",
     ) -> web.StreamResponse:
         run = Run.UNKNOWN if self._attempts.history.may_have_run else Run.NO
         response = make_error_response(TroutstandError(code, detail, run, retry_after_s))
-        self._emit("request_refused", code, response.status, detail=detail)
+        self._emit(event, code, response.status, detail=detail)
         return response
 
     def _relay_server_error(self, sent: SentRequest, body: bytes) -> web.StreamResponse:
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -29,6 +29,8 @@
 from troutstand.util.listening import MAX_HEADER_BYTES, listen, write_full_response
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
     from troutstand.core.configuration import RouteTable
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.calls import Call
@@ -50,6 +52,7 @@
 # New connections are accepted until this share, while load balancers see it is not ready.
 _ACCEPT_SHARE = 0.375
 _STARTING_RETRY_AFTER_S = 0.5
+_STOPPED_RETRY_AFTER_S = 0.1
 
 
 class Gateway:
@@ -91,6 +94,8 @@
         self.planned_stop: PlannedStop | None = None
         # Set when the drain of a planned stop is over and open requests are aborted.
         self.is_aborting = False
+        # Called before open requests are aborted; refuse those whose response has not started.
+        self.on_abort: set[Callable[[], None]] = set()
         self._runners: list[web.BaseRunner] = []
         self._site: web.TCPSite | None = None
         self._server: web.Server | None = None
@@ -175,6 +180,8 @@
         await self._wait_drained(stop.aborted_s)
         self.node.events.emit("stop_ended", left=self.open_requests)
         self.is_aborting = True
+        for refuse in list(self.on_abort):
+            refuse()
         for runner in self._runners:
             try:
                 await runner.cleanup()
@@ -269,7 +276,7 @@
         limit = table.configuration.limits.body_bytes
         try:
             call = parse_call(table, names, request.headers, path, self.settings.tier_order)
-            body = await _read_body(request, limit)
+            body = await self._receive_body(request, limit)
             call = add_fingerprint(
                 call, request.method, request.headers.get("host", ""), path, body
             )
@@ -283,6 +290,40 @@
         outgoing = make_outgoing(call, names, request.method, path, headers, body)
         return await CallHandler(self, request, call, outgoing).run()
 
+    async def _receive_body(self, request: web.BaseRequest, limit: int) -> bytes:
+        """Return the body of a request.
+
+        Raises
+        ------
+        TroutstandError
+            BODY_TOO_LARGE, or DRAINING if the gateway aborts its requests first.
+        """
+        try:
+            async with asyncio.timeout(None) as timeout:
+                with self.refuse_on_abort(timeout):
+                    return await _read_body(request, limit)
+        except TimeoutError as error:
+            detail = "the gateway stopped before the request body had arrived"
+            raise TroutstandError(
+                ResultCode.DRAINING, detail, retry_after_s=_STOPPED_RETRY_AFTER_S
+            ) from error
+
+    @contextlib.contextmanager
+    def refuse_on_abort(
+        self, timeout: asyncio.Timeout, has_started: Callable[[], bool] = lambda: False
+    ) -> Iterator[None]:
+        """End a timeout when open requests are aborted, unless a response has started."""
+
+        def end() -> None:
+            if not has_started():
+                timeout.reschedule(asyncio.get_running_loop().time())
+
+        self.on_abort.add(end)
+        try:
+            yield
+        finally:
+            self.on_abort.discard(end)
+
 
 def _create_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
     """Create a request object with the gateway's own body size limit."""
