Await an engine's answer while the engine pauses

Callers of an entry process saw a stream broken off, and a plain answer tried anew or refused with 5005, when a sound engine paused for 2 s within its answer. The last of 3 tries was given up as well when its engine sent no first event for that time, although nothing else could go on with it.

Evidence: entryanswers.feature plays scripted engines in one process. Of its 4 scenarios here 3 fail on the code before; the fourth, that an engine without a first event is replaced while tries are left, passes on both.

Change: the stall timeout holds only before the first event, and only while another target may be tried. All else is awaited until the deadline of the tier.

What remains: before its first event a silent engine's try is still dropped before another one has begun, and the request is refused if no other target is free.

After: 4 of 4 pass.

--- a/troutstand/daemon/enginerelay.py
+++ b/troutstand/daemon/enginerelay.py
@@ -21,8 +21,8 @@
     from troutstand.daemon.callerrequests import EngineRequest
 
 MAX_RESUMES = 3
-# A target that sends nothing for this long, and for this multiple of the expected time to
-# the first token, counts as stalled.
+# A target that sends no event for this long, and for this multiple of the expected time to
+# the first token, counts as stalled. One that has sent an event may pause.
 MIN_STALL_TIMEOUT_S = 2.0
 STALL_TIMEOUT_FACTOR = 8.0
 _MS_PER_S = 1000
@@ -78,6 +78,8 @@
     ----------
     expected_first_s
         The expected seconds to the first token; sets the stall timeout.
+    is_last
+        Whether no other target may be tried after this one.
     """
 
     def __init__(
@@ -87,11 +89,13 @@
         deadline_s: float,
         expected_first_s: float,
         limit_bytes: int,
+        is_last: bool = False,
     ) -> None:
         self.progress = Progress(read_clock_s())
         self._backend = backend
         self._request = request
         self._deadline_s = deadline_s
+        self._is_last = is_last
         self._stall_timeout_s = max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * expected_first_s)
         self.stream = AnswerStream(
             make_completion_id(request.request), backend.row.resumes, limit_bytes
@@ -142,7 +146,7 @@
         try:
             while True:
                 try:
-                    async with asyncio.timeout(self._stall_timeout_s):
+                    async with asyncio.timeout(self._get_stall_timeout_s()):
                         data = await anext(source)
                 except StopAsyncIteration:
                     return
@@ -160,6 +164,11 @@
         finally:
             await source.aclose()  # pyright: ignore[reportAttributeAccessIssue]
 
+    def _get_stall_timeout_s(self) -> float | None:
+        """Return after which silence another target is tried; None if the answer is awaited."""
+        has_begun = self.progress.first_token_s is not None
+        return None if has_begun or self._is_last else self._stall_timeout_s
+
     def _record_events(self, events: list[AnswerEvent]) -> list[AnswerEvent]:
         if self.progress.first_token_s is None:
             self.progress.first_token_s = read_clock_s()
--- a/troutstand/daemon/enginerequests.py
+++ b/troutstand/daemon/enginerequests.py
@@ -108,6 +108,7 @@
             state.deadline_s,
             uncached_tokens / target.prefill_tokens_per_s,
             self._entry.settings.limits.answer_bytes,
+            is_last=len(state.tried) + 1 >= MAX_TRIES,
         )
         state.tried.append(grant.target)
         try:
--- /dev/null
+++ b/troutstand/tests/entryanswers.feature
@@ -0,0 +1,23 @@
+Feature: An entry process ends no answer that a target works on, and says truly whether it ran
+
+  # Guards against an answer that is broken off since its engine pauses.
+  Scenario Outline: An answer whose engine is silent for <silence> s after its first event comes whole, <how>
+    Given an engine that is silent for <silence> s after its first event, and a stall timeout of 0.2 s
+    When a <how> chat is served there
+    Then its answer comes whole from the first target
+
+    Examples:
+      | silence | how      |
+      | 0.6     | plain    |
+      | 0.6     | streamed |
+
+  # Guards against an answer that is given up although no other target may be tried.
+  Scenario: The last try of a chat goes on while its engine is silent before its first event
+    Given 2 engines that break off, then one that is silent for 0.6 s, and a stall timeout of 0.2 s
+    When a plain chat is served there
+    Then its answer comes whole from the last target
+
+  Scenario: A chat whose engine sends no first event is tried at another one
+    Given an engine that sends no event for 60 s, then one that answers, and a stall timeout of 0.2 s
+    When a plain chat is served there
+    Then its answer comes whole from the last target
