Say that a chat may have run where its next target has left the table

Callers of an entry process got run "no" with 3008 when a try had broken off and the table no longer held the target of the next one.

Cause: this refusal took the default of the error, not what earlier tries of the request had done.

Evidence: of the 2 scenarios added to entryanswers.feature 1 fails on the code before (run no); the other, without an earlier try, passes on both.

Change: the refusal says unknown if an earlier try was sent.

--- a/troutstand/daemon/enginerequests.py
+++ b/troutstand/daemon/enginerequests.py
@@ -98,9 +98,9 @@
         backend = self._entry.find_backend(grant.target)
         if target is None or not isinstance(backend, EngineBackend):
             self._entry.placement.finish(Finished(grant.request, grant.target, False))
-            raise TroutstandError(
-                ResultCode.NO_TARGET, f"target {grant.target} is no longer in the table"
-            )
+            detail = f"target {grant.target} is no longer in the table"
+            run = Run.UNKNOWN if state.dispatched else Run.NO
+            raise TroutstandError(ResultCode.NO_TARGET, detail, run)
         uncached_tokens = max(0, state.request.prompt_tokens - grant.cached_tokens)
         relay = EngineRelay(
             backend,
--- a/troutstand/tests/entryanswers.feature
+++ b/troutstand/tests/entryanswers.feature
@@ -21,3 +21,14 @@
     Given an engine that sends no event for 60 s, then one that answers, and a stall timeout of 0.2 s
     When a plain chat is served there
     Then its answer comes whole from the last target
+
+  # Guards against a refusal as not run after a try that may have run.
+  Scenario: A chat that broke off before its next target left the table may have run
+    Given an engine that breaks off, then one that has left the table
+    When a plain chat is served there
+    Then it is refused with run "unknown"
+
+  Scenario: A chat whose only target has left the table has not run
+    Given an engine that has left the table
+    When a plain chat is served there
+    Then it is refused with run "no"
