Refuse an idempotent call with the run of all its tries

Callers of a service got run "no" when a try had broken off and the last one was refused its connection, so that a call that may have run counted as not run. They got "unknown" where no try had been sent and no target was left.

Cause: the run of the last failure was taken, and any earlier try counted as sent where that failure was not a refused connection.

Change: the handler remembers whether a try may have run.

--- a/troutstand/daemon/servicecalls.py
+++ b/troutstand/daemon/servicecalls.py
@@ -136,6 +136,7 @@
     async def _send_with_retries(self, call: ServiceCall) -> Reply:
         """Send an idempotent call, retrying at other targets."""
         tried: list[str] = []
+        may_have_run = False
         while True:
             request = secrets.token_hex(_REQUEST_ID_BYTES)
             try:
@@ -144,9 +145,10 @@
                 reply = await self._send_to_target(call, grant, request)
                 if not reply.notice.rest_s or len(tried) >= MAX_ATTEMPTS:
                     return reply
+                may_have_run = True
             except TroutstandError as error:
-                if tried and error.code is not ResultCode.TARGET_UNREACHABLE:
-                    error.run = Run.UNKNOWN
+                may_have_run = may_have_run or error.run is Run.UNKNOWN
+                error.run = Run.UNKNOWN if may_have_run else Run.NO
                 if error.code not in _RETRYABLE_CODES or len(tried) >= MAX_ATTEMPTS:
                     raise
 
--- a/troutstand/tests/entryanswers.feature
+++ b/troutstand/tests/entryanswers.feature
@@ -32,3 +32,17 @@
     Given an engine that has left the table
     When a plain chat is served there
     Then it is refused with run "no"
+
+  # Guards against a refusal as not run after a try that may have run.
+  Scenario Outline: A call of a service whose targets <fail> is refused with run <run>
+    Given targets of a service that <fail>
+    When an idempotent call is served there
+    Then it is refused with run "<run>"
+
+    Examples:
+      | fail                                          | run     |
+      | break off, refuse, refuse connections         | unknown |
+      | refuse, break off, refuse connections         | unknown |
+      | refuse, refuse, refuse connections            | no      |
+      | refuse connections, then none is left         | no      |
+      | break off, then none is left                  | unknown |
