Give back the slot of a chat that is cancelled between two steps

Operators saw slots that stayed taken for good: a chat whose caller left, or that was preempted, while its target was recorded at the peers (up to 0.25 s) or checked after a failure was reported as running ever after.

Cause: both waits lie outside of what reports the end of a placement.

Change: both waits report the ending when they are cancelled.

--- a/troutstand/daemon/enginerequests.py
+++ b/troutstand/daemon/enginerequests.py
@@ -117,8 +117,11 @@
             self._entry.events.emit(
                 "target_failed", grant.request, error.code, target=grant.target, detail=error.detail
             )
-            is_target_gone = error.code in _LOST_CODES and await backend.is_gone()
-            self._finish(state, grant, relay, error, is_target_gone=is_target_gone)
+            is_target_gone = False
+            try:
+                is_target_gone = error.code in _LOST_CODES and await backend.is_gone()
+            finally:
+                self._finish(state, grant, relay, error, is_target_gone=is_target_gone)
             return await self._retry_or_fail(state, error)
         except BaseException:
             self._finish(state, grant, relay, None, cancelled=True)
@@ -132,14 +135,18 @@
         request = state.request
         if request.is_key_generated:
             return True
-        earlier_targets = await self._entry.tried_targets.record(
-            request.workspace_key, grant.target
-        )
-        if grant.target not in earlier_targets:
-            return True
-        self._entry.placement.finish(Finished(grant.request, grant.target, False))
-        self._exclude(state, earlier_targets)
-        return False
+        is_new = False
+        try:
+            earlier_targets = await self._entry.tried_targets.record(
+                request.workspace_key, grant.target
+            )
+            is_new = grant.target not in earlier_targets
+        finally:
+            if not is_new:
+                self._entry.placement.finish(Finished(grant.request, grant.target, False))
+        if not is_new:
+            self._exclude(state, earlier_targets)
+        return is_new
 
     def _exclude(self, state: _RequestState, earlier_targets: set[str]) -> None:
         state.excluded = sorted({*state.excluded, *earlier_targets})[:MAX_TARGETS]
--- a/troutstand/testing/scriptedentry.py
+++ b/troutstand/testing/scriptedentry.py
@@ -59,6 +59,8 @@
     def __init__(self, name: str, script: ScriptedTry) -> None:
         row = cast("Target", SimpleNamespace(name=name, resumes=False, cancels=False))
         super().__init__(row, cast("aiohttp.ClientSession", None))
+        # Set by a check, which never ends then.
+        self.on_check: asyncio.Event | None = None
         self._script = script
 
     def _raise_failure(self) -> None:
@@ -82,7 +84,10 @@
         return Reply(200, "text/plain", b"x", TargetNotice(""))
 
     async def is_gone(self) -> bool:
-        """Return that the target runs."""
+        """Return that the target runs, if checks end."""
+        if self.on_check is not None:
+            self.on_check.set()
+            await asyncio.get_running_loop().create_future()
         return False
 
 
@@ -93,6 +98,9 @@
     scripts: list[ScriptedTry]
     asked: list[PlacementAsk] = field(default_factory=list)
     finished: list[Finished] = field(default_factory=list)
+    # Set by a check or a record of a target, which never ends then.
+    on_check: asyncio.Event | None = None
+    on_record: asyncio.Event | None = None
 
     def make(self) -> EntryProcess:
         """Return what handlers of requests use of an entry process."""
@@ -101,6 +109,9 @@
         rows = {name: SimpleNamespace(prefill_tokens_per_s=1000.0) for name in listed}
         backends = {name: ScriptedBackend(name, script) for name, script in listed.items()}
 
+        for backend in backends.values():
+            backend.on_check = self.on_check
+
         def find_backend(target: str) -> Backend | None:
             return backends.get(target)
 
@@ -108,11 +119,21 @@
             placement=SimpleNamespace(place=self._place, finish=self.finished.append),
             table_index=SimpleNamespace(targets=rows),
             find_backend=find_backend,
+            tried_targets=SimpleNamespace(collect=self._collect, record=self._record),
             settings=SimpleNamespace(limits=SimpleNamespace(answer_bytes=1 << 20)),
             events=SimpleNamespace(emit=_ignore),
         )
         return cast("EntryProcess", entry)
 
+    async def _collect(self, key: str) -> set[str]:
+        return set()
+
+    async def _record(self, key: str, target: str) -> set[str]:
+        if self.on_record is not None:
+            self.on_record.set()
+            await asyncio.get_running_loop().create_future()
+        return set()
+
     async def _place(self, ask: PlacementAsk, _: object) -> Grant:
         if len(self.asked) == len(self.scripts):
             raise TroutstandError(ResultCode.NO_TARGET)
--- a/troutstand/tests/entryanswers.feature
+++ b/troutstand/tests/entryanswers.feature
@@ -46,3 +46,14 @@
       | refuse, refuse, refuse connections            | no      |
       | refuse connections, then none is left         | no      |
       | break off, then none is left                  | unknown |
+
+  # Guards against slots that are never given back since a caller left between two steps.
+  Scenario Outline: A chat whose caller leaves while <what> gives its slot back
+    Given an engine that breaks off, and a chat that is cancelled while <what>
+    When the chat is served and cancelled
+    Then each placement was finished once
+
+    Examples:
+      | what                           |
+      | its target is recorded         |
+      | its target is checked          |
--- a/troutstand/tests/steps/entryanswers.py
+++ b/troutstand/tests/steps/entryanswers.py
@@ -41,10 +41,10 @@
     return Caller(cast("Workspace", msgspec.defstruct("W", [("name", str)])("w")), Tier("gold", 0))
 
 
-def _make_request(is_streamed: bool) -> EngineRequest:
+def _make_request(is_streamed: bool, is_keyed: bool = False) -> EngineRequest:
     return EngineRequest(
         key="k",
-        is_key_generated=True,
+        is_key_generated=not is_keyed,
         request=REQUEST,
         caller=_make_caller(),
         path="/v1/chat/completions",
@@ -158,3 +158,36 @@
 def check_refused(context: Context, run: str) -> None:
     assert context.error is not None, context.body
     assert context.error.run is Run(run), context.error.run
+
+
+@given("an engine that breaks off, and a chat that is cancelled while {what}")
+def use_cancelled(context: Context, what: str) -> None:
+    _use(context, [_BREAKS_OFF])
+    context.is_recording = what == "its target is recorded"
+
+
+async def _serve_and_cancel(context: Context) -> None:
+    entry, reached = context.entry, asyncio.Event()
+    if context.is_recording:
+        entry.on_record = reached
+    else:
+        entry.on_check = reached
+    requests = EngineRequests(entry.make())
+    request = _make_request(is_streamed=False, is_keyed=True)
+    serving = asyncio.create_task(requests.serve(cast("web.Request", None), request))
+    async with asyncio.timeout(_LIMIT_S):
+        await reached.wait()
+        serving.cancel()
+        await asyncio.wait({serving})
+    assert serving.cancelled()
+
+
+@when("the chat is served and cancelled")
+def serve_and_cancel(context: Context) -> None:
+    asyncio.run(_serve_and_cancel(context))
+
+
+@then("each placement was finished once")
+def check_finished(context: Context) -> None:
+    assert len(context.entry.asked) == 1
+    assert [finished.target for finished in context.entry.finished] == ["t0"]
