Withdraw a waiting placement before another one is asked for

A request could lose its place: where a silent attempt was rejected or failed while another placement waited, the next placement was asked for in the same turn of the loop, and the withdrawal of the one that waited came after it. A decider withdraws by the request, so that, read in the code, the local decider drops the new placement too, or frees the slot and the charge of a run that goes on, and the caller waits to its deadline.

Cause: a cancelled task ends a turn later, and nothing waited for it.

The effect at a decider was not played.

Change: a placement waits for the cancelled ones of its call to end.

--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -64,6 +64,8 @@
         self._response = response
         self._live: list[Attempt] = []
         self._placing: asyncio.Task[Placed | Declined] | None = None
+        # Placements that were cancelled and have not been withdrawn at the decider yet.
+        self._cancelled: set[asyncio.Task[Placed | Declined]] = set()
         self._place_after_s = float("-inf")
 
     async def receive(self) -> Attempt:
@@ -124,6 +126,9 @@
         )
 
     async def _place(self) -> Placed | Declined:
+        if self._cancelled:
+            # A later withdrawal would also withdraw this placement of the same request.
+            await asyncio.wait(self._cancelled)
         work = self._call.create_work(
             read_clock_s(),
             self.history.arrived_count + 1,
@@ -153,7 +158,11 @@
 
     def _cancel_placing(self) -> None:
         placing, self._placing = self._placing, None
-        if placing is None or placing.cancel() or placing.cancelled():
+        if placing is None or placing.cancelled():
+            return
+        if placing.cancel():
+            self._cancelled.add(placing)
+            placing.add_done_callback(self._cancelled.discard)
             return
         decision = placing.result()
         if isinstance(decision, Placed):
--- a/troutstand/tests/callattempts.feature
+++ b/troutstand/tests/callattempts.feature
@@ -39,3 +39,16 @@
     Then the first target answers
     And another attempt is still allowed
     And the second attempt is reported as not sent
+
+  # Guards against a placement that is withdrawn at its decider by the end of the one before.
+  Scenario Outline: A placement that waits is given up before another is asked for when the silent attempt is <ending>
+    Given a call whose silent attempt is <ending> while another placement waits
+    When its attempts are played
+    Then the first target answers a new attempt
+    And the placement that waited was given up before the last one was asked for
+
+    Examples:
+      | ending      |
+      | turned_away |
+      | failed      |
+      | broken      |
--- a/troutstand/tests/steps/callattempts.py
+++ b/troutstand/tests/steps/callattempts.py
@@ -60,6 +60,31 @@
     context.place = place
 
 
+@given("a call whose silent attempt is {ending} while another placement waits")
+def set_ending(context: Context, ending: str) -> None:
+    first = ScriptedResponse(head_s=_BREAK_S, failure=Ending(ending))
+    _set(context, first, ScriptedResponse())
+    context.steps = []
+
+    async def place(number: int, running_at: list[str]) -> Placed | Declined:
+        context.steps.append(f"asked {number}")
+        if running_at:
+            try:
+                await asyncio.get_running_loop().create_future()
+            finally:
+                context.steps.append(f"given up {number}")
+        if number > 1:
+            context.responses["first"] = ScriptedResponse(head_s=0.0, data_s=0.0)
+        return make_placed("first")
+
+    context.place = place
+
+
+@then("the placement that waited was given up before the last one was asked for")
+def check_order(context: Context) -> None:
+    assert context.steps == ["asked 1", "asked 2", "given up 2", "asked 3"], context.steps
+
+
 @given(
     "a call whose silent attempt goes on after {after_s:g} s and whose other targets refuse "
     "connections"
