--- a/troutstand/daemon/enginerequests.py
+++ b/troutstand/daemon/enginerequests.py
@@ -98,9 +98,9 @@
         backend = self._entry.find_backend(grant.target)
         if target is None or not isinstance(backend, EngineBackend):
             self._entry.placement.finish(Finished(grant.request, grant.target, False))
-            raise TroutstandError(
-                ResultCode.NO_TARGET, f"target {grant.target} is no longer in the table"
-            )
+            detail = f"target {grant.target} is no longer in the table"
+            run = Run.UNKNOWN if state.dispatched else Run.NO
+            raise TroutstandError(ResultCode.NO_TARGET, detail, run)
         uncached_tokens = max(0, state.request.prompt_tokens - grant.cached_tokens)
         relay = EngineRelay(
             backend,
@@ -108,6 +108,7 @@
             state.deadline_s,
             uncached_tokens / target.prefill_tokens_per_s,
             self._entry.settings.limits.answer_bytes,
+            is_last=len(state.tried) + 1 >= MAX_TRIES,
         )
         state.tried.append(grant.target)
         try:
@@ -116,8 +117,11 @@
             self._entry.events.emit(
                 "target_failed", grant.request, error.code, target=grant.target, detail=error.detail
             )
-            is_target_gone = error.code in _LOST_CODES and await backend.is_gone()
-            self._finish(state, grant, relay, error, is_target_gone=is_target_gone)
+            is_target_gone = False
+            try:
+                is_target_gone = error.code in _LOST_CODES and await backend.is_gone()
+            finally:
+                self._finish(state, grant, relay, error, is_target_gone=is_target_gone)
             return await self._retry_or_fail(state, error)
         except BaseException:
             self._finish(state, grant, relay, None, cancelled=True)
@@ -131,14 +135,18 @@
         request = state.request
         if request.is_key_generated:
             return True
-        earlier_targets = await self._entry.tried_targets.record(
-            request.workspace_key, grant.target
-        )
-        if grant.target not in earlier_targets:
-            return True
-        self._entry.placement.finish(Finished(grant.request, grant.target, False))
-        self._exclude(state, earlier_targets)
-        return False
+        is_new = False
+        try:
+            earlier_targets = await self._entry.tried_targets.record(
+                request.workspace_key, grant.target
+            )
+            is_new = grant.target not in earlier_targets
+        finally:
+            if not is_new:
+                self._entry.placement.finish(Finished(grant.request, grant.target, False))
+        if not is_new:
+            self._exclude(state, earlier_targets)
+        return is_new
 
     def _exclude(self, state: _RequestState, earlier_targets: set[str]) -> None:
         state.excluded = sorted({*state.excluded, *earlier_targets})[:MAX_TARGETS]
