Count a repeat on a stale connection against the retry budget

Callers saw nothing, targets saw up to twice their requests: where a target closes kept connections at the next request, each repeatable request was written twice.

Cause: the resend of relay.Sender.send asked the decider only for the charge of the workspace's limit, and not at all for requests without a charge; the retry budget counted only attempts that were placed.

Change: ChargeAsk carries the request that is repeated (optional, so older processes are understood and understand it); the decider, or the gateway that decides alone, takes the retry budget after the limit is reserved, and gives the reservation back if the budget refuses. A late charge of a run that was never written takes no retry. The request was written, so a refusal still ends the attempt as broken, and its caller is told "unknown", not "no".

--- a/troutstand/core/limits/limitadmission.py
+++ b/troutstand/core/limits/limitadmission.py
@@ -87,10 +87,24 @@
                     wait = QuotaDecision(Verdict.REFUSED, _SHARE_RETRY_S)
                     self._decline_limited(waiting.work, waiting.owner, wait)
 
-    def charge_resend(self, workspace: str, charge: float, now_s: float) -> bool:
-        """Charge a further run of a request at its target; return whether the limit allows it."""
-        decision = self.quotas.take(workspace, charge, now_s, is_first=False)
-        return decision.verdict is not Verdict.REFUSED
+    def charge_resend(
+        self, workspace: str, charge: float, repeated: RoutedWork | None, now_s: float
+    ) -> ResultCode:
+        """Charge a further run of a request at its target; return OK or what refuses it.
+
+        Parameters
+        ----------
+        repeated
+            The request if it has been written before, so that it counts as a retry.
+        """
+        decision = self.quotas.reserve(workspace, charge, now_s, is_first=False)
+        if decision.verdict is Verdict.REFUSED:
+            return ResultCode.WORKSPACE_LIMIT
+        if repeated is not None and not self._take_retry(repeated, now_s):
+            self.quotas.release(workspace, charge)
+            return ResultCode.RETRY_BUDGET
+        self.quotas.charge(workspace, charge, now_s, is_first=False)
+        return ResultCode.OK
 
     def _charge_run(self, work: RoutedWork, now_s: float) -> float:
         """Charge a request that is sent now, and return the charge."""
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -377,13 +377,16 @@
     async def confirm_charge(self, request: str, target: str) -> bool:
         """Return whether the limit allows a request to be sent now."""
         is_current = self._charges.is_current(request, target)
-        return is_current or await self.charge_resend(request, target)
+        return is_current or await self._charge_run(request, target, is_repeat=False)
 
     async def charge_resend(self, request: str, target: str) -> bool:
-        """Charge a further run of a request at its target; return whether the limit allows it."""
+        """Charge a repeated run of a request at its target; return whether limits allow it."""
+        return await self._charge_run(request, target, is_repeat=True)
+
+    async def _charge_run(self, request: str, target: str, is_repeat: bool) -> bool:
         decider = self._current
-        is_local = isinstance(decider, LocalDecider)
-        return await self._charges.charge(request, target, self._local if is_local else decider)
+        asked = self._local if isinstance(decider, LocalDecider) else decider
+        return await self._charges.charge(request, target, asked, is_repeat)
 
     # Notices of targets
 
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -170,7 +170,7 @@
         """Handle the notice in the response to a request that was sent at `sent_s`."""
 
     async def charge_resend(self, request: str, target: str) -> bool:
-        """Charge a further run of a request at its target; return whether the limit allows it."""
+        """Charge a repeated run of a request at its target; return whether limits allow it."""
         ...
 
     async def confirm_charge(self, request: str, target: str) -> bool:
@@ -263,7 +263,7 @@
                 if error.was_written and not await self._notices.charge_resend(
                     outgoing.request, placed.target
                 ):
-                    detail = f"{error}; the workspace's limit allows no further run"
+                    detail = f"{error}; the limit or the retry budget allows no further run"
                     raise SendError(Ending.broken, detail) from error
                 # The target closed the idle connection; retry on a new one.
                 use_new_connection = True
--- a/troutstand/routing/runcharges.py
+++ b/troutstand/routing/runcharges.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.core.limits.quota import WINDOW_MARGIN_S
 from troutstand.generated.messages import Acknowledged, ChargeAsk
@@ -36,20 +37,33 @@
         """
         return self._placed.get_charge_age_s(request, target, read_clock_s()) <= WINDOW_MARGIN_S
 
-    async def charge(self, request: str, target: str, decider: ProcessId | Dispatcher) -> bool:
-        """Charge a further run of a request; return whether the limit allows it."""
+    async def charge(
+        self, request: str, target: str, decider: ProcessId | Dispatcher, is_repeat: bool
+    ) -> bool:
+        """Charge a further run of a request; return whether its limits allow it.
+
+        Parameters
+        ----------
+        is_repeat
+            Whether the request has been written before, so that it counts as a retry.
+        """
         work = self._placed.find_work(request, target)
-        if work is None or work.charge <= 0:
+        if work is None or (work.charge <= 0 and not is_repeat):
             return True
-        if not await self._ask(work, decider):
+        if not await self._ask(work, decider, is_repeat):
             return False
         self._placed.record_charge(request, target, read_clock_s())
         return True
 
-    async def _ask(self, work: RoutedWork, decider: ProcessId | Dispatcher) -> bool:
+    async def _ask(
+        self, work: RoutedWork, decider: ProcessId | Dispatcher, is_repeat: bool
+    ) -> bool:
+        repeated = work if is_repeat else None
         if not isinstance(decider, str):
-            return decider.charge_resend(work.workspace, work.charge, read_clock_s())
-        ask = ChargeAsk(work.request, work.workspace, work.charge)
+            now_s = read_clock_s()
+            code = decider.charge_resend(work.workspace, work.charge, repeated, now_s)
+            return code is ResultCode.OK
+        ask = ChargeAsk(work.request, work.workspace, work.charge, repeated)
         try:
             reply = await self._node.ask(decider, ask, _TIMEOUT_S)
         except TroutstandError as error:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -181,10 +181,11 @@
             case Abandon(request, running_at):
                 self.dispatcher.abandon(request, now_s, running_at)
                 self._resolve(peer, request, None)
-            case ChargeAsk(_, workspace, charge):
-                if self.dispatcher.charge_resend(workspace, charge, now_s):
+            case ChargeAsk(_, workspace, charge, repeated):
+                code = self.dispatcher.charge_resend(workspace, charge, repeated, now_s)
+                if code is ResultCode.OK:
                     return Acknowledged()
-                return Refused(int(ResultCode.WORKSPACE_LIMIT), f"limit of {workspace}")
+                return Refused(int(code), f"a further run of workspace {workspace}")
             case AttachAsk():
                 return self._handle_attach(peer, message, now_s)
             case _:
