Pass header values byte for byte, and bound a head by its bytes

Callers saw header values of responses outside ASCII changed (latin-1 e9 came as c3 a9, UTF-8 c3 a9 as c3 83 c2 a9, in streams too), and a request with more than 128 short headers refused with an unnumbered 400. A head above 64 KiB ended in a reset without a response, or in that 400.

Cause: values are decoded as latin-1 and the server library encodes them as UTF-8. The library bounds the number of headers (128) and the bytes of one line, not those of a head. Values of requests reached targets unchanged before.

Change: CallerWriter writes heads with such values as latin-1; ASCII heads go the way as before. Their number is bounded by the bytes of a head; CallerConnection counts these while a head is awaited, and above 64 KiB answers 431 (2011, not run, head_refused), ends its side, and drops what still comes for 1 s or 4 MiB, since a close with unread bytes resets the response. Bytes that are pipelined behind a request in flight are not counted until it is answered.

Evidence: rawheads.feature, 14 scenarios. Before: 2 pass, 9 fail, 3 error. After: 14 pass.

--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -37,6 +37,7 @@
     KEY_INVALID = 2008
     PATH_UNKNOWN = 2009
     KEY_REUSED = 2010
+    HEAD_TOO_LARGE = 2011
 
     SHED_OVERLOAD = 3001
     SHED_DEADLINE = 3002
@@ -122,6 +123,7 @@
     ResultCode.KEY_INVALID: CodeInfo(400, "the Idempotency-Key is empty or too long", 20),
     ResultCode.PATH_UNKNOWN: CodeInfo(404, "no such path", 22),
     ResultCode.KEY_REUSED: CodeInfo(422, "the Idempotency-Key was used for another request", 20),
+    ResultCode.HEAD_TOO_LARGE: CodeInfo(431, "the head of the request exceeds its limit", 20),
     ResultCode.SHED_OVERLOAD: CodeInfo(
         429, "shed in favour of a higher tier or for lack of capacity", 30
     ),
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -12,6 +12,12 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.core.plannedstop import AnswerLengths, PlannedStop
 from troutstand.generated.messages import ProcessState
+from troutstand.routing.callerconnection import (
+    MAX_HEADERS,
+    CallerConnection,
+    CallerServer,
+    CallerWriter,
+)
 from troutstand.routing.callhandler import CallHandler
 from troutstand.routing.calls import add_fingerprint, make_outgoing, parse_call
 from troutstand.routing.connectionpool import ConnectionPool
@@ -112,17 +118,19 @@
         await self.node.start_metrics()
 
     async def _listen_callers(self) -> None:
-        server = web.Server(
+        server = CallerServer(
             self._handle,
             request_factory=_create_request,
             handler_cancellation=True,
             access_log=None,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
             keepalive_timeout=_KEEP_ALIVE_TIMEOUT_S,
             # Bodies reach targets as they were sent.
             auto_decompress=False,
         )
+        server.on_refused = self._log_refused_head
         self._server = server
         runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_SHARE * self.settings.stop_s)
         await runner.setup()
@@ -220,8 +228,13 @@
                 self._answered_s[protocol] = read_clock_s()
         finally:
             self._busy_connections.discard(protocol)
+            assert isinstance(protocol, CallerConnection)
+            protocol.is_handling = False
         return response
 
+    def _log_refused_head(self, error: TroutstandError) -> None:
+        self.node.events.emit("head_refused", code=error.code, detail=error.detail)
+
     async def _write_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Write a response while its connection still counts as busy."""
         if response.prepared:
@@ -285,14 +298,16 @@
 
 
 def _create_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-    """Create a request object with the gateway's own body size limit."""
+    """Create a request object with the gateway's own writer and body size limit."""
+    protocol.begin_request(payload)
+    loop = asyncio.get_running_loop()
     return web.BaseRequest(
         message,
         payload,
         protocol,
-        writer,
+        CallerWriter(protocol, loop),
         task,
-        asyncio.get_running_loop(),
+        loop,
         client_max_size=_MAX_BODY_BYTES,
     )
 
