Count large bodies of responses until their callers have read them

Callers saw their gateway's memory grow with large bodies that slow callers did not read: the 64 MiB of bodymemory held only while a body was received, and any number waited behind it.

Cause: the count was given back when the body was whole, before it was written.

Change: the count of a body is held by the context of its request, which ends once the response is written (or the caller has left); a body that is broken off, or a rejection's, is given back at once, as before. The list of targets counts its body as before.

--- a/troutstand/routing/bodymemory.py
+++ b/troutstand/routing/bodymemory.py
@@ -1,4 +1,4 @@
-"""Bound the memory of response bodies that are received whole before they are relayed."""
+"""Bound the memory of response bodies that are received whole, until their callers have them."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
     from collections.abc import Iterator
 
 MAX_BODY_BYTES = 16 << 20
-# Bytes of all large bodies together that are being received.
+# Bytes of all large bodies together that are being received or wait for their callers.
 MAX_LARGE_BODIES_BYTES = 64 << 20
 # A body counts as large beyond this, so that small ones are received whatever others do.
 _SMALL_BODY_BYTES = 1 << 20
@@ -20,7 +20,7 @@
 
 
 class BodyMemory:
-    """Count the bytes of the large bodies that are being received.
+    """Count the bytes of the large bodies that are held.
 
     Parameters
     ----------
@@ -34,7 +34,7 @@
 
     @contextlib.contextmanager
     def track(self) -> Iterator[TrackedBody]:
-        """Count the bytes of one body while it is received."""
+        """Count the bytes of one body until the context ends."""
         body = TrackedBody(self)
         try:
             yield body
@@ -68,7 +68,7 @@
 
 
 class TrackedBody:
-    """Hold the size of one body that is being received."""
+    """Hold the size of one body."""
 
     def __init__(self, memory: BodyMemory) -> None:
         self.received_bytes = 0
--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -20,6 +20,8 @@
 from troutstand.util.clock import MIN_SUSPEND_S, read_clock_s
 
 if TYPE_CHECKING:
+    import contextlib
+
     from troutstand.routing.callerresponse import CallerResponse
     from troutstand.routing.calls import Call
     from troutstand.routing.gateway import Gateway
@@ -46,7 +48,12 @@
     """Place and send the attempts of one call, and report how each of them ends."""
 
     def __init__(
-        self, gateway: Gateway, call: Call, outgoing: OutgoingRequest, response: CallerResponse
+        self,
+        gateway: Gateway,
+        call: Call,
+        outgoing: OutgoingRequest,
+        response: CallerResponse,
+        held_bodies: contextlib.ExitStack,
     ) -> None:
         self.history = AttemptHistory(call.route.attempts, call.is_repeatable)
         self.was_placed = False
@@ -62,6 +69,7 @@
         self._call = call
         self._outgoing = outgoing
         self._response = response
+        self._held_bodies = held_bodies
         self._live: list[Attempt] = []
         self._placing: asyncio.Task[Placed | Declined] | None = None
         self._place_after_s = float("-inf")
@@ -210,7 +218,8 @@
             return
         is_error = sent.head.status >= _MIN_SERVER_ERROR_STATUS
         if is_error and (self._has_others or self.may_fail_over(attempt)):
-            self.server_error = sent, await self._gateway.sender.read_body(sent)
+            body = await self._gateway.sender.read_body(sent, self._held_bodies)
+            self.server_error = sent, body
             detail = "the target responded with a server error"
             raise SendError(Ending.failed, detail, sent.head.status)
 
--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -19,6 +19,8 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
+    import contextlib
+
     from troutstand.generated.messages import Declined
     from troutstand.routing.attempt import Attempt
     from troutstand.routing.calls import Call
@@ -38,10 +40,21 @@
 
 
 class CallHandler:
-    """Relay a response to the caller of one call."""
+    """Relay a response to the caller of one call.
+
+    Parameters
+    ----------
+    held_bodies
+        Counts the bodies of responses until they are written to the caller.
+    """
 
     def __init__(
-        self, gateway: Gateway, request: web.BaseRequest, call: Call, outgoing: OutgoingRequest
+        self,
+        gateway: Gateway,
+        request: web.BaseRequest,
+        call: Call,
+        outgoing: OutgoingRequest,
+        held_bodies: contextlib.ExitStack,
     ) -> None:
         self._gateway = gateway
         self._call = call
@@ -49,7 +62,8 @@
         if call.route.resumable:
             splitter = EventSplitter(request.headers.get(gateway.dialect.headers.resume, ""))
         self._caller_response = CallerResponse(request, splitter)
-        self._attempts = CallAttempts(gateway, call, outgoing, self._caller_response)
+        self._held_bodies = held_bodies
+        self._attempts = CallAttempts(gateway, call, outgoing, self._caller_response, held_bodies)
         # The attempt whose response was relayed last.
         self._relayed: Attempt | None = None
 
@@ -112,7 +126,7 @@
                 splitter.resume()
             return await self._relay_stream(attempt, sent)
         self._attempts.record_first_byte(attempt, sent.first_s)
-        body = await self._gateway.sender.read_body(sent)
+        body = await self._gateway.sender.read_body(sent, self._held_bodies)
         response = self._make_full_response(sent, body)
         is_error = sent.head.status >= _MIN_SERVER_ERROR_STATUS
         return self._record_answered(response, sent), Ending.failed if is_error else Ending.whole
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -225,8 +225,9 @@
         protocol = request.protocol
         self._busy_connections.add(protocol)
         try:
-            response = await self._respond(request)
-            await self._write_response(request, response)
+            with contextlib.ExitStack() as held_bodies:
+                response = await self._respond(request, held_bodies)
+                await self._write_response(request, response)
             if self.is_stopping and response.keep_alive:
                 self._answered_s[protocol] = read_clock_s()
         finally:
@@ -273,7 +274,9 @@
             if self._answered_s.get(connection, least_s) <= least_s:
                 connection.transport.close()
 
-    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _respond(
+        self, request: web.BaseRequest, held_bodies: contextlib.ExitStack
+    ) -> web.StreamResponse:
         table = self.follower.table
         if table is None:
             detail = "the gateway has not received a configuration yet"
@@ -289,7 +292,7 @@
             headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
             names, path = self.dialect.headers, request.raw_path
             outgoing = make_outgoing(call, names, request.method, path, headers, data)
-            return await CallHandler(self, request, call, outgoing).run()
+            return await CallHandler(self, request, call, outgoing, held_bodies).run()
 
     async def _receive_call(
         self, request: web.BaseRequest, table: RouteTable, body: HeldBody
--- a/troutstand/routing/httpclient.py
+++ b/troutstand/routing/httpclient.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from troutstand.core.paths import HeardTimes
-    from troutstand.routing.bodymemory import BodyMemory
+    from troutstand.routing.bodymemory import TrackedBody
 Headers = list[tuple[str, str]]
 
 _MAX_BUFFERED_BYTES = 256 << 10
@@ -327,13 +327,13 @@
             self._transport.resume_reading()
         return data
 
-    async def receive_body(self, memory: BodyMemory) -> bytes:
+    async def receive_body(self, received: TrackedBody) -> bytes:
         """Return the rest of the body; close the connection if it is too large.
 
         Parameters
         ----------
-        memory
-            Bounds the size of the body.
+        received
+            Counts the bytes of the body and bounds them.
 
         Raises
         ------
@@ -341,15 +341,14 @@
             If the response is incomplete or too large.
         """
         chunks: list[bytes] = []
-        with memory.track() as received:
-            while (chunk := await self.receive_chunk()) is not None:
-                try:
-                    received.add(len(chunk))
-                except BodyTooLargeError as error:
-                    self.abort()
-                    raise ExchangeError(str(error), True) from error
-                chunks.append(chunk)
-            return b"".join(chunks)
+        while (chunk := await self.receive_chunk()) is not None:
+            try:
+                received.add(len(chunk))
+            except BodyTooLargeError as error:
+                self.abort()
+                raise ExchangeError(str(error), True) from error
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     @property
     def is_framed(self) -> bool:
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -363,25 +364,36 @@
         except (SendError, TimeoutError):
             sent.connection.abort()
 
-    async def read_body(self, sent: SentRequest) -> bytes:
+    async def read_body(self, sent: SentRequest, held: contextlib.ExitStack | None = None) -> bytes:
         """Return a response's whole body and release its connection.
 
+        Parameters
+        ----------
+        held
+            Counts the body until it closes; without it the body counts until it is received.
+
         Raises
         ------
         SendError
             If the body is incomplete or too large.
         """
-        return await self._read_body(sent, self._body_memory)
+        return await self._read_body(sent, self._body_memory, held)
 
-    async def _read_body(self, sent: SentRequest, memory: BodyMemory) -> bytes:
-        try:
-            body = await sent.connection.receive_body(memory)
-        except ExchangeError as error:
-            sent.connection.abort()
-            raise SendError(Ending.broken, str(error)) from error
-        except BaseException:
-            sent.connection.abort()
-            raise
+    async def _read_body(
+        self, sent: SentRequest, memory: BodyMemory, held: contextlib.ExitStack | None = None
+    ) -> bytes:
+        with contextlib.ExitStack() as receiving:
+            received = receiving.enter_context(memory.track())
+            try:
+                body = await sent.connection.receive_body(received)
+            except ExchangeError as error:
+                sent.connection.abort()
+                raise SendError(Ending.broken, str(error)) from error
+            except BaseException:
+                sent.connection.abort()
+                raise
+            if held is not None:
+                held.enter_context(receiving.pop_all())
         self._pool.release(sent.connection)
         return body
 
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -177,7 +177,8 @@
             )
             connection.send(head, b"", False)
             response = await connection.receive_head()
-            data = await connection.receive_body(self._body_memory)
+            with self._body_memory.track() as received:
+                data = await connection.receive_body(received)
         except BaseException:
             connection.abort()
             raise
--- a/troutstand/testing/attemptscript.py
+++ b/troutstand/testing/attemptscript.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
@@ -142,6 +143,7 @@
             cast("Call", call),
             OutgoingRequest(_REQUEST, "POST", "/", [], b"", True),
             cast("CallerResponse", response),
+            contextlib.ExitStack(),
         )
 
     def find_ending(self, target: str) -> Ended:
