--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -37,6 +37,7 @@
     KEY_INVALID = 2008
     PATH_UNKNOWN = 2009
     KEY_REUSED = 2010
+    HEAD_TOO_LARGE = 2011
 
     SHED_OVERLOAD = 3001
     SHED_DEADLINE = 3002
@@ -52,6 +53,7 @@
     REQUEST_QUARANTINED = 3012
     TARGETS_RESTING = 3013
     TARGETS_LIMITED = 3014
+    BODIES_FULL = 3015
 
     COMMAND_UNAVAILABLE = 4001
     COMMAND_OUTCOME_UNKNOWN = 4002
@@ -122,6 +124,7 @@
     ResultCode.KEY_INVALID: CodeInfo(400, "the Idempotency-Key is empty or too long", 20),
     ResultCode.PATH_UNKNOWN: CodeInfo(404, "no such path", 22),
     ResultCode.KEY_REUSED: CodeInfo(422, "the Idempotency-Key was used for another request", 20),
+    ResultCode.HEAD_TOO_LARGE: CodeInfo(431, "the head of the request exceeds its limit", 20),
     ResultCode.SHED_OVERLOAD: CodeInfo(
         429, "shed in favour of a higher tier or for lack of capacity", 30
     ),
@@ -146,6 +149,9 @@
     ResultCode.TARGETS_LIMITED: CodeInfo(
         503, "all targets for this request are at their rate limits", 31
     ),
+    ResultCode.BODIES_FULL: CodeInfo(
+        503, "this host holds as many bytes of request bodies as it may", 31
+    ),
     ResultCode.COMMAND_UNAVAILABLE: CodeInfo(503, "no quorum of keepers can be reached", 40),
     ResultCode.COMMAND_OUTCOME_UNKNOWN: CodeInfo(
         409, "the command may have run; this result is final", 41
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -12,6 +12,12 @@
 from troutstand.core.errors import TroutstandError
 from troutstand.core.plannedstop import AnswerLengths, PlannedStop
 from troutstand.generated.messages import ProcessState
+from troutstand.routing.callerconnection import (
+    MAX_HEADERS,
+    CallerConnection,
+    CallerServer,
+    CallerWriter,
+)
 from troutstand.routing.callhandler import CallHandler
 from troutstand.routing.calls import add_fingerprint, make_outgoing, parse_call
 from troutstand.routing.connectionpool import ConnectionPool
@@ -22,6 +28,7 @@
 from troutstand.routing.node import RoutingNode, parse_address
 from troutstand.routing.placement import Placement
 from troutstand.routing.relay import Sender
+from troutstand.routing.requestbodies import RequestBodies
 from troutstand.routing.targetlist import TargetList
 from troutstand.routing.tunnelclient import TunnelClient
 from troutstand.routing.tunnelserver import TunnelServer
@@ -35,10 +42,10 @@
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.calls import Call
     from troutstand.routing.dialect import Dialect
+    from troutstand.routing.requestbodies import HeldBody
 
 _CONNECT_TIMEOUT_S = 0.3
 _PRUNE_INTERVAL_S = 1.0
-_MAX_BODY_BYTES = 256 << 20
 _LISTEN_BACKLOG = 1024
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _DRAIN_POLL_INTERVAL_S = 0.02
@@ -87,6 +94,8 @@
         )
         self.pool = ConnectionPool(self.dialer)
         self.sender = Sender(self.pool, dialect.headers, self.placement)
+        self._bodies = RequestBodies(settings.request_bodies_bytes)
+        self.metrics.held_request_bytes.set_function(lambda: self._bodies.held_bytes)
         self._busy_connections: set[web.RequestHandler] = set()
         # When the last answer ended on a connection that was not told to close, while stopping.
         self._answered_s: dict[web.RequestHandler, float] = {}
@@ -117,17 +126,19 @@
         await self.node.start_metrics()
 
     async def _listen_callers(self) -> None:
-        server = web.Server(
+        server = CallerServer(
             self._handle,
             request_factory=_create_request,
             handler_cancellation=True,
             access_log=None,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
             keepalive_timeout=_KEEP_ALIVE_TIMEOUT_S,
             # Bodies reach targets as they were sent.
             auto_decompress=False,
         )
+        server.on_refused = self._log_refused_head
         self._server = server
         runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_SHARE * self.settings.stop_s)
         await runner.setup()
@@ -221,14 +232,20 @@
         protocol = request.protocol
         self._busy_connections.add(protocol)
         try:
-            response = await self._respond(request)
-            await self._write_response(request, response)
+            with contextlib.ExitStack() as held_bodies:
+                response = await self._respond(request, held_bodies)
+                await self._write_response(request, response)
             if self.is_stopping and response.keep_alive:
                 self._answered_s[protocol] = read_clock_s()
         finally:
             self._busy_connections.discard(protocol)
+            assert isinstance(protocol, CallerConnection)
+            protocol.is_handling = False
         return response
 
+    def _log_refused_head(self, error: TroutstandError) -> None:
+        self.node.events.emit("head_refused", code=error.code, detail=error.detail)
+
     async def _write_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Write a response while its connection still counts as busy."""
         if response.prepared:
@@ -264,44 +281,53 @@
             if self._answered_s.get(connection, least_s) <= least_s:
                 connection.transport.close()
 
-    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _respond(
+        self, request: web.BaseRequest, held_bodies: contextlib.ExitStack
+    ) -> web.StreamResponse:
         table = self.follower.table
         if table is None:
             detail = "the gateway has not received a configuration yet"
             return make_error_response(
                 TroutstandError(ResultCode.STARTING, detail, retry_after_s=_STARTING_RETRY_AFTER_S)
             )
-        names = self.dialect.headers
-        path = request.raw_path
-        limit = table.configuration.limits.body_bytes
-        try:
-            call = parse_call(table, names, request.headers, path, self.settings.tier_order)
-            body = await self._receive_body(request, limit)
-            call = add_fingerprint(
-                call, request.method, request.headers.get("host", ""), path, body
-            )
-        except TroutstandError as error:
-            key = request.headers.get(names.request, "")
-            self.node.events.emit(
-                "request_refused", key, code=error.code, detail=error.detail, version=table.version
-            )
-            return make_error_response(error)
-        headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
-        outgoing = make_outgoing(call, names, request.method, path, headers, body)
-        return await CallHandler(self, request, call, outgoing).run()
+        with self._bodies.hold() as body:
+            try:
+                call, data = await self._receive_call(request, table, body)
+            except TroutstandError as error:
+                self._log_refused(request, error, table.version)
+                return make_error_response(error)
+            headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
+            names, path = self.dialect.headers, request.raw_path
+            outgoing = make_outgoing(call, names, request.method, path, headers, data)
+            return await CallHandler(self, request, call, outgoing, held_bodies).run()
+
+    async def _receive_call(
+        self, request: web.BaseRequest, table: RouteTable, body: HeldBody
+    ) -> tuple[Call, bytes]:
+        path, names = request.raw_path, self.dialect.headers
+        call = parse_call(table, names, request.headers, path, self.settings.tier_order)
+        data = await self._receive_body(request, table.configuration.limits.body_bytes, body)
+        host = request.headers.get("host", "")
+        return add_fingerprint(call, request.method, host, path, data), data
+
+    def _log_refused(self, request: web.BaseRequest, error: TroutstandError, version: int) -> None:
+        key = request.headers.get(self.dialect.headers.request, "")
+        self.node.events.emit(
+            "request_refused", key, code=error.code, detail=error.detail, version=version
+        )
 
-    async def _receive_body(self, request: web.BaseRequest, limit: int) -> bytes:
+    async def _receive_body(self, request: web.BaseRequest, limit: int, body: HeldBody) -> bytes:
         """Return the body of a request.
 
         Raises
         ------
         TroutstandError
-            BODY_TOO_LARGE, or DRAINING if the gateway aborts its requests first.
+            BODY_TOO_LARGE, BODIES_FULL, or DRAINING if the gateway aborts its requests first.
         """
         try:
             async with asyncio.timeout(None) as timeout:
                 with self.refuse_on_abort(timeout):
-                    return await _read_body(request, limit)
+                    return await body.receive(request, limit)
         except TimeoutError as error:
             detail = "the gateway stopped before the request body had arrived"
             raise TroutstandError(
@@ -326,26 +352,14 @@
 
 
 def _create_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-    """Create a request object with the gateway's own body size limit."""
+    """Create a request object with the gateway's own writer."""
+    protocol.begin_request(payload)
+    loop = asyncio.get_running_loop()
     return web.BaseRequest(
         message,
         payload,
         protocol,
-        writer,
+        CallerWriter(protocol, loop),
         task,
-        asyncio.get_running_loop(),
-        client_max_size=_MAX_BODY_BYTES,
+        loop,
     )
-
-
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
-    if (request.content_length or 0) > limit:
-        raise TroutstandError(ResultCode.BODY_TOO_LARGE, f"the request body exceeds {limit} bytes")
-    if request.headers.get("expect", "").lower() == "100-continue" and request.transport:
-        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    if not request.body_exists:
-        return b""
-    data = await request.read()
-    if len(data) > limit:
-        raise TroutstandError(ResultCode.BODY_TOO_LARGE, f"the request body exceeds {limit} bytes")
-    return data
