Read free slots without calls for targets that lost nothing

What callers saw: nothing. A decision reads whether a target has room for each target of its pool.

Cause: since silent requests do not count as probes, `can_take` computes the number of free slots, 46 times a request with 45 targets: two calls each.

Change: `can_take` compares the numbers directly unless the target has lost something. What it returns is the same; there is no new test.

Tests: dispatch.feature 31 of 31.

--- a/troutstand/core/targetstate.py
+++ b/troutstand/core/targetstate.py
@@ -131,7 +131,10 @@
         """Return whether the target has room for a request now, if only for an isolated one."""
         if now_s < self.blocked_until_s or not self.report.may_send(now_s):
             return False
-        return self.free_slots > 0
+        if self.consecutive_losses:
+            return self.free_slots > 0
+        # Read for every target at every decision, so that the usual case calls nothing.
+        return len(self.running) < self.listed.slots
 
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target is ejected after losses; it may still get probes."""
