Start the processes of tests without the system's certificates, as they are deployed

A process that starts takes about a second of processor time; scenarios start ten to twenty at once, and on a busy machine gateways took over six seconds to be ready ("no call was sent after the last return"). The deploy file keeps the certificates from being loaded; the tests did not.

--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -25,6 +25,7 @@
     WeightedService,
 )
 from troutstand.generated.routing import RoutingRole, RoutingSettings
+from troutstand.testing.processenvironment import make_environment
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -159,7 +160,9 @@
         process.path.write_bytes(msgspec.json.encode(process.settings))
         command = [sys.executable, "-m", "troutstand.daemon.main", str(process.path), "--routed"]
         with process.log.open("ab") as log:
-            process.child = subprocess.Popen(command, stdout=log, stderr=log)
+            process.child = subprocess.Popen(
+                command, stdout=log, stderr=log, env=make_environment()
+            )
         process.starts += 1
 
     def start_all(self) -> None:
--- a/troutstand/testing/site.py
+++ b/troutstand/testing/site.py
@@ -18,6 +18,7 @@
 from troutstand.generated.table import Model, Protocol, Service, Target, Tier, Workspace
 from troutstand.testing.engine import EngineSettings
 from troutstand.testing.ports import IP, pick_ports
+from troutstand.testing.processenvironment import make_environment
 from troutstand.testing.relay import LinkDirection, RelayHub
 from troutstand.testing.service import ServiceSettings
 
@@ -99,7 +100,9 @@
     def start(self) -> None:
         """Start the process, with its output in a file."""
         with (self.folder / f"{self.name}.err").open("ab") as errors:
-            self.handle = subprocess.Popen(self.command, stdout=errors, stderr=errors)
+            self.handle = subprocess.Popen(
+                self.command, stdout=errors, stderr=errors, env=make_environment()
+            )
 
     @property
     def has_ended(self) -> bool:
