--- a/tools/features.py
+++ b/tools/features.py
@@ -106,19 +106,22 @@
     return [line for section in sections for line in section.splitlines() if line.startswith("  ")]
 
 
+def _report(outcome: Outcome) -> Outcome:
+    """Print what came of a feature, and its output if it failed."""
+    print(outcome.describe(), flush=True)
+    if outcome.status or outcome.failed:
+        print(outcome.text, flush=True)
+    return outcome
+
+
 def main(jobs: int) -> int:
     """Run all feature files; print the output of those that failed, and the total counts."""
     paths = sorted(TESTS.glob("*.feature"), key=_rank)
     together = [path for path in paths if path.stem not in _ALONE]
     with ThreadPoolExecutor(jobs) as pool:
-        outcomes = list(pool.map(run_feature, together))
-    outcomes += [run_feature(path) for path in paths if path.stem in _ALONE]
-    failing: list[str] = []
-    for outcome in outcomes:
-        print(outcome.describe())
-        if outcome.status or outcome.failed:
-            print(outcome.text)
-            failing.extend(_list_failing(outcome.text))
+        outcomes = [_report(outcome) for outcome in pool.map(run_feature, together)]
+    outcomes += [_report(run_feature(path)) for path in paths if path.stem in _ALONE]
+    failing = [line for outcome in outcomes for line in _list_failing(outcome.text)]
     if failing:
         print("Failing scenarios:")
         print("\n".join(failing))
