Take late streams at a stopping gateway only by their deadline

Callers saw a stream cut that they had sent on a kept connection 3.85 s after their gateway got SIGTERM, of a route that this gateway had never answered.

Cause: a length was a guess. Unknown ones counted as short until half of stop_s; known ones as what 95 in 100 of the last 64 answers of the route took. The abort cuts a response that has begun, which only streams have then. A wrong usual length and a change of the configuration were ruled out as causes: the rows beside them fail alike.

Lengths are kept by route and service: a route that moves to other targets takes other times.

--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -149,7 +149,7 @@
     ) -> web.StreamResponse:
         first_s = read_clock_s() - self._call.arrived_s
         if response.status < _MIN_ERROR_STATUS:
-            self._gateway.answer_lengths.record(self._call.route.name, first_s)
+            self._gateway.answer_lengths.record(self._call.route.name, self._call.service, first_s)
         self._gateway.metrics.first_byte_s.labels(*self._get_metric_labels()).observe(first_s)
         self._emit(
             "request_answered",
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -11,6 +11,7 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.core.plannedstop import AnswerLengths, PlannedStop
+from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import ProcessState
 from troutstand.routing.callerconnection import (
     MAX_HEADERS,
@@ -222,11 +223,16 @@
         stop, now_s = self.planned_stop, read_clock_s()
         if stop is None:
             return ""
-        length_s = self.answer_lengths.estimate_s(call.route.name)
-        if stop.can_answer(now_s, call.deadline_s, length_s):
+        length_s = self.answer_lengths.estimate_s(call.route.name, call.service)
+        is_stream = call.route.kind is RouteKind.streaming
+        if stop.can_answer(now_s, call.deadline_s, length_s, is_stream):
             return ""
         usual = "unknown" if length_s is None else f"{length_s:.3f}"
-        return f"the gateway is stopping: left_s={stop.aborted_s - now_s:.3f} usual_s={usual}"
+        left_s, deadline_s = stop.aborted_s - now_s, call.deadline_s - now_s
+        return (
+            f"the gateway is stopping: left_s={left_s:.3f} deadline_s={deadline_s:.3f} "
+            f"usual_s={usual} stream={is_stream}"
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
--- a/troutstand/tests/steps/plannedstop.py
+++ b/troutstand/tests/steps/plannedstop.py
@@ -41,7 +41,9 @@
 _MEGABYTE = 1 << 20
 _REPLY_BYTES = 4 * _MEGABYTE
 _UNREAD_LIMIT_S = 20.0
-_STREAM, _SHORT = "/stream/", "/do/"
+_STREAM, _SHORT, _OTHER = "/stream/", "/do/", "/stream/other/"
+_FAST_ANSWERS = 20
+_FAST_EVENT_S = 0.002
 
 
 @given(
@@ -51,6 +53,7 @@
     routes = [
         make_route("do", _SHORT, RouteKind.non_idempotent),
         make_route("stream", _STREAM, RouteKind.streaming, "engine"),
+        make_route("other", _OTHER, RouteKind.streaming, "engine"),
     ]
     routes = [
         msgspec.structs.replace(route, timeout_ms=_TIMEOUT_MS, pause_ms=500) for route in routes
@@ -159,6 +162,45 @@
     scene.background.run(play())
 
 
+async def _answer_fast(scene: Scene, route: str) -> None:
+    """Let targets answer some requests of a route within a fraction of a second."""
+    engines = [target for target in scene.targets if target.service == "engine"]
+    event_s = engines[0].event_s
+    for target in engines:
+        target.event_s = _FAST_EVENT_S
+    connection = KeptConnection("fast")
+    await connection.open(scene.site.processes["gateway-1"])
+    for _ in range(_FAST_ANSWERS):
+        await connection.call(route, _DEADLINE_S)
+    connection.close()
+    for target in engines:
+        target.event_s = event_s
+
+
+@when("{count:d} callers send a stream and one of another route, {known}, in a stop beside {event}")
+def stop_before_other(context: Context, count: int, known: str, event: str) -> None:
+    scene = context.scene
+
+    async def send(connection: KeptConnection) -> None:
+        await connection.call(_STREAM, _DEADLINE_S)
+        await connection.call(_OTHER, _DEADLINE_S)
+
+    async def stop(connections: list[KeptConnection]) -> None:
+        await _stop_when_streaming(context, connections)
+        await _cause(scene, event)
+
+    async def play() -> None:
+        if known == "answered fast before":
+            await _answer_fast(scene, _OTHER)
+        connections = await _open_connections(scene.site.processes["gateway-1"], count)
+        sending = [send(connection) for connection in connections]
+        await asyncio.gather(*sending, stop(connections))
+        await _wait_gone(scene, "gateway-1")
+        _keep_answers(context, connections)
+
+    scene.background.run(play())
+
+
 @when(
     "{count:d} callers send short requests on a new connection each time "
     "until a stopping gateway accepts none"
@@ -195,6 +237,8 @@
 
 async def _cause(scene: Scene, event: str) -> None:
     match event:
+        case "nothing":
+            pass
         case "a SIGHUP of the gateways":
             for gateway in scene.site.list_role(RoutingRole.gateway):
                 scene.site.send_signal(gateway.name, signal.SIGHUP)
@@ -312,7 +356,7 @@
 
 # Which requests are taken
 
-_ROUTE = "r"
+_ROUTE, _SERVICE = "r", "s"
 
 
 @given("answers of {lengths} s on its route")
@@ -321,28 +365,37 @@
     for entry in lengths.split(", "):
         count, _, length_s = entry.partition(" of ")
         for _ in range(int(count)):
-            context.lengths.record(_ROUTE, float(length_s))
+            context.lengths.record(_ROUTE, _SERVICE, float(length_s))
 
 
 @then(
-    "at {at_s:g} s into a stop of {stop_s:g} s a request with {left_s:g} s to its deadline "
+    "at {at_s:g} s into a stop of {stop_s:g} s a {kind} with {left_s:g} s to its deadline "
     "is {outcome}"
 )
-def check_taken(context: Context, at_s: float, stop_s: float, left_s: float, outcome: str) -> None:
+def check_taken(
+    context: Context, at_s: float, stop_s: float, kind: str, left_s: float, outcome: str
+) -> None:
     stop = PlannedStop.begin(100.0, stop_s)
     now_s = 100.0 + at_s
-    is_taken = stop.can_answer(now_s, now_s + left_s, context.lengths.estimate_s(_ROUTE))
+    length_s = context.lengths.estimate_s(_ROUTE, _SERVICE)
+    is_taken = stop.can_answer(now_s, now_s + left_s, length_s, kind == "stream")
     assert is_taken == (outcome == "taken"), outcome
 
 
+@then("the length of answers of the route at another service is not known")
+def check_other_service(context: Context) -> None:
+    assert context.lengths.estimate_s(_ROUTE, _SERVICE) is not None
+    assert context.lengths.estimate_s(_ROUTE, "other") is None
+
+
 @when("{count:d} answers of each of {routes:d} routes are recorded, and {more:d} of the last one")
 def record_many(context: Context, count: int, routes: int, more: int) -> None:
     context.lengths = AnswerLengths()
     for route in range(routes):
         for _ in range(count):
-            context.lengths.record(f"r-{route}", 1.0)
+            context.lengths.record(f"r-{route}", _SERVICE, 1.0)
     for number in range(more):
-        context.lengths.record(f"r-{routes - 1}", float(number))
+        context.lengths.record(f"r-{routes - 1}", _SERVICE, float(number))
     context.routes, context.last_s = routes, float(more - 1)
 
 
@@ -352,8 +405,9 @@
     assert len(kept) == routes, len(kept)
     assert max(kept.values()) == answers, kept
     names = {f"r-{context.routes - number}" for number in range(1, routes + 1)}
-    assert set(kept) == names
-    assert context.lengths.estimate_s(f"r-{context.routes - 1}") > context.last_s - answers
+    assert {key.route for key in kept} == names
+    estimate_s = context.lengths.estimate_s(f"r-{context.routes - 1}", _SERVICE)
+    assert estimate_s > context.last_s - answers
 
 
 # The end of keepers and schedulers
