Let versions serve side by side, and keep each stream with the one that began it

Callers of a service whose targets had been replaced by a newer software version, without an order, were refused with 503 (3008) for good while the new targets were ready: the book had the old version in force, and every other one was closed. While both versions stood, half of the targets were idle.

An order now decides for the versions that it names (on trial, replaced, rolled back). Any other version serves once the keepers' book has it; where operators order rollouts, after unordered_after_s. Where no version is open, all that were not rolled back serve. The version in force follows the targets once its own have left.

With two versions in service a stream could go on at either. Each decider and gateway remembers for 20 to 40 s which version may have sent a stream's events; while a service has several versions the keepers are told within 10 ms. A gateway where a caller resumes a stream (Resumes) knows the version itself, infers it where only one was listed for as long, or asks the schedulers and keepers. It is placed at that version alone, within one answer too. It is refused as not run where the version is unknown (3017) or serves nowhere (3016).

A replaced version is "resumed" where it was "closed": it takes only streams that it began.

--- a/troutstand/core/admissionqueue.py
+++ b/troutstand/core/admissionqueue.py
@@ -29,6 +29,8 @@
 _MAX_RETRY_AFTER_S = 5.0
 # Wait allowed while a service has no usable target.
 _NO_TARGET_WAIT_S = 0.3
+# A caller may begin the stream anew meanwhile.
+_GONE_RETRY_AFTER_S = 1.0
 # Safety factor on the estimated wait of a late request, which later arrivals can overtake.
 _LATE_WAIT_SAFETY_FACTOR = 2.0
 # Maximum retry delay as a share of the remaining time, so that a retry can still be served.
@@ -81,7 +83,7 @@
             pool.tier_minimum.cancel(waiting.work.tier, waiting.promoted_slot_s, now_s)
 
     def _check_arrival(self, pool: Pool, waiting: WaitingRequest, now_s: float) -> None:
-        if not pool.list_usable():
+        if self._refuse_unserved_version(pool, waiting, now_s) or not pool.list_usable():
             return
         pool.estimate_slack(waiting)
         if self._refuse_during_backoff(pool, waiting, now_s):
@@ -152,12 +154,22 @@
         self._refuse(pool, waiting, ResultCode.TARGETS_RESTING, backoff_s, now_s)
         return True
 
+    def _refuse_unserved_version(self, pool: Pool, waiting: WaitingRequest, now_s: float) -> bool:
+        """Refuse a stream that no target of its version can continue."""
+        version = waiting.work.software_version
+        if version is None or not pool.targets or pool.serves_version(version):
+            return False
+        self._refuse(pool, waiting, ResultCode.STREAM_VERSION_GONE, _GONE_RETRY_AFTER_S, now_s)
+        return True
+
     def _shed_waiting(self, pool: Pool, now_s: float) -> None:
         """Shed waiting requests that can no longer be served in time, in shedding order."""
         has_targets = bool(pool.list_usable())
         ordered = pool.waiting.list_shed_order()
         slot_interval_s = pool.estimate_slot_interval(now_s)
         for ahead, waiting in reversed(list(enumerate(ordered))):
+            if self._refuse_unserved_version(pool, waiting, now_s):
+                continue
             waited_here_s = now_s - waiting.arrived_s
             # Requests that arrived late, for example after a scheduler takeover, get the full
             # wait here; otherwise the next scheduler would refuse them at once.
@@ -166,7 +178,7 @@
             wait_s = (ahead + 1) * slot_interval_s
             if self._will_expire(pool, waiting, now_s):
                 self._refuse(pool, waiting, ResultCode.SHED_DEADLINE, wait_s, now_s)
-            elif not has_targets:
+            elif not has_targets and waiting.work.software_version is None:
                 if waited_here_s > _NO_TARGET_WAIT_S:
                     self._refuse(pool, waiting, ResultCode.NO_TARGET, 1.0, now_s)
             elif self._refuse_during_backoff(pool, waiting, now_s):
--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -54,6 +54,8 @@
     TARGETS_RESTING = 3013
     TARGETS_LIMITED = 3014
     BODIES_FULL = 3015
+    STREAM_VERSION_GONE = 3016
+    STREAM_ORIGIN_UNKNOWN = 3017
 
     COMMAND_UNAVAILABLE = 4001
     COMMAND_OUTCOME_UNKNOWN = 4002
@@ -152,6 +154,12 @@
     ResultCode.BODIES_FULL: CodeInfo(
         503, "this host holds as many bytes of request bodies as it may", 31
     ),
+    ResultCode.STREAM_VERSION_GONE: CodeInfo(
+        503, "no target of the version that began this stream serves it", 31
+    ),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: CodeInfo(
+        503, "the version that began this stream is not known", 31
+    ),
     ResultCode.COMMAND_UNAVAILABLE: CodeInfo(503, "no quorum of keepers can be reached", 40),
     ResultCode.COMMAND_OUTCOME_UNKNOWN: CodeInfo(
         409, "the command may have run; this result is final", 41
--- a/troutstand/core/pool.py
+++ b/troutstand/core/pool.py
@@ -65,6 +65,10 @@
 _get_last_loss_s = attrgetter("last_loss_s")
 
 
+def _is_resuming(target: TargetState) -> bool:
+    return target.admission in (Admission.RESUMED, Admission.CANARY)
+
+
 @dataclass
 class Pool:
     """Hold the targets and the queue of one service."""
@@ -81,6 +85,8 @@
     _typical_prefill_speed: PrefillSpeed | None = None
     # Cached result of list_usable.
     _usable: list[TargetState] | None = None
+    # Whether some targets take only streams that their version began, or samples.
+    _has_resuming: bool = False
     # Queue position where the next tick resumes its scan.
     next_scan_index: int = 0
     # Until then a target may be suspect; later checks for suspect targets are skipped.
@@ -119,6 +125,20 @@
         admissions = self.canary.admit_versions(t.listed.version for t in ready)
         for target in ready:
             target.admission = admissions[target.listed.version]
+        self._has_resuming = any(_is_resuming(target) for target in ready)
+
+    def list_resuming(self, now_s: float) -> list[TargetState]:
+        """Return the targets that take only streams that their version began, and can now."""
+        if not self._has_resuming:
+            return []
+        return [t for t in self._list_ready() if _is_resuming(t) and t.is_open(now_s)]
+
+    def serves_version(self, version: str) -> bool:
+        """Return whether a target of a version takes streams that it began."""
+        return any(
+            t.listed.version == version and t.admission is not Admission.CLOSED
+            for t in self._list_ready()
+        )
 
     def list_canaries(self, now_s: float) -> list[TargetState]:
         """Return the canary targets that can take a request now."""
--- a/troutstand/core/rollouts/admission.py
+++ b/troutstand/core/rollouts/admission.py
@@ -29,8 +29,10 @@
     """Say which requests a target may receive."""
 
     OPEN = "open"
-    # Sampled requests only.
+    # Sampled requests only, and streams that the target's version began.
     CANARY = "canary"
+    # Only streams that the target's version began.
+    RESUMED = "resumed"
     CLOSED = "closed"
 
 
@@ -57,6 +59,9 @@
 def admit_versions(view: ServiceRolloutView, listed: Iterable[str]) -> dict[str, Admission]:
     """Return the admission of each listed version.
 
+    Orders decide on the versions that they name; any other version serves beside the one in
+    force, once the book has it.
+
     Parameters
     ----------
     listed
@@ -79,11 +84,13 @@
 
 def _admit_other(rollout: ServiceRollout, version: str) -> Admission:
     """Return the admission of a version other than the canary."""
-    if not rollout.in_force:
-        return Admission.CLOSED if version in rollout.rejected else Admission.OPEN
+    if version in rollout.rejected:
+        return Admission.CLOSED
+    if version in rollout.replaced:
+        return Admission.RESUMED
     # Targets that are listed without a version take part in every rollout.
-    is_served = version in ("", rollout.in_force)
-    return Admission.OPEN if is_served else Admission.CLOSED
+    is_known = version in ("", rollout.in_force) or version in rollout.versions
+    return Admission.OPEN if is_known or not rollout.in_force else Admission.CLOSED
 
 
 def _admit_canary(view: ServiceRolloutView, admissions: dict[str, Admission], canary: str) -> None:
@@ -93,22 +100,26 @@
     if not view.is_leased:
         admissions[canary] = Admission.CLOSED
     elif rollout.order.state is RolloutState.switching:
-        admissions.update(dict.fromkeys(admissions, Admission.CLOSED))
+        for version, admission in admissions.items():
+            if admission is Admission.OPEN:
+                admissions[version] = Admission.RESUMED
         admissions[canary] = Admission.OPEN
     else:
-        admissions[canary] = Admission.CANARY if view.may_sample else Admission.CLOSED
+        admissions[canary] = Admission.CANARY if view.may_sample else Admission.RESUMED
 
 
 def _ensure_open(rollout: ServiceRollout, admissions: dict[str, Admission], ordered: str) -> None:
-    """Open the ordered version if no other version is open.
+    """Open the ordered version if no version is open, else all that were not rolled back.
 
-    This happens when a process missed the end of a rollout. Versions that no operator
-    ordered stay closed.
+    No version is open where the one in force has left, or a process missed the end of a rollout.
     """
     if any(admission is Admission.OPEN for admission in admissions.values()):
         return
     if ordered in admissions and ordered not in rollout.rejected:
         admissions[ordered] = Admission.OPEN
+        return
+    for version in admissions.keys() - set(rollout.rejected):
+        admissions[version] = Admission.OPEN
 
 
 @dataclass(frozen=True)
--- a/troutstand/core/rollouts/state.py
+++ b/troutstand/core/rollouts/state.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from troutstand.generated.messages import SeenVersions
+
 # The states that an order may move to from each state.
 _TRANSITIONS = {
     RolloutState.in_progress: (RolloutState.switching, RolloutState.rolled_back),
@@ -31,6 +33,8 @@
     RolloutState.rolled_back: (),
 }
 _MAX_REJECTED = 1000
+_MAX_REPLACED = 1000
+_MAX_VERSIONS = 1000
 
 
 @dataclass(frozen=True)
@@ -81,8 +85,14 @@
     is_in_force = current.in_force == request.version
     state = RolloutState.completed if is_in_force else RolloutState.in_progress
     order = RolloutOrder(number, request.version, request.duration_s, now_s, state)
-    rejected = [version for version in current.rejected if version != request.version]
-    return _replace_entry(book, msgspec.structs.replace(current, order=order, rejected=rejected))
+    changed = msgspec.structs.replace(
+        current,
+        order=order,
+        versions=sorted({*current.versions, request.version})[-_MAX_VERSIONS:],
+        rejected=[version for version in current.rejected if version != request.version],
+        replaced=[version for version in current.replaced if version != request.version],
+    )
+    return _replace_entry(book, changed)
 
 
 def _is_repeated(order: RolloutOrder, request: RolloutRequest) -> bool:
@@ -102,7 +112,7 @@
     changed = msgspec.structs.replace(current, order=order)
     match state:
         case RolloutState.completed:
-            changed = msgspec.structs.replace(changed, in_force=order.version)
+            changed = _replace_others(changed, order.version)
         case RolloutState.rolled_back:
             rejected = [v for v in current.rejected if v != order.version]
             rejected = [*rejected, order.version][-_MAX_REJECTED:]
@@ -129,17 +139,35 @@
     )
 
 
-def record_versions(book: RolloutBook, found: Iterable[ServiceRollout]) -> RolloutBook:
-    """Record the version in force of services that have none in the book."""
-    for entry in found:
-        current = find_rollout(book, entry.service) or ServiceRollout(entry.service)
-        ordered = current.order.version if current.order is not None else ""
-        if current.in_force or not entry.in_force or entry.in_force == ordered:
-            continue
-        book = _replace_entry(book, msgspec.structs.replace(current, in_force=entry.in_force))
+def _replace_others(entry: ServiceRollout, version: str) -> ServiceRollout:
+    """Put a version in force in place of all others that have served."""
+    served = [entry.in_force, *entry.versions]
+    others = [v for v in served if v and v != version]
+    replaced = list(dict.fromkeys([*entry.replaced, *others]))[-_MAX_REPLACED:]
+    return msgspec.structs.replace(entry, in_force=version, replaced=replaced)
+
+
+def record_versions(book: RolloutBook, found: Iterable[SeenVersions]) -> RolloutBook:
+    """Record the versions that are listed, and those in force where the book has none."""
+    for seen in found:
+        current = find_rollout(book, seen.service) or ServiceRollout(seen.service)
+        changed = _record_seen(current, seen)
+        if changed != current:
+            book = _replace_entry(book, changed)
     return book
 
 
+def _record_seen(entry: ServiceRollout, seen: SeenVersions) -> ServiceRollout:
+    ordered = entry.order.version if entry.order is not None else ""
+    may_set = not entry.in_force and seen.in_force != ordered
+    # A version that leaves without an order makes room for the one beside it.
+    has_left = seen.left != "" and entry.in_force == seen.left and not is_active(entry)
+    in_force = seen.in_force if seen.in_force and (may_set or has_left) else entry.in_force
+    kept = [] if seen.is_whole else entry.versions
+    versions = sorted({*kept, *seen.versions})[-_MAX_VERSIONS:]
+    return msgspec.structs.replace(entry, in_force=in_force, versions=versions)
+
+
 def _replace_entry(book: RolloutBook, changed: ServiceRollout) -> RolloutBook:
     others = [entry for entry in book.services if entry.service != changed.service]
     return RolloutBook(sorted([*others, changed], key=lambda entry: entry.service))
--- a/troutstand/core/siteview.py
+++ b/troutstand/core/siteview.py
@@ -12,6 +12,7 @@
 from troutstand.core.pool import Pool
 from troutstand.core.rollouts.canary import RolloutView
 from troutstand.core.selfreport import LimitShare, SelfReport
+from troutstand.core.streamorigins import StreamOrigins
 from troutstand.core.targetstate import RunningRequest, TargetState
 from troutstand.generated.messages import Hold, ListedState
 
@@ -23,6 +24,7 @@
     from troutstand.generated.messages import (
         ListedTarget,
         PlacedWork,
+        RoutedWork,
         TargetNotice,
         TargetSpeed,
     )
@@ -44,6 +46,8 @@
     """Hold the services of a site with their targets."""
 
     def __init__(self, rng: random.Random | None = None) -> None:
+        # Which version of the targets' software began each stream.
+        self.origins = StreamOrigins()
         self.pools: dict[str, Pool] = {}
         self._rollouts = RolloutView()
         self._limit_share = LimitShare(rng=rng)
@@ -185,6 +189,12 @@
             is_silent=placed.is_silent,
         )
         state.start(run)
+        self._record_origin(work, state, now_s)
+
+    def _record_origin(self, work: RoutedWork, state: TargetState, now_s: float) -> None:
+        """Remember the version of a stream's target, which any later part must come from."""
+        if work.stream:
+            self.origins.record(work.stream, state.listed.version, now_s)
 
     def list_holds(self) -> list[Hold]:
         """Return the mean slot time of requests by service."""
--- a/troutstand/core/targetchoice.py
+++ b/troutstand/core/targetchoice.py
@@ -29,6 +29,16 @@
     return Link(work.failure_domain, state.listed.failure_domain)
 
 
+def filter_version(version: str, *targets: list[TargetState]) -> list[TargetState]:
+    """Return the targets that run a version."""
+    return [t for some in targets for t in some if t.listed.version == version]
+
+
+def may_run(work: RoutedWork, state: TargetState) -> bool:
+    """Return whether a target runs the version that a request needs, if it needs one."""
+    return work.software_version in (None, state.listed.version)
+
+
 class TargetChoice:
     """Choose among a service's open targets.
 
@@ -103,7 +113,9 @@
         work = waiting.work
         eligible = [t for t in open_ if self._is_eligible(pool, waiting, t, now_s)]
         tried = work.excluded
-        if tried and any(t.listed.target not in tried for t in pool.list_usable()):
+        if tried and any(
+            t.listed.target not in tried and may_run(work, t) for t in pool.list_usable()
+        ):
             eligible = [t for t in eligible if t.listed.target not in tried]
         if now_s < pool.suspects_until_s:
             eligible = self._filter_suspects(pool, waiting, eligible, now_s)
@@ -123,6 +135,7 @@
         """
         return (
             state.listed.target not in waiting.work.running_at
+            and may_run(waiting.work, state)
             and state.has_memory(waiting.work, pool.memory_tokens)
             and self._is_reachable(waiting.work, state, now_s)
             and state.report.get_block_reason(waiting.owner, now_s) is None
@@ -150,6 +163,7 @@
             not t.report.backoff.is_suspect(now_s)
             and t.report.get_block_reason(waiting.owner, now_s) is None
             and t.listed.target not in waiting.work.excluded
+            and may_run(waiting.work, t)
             and self._is_reachable(waiting.work, t, now_s)
             for t in pool.list_usable()
         )
@@ -162,6 +176,7 @@
         return any(
             not t.consecutive_losses
             and t.listed.target not in work.excluded
+            and may_run(work, t)
             and self._is_reachable(work, t, now_s)
             for t in pool.list_usable()
         )
--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -10,12 +10,14 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from troutstand.core.codes import ResultCode
 from troutstand.core.paths import Reach
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import Declined, Ended, Ending, Placed
 from troutstand.routing.attempt import Attempt
 from troutstand.routing.attempthistory import AttemptHistory
 from troutstand.routing.calls import add_resume_header
+from troutstand.routing.originsync import KnownOrigin, UnknownOrigin
 from troutstand.routing.relay import SendError, SentRequest
 from troutstand.util.clock import MIN_SUSPEND_S, read_clock_s
 
@@ -32,6 +34,8 @@
 _STREAM_TIMEOUT_FACTOR = 1.5
 # Time after a declined placement before another one is requested beside silent targets.
 _PLACEMENT_RETRY_S = 0.5
+# A caller may begin the stream anew meanwhile.
+_UNKNOWN_RETRY_AFTER_S = 1.0
 # Endings that may be the fault of the target or of the path to it.
 _LOSSES = frozenset({Ending.unsent, Ending.broken})
 
@@ -75,6 +79,10 @@
         # Placements that were cancelled and have not been withdrawn at the decider yet.
         self._cancelled: set[asyncio.Task[Placed | Declined]] = set()
         self._place_after_s = float("-inf")
+        # Version of the targets' software that began the stream, once the caller has a part of
+        # it; None allows any.
+        self._software_version: str | None = None
+        self._is_origin_known = not call.is_resumed
 
     async def receive(self) -> Attempt:
         """Return the first attempt that has something to relay; all others are dropped.
@@ -137,6 +145,8 @@
         if self._cancelled:
             # A later withdrawal would also withdraw this placement of the same request.
             await asyncio.wait(self._cancelled)
+        if not self._is_origin_known and (declined := await self._find_origin()) is not None:
+            return declined
         work = self._call.create_work(
             read_clock_s(),
             self.history.arrived_count + 1,
@@ -144,6 +154,7 @@
             self._gateway.settings.failure_domain,
             self._response.has_started,
             [attempt.placed.target for attempt in self._live],
+            self._software_version,
         )
         decision = await self._gateway.placement.place(work)
         if isinstance(decision, Placed):
@@ -154,6 +165,34 @@
             wait_s.observe(decision.waited_ms / 1000.0)
         return decision
 
+    def bind_version(self, attempt: Attempt) -> None:
+        """Have any later attempt go to the version of an attempt whose events are relayed."""
+        self._software_version = attempt.placed.software_version
+
+    async def _find_origin(self) -> Declined | None:
+        """Find out which version began a stream that the caller resumes, or refuse it."""
+        call = self._call
+        origin = await self._gateway.placement.find_origin(call.service, call.stream)
+        match origin:
+            case KnownOrigin(software_version, source):
+                self._software_version, self._is_origin_known = software_version, True
+                self._emit_origin(software_version, source)
+                return None
+            case UnknownOrigin(reason):
+                code = int(ResultCode.STREAM_ORIGIN_UNKNOWN)
+                self._emit_origin(None, "unknown")
+                return Declined(call.request, code, _UNKNOWN_RETRY_AFTER_S, reason)
+
+    def _emit_origin(self, version: str | None, source: str) -> None:
+        self._gateway.metrics.stream_origins.labels(source).inc()
+        self._gateway.node.events.emit(
+            "stream_origin",
+            self._call.request,
+            stream=self._call.stream,
+            software=version,
+            source=source,
+        )
+
     def _use_decision(self, decision: Placed | Declined) -> None:
         """Start the attempt that was placed; if it was declined, leave those in flight."""
         if isinstance(decision, Placed):
@@ -426,7 +465,10 @@
         attempt.first_byte_s = first_s
         is_measured = attempt.suspend_watch.peek_suspended_s() < MIN_SUSPEND_S
         self._gateway.placement.record_first_byte(
-            self._call.request, attempt.placed.target, first_s if is_measured else -1.0
+            self._call.request,
+            attempt.placed.target,
+            attempt.placed.software_version,
+            first_s if is_measured else -1.0,
         )
 
     def _emit(self, name: str, attempt: Attempt, **fields: Any) -> None:
--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -215,6 +215,7 @@
         splitter = self._caller_response.splitter
         data = splitter.feed(chunk) if splitter is not None else chunk
         if data:
+            self._attempts.bind_version(attempt)
             await self._write_body(sent, data)
         if splitter is not None and splitter.partial_bytes > MAX_EVENT_BYTES:
             detail = (
--- a/troutstand/routing/calls.py
+++ b/troutstand/routing/calls.py
@@ -67,6 +67,10 @@
     arrived_s: float
     deadline_s: float
     tier_order: TierOrder = DEFAULT_TIER_ORDER
+    # Whether the caller has a part of the stream already.
+    is_resumed: bool = False
+    # The request that brought the first part of a resumed stream; empty if the caller names none.
+    resumed_request: str = ""
     # Equal for all requests of a workspace with the same method, host, path and body.
     fingerprint: str = ""
 
@@ -78,6 +82,13 @@
             return route.resumable
         return route.kind is RouteKind.idempotent
 
+    @property
+    def stream(self) -> str:
+        """Return the request that began the stream; empty if the response cannot be resumed."""
+        if self.route.kind is not RouteKind.streaming or not self.route.resumable:
+            return ""
+        return self.resumed_request if self.is_resumed else self.request
+
     @property
     def shared_parts(self) -> list[str]:
         """Return the parts of the prompt that other requests may have too."""
@@ -124,6 +135,7 @@
         failure_domain: str,
         has_response_begun: bool = False,
         running_at: Sequence[str] = (),
+        software_version: str | None = None,
     ) -> RoutedWork:
         """Create the placement request for a scheduler.
 
@@ -133,6 +145,8 @@
             Whether the caller got a part of the response; the silence limit no longer applies.
         running_at
             Targets where earlier attempts still run.
+        software_version
+            Version of the targets' software that must serve the request; None allows any.
         """
         return RoutedWork(
             request=self.request,
@@ -159,6 +173,8 @@
             failure_domain=failure_domain,
             fingerprint=self.fingerprint,
             running_at=list(running_at),
+            stream=self.stream,
+            software_version=software_version,
         )
 
 
@@ -239,6 +255,8 @@
     model = headers.get(names.model, "")
     _check_name(names.request, request, _MAX_REQUEST_CHARACTERS)
     _check_name(names.model, model, _MAX_MODEL_CHARACTERS)
+    resumed_request = headers.get(names.resumed_request, "")
+    _check_name(names.resumed_request, resumed_request, _MAX_REQUEST_CHARACTERS)
     workspace = None
     if table.requires_keys and not route.anonymous:
         workspace = table.find_workspace(headers.get(names.key, ""))
@@ -263,6 +281,8 @@
         arrived_s=now_s,
         deadline_s=now_s + limit_ms / _MS_PER_S,
         tier_order=tier_order,
+        is_resumed=route.resumable and bool(headers.get(names.resume)),
+        resumed_request=resumed_request,
     )
 
 
--- a/troutstand/routing/decisionlog.py
+++ b/troutstand/routing/decisionlog.py
@@ -76,6 +76,7 @@
         late=inputs.is_late,
         promoted=inputs.is_promoted,
         fingerprint=inputs.fingerprint,
+        software=placed.software_version or None,
         decider=decider,
         list=targets_version[:8],
         version=version,
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -45,7 +45,10 @@
     tokens: str = "x-tokens"
     parts: str = "x-prompt-parts"
     output_estimate: str = "x-output-estimate"
+    # The last event that the caller has of a stream.
     resume: str = "last-event-id"
+    # The request that brought the first event of a stream which the caller resumes.
+    resumed_request: str = "x-resumed-request"
     expected_target: str = "x-expected-target"
     not_run: str = "x-not-run"
     seal: str = "x-answer-seal"
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -16,6 +16,7 @@
 from troutstand.core.ids import ProcessId
 from troutstand.core.limits.quota import make_bounds
 from troutstand.core.membership import INITIAL_DISK_ID, make_initial_set
+from troutstand.core.streamorigins import StreamOrigins
 from troutstand.daemon.links import handle_locally
 from troutstand.daemon.registers import RegisterClient
 from troutstand.daemon.storage import Storage, format_folder, read_identity, replace_identity
@@ -32,6 +33,9 @@
     Learned,
     Line,
     NewestAsk,
+    OriginAsk,
+    OriginNews,
+    OriginTold,
     PartNews,
     PeerMessage,
     Prepare,
@@ -133,6 +137,7 @@
         )
         counted_s = make_bounds(settings).counted_s
         self.usage = UsageStore(Path(settings.data_folder), counted_s, self.node.events)
+        self.origins = StreamOrigins()
         self.replacement = KeeperReplacement(self)
         self._compressed_configuration = (0, b"")
         self._absences: dict[ProcessId, float] = {}
@@ -217,6 +222,11 @@
                 return None
             case UsageAsk():
                 return self._tell_usage(message)
+            case OriginNews(groups):
+                self.origins.merge(groups, read_clock_s())
+                return None
+            case OriginAsk(stream):
+                return OriginTold(self.origins.find(stream))
             case KeepersAsk():
                 return self.acceptor.report_keepers()
             case KeepersInstall(keepers):
--- a/troutstand/routing/metrics.py
+++ b/troutstand/routing/metrics.py
@@ -103,6 +103,12 @@
             "Bytes of request bodies that are held until their requests end",
             registry=self.registry,
         )
+        self.stream_origins = Counter(
+            "troutstand_stream_origins",
+            "Streams that callers resumed, by how the version that began them was learnt",
+            ["source"],
+            registry=self.registry,
+        )
         self.endings = Counter(
             "troutstand_endings",
             "Sent requests by how they ended at the target",
--- /dev/null
+++ b/troutstand/routing/originsync.py
@@ -0,0 +1,152 @@
+"""Tell the keepers which versions of the targets' software began streams, and ask for it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from troutstand.core.errors import TroutstandError
+from troutstand.core.rollouts.state import find_rollout
+from troutstand.core.rollouts.versionwatch import VersionWatch
+from troutstand.generated.messages import OriginAsk, OriginNews, OriginTold
+from troutstand.generated.routing import RoutingRole
+from troutstand.util.clock import read_clock_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from troutstand.core.ids import ProcessId
+    from troutstand.core.streamorigins import StreamOrigins
+    from troutstand.generated.messages import ListedTarget
+    from troutstand.routing.follower import Follower
+    from troutstand.routing.node import RoutingNode
+    from troutstand.routing.rolloutcache import RolloutCache
+
+# Joins streams that begin together into one message; shorter than the time to a first event, so
+# that the keepers know of a stream before its caller does.
+_TELL_DELAY_S = 0.01
+# A few round trips, while the caller waits.
+_ASK_TIMEOUT_S = 0.3
+
+
+class OriginSync:
+    """Tell the keepers which streams began, while a service has several versions."""
+
+    def __init__(self, node: RoutingNode, follower: Follower, origins: StreamOrigins) -> None:
+        self._node = node
+        self._follower = follower
+        self._origins = origins
+        origins.on_untold = self._schedule
+
+    def set_mixed(self, is_mixed: bool) -> None:
+        """Begin or stop to tell, by whether a service has several versions."""
+        self._origins.set_telling(is_mixed)
+
+    def _schedule(self) -> None:
+        asyncio.get_running_loop().call_later(_TELL_DELAY_S, self._send)
+
+    def _send(self) -> None:
+        groups = self._origins.drain_untold()
+        if not groups:
+            return
+        for keeper in self._follower.list_keepers():
+            self._node.send(keeper, OriginNews(groups))
+
+
+@dataclass(frozen=True)
+class KnownOrigin:
+    """Name the version that a resumed stream needs, None for any, and how it was learnt."""
+
+    software_version: str | None
+    source: str
+
+
+@dataclass(frozen=True)
+class UnknownOrigin:
+    """Say why the version that began a stream is not known."""
+
+    reason: str
+
+
+class OriginFinder:
+    """Find the version that began a stream which a caller resumes at this gateway."""
+
+    def __init__(
+        self,
+        node: RoutingNode,
+        follower: Follower,
+        origins: StreamOrigins,
+        list_targets: Callable[[], list[ListedTarget]],
+    ) -> None:
+        self._node = node
+        self._follower = follower
+        self._origins = origins
+        self._list_targets = list_targets
+        self._watch = VersionWatch()
+
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether any service has several versions."""
+        return self._watch.is_mixed(read_clock_s())
+
+    def update_targets(self) -> None:
+        """Record the versions of a newer list of targets."""
+        self._watch.update(self._list_targets(), read_clock_s())
+
+    async def find(self, service: str, stream: str) -> KnownOrigin | UnknownOrigin:
+        """Return the version that began a stream of a service.
+
+        Parameters
+        ----------
+        stream
+            The request that brought the stream's first event; empty if its caller names none.
+        """
+        version = self._origins.find(stream)
+        if version is not None:
+            return KnownOrigin(version, "own")
+        self.update_targets()
+        now_s = read_clock_s()
+        candidates = self._list_candidates(service, now_s)
+        if len(candidates) == 1 and self._is_certain(now_s):
+            return KnownOrigin(candidates.pop(), "only version")
+        listed = ",".join(sorted(candidates))
+        if not stream:
+            return UnknownOrigin(f"the request names no stream; versions={listed}")
+        told = await self._ask_all(stream)
+        if len(told) == 1:
+            return KnownOrigin(told.pop(), "peers")
+        return UnknownOrigin(f"versions={listed} told={','.join(sorted(told))}")
+
+    def _list_candidates(self, service: str, now_s: float) -> set[str]:
+        """Return the versions that may have begun streams which are still resumed."""
+        candidates = self._watch.list_recent(service, now_s)
+        entry = find_rollout(self._rollouts.book, service)
+        if entry is not None and not self._watch.is_complete(now_s):
+            candidates.update(v for v in (entry.in_force, *entry.versions) if v)
+        return candidates
+
+    def _is_certain(self, now_s: float) -> bool:
+        """Return whether no other version can have begun a stream unseen."""
+        return self._watch.is_complete(now_s) or self._rollouts.is_leased(now_s)
+
+    @property
+    def _rollouts(self) -> RolloutCache:
+        return self._follower.rollouts
+
+    async def _ask_all(self, stream: str) -> set[str]:
+        """Return the versions that schedulers and keepers name for a stream."""
+        schedulers = self._node.contacts.list_by_role(RoutingRole.scheduler.value)
+        processes = [*schedulers, *self._follower.list_keepers()]
+        told = await asyncio.gather(*(self._ask(process, stream) for process in processes))
+        return {version for version in told if version is not None}
+
+    async def _ask(self, process: ProcessId, stream: str) -> str | None:
+        try:
+            reply = await self._node.ask(process, OriginAsk(stream), _ASK_TIMEOUT_S)
+        except TroutstandError as error:
+            self._node.events.emit(
+                "stream_origin_unread", code=error.code, peer=process, detail=error.detail
+            )
+            return None
+        return reply.software_version if isinstance(reply, OriginTold) else None
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -20,6 +20,7 @@
 from troutstand.core.limits.quota import Quotas, make_bounds
 from troutstand.core.limits.retrybudget import RetryBudget
 from troutstand.core.noticestore import NoticeStore
+from troutstand.core.streamorigins import StreamOrigins
 from troutstand.generated.messages import (
     Abandon,
     AttachAsk,
@@ -41,6 +42,7 @@
     emit_link_changes,
 )
 from troutstand.routing.heartbeats import Heartbeats
+from troutstand.routing.originsync import KnownOrigin, OriginFinder, OriginSync, UnknownOrigin
 from troutstand.routing.partevidencecache import PartEvidenceSync
 from troutstand.routing.pendingplacement import PendingPlacement, update_remaining_time
 from troutstand.routing.placedrequests import PlacedRequests
@@ -126,6 +128,11 @@
             node, self._crashes.parts, follower.part_evidence, self._merge_part_evidence
         )
         self._notices = NoticeStore()
+        self._origins = StreamOrigins()
+        self._origin_sync = OriginSync(node, follower, self._origins)
+        self._origin_finder = OriginFinder(
+            node, follower, self._origins, lambda: self._targets.targets
+        )
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
@@ -137,7 +144,12 @@
         retries = RetryBudget(settings.retry_ratio, settings.retry_extra, settings.retry_window_s)
         retries.share = share
         local = Dispatcher(
-            quotas, retries, self._node.random, self._crashes, self._node.load_options
+            quotas,
+            retries,
+            self._node.random,
+            self._crashes,
+            self._node.load_options,
+            self._origins,
         )
         now_s = read_clock_s()
         local.set_rate_limit_share(share, now_s)
@@ -253,6 +265,7 @@
         match answer:
             case Placed():
                 self._placed.start(work, answer, now_s)
+                self._record_origin(work, answer.software_version, now_s)
                 if pending.decider == self._current:
                     self._placed.record_number(answer.number)
                 if not isinstance(pending.decider, LocalDecider):
@@ -262,6 +275,14 @@
                 self._crashes.merge(crashes, now_s)
         return answer
 
+    async def find_origin(self, service: str, stream: str) -> KnownOrigin | UnknownOrigin:
+        """Return the version that began a stream which a caller resumes."""
+        return await self._origin_finder.find(service, stream)
+
+    def _record_origin(self, work: RoutedWork, version: str, now_s: float) -> None:
+        if work.stream:
+            self._origins.record(work.stream, version, now_s)
+
     def _find_quarantine(self, work: RoutedWork, now_s: float) -> Quarantine | None:
         if self._crashes.get_suspicion(work.fingerprint, now_s) is Suspicion.QUARANTINED:
             return self._crashes.describe_quarantine(work.fingerprint, now_s)
@@ -335,11 +356,17 @@
         else:
             self._node.send(pending.decider, Abandon(request, running_at))
 
-    def record_first_byte(self, request: str, target: str, first_s: float) -> None:
+    def record_first_byte(
+        self, request: str, target: str, software_version: str, first_s: float
+    ) -> None:
         """Report the first byte of a target's response."""
-        first = self._placed.record_first_byte(request, target, first_s, read_clock_s())
+        now_s = read_clock_s()
+        first = self._placed.record_first_byte(request, target, first_s, now_s)
         if first is None:
             return
+        work = self._placed.find_work(request, target)
+        if work is not None:
+            self._record_origin(work, software_version, now_s)
         if isinstance(self._current, LocalDecider):
             self._local.record_first_byte(first, read_clock_s())
             self._deliver_local()
@@ -458,6 +485,7 @@
         is_used = process == self._current or self._is_local()
         if reply.has_targets and is_used and self._targets.apply_update(reply):
             self._notices.prune(self._targets.targets, read_clock_s())
+            self._origin_finder.update_targets()
             self._local.update_targets(self._targets.targets, read_clock_s(), is_from_peer=True)
             self._deliver_local()
         if reply.has_peers and is_used:
@@ -546,9 +574,11 @@
                 self._update_rollouts(self._local, now_s)
                 self._local.tick(now_s)
                 self._usage_sync.tell(self._local.quotas, self._local.quotas.export_usage)
+                self._origin_sync.set_mixed(self._origin_finder.is_mixed)
                 self._usage_log.emit_usage(self._local.quotas, now_s)
                 self._deliver_local()
             else:
+                self._origin_sync.set_mixed(is_mixed=False)
                 self._local_active.clear()
 
     async def _run_local_list(self) -> None:
@@ -565,6 +595,7 @@
                 continue
             self._targets.emit_invalid_entries(self._node.events)
             self._notices.prune(self._targets.targets, read_clock_s())
+            self._origin_finder.update_targets()
             if changed and self._is_local():
                 self._local.update_targets(self._targets.targets, read_clock_s())
                 self._deliver_local()
--- a/troutstand/routing/rolloutdriver.py
+++ b/troutstand/routing/rolloutdriver.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from troutstand.core.errors import TroutstandError
 from troutstand.core.pool import Pool
 from troutstand.core.rollouts.analysis import Verdict
 from troutstand.core.rollouts.planning import RolloutProgress, plan_step
-from troutstand.core.rollouts.state import find_rollout, is_active
+from troutstand.core.rollouts.seenversions import list_unreported
+from troutstand.core.rollouts.state import is_active
+from troutstand.core.rollouts.versionwatch import VersionWatch
 from troutstand.generated.messages import (
-    ListedState,
     RolloutAdvance,
     RolloutState,
     RolloutsTold,
-    ServiceRollout,
     VersionsSeen,
 )
 from troutstand.generated.routing import RoutingRole
@@ -67,6 +66,8 @@
         self._last_logged_s: dict[str, float] = {}
         self._keeper_index = 0
         self._is_reporting = False
+        self.versions = VersionWatch()
+        self._delay_s = node.settings.unordered_after_s
 
     async def run(self) -> None:
         """Process every active rollout periodically until cancelled."""
@@ -168,16 +169,18 @@
         if isinstance(reply, RolloutsTold):
             self._rollouts.install(reply.book, reply.version)
 
-    # Versions in force
+    # Versions
 
     def report_versions(self, listed: list[ListedTarget]) -> None:
-        """Report the version in force of services for which the book has none.
+        """Report the listed versions that the book lacks, and the one in force where it has none.
 
-        After the first report only orders change it.
+        A version that no order names serves once the book has it.
         """
-        if self._get_gateway_share() <= 0.0 or not self._rollouts.is_leased(read_clock_s()):
+        now_s = read_clock_s()
+        self.versions.update(listed, now_s)
+        if self._get_gateway_share() <= 0.0 or not self._rollouts.is_leased(now_s):
             return
-        found = list_unreported(self._rollouts, listed)
+        found = list_unreported(self._rollouts.book, listed, self.versions, self._delay_s, now_s)
         if found and not self._is_reporting:
             # Runs in its own task, so that the next read of the list need not wait.
             self._is_reporting = True
@@ -190,22 +193,6 @@
             self._is_reporting = False
 
 
-def list_unreported(rollouts: RolloutCache, listed: list[ListedTarget]) -> list[ServiceRollout]:
-    """Return the most common version of each service that has none in force in the book."""
-    counts: dict[str, Counter[str]] = {}
-    for entry in listed:
-        if entry.version and entry.state is ListedState.ready:
-            counts.setdefault(entry.service, Counter())[entry.version] += 1
-    found: list[ServiceRollout] = []
-    for service, versions in sorted(counts.items()):
-        current = find_rollout(rollouts.book, service)
-        ordered = current.order.version if current is not None and current.order is not None else ""
-        candidates = Counter({v: n for v, n in versions.items() if v != ordered})
-        if (current is None or not current.in_force) and candidates:
-            found.append(ServiceRollout(service, candidates.most_common(1)[0][0]))
-    return found
-
-
 def _compute_exposure_left_s(pool: Pool, elapsed_s: float) -> float:
     """Return how long all requests may go to the canary version, in seconds."""
     exposure = pool.canary.exposure
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -28,6 +28,8 @@
     ChargeAsk,
     Ended,
     FirstByte,
+    OriginAsk,
+    OriginTold,
     PathLost,
     PeerMessage,
     Place,
@@ -46,6 +48,7 @@
 from troutstand.routing.gatewayprobes import GatewayProbes
 from troutstand.routing.loadreport import LoadReport
 from troutstand.routing.node import RoutingNode
+from troutstand.routing.originsync import OriginSync
 from troutstand.routing.partevidencecache import PartEvidenceSync
 from troutstand.routing.rolloutdriver import RolloutDriver
 from troutstand.routing.targetlist import TargetList, TargetListError, TargetListUpdate
@@ -114,6 +117,7 @@
         self._cached_usage: tuple[float, list[UsageSnapshot]] = (float("-inf"), [])
         self._usage_sync = UsageSync(self.node, self.follower, lambda: self._gateways.gateway_count)
         self._usage_log = UsageLog(self.node.events, SCHEDULER)
+        self._origin_sync = OriginSync(self.node, self.follower, self.dispatcher.origins)
         self._probes = GatewayProbes(
             self.node, self._gateways, self._get_lease_s, self._handle_ended_gateway
         )
@@ -187,6 +191,8 @@
                 if code is ResultCode.OK:
                     return Acknowledged()
                 return Refused(int(code), f"a further run of workspace {workspace}")
+            case OriginAsk(stream):
+                return OriginTold(self.dispatcher.origins.find(stream))
             case AttachAsk():
                 return self._handle_attach(peer, message, now_s)
             case _:
@@ -477,6 +483,7 @@
             self._load_report.update(self.dispatcher, now_s)
             if self._gateways.count_attached():
                 self._usage_sync.tell(self.quotas, self._list_usage)
+                self._origin_sync.set_mixed(self.rollouts.versions.is_mixed(now_s))
                 self._usage_log.emit_usage(self.quotas, now_s)
             self._log_slow_tick(read_clock_s() - now_s, now_s)
             self._deliver_decisions()
--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -47,6 +47,8 @@
     retry_extra: float = RoutedPlan.retry_extra
     request_bodies_bytes: int = RoutedPlan.request_bodies_bytes
     has_metrics: bool = False
+    # Delay before a version that no rollout names serves beside others.
+    unordered_after_s: float = 0.0
     # Tolerated excess over workspace limits.
     quota_excess: float = 0.0
     quota_extra: float = 0.0
@@ -86,6 +88,7 @@
             retry_extra=self.retry_extra,
             request_bodies_bytes=self.request_bodies_bytes,
             has_metrics=self.has_metrics,
+            unordered_after_s=self.unordered_after_s,
             quota_excess=self.quota_excess,
             quota_extra=self.quota_extra,
             domains=self.domains or RoutedPlan.domains,
--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -88,6 +88,8 @@
     has_metrics: bool = False
     shares_fairly: bool = False
     protects_tiers: bool = False
+    # Delay before a version that no rollout names serves beside others.
+    unordered_after_s: float = 0.0
     domains: tuple[str, ...] = ("north", "south", "east")
 
 
@@ -146,6 +148,7 @@
             request_bodies_bytes=self.plan.request_bodies_bytes,
             metrics_port=METRICS_PORT if has_metrics else 0,
             share_fairly=self.plan.shares_fairly,
+            unordered_after_s=self.plan.unordered_after_s,
             protect_tiers=self.plan.protects_tiers,
         )
         process = HostProcess(
--- a/troutstand/testing/standins.py
+++ b/troutstand/testing/standins.py
@@ -132,6 +132,8 @@
     # Count of drains in progress.
     drains: int = 0
     version: str = ""
+    # Whether each event of a stream names the version, in a field that callers ignore.
+    labels_events: bool = False
     address: str = ""
     # Reported start time in Unix milliseconds; 0 reports none.
     born_ms: int = 0
@@ -447,6 +449,8 @@
         writer.write((common + _STREAM_HEADERS).encode())
         for number in range(after + 1, self.events + 1):
             event = make_event(request, number)
+            if self.labels_events:
+                event = b"software: " + self.version.encode() + b"\n" + event
             if is_cut and number == after + _CUT_EVENT:
                 writer.write(f"{len(event):x}\r\n".encode() + event[:5])
                 await writer.drain()
--- /dev/null
+++ b/troutstand/tests/streamorigins.feature
@@ -0,0 +1,66 @@
+Feature: What is known of the versions that began streams is bounded, and never a guess
+  Guards against streams that go on at a version which did not begin them.
+
+  Scenario: The origins of streams take bounded memory and time
+    When 250000 streams begin within 10 s
+    Then at most 400000 origins are kept, the last ones among them
+    When nothing begins for 45 s but one stream
+    Then the streams before it are forgotten after another 25 s
+
+  Scenario: The last version that may have sent an event counts
+    When a stream is placed at "v1", and again at "v2" before any event
+    Then its origin is "v2"
+    When its first event comes from "v1"
+    Then its origin is "v1"
+
+  Scenario: Streams that began before a second version was listed are told too
+    When 3 streams begin at "v1" while one version is listed
+    Then 0 streams are told
+    When a second version is listed, and 2 streams begin at "v2"
+    Then 5 streams are told
+    And 0 streams are told
+
+  Scenario Outline: A resumed stream goes to its version alone: <case>
+    Given a scheduler with targets of "v1" and "v2", of which "v1" is <admission>
+    When a stream of "<version>" is resumed 4 times
+    Then it gets <outcome>
+
+    Examples:
+      | case                           | admission   | version | outcome        |
+      | both serve                     | open        | v1      | v1             |
+      | both serve                     | open        | v2      | v2             |
+      | an order has replaced its own  | replaced    | v1      | v1             |
+      | its own was rolled back        | rolled back | v1      | refused 3016   |
+      | its own is listed no more      | open        | v3      | refused 3016   |
+
+  Scenario: New streams do not go to a version that takes only its own
+    Given a scheduler with targets of "v1" and "v2", of which "v1" is replaced
+    When 4 new streams come
+    Then they get v2
+
+  Scenario Outline: The versions that may have begun streams: <case>
+    Given lists with <lists>
+    Then at <at> s the versions of streams may be <versions>
+
+    Examples:
+      | case                             | lists                            | at | versions |
+      | one version                      | v1 from 0 s                      | 60 | v1       |
+      | a second one beside it           | v1 from 0 s, v2 from 5 s         | 6  | v1, v2   |
+      | the first has just left          | v1 from 0 to 30 s, v2 from 5 s   | 60 | v1, v2   |
+      | the first has left long ago      | v1 from 0 to 30 s, v2 from 5 s   | 75 | v2       |
+
+  Scenario Outline: What the rollout book lacks of the list is reported: <case>
+    Given a rollout book with <book>
+    And lists with <lists>
+    Then at <at> s with a delay of <delay> s the report is <report>
+
+    Examples:
+      | case                                         | book                     | lists                          | at | delay | report                             |
+      | nothing is known                             | nothing                  | v1 from 0 s                    | 1  | 0     | v1, v1 in force                    |
+      | nothing is new                               | v1 in force, v1          | v1 from 0 s                    | 1  | 0     | nothing                            |
+      | a version that nobody ordered                | v1 in force, v1          | v1 from 0 s, v2 from 2 s       | 3  | 0     | v1, v2                             |
+      | it waits for its order                       | v1 in force, v1          | v1 from 0 s, v2 from 2 s       | 6  | 5     | nothing                            |
+      | no order has come                            | v1 in force, v1          | v1 from 0 s, v2 from 2 s       | 7  | 5     | v1, v2                             |
+      | it is all that is left                       | v1 in force, v1          | v1 from 0 to 3 s, v2 from 2 s  | 4  | 5     | v1, v2                             |
+      | the version in force has left                | v1 in force, v1, v2      | v1 from 0 to 3 s, v2 from 2 s  | 9  | 0     | v1, v2, v2 in force after v1       |
+      | a version that left long ago is dropped      | v2 in force, v1, v2      | v2 from 0 s                    | 50 | 0     | v2, whole                          |
