--- a/troutstand/tests/steps/streamorigins.py
+++ b/troutstand/tests/steps/streamorigins.py
@@ -166,8 +166,10 @@
 
 def _list_at(context: Context, now_s: float) -> list[ListedTarget]:
     return [
-        ListedTarget(version, _SERVICE, "127.0.0.1:1", "north", 1, ListedState.ready, version)
-        for version, from_s, to_s in context.sightings
+        ListedTarget(
+            f"{version}-{number}", _SERVICE, "127.0.0.1:1", "north", 1, ListedState.ready, version
+        )
+        for number, (version, from_s, to_s) in enumerate(context.sightings)
         if from_s <= now_s < to_s
     ]
 
--- a/troutstand/tests/streamorigins.feature
+++ b/troutstand/tests/streamorigins.feature
@@ -60,6 +60,7 @@
       | nothing is new                               | v1 in force, v1          | v1 from 0 s                    | 1  | 0     | nothing                            |
       | a version that nobody ordered                | v1 in force, v1          | v1 from 0 s, v2 from 2 s       | 3  | 0     | v1, v2                             |
       | it waits for its order                       | v1 in force, v1          | v1 from 0 s, v2 from 2 s       | 6  | 5     | nothing                            |
+      | the others give way to it                    | v1 in force, v1          | v1 from 0 s, v1 from 0 to 4 s, v2 from 2 s | 4 | 5 | v2 |
       | no order has come                            | v1 in force, v1          | v1 from 0 s, v2 from 2 s       | 7  | 5     | v1, v2                             |
       | it is all that is left                       | v1 in force, v1          | v1 from 0 to 3 s, v2 from 2 s  | 4  | 5     | v1, v2                             |
       | the version in force has left                | v1 in force, v1, v2      | v1 from 0 to 3 s, v2 from 2 s  | 9  | 0     | v1, v2, v2 in force after v1       |
