Test streams of two versions in a split and during a rollout

Halves cut off for 5 s: streams go on at least 0.95 times as often as new ones begin on each side. A rollout that completes and one that is rolled back, while a third of the streams are left and resumed. With an order of 6 s and 10 callers the sound version was rolled back for want of answers (20 are needed), so that the order is for 9 s and 16 callers read.

--- a/troutstand/tests/softwareversions.feature
+++ b/troutstand/tests/softwareversions.feature
@@ -42,6 +42,24 @@
       | all schedulers, without a start, |
       | all gateways and schedulers    |
 
+  Scenario: Streams stay with their version on both sides of a split
+    Given a routed site behind proxies with 3 engines of each of 2 versions
+    When 12 callers read streams for 12 s at one half each, and the halves are cut off for 5 s
+    Then no stream holds events of two versions
+    And streams go on at least 0.95 times as often as new ones begin
+
+  Scenario Outline: Streams stay with their version while a rollout is <state>
+    Given a routed site with 3 engines where rollouts are ordered
+    When 16 callers read streams for 15 s, leave a third in the middle, and a version that <fault> is ordered
+    Then no stream holds events of two versions
+    And the rollout of "engine" is <state> within 5 s
+    And both versions served new streams
+
+    Examples:
+      | state       | fault                       |
+      | completed   | is sound                    |
+      | rolled_back | fails half of its answers   |
+
   Scenario: Streams that targets cut go on at the version that began them, within one answer
     Given a routed site with 3 engines of each of 2 versions
     And engines cut half of their streams
--- a/troutstand/tests/steps/limitruns.py
+++ b/troutstand/tests/steps/limitruns.py
@@ -192,7 +192,8 @@
                 scene.proxies[listener].set_link_fault(source, is_inward, fault)
 
 
-async def _cut_for(scene: Scene, names: list[str], length_s: float) -> None:
+async def cut_off(scene: Scene, names: list[str], length_s: float) -> None:
+    """Silence all links between some processes and the others for a time, in seconds."""
     others = [name for name in scene.site.processes if name not in names]
     _set_links(scene, names, others, LinkFault(FaultKind.SILENCE))
     await asyncio.sleep(length_s)
@@ -204,15 +205,15 @@
     await asyncio.sleep(3.5)
     match cut:
         case "two halves for 6 s":
-            await _cut_for(scene, half, 6.0)
+            await cut_off(scene, half, 6.0)
         case "two halves three times":
             for _ in range(3):
-                await _cut_for(scene, half, 3.0)
+                await cut_off(scene, half, 3.0)
                 await asyncio.sleep(2.0)
         case "one gateway cut off for 6 s":
-            await _cut_for(scene, ["gateway-1"], 6.0)
+            await cut_off(scene, ["gateway-1"], 6.0)
         case "all schedulers cut off for 5 s":
-            await _cut_for(scene, ["scheduler-1", "scheduler-2"], 5.0)
+            await cut_off(scene, ["scheduler-1", "scheduler-2"], 5.0)
         case _:
             raise AssertionError(cut)
 
--- a/troutstand/tests/steps/softwareversions.py
+++ b/troutstand/tests/steps/softwareversions.py
@@ -16,6 +16,7 @@
 from troutstand.testing.standins import Fault, StandInTarget
 from troutstand.testing.versionedstreams import Shares, Stream, StreamCaller
 from troutstand.tests.environment import make_folder, next_subnet
+from troutstand.tests.steps.limitruns import cut_off
 from troutstand.tests.steps.routed import find_deciding
 
 if TYPE_CHECKING:
@@ -39,35 +40,56 @@
 _LIST_S = 2.0
 _PAUSE_S = 0.02
 _SEVERAL_TIMES = 3
+_UNORDERED_AFTER_S = 5.0
+_ORDER_S = 9.0
 
 
 @given("a routed site with {count:d} engines of each of {versions:d} versions")
 def open_versions(context: Context, count: int, versions: int) -> None:
-    scene = Scene(
-        make_folder(context),
-        version="v1",
-        engines=count,
-        gateways=_GATEWAYS,
-        timeout_ms=_TIMEOUT_MS,
-    )
+    _open(context, count, versions, Scene(make_folder(context)))
+
+
+@given("a routed site behind proxies with {count:d} engines of each of {versions:d} versions")
+def open_proxied(context: Context, count: int, versions: int) -> None:
+    _open(context, count, versions, Scene(make_folder(context), is_proxied=True))
+
+
+@given("a routed site with {count:d} engines where rollouts are ordered")
+def open_ordered(context: Context, count: int) -> None:
+    scene = Scene(make_folder(context), unordered_after_s=_UNORDERED_AFTER_S)
+    _open(context, count, 1, scene)
+
+
+def _open(context: Context, count: int, versions: int, scene: Scene) -> None:
+    scene.version, scene.engines = "v1", count
+    scene.gateways, scene.timeout_ms = _GATEWAYS, _TIMEOUT_MS
     context.scene = scene
     context.sites.append(scene)
     scene.open(next_subnet(context))
     scene.background.run(find_deciding(scene))
     for number in range(2, versions + 1):
-        for engine in range(count):
-            target = StandInTarget(f"engine-v{number}-{engine}", "engine", version=f"v{number}")
-            scene.background.run(target.start())
-            scene.targets.append(target)
-    for target in _list_engines(context):
-        target.events, target.event_s, target.slots = _EVENTS, _EVENT_S, _SLOTS
-        target.labels_events = True
+        scene.background.run(_add_engines(context, count, f"v{number}", Fault.NONE))
+    for target in _list_engines(context, "v1"):
+        _prepare(target)
     context.stream_caller = StreamCaller(scene.session)
     context.names = itertools.count(1)
     scene.background.run(_wait_served(context, versions))
     context.stream_caller.streams.clear()
 
 
+def _prepare(engine: StandInTarget) -> None:
+    engine.events, engine.event_s, engine.slots = _EVENTS, _EVENT_S, _SLOTS
+    engine.labels_events = True
+
+
+async def _add_engines(context: Context, count: int, version: str, fault: Fault) -> None:
+    for number in range(count):
+        engine = StandInTarget(f"engine-{version}-{number}", "engine", version=version, fault=fault)
+        _prepare(engine)
+        await engine.start()
+        context.scene.targets.append(engine)
+
+
 def _list_engines(context: Context, version: str | None = None) -> list[StandInTarget]:
     engines = [t for t in context.scene.targets if t.service == "engine"]
     return [t for t in engines if version in (None, t.version)]
@@ -93,21 +115,28 @@
     return len(_list_engines(context, "v1")) * _SLOTS + _GATEWAYS
 
 
-async def _read(context: Context, leave_after: int | None = None) -> Stream:
-    """Read one stream; each try goes to the next gateway."""
+async def _read(
+    context: Context, leave_after: int | None = None, gateways: list[HostProcess] | None = None
+) -> Stream:
+    """Read one stream; each try goes to the next gateway, of all if none are given."""
     number = next(context.names)
-    gateways = _list_gateways(context)
+    gateways = gateways or _list_gateways(context)
     return await context.stream_caller.read(
         f"s{number}", lambda tried: gateways[(number + tried) % len(gateways)], leave_after
     )
 
 
-async def _read_until(context: Context, end_s: float, leaves: bool = False) -> None:
+async def _read_until(
+    context: Context,
+    end_s: float,
+    leaves: bool = False,
+    gateways: list[HostProcess] | None = None,
+) -> None:
     count = 0
     while time.monotonic() < end_s:
         count += 1
         is_left = leaves and count % _LEAVE_EVERY == 0
-        await _read(context, _LEAVE_AFTER if is_left else None)
+        await _read(context, _LEAVE_AFTER if is_left else None, gateways)
         await asyncio.sleep(_PAUSE_S)
 
 
@@ -172,6 +201,60 @@
     context.scene.background.run(play())
 
 
+@when(
+    "{count:d} callers read streams for {length_s:g} s at one half each, "
+    "and the halves are cut off for {cut_s:g} s"
+)
+def read_in_halves(context: Context, count: int, length_s: float, cut_s: float) -> None:
+    scene = context.scene
+    half = ["gateway-1", "gateway-2", "scheduler-1", "keeper-1"]
+    gateways = _list_gateways(context)
+    sides = [[g for g in gateways if (g.name in half) is is_in] for is_in in (True, False)]
+
+    async def cut() -> None:
+        await asyncio.sleep(_KILL_AFTER_S)
+        await cut_off(scene, half, cut_s)
+
+    async def play() -> None:
+        context.began_s = time.monotonic()
+        end_s = context.began_s + length_s
+        reading = [_read_until(context, end_s, True, sides[n % 2]) for n in range(count)]
+        await asyncio.gather(*reading, cut())
+        context.ended_s = time.monotonic()
+
+    scene.background.run(play())
+
+
+@when(
+    "{count:d} callers read streams for {length_s:g} s, leave a third in the middle, "
+    "and a version that {fault} is ordered"
+)
+def read_in_rollout(context: Context, count: int, length_s: float, fault: str) -> None:
+    scene = context.scene
+    faults = {"is sound": Fault.NONE, "fails half of its answers": Fault.ERRORS}
+
+    async def order() -> None:
+        engines = len(_list_engines(context))
+        await _add_engines(context, engines, "v2", faults[fault])
+        await asyncio.sleep(_LIST_S)
+        body = {"service": "engine", "version": "v2", "duration_s": _ORDER_S}
+        assert await scene.site.begin_rollout(scene.session, "keeper-1", body) == 200
+
+    async def play() -> None:
+        end_s = time.monotonic() + length_s
+        reading = [_read_until(context, end_s, leaves=True) for _ in range(count)]
+        await asyncio.gather(*reading, order())
+
+    scene.background.run(play())
+
+
+@then("both versions served new streams")
+def check_both_new(context: Context) -> None:
+    streams = context.stream_caller.streams
+    served = Counter(v for s in streams for v in set(s.tries[0].versions))
+    assert len(served) == 2, served
+
+
 async def _remove(context: Context, engines: list[StandInTarget], how: str) -> None:
     for engine in engines:
         context.scene.targets.remove(engine)
