Infer a stream's version only from a list that is current

A gateway took the one version of its list as the version of any resumed stream, also where it had not heard of its scheduler or read the list itself for long: another version may have replaced it meanwhile, and the stream would have been joined from two. Read in the code, not seen.

The list must have been confirmed within 3 s, by a reply of the gateway's scheduler with the same version of the list or by its own read; else the schedulers and keepers are asked. A canary that a resumed stream has filled is no longer sampled in the same pass.

streamorigins.feature, "the list may be old": it went to v1 before. The other six rows and softwareversions.feature (7 of its scenarios run) pass.

--- a/troutstand/core/dispatch.py
+++ b/troutstand/core/dispatch.py
@@ -462,7 +462,7 @@
                 )
                 state.reserved_until_s = now_s + MAX_EXCLUSIVE_S
             if not state.is_open(now_s):
-                for targets in (open_, resuming):
+                for targets in (open_, canaries, resuming):
                     if state in targets:
                         targets.remove(state)
             if not open_ and not canaries and not resuming and self.crashes.parts.is_idle:
--- a/troutstand/routing/originsync.py
+++ b/troutstand/routing/originsync.py
@@ -26,6 +26,8 @@
 # Joins streams that begin together into one message; shorter than the time to a first event, so
 # that the keepers know of a stream before its caller does.
 _TELL_DELAY_S = 0.01
+# A version of an older list may have been replaced meanwhile.
+_LIST_MAX_AGE_S = 3.0
 # A few round trips, while the caller waits.
 _ASK_TIMEOUT_S = 0.3
 
@@ -84,15 +86,18 @@
         self._origins = origins
         self._list_targets = list_targets
         self._watch = VersionWatch()
+        # When the list of targets was last known to be current.
+        self._confirmed_s = float("-inf")
 
     @property
     def is_mixed(self) -> bool:
         """Return whether any service has several versions."""
         return self._watch.is_mixed(read_clock_s())
 
-    def update_targets(self) -> None:
-        """Record the versions of a newer list of targets."""
-        self._watch.update(self._list_targets(), read_clock_s())
+    def confirm_list(self) -> None:
+        """Record the versions of the list of targets, which is current."""
+        self._confirmed_s = read_clock_s()
+        self._watch.update(self._list_targets(), self._confirmed_s)
 
     async def find(self, service: str, stream: str) -> KnownOrigin | UnknownOrigin:
         """Return the version that began a stream of a service.
@@ -105,7 +110,6 @@
         version = self._origins.find(stream)
         if version is not None:
             return KnownOrigin(version, "own")
-        self.update_targets()
         now_s = read_clock_s()
         candidates = self._list_candidates(service, now_s)
         if len(candidates) == 1 and self._is_certain(now_s):
@@ -128,6 +132,8 @@
 
     def _is_certain(self, now_s: float) -> bool:
         """Return whether no other version can have begun a stream unseen."""
+        if now_s - self._confirmed_s > _LIST_MAX_AGE_S:
+            return False
         return self._watch.is_complete(now_s) or self._rollouts.is_leased(now_s)
 
     @property
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -485,9 +485,10 @@
         is_used = process == self._current or self._is_local()
         if reply.has_targets and is_used and self._targets.apply_update(reply):
             self._notices.prune(self._targets.targets, read_clock_s())
-            self._origin_finder.update_targets()
             self._local.update_targets(self._targets.targets, read_clock_s(), is_from_peer=True)
             self._deliver_local()
+        if is_used and self._targets.version and reply.targets_version == self._targets.version:
+            self._origin_finder.confirm_list()
         if reply.has_peers and is_used:
             self._update_peers(reply.peers, str(process))
         if process == self._current:
@@ -595,7 +596,7 @@
                 continue
             self._targets.emit_invalid_entries(self._node.events)
             self._notices.prune(self._targets.targets, read_clock_s())
-            self._origin_finder.update_targets()
+            self._origin_finder.confirm_list()
             if changed and self._is_local():
                 self._local.update_targets(self._targets.targets, read_clock_s())
                 self._deliver_local()
--- a/troutstand/tests/steps/streamorigins.py
+++ b/troutstand/tests/steps/streamorigins.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from behave import given, then, when
 
@@ -19,6 +22,7 @@
     RoutedWork,
     ServiceRollout,
 )
+from troutstand.routing.originsync import KnownOrigin, OriginFinder, UnknownOrigin
 from troutstand.tests.steps.dispatch import Desk
 
 if TYPE_CHECKING:
@@ -216,3 +220,40 @@
             parts.append(f"{seen.in_force} in force{after}")
         parts += ["whole"] if seen.is_whole else []
     assert (", ".join(parts) or "nothing") == report, found
+
+
+# What a gateway knows
+
+
+@given("a gateway that has known its list for {known:d} s, last read {age:d} s ago, with {lists}")
+def use_gateway(context: Context, known: int, age: int, lists: str) -> None:
+    use_lists(context, lists)
+    context.now_s, context.known_s, context.age_s = 1000.0, float(known), float(age)
+
+
+@given("the keepers, {lease}, have a rollout book with {book}")
+def use_leased_book(context: Context, book: str, lease: str) -> None:
+    use_book(context, book)
+    context.is_leased = lease == "confirmed"
+
+
+@then("a stream that no process knows {outcome}")
+def check_unknown(context: Context, outcome: str) -> None:
+    rollouts = SimpleNamespace(book=context.book, is_leased=lambda _: context.is_leased)
+    follower = SimpleNamespace(rollouts=rollouts, list_keepers=list)
+    node = SimpleNamespace(contacts=SimpleNamespace(list_by_role=lambda _: []))
+    read_s = context.now_s - context.age_s
+    listed: list[ListedTarget] = []
+    finder = OriginFinder(node, follower, StreamOrigins(), lambda: listed)  # type: ignore[arg-type]
+    with mock.patch("troutstand.routing.originsync.read_clock_s") as clock:
+        for step in range(int(context.known_s / _STEP_S) + 1) if context.sightings else ():
+            clock.return_value = read_s - context.known_s + step * _STEP_S
+            listed[:] = _list_at(context, step * _STEP_S)
+            finder.confirm_list()
+        clock.return_value = context.now_s
+        found = asyncio.run(finder.find(_SERVICE, "unknown-1"))
+    match found:
+        case KnownOrigin(version):
+            assert outcome == f"goes to {version}", found
+        case UnknownOrigin():
+            assert outcome == "is unknown", found
--- a/troutstand/tests/streamorigins.feature
+++ b/troutstand/tests/streamorigins.feature
@@ -65,3 +65,18 @@
       | it is all that is left                       | v1 in force, v1          | v1 from 0 to 3 s, v2 from 2 s  | 4  | 5     | v1, v2                             |
       | the version in force has left                | v1 in force, v1, v2      | v1 from 0 to 3 s, v2 from 2 s  | 9  | 0     | v1, v2, v2 in force after v1       |
       | a version that left long ago is dropped      | v2 in force, v1, v2      | v2 from 0 s                    | 50 | 0     | v2, whole                          |
+
+  Scenario Outline: A stream that no process knows <outcome>: <case>
+    Given a gateway that has known its list for <known> s, last read <age> s ago, with <lists>
+    And the keepers, <lease>, have a rollout book with <book>
+    Then a stream that no process knows <outcome>
+
+    Examples:
+      | case                                        | known | age | lists                    | book            | lease       | outcome    |
+      | one version, watched for long               | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | goes to v1 |
+      | one version, and the book knows no other    | 5     | 1   | v1 from 0 s              | v1 in force, v1 | confirmed   | goes to v1 |
+      | the book may be old                         | 5     | 1   | v1 from 0 s              | v1 in force, v1 | unconfirmed | is unknown |
+      | the book knows another one                  | 5     | 1   | v2 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
+      | two versions                                | 45    | 1   | v1 from 0 s, v2 from 1 s | nothing         | confirmed   | is unknown |
+      | the list may be old                         | 45    | 9   | v1 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
+      | the list is not known                       | 0     | 9   | nothing                  | nothing         | confirmed   | is unknown |
