Give the stand-ins of attempts the arguments of streams' versions

A whole run of the checks on failed 15 scenarios of callattempts, abortedrequests and connectionbounds.feature: their stand-ins of a placement and a call lacked what an attempt now passes and reads (TypeError, AttributeError). No check changed; 26 of 26 pass.

--- a/troutstand/testing/attemptscript.py
+++ b/troutstand/testing/attemptscript.py
@@ -123,6 +123,7 @@
             request=_REQUEST,
             route=SimpleNamespace(attempts=2, kind=RouteKind.idempotent, tier=0),
             is_repeatable=True,
+            is_resumed=False,
             create_work=_create_work,
             objective_s=OBJECTIVE_S,
             arrived_s=read_clock_s(),
@@ -225,6 +226,7 @@
     failure_domain: str,
     has_response_begun: bool,
     running_at: list[str],
+    software_version: str | None,
 ) -> SimpleNamespace:
     return SimpleNamespace(running_at=running_at)
 
--- a/troutstand/testing/loopgateway.py
+++ b/troutstand/testing/loopgateway.py
@@ -58,7 +58,9 @@
         """Keep how an attempt ended."""
         self.ended.append(ended)
 
-    def record_first_byte(self, request: str, target: str, first_s: float) -> None:
+    def record_first_byte(
+        self, request: str, target: str, software_version: str, first_s: float
+    ) -> None:
         """Ignore the time to the first byte."""
 
     def report_silence(self, request: str, target: str, is_over: bool) -> None:
