Ask again for a stream's version while links are being opened

A gateway that has just been killed and started asked each scheduler and keeper once, 0.3 s at most, while its links were still being opened, and refused the stream (3017). It now asks again, for 0.3 of the time to the deadline and 1.5 s at most, and does not wait for the others once two agree.

--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -172,7 +172,9 @@
     async def _find_origin(self) -> Declined | None:
         """Find out which version began a stream that the caller resumes, or refuse it."""
         call = self._call
-        origin = await self._gateway.placement.find_origin(call.service, call.stream)
+        remaining_s = call.deadline_s - read_clock_s()
+        placement = self._gateway.placement
+        origin = await placement.find_origin(call.service, call.stream, remaining_s)
         match origin:
             case KnownOrigin(software_version, source):
                 self._software_version, self._is_origin_known = software_version, True
--- a/troutstand/routing/originsync.py
+++ b/troutstand/routing/originsync.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from troutstand.core.errors import TroutstandError
@@ -28,8 +28,13 @@
 _TELL_DELAY_S = 0.01
 # A version of an older list may have been replaced meanwhile.
 _LIST_MAX_AGE_S = 3.0
-# A few round trips, while the caller waits.
-_ASK_TIMEOUT_S = 0.3
+# A gateway that has just started opens its links first, while the caller waits.
+_MAX_ASK_S = 1.5
+_ASK_SHARE = 0.3
+_ASK_AGAIN_S = 0.1
+_UNREAD_LOG_PERIOD_S = 1.0
+# Processes that have to agree before the others have answered.
+_AGREEING = 2
 
 
 class OriginSync:
@@ -71,6 +76,29 @@
     reason: str
 
 
+@dataclass
+class _Answers:
+    """Collect what processes tell of a stream."""
+
+    unanswered: int
+    versions: set[str] = field(default_factory=set)
+    _telling: int = 0
+
+    def add(self, told: OriginTold | None) -> None:
+        """Add one answer; None if the process gave none."""
+        if told is None:
+            return
+        self.unanswered -= 1
+        if told.software_version is not None:
+            self._telling += 1
+            self.versions.add(told.software_version)
+
+    @property
+    def are_agreed(self) -> bool:
+        """Return whether several processes name the same version, and none another one."""
+        return self._telling >= _AGREEING and len(self.versions) == 1
+
+
 class OriginFinder:
     """Find the version that began a stream which a caller resumes at this gateway."""
 
@@ -88,6 +116,7 @@
         self._watch = VersionWatch()
         # When the list of targets was last known to be current.
         self._confirmed_s = float("-inf")
+        self._unread_logged_s = float("-inf")
 
     @property
     def is_mixed(self) -> bool:
@@ -99,13 +128,17 @@
         self._confirmed_s = read_clock_s()
         self._watch.update(self._list_targets(), self._confirmed_s)
 
-    async def find(self, service: str, stream: str) -> KnownOrigin | UnknownOrigin:
+    async def find(
+        self, service: str, stream: str, remaining_s: float
+    ) -> KnownOrigin | UnknownOrigin:
         """Return the version that began a stream of a service.
 
         Parameters
         ----------
         stream
             The request that brought the stream's first event; empty if its caller names none.
+        remaining_s
+            Time to the request's deadline, a part of which may pass.
         """
         version = self._origins.find(stream)
         if version is not None:
@@ -117,10 +150,12 @@
         listed = ",".join(sorted(candidates))
         if not stream:
             return UnknownOrigin(f"the request names no stream; versions={listed}")
-        told = await self._ask_all(stream)
-        if len(told) == 1:
-            return KnownOrigin(told.pop(), "peers")
-        return UnknownOrigin(f"versions={listed} told={','.join(sorted(told))}")
+        end_s = now_s + min(_MAX_ASK_S, _ASK_SHARE * remaining_s)
+        answers = await self._ask_until(stream, end_s)
+        if len(answers.versions) == 1:
+            return KnownOrigin(answers.versions.pop(), "peers")
+        told = ",".join(sorted(answers.versions))
+        return UnknownOrigin(f"versions={listed} told={told} unanswered={answers.unanswered}")
 
     def _list_candidates(self, service: str, now_s: float) -> set[str]:
         """Return the versions that may have begun streams which are still resumed."""
@@ -140,19 +175,45 @@
     def _rollouts(self) -> RolloutCache:
         return self._follower.rollouts
 
-    async def _ask_all(self, stream: str) -> set[str]:
-        """Return the versions that schedulers and keepers name for a stream."""
+    async def _ask_until(self, stream: str, end_s: float) -> _Answers:
+        """Ask schedulers and keepers until one knows the stream, all answer, or time is up."""
+        while True:
+            answers = await self._ask_all(stream, end_s - read_clock_s())
+            is_over = read_clock_s() + _ASK_AGAIN_S >= end_s
+            if answers.versions or not answers.unanswered or is_over:
+                return answers
+            await asyncio.sleep(_ASK_AGAIN_S)
+
+    async def _ask_all(self, stream: str, timeout_s: float) -> _Answers:
+        """Ask each process once; those that are slow are left once others agree."""
         schedulers = self._node.contacts.list_by_role(RoutingRole.scheduler.value)
         processes = [*schedulers, *self._follower.list_keepers()]
-        told = await asyncio.gather(*(self._ask(process, stream) for process in processes))
-        return {version for version in told if version is not None}
-
-    async def _ask(self, process: ProcessId, stream: str) -> str | None:
+        answers = _Answers(unanswered=len(processes))
+        asking = [asyncio.create_task(self._ask(p, stream, timeout_s)) for p in processes]
+        try:
+            for asked in asyncio.as_completed(asking):
+                answers.add(await asked)
+                if answers.are_agreed:
+                    break
+        finally:
+            for task in asking:
+                task.cancel()
+        return answers
+
+    async def _ask(self, process: ProcessId, stream: str, timeout_s: float) -> OriginTold | None:
         try:
-            reply = await self._node.ask(process, OriginAsk(stream), _ASK_TIMEOUT_S)
+            reply = await self._node.ask(process, OriginAsk(stream), timeout_s)
         except TroutstandError as error:
-            self._node.events.emit(
-                "stream_origin_unread", code=error.code, peer=process, detail=error.detail
-            )
+            self._log_unread(process, error)
             return None
-        return reply.software_version if isinstance(reply, OriginTold) else None
+        return reply if isinstance(reply, OriginTold) else None
+
+    def _log_unread(self, process: ProcessId, error: TroutstandError) -> None:
+        """Log that a process did not answer, at most once per log period."""
+        now_s = read_clock_s()
+        if now_s - self._unread_logged_s < _UNREAD_LOG_PERIOD_S:
+            return
+        self._unread_logged_s = now_s
+        self._node.events.emit(
+            "stream_origin_unread", code=error.code, peer=process, detail=error.detail
+        )
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -275,9 +275,11 @@
                 self._crashes.merge(crashes, now_s)
         return answer
 
-    async def find_origin(self, service: str, stream: str) -> KnownOrigin | UnknownOrigin:
+    async def find_origin(
+        self, service: str, stream: str, remaining_s: float
+    ) -> KnownOrigin | UnknownOrigin:
         """Return the version that began a stream which a caller resumes."""
-        return await self._origin_finder.find(service, stream)
+        return await self._origin_finder.find(service, stream, remaining_s)
 
     def _record_origin(self, work: RoutedWork, version: str, now_s: float) -> None:
         if work.stream:
--- a/troutstand/tests/steps/streamorigins.py
+++ b/troutstand/tests/steps/streamorigins.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import re
+import time
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 from unittest import mock
 
-from behave import given, then, when
+from behave import given, register_type, then, when
 
+from troutstand.core.codes import ResultCode
+from troutstand.core.errors import TroutstandError
 from troutstand.core.rollouts.canary import RolloutView
 from troutstand.core.rollouts.seenversions import list_unreported
 from troutstand.core.rollouts.versionwatch import VersionWatch
@@ -18,6 +21,8 @@
     FirstByte,
     ListedState,
     ListedTarget,
+    OriginAsk,
+    OriginTold,
     RolloutBook,
     RoutedWork,
     ServiceRollout,
@@ -31,9 +36,19 @@
 _SERVICE = "work"
 _SLOTS = 16
 _STEP_S = 0.5
+_LINKS_AFTER_S = 0.3
+_REMAINING_S = 3.0
 _SIGHTING = re.compile(r"(\w+) from (\d+)(?: to (\d+))? s")
 
 
+def _parse_outcome(text: str) -> str:
+    return text
+
+
+_parse_outcome.pattern = r"goes to \w+|is unknown"  # type: ignore[attr-defined]
+register_type(Outcome=_parse_outcome)
+
+
 # The origins
 
 
@@ -237,21 +252,47 @@
     context.is_leased = lease == "confirmed"
 
 
-@then("a stream that no process knows {outcome}")
-def check_unknown(context: Context, outcome: str) -> None:
+class _Node:
+    """Stand for a gateway's links to two processes."""
+
+    def __init__(self, asked: str) -> None:
+        self._asked = asked
+        self._began_s = time.monotonic()
+        self.contacts = SimpleNamespace(list_by_role=lambda _: ["one", "two"])
+        self.events = SimpleNamespace(emit=lambda *_, **__: None)
+
+    async def ask(self, process: str, _: OriginAsk, __: float) -> OriginTold:
+        is_late = "within" in self._asked and time.monotonic() < self._began_s + _LINKS_AFTER_S
+        if is_late or "do not open" in self._asked:
+            raise TroutstandError(ResultCode.LINK_CLOSED, process)
+        versions = {
+            "no process knows": {},
+            "one of two processes knows": {"one": "v1"},
+            "two processes know at different versions": {"one": "v1", "two": "v2"},
+        }.get(self._asked, {"one": "v1", "two": "v1"})
+        return OriginTold(versions.get(process))
+
+
+@then("a stream that {asked} {outcome:Outcome}")
+def check_found(context: Context, asked: str, outcome: str) -> None:
     rollouts = SimpleNamespace(book=context.book, is_leased=lambda _: context.is_leased)
     follower = SimpleNamespace(rollouts=rollouts, list_keepers=list)
-    node = SimpleNamespace(contacts=SimpleNamespace(list_by_role=lambda _: []))
     read_s = context.now_s - context.age_s
     listed: list[ListedTarget] = []
-    finder = OriginFinder(node, follower, StreamOrigins(), lambda: listed)  # type: ignore[arg-type]
+    finder = OriginFinder(
+        _Node(asked),  # type: ignore[arg-type]
+        follower,  # type: ignore[arg-type]
+        StreamOrigins(),
+        lambda: listed,
+    )
+    began_s = time.monotonic()
     with mock.patch("troutstand.routing.originsync.read_clock_s") as clock:
         for step in range(int(context.known_s / _STEP_S) + 1) if context.sightings else ():
             clock.return_value = read_s - context.known_s + step * _STEP_S
             listed[:] = _list_at(context, step * _STEP_S)
             finder.confirm_list()
-        clock.return_value = context.now_s
-        found = asyncio.run(finder.find(_SERVICE, "unknown-1"))
+        clock.side_effect = lambda: context.now_s + time.monotonic() - began_s
+        found = asyncio.run(finder.find(_SERVICE, "unknown-1", _REMAINING_S))
     match found:
         case KnownOrigin(version):
             assert outcome == f"goes to {version}", found
--- a/troutstand/tests/streamorigins.feature
+++ b/troutstand/tests/streamorigins.feature
@@ -80,3 +80,15 @@
       | two versions                                | 45    | 1   | v1 from 0 s, v2 from 1 s | nothing         | confirmed   | is unknown |
       | the list may be old                         | 45    | 9   | v1 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
       | the list is not known                       | 0     | 9   | nothing                  | nothing         | confirmed   | is unknown |
+
+  Scenario Outline: Where two versions are listed, a stream that <asked> <outcome>
+    Given a gateway that has known its list for 45 s, last read 1 s ago, with v1 from 0 s, v2 from 1 s
+    And the keepers, confirmed, have a rollout book with nothing
+    Then a stream that <asked> <outcome>
+
+    Examples:
+      | asked                                             | outcome    |
+      | one of two processes knows                        | goes to v1 |
+      | processes know whose links open within 0.3 s      | goes to v1 |
+      | processes know whose links do not open            | is unknown |
+      | two processes know at different versions          | is unknown |
