Wait for the keepers' word before a resumed stream is refused

A whole run of the checks on failed softwareversions.feature, "A stream that nobody knows goes on where only one version was listed": after all processes had started again, a gateway was ready before the keepers had confirmed the rollout book, so that it could not say that no other version had served, and refused the stream with 3017 (1 of 4 gateways).

The gateway asks and looks again within the same time as for its links, unless several versions are known and all have answered. streamorigins.feature, "the keepers confirm the book 0.3 s later": unknown before, goes to v1 now.

--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -180,7 +180,7 @@
                 self._software_version, self._is_origin_known = software_version, True
                 self._emit_origin(software_version, source)
                 return None
-            case UnknownOrigin(reason):
+            case UnknownOrigin(reason, _):
                 code = int(ResultCode.STREAM_ORIGIN_UNKNOWN)
                 self._emit_origin(None, "unknown")
                 return Declined(call.request, code, _UNKNOWN_RETRY_AFTER_S, reason)
--- a/troutstand/routing/originsync.py
+++ b/troutstand/routing/originsync.py
@@ -71,9 +71,10 @@
 
 @dataclass(frozen=True)
 class UnknownOrigin:
-    """Say why the version that began a stream is not known."""
+    """Say why the version that began a stream is not known, and whether that may still change."""
 
     reason: str
+    is_final: bool
 
 
 @dataclass
@@ -143,19 +144,31 @@
         version = self._origins.find(stream)
         if version is not None:
             return KnownOrigin(version, "own")
+        end_s = read_clock_s() + min(_MAX_ASK_S, _ASK_SHARE * remaining_s)
+        while True:
+            found = await self._find_once(service, stream, end_s)
+            is_over = read_clock_s() + _ASK_AGAIN_S >= end_s
+            if isinstance(found, KnownOrigin) or found.is_final or is_over:
+                return found
+            await asyncio.sleep(_ASK_AGAIN_S)
+
+    async def _find_once(
+        self, service: str, stream: str, end_s: float
+    ) -> KnownOrigin | UnknownOrigin:
         now_s = read_clock_s()
         candidates = self._list_candidates(service, now_s)
         if len(candidates) == 1 and self._is_certain(now_s):
             return KnownOrigin(candidates.pop(), "only version")
-        listed = ",".join(sorted(candidates))
+        is_mixed, listed = len(candidates) > 1, ",".join(sorted(candidates))
         if not stream:
-            return UnknownOrigin(f"the request names no stream; versions={listed}")
-        end_s = now_s + min(_MAX_ASK_S, _ASK_SHARE * remaining_s)
-        answers = await self._ask_until(stream, end_s)
+            return UnknownOrigin(f"the request names no stream; versions={listed}", is_mixed)
+        answers = await self._ask_all(stream, end_s - now_s)
         if len(answers.versions) == 1:
             return KnownOrigin(answers.versions.pop(), "peers")
         told = ",".join(sorted(answers.versions))
-        return UnknownOrigin(f"versions={listed} told={told} unanswered={answers.unanswered}")
+        reason = f"versions={listed} told={told} unanswered={answers.unanswered}"
+        is_final = bool(answers.versions) or (is_mixed and not answers.unanswered)
+        return UnknownOrigin(reason, is_final)
 
     def _list_candidates(self, service: str, now_s: float) -> set[str]:
         """Return the versions that may have begun streams which are still resumed."""
@@ -175,15 +188,6 @@
     def _rollouts(self) -> RolloutCache:
         return self._follower.rollouts
 
-    async def _ask_until(self, stream: str, end_s: float) -> _Answers:
-        """Ask schedulers and keepers until one knows the stream, all answer, or time is up."""
-        while True:
-            answers = await self._ask_all(stream, end_s - read_clock_s())
-            is_over = read_clock_s() + _ASK_AGAIN_S >= end_s
-            if answers.versions or not answers.unanswered or is_over:
-                return answers
-            await asyncio.sleep(_ASK_AGAIN_S)
-
     async def _ask_all(self, stream: str, timeout_s: float) -> _Answers:
         """Ask each process once; those that are slow are left once others agree."""
         schedulers = self._node.contacts.list_by_role(RoutingRole.scheduler.value)
--- a/troutstand/tests/streamorigins.feature
+++ b/troutstand/tests/streamorigins.feature
@@ -79,6 +79,7 @@
       | the book knows another one                  | 5     | 1   | v2 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
       | two versions                                | 45    | 1   | v1 from 0 s, v2 from 1 s | nothing         | confirmed   | is unknown |
       | the list may be old                         | 45    | 9   | v1 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
+      | the keepers confirm the book 0.3 s later    | 5     | 1   | v1 from 0 s              | v1 in force, v1 | late        | goes to v1 |
       | the list is not known                       | 0     | 9   | nothing                  | nothing         | confirmed   | is unknown |
 
   Scenario Outline: Where two versions are listed, a stream that <asked> <outcome>
