--- a/tools/features.py
+++ b/tools/features.py
@@ -26,6 +26,7 @@
 # Started first, since they take longest.
 _LONGEST = (
     "limitreturns",
+    "softwareversions",
     "limitsimulation",
     "silentstreams",
     "soak",
