Judge resumed streams at gateways that have started only

Beside other work (load 21) two scenarios of softwareversions.feature failed: 3 of 30 streams were refused by gateways that had no configuration yet (3007), which the rule leaves out (hosts in touch), for new streams too; and 26 streams were judged where 30 are asked, since the reading on counted tries without any answer.

--- a/troutstand/testing/versionedstreams.py
+++ b/troutstand/testing/versionedstreams.py
@@ -52,6 +52,11 @@
     versions: list[str] = field(default_factory=list)
     is_whole: bool = False
 
+    @property
+    def was_judged(self) -> bool:
+        """Return whether a gateway that had started took or refused it."""
+        return self.status != 0 and self.code != ResultCode.STARTING
+
 
 @dataclass
 class Stream:
@@ -185,7 +190,7 @@
 
 @dataclass(frozen=True)
 class Shares:
-    """Hold which share of the tries that got a response were served."""
+    """Hold which share of the tries at gateways that had started were served."""
 
     resumed: int
     resumed_served: int
@@ -195,7 +200,8 @@
     @classmethod
     def count(cls, streams: list[Stream], since_s: float, until_s: float) -> Shares:
         """Count the tries that were sent in a time."""
-        tries = [t for s in streams for t in s.tries if t.status and since_s <= t.began_s < until_s]
+        sent = [t for s in streams for t in s.tries if since_s <= t.began_s < until_s]
+        tries = [t for t in sent if t.was_judged]
         resumed = [t for t in tries if t.first_event]
         new = [t for t in tries if not t.first_event]
         return cls(
