Test clients that send too much, stop short or do not read

Callers will no longer be trusted to stay inside the limits. The feature starts the system's own processes with 128 MB (10^6 bytes) and 1024 or 256 descriptors in their settings, lets a small crowd misbehave at one listener, and checks what does not depend on speed: the process lives, its peak resident memory and its descriptors stay within the settings, the listener and an ordinary caller are answered beside the crowd and after it. The product does not read the two new settings yet.

--- a/tools/features.py
+++ b/tools/features.py
@@ -43,9 +43,9 @@
     "serving",
     "callers",
 )
-# Run after the others, one at a time: each of their checks is of the share of a target's time that
-# several processes in a row leave unused.
-_ALONE = ("routedload",)
+# Run after the others, one at a time: checks of the share of a target's time that several processes
+# in a row leave unused, and crowds of clients that take the machine's memory.
+_ALONE = ("routedload", "misbehavingclients")
 # Three sites of ten processes fill eight processors when they start.
 _DEFAULT_JOBS = 3
 
--- a/troutstand/testing/routedscene.py
+++ b/troutstand/testing/routedscene.py
@@ -46,6 +46,8 @@
     protects_tiers: bool = False
     retry_extra: float = RoutedPlan.retry_extra
     request_bodies_bytes: int = RoutedPlan.request_bodies_bytes
+    memory_mb: float = RoutedPlan.memory_mb
+    max_descriptors: int = RoutedPlan.max_descriptors
     has_metrics: bool = False
     # Delay before a version that no rollout names serves beside others.
     unordered_after_s: float = 0.0
@@ -87,6 +89,8 @@
             protects_tiers=self.protects_tiers,
             retry_extra=self.retry_extra,
             request_bodies_bytes=self.request_bodies_bytes,
+            memory_mb=self.memory_mb,
+            max_descriptors=self.max_descriptors,
             has_metrics=self.has_metrics,
             unordered_after_s=self.unordered_after_s,
             quota_excess=self.quota_excess,
--- a/troutstand/testing/routedsite.py
+++ b/troutstand/testing/routedsite.py
@@ -84,6 +84,9 @@
     # Retries allowed in each window beyond the share of requests.
     retry_extra: float = 20.0
     request_bodies_bytes: int = 256 << 20
+    # What a process may use; 0 descriptors take the limit of the system.
+    memory_mb: float = 1024.0
+    max_descriptors: int = 0
     # Whether gateways serve their metrics.
     has_metrics: bool = False
     shares_fairly: bool = False
@@ -146,6 +149,8 @@
             quota_extra=self.plan.quota_extra,
             retry_extra=self.plan.retry_extra,
             request_bodies_bytes=self.plan.request_bodies_bytes,
+            memory_mb=self.plan.memory_mb,
+            max_descriptors=self.plan.max_descriptors,
             metrics_port=METRICS_PORT if has_metrics else 0,
             share_fairly=self.plan.shares_fairly,
             unordered_after_s=self.plan.unordered_after_s,
@@ -318,12 +323,13 @@
     routes: list[Route] = field(default_factory=list)
     workspaces: list[RoutedWorkspace] = field(default_factory=list)
     services: tuple[str, ...] = ("work", "engine")
+    limits: CallerLimits = field(default_factory=CallerLimits)
 
     def encode(self) -> bytes:
         """Encode the configuration as JSON."""
         configuration = Configuration(
             version=self.version,
-            limits=CallerLimits(),
+            limits=self.limits,
             routes=self.routes or make_routes(),
             services=[RoutedService(name) for name in self.services],
             workspaces=self.workspaces or [RoutedWorkspace("one", keys=[KEY])],
