--- a/troutstand/core/codes.py
+++ b/troutstand/core/codes.py
@@ -38,6 +38,8 @@
     PATH_UNKNOWN = 2009
     KEY_REUSED = 2010
     HEAD_TOO_LARGE = 2011
+    HEAD_MALFORMED = 2012
+    REQUEST_TIMEOUT = 2013
 
     SHED_OVERLOAD = 3001
     SHED_DEADLINE = 3002
@@ -56,6 +58,9 @@
     BODIES_FULL = 3015
     STREAM_VERSION_GONE = 3016
     STREAM_ORIGIN_UNKNOWN = 3017
+    CONNECTIONS_FULL = 3018
+    MEMORY_FULL = 3019
+    CLIENT_STALLED = 3020
 
     COMMAND_UNAVAILABLE = 4001
     COMMAND_OUTCOME_UNKNOWN = 4002
@@ -127,6 +132,8 @@
     ResultCode.PATH_UNKNOWN: CodeInfo(404, "no such path", 22),
     ResultCode.KEY_REUSED: CodeInfo(422, "the Idempotency-Key was used for another request", 20),
     ResultCode.HEAD_TOO_LARGE: CodeInfo(431, "the head of the request exceeds its limit", 20),
+    ResultCode.HEAD_MALFORMED: CodeInfo(400, "the head of the request is malformed", 20),
+    ResultCode.REQUEST_TIMEOUT: CodeInfo(408, "the request was not received whole in time", 20),
     ResultCode.SHED_OVERLOAD: CodeInfo(
         429, "shed in favour of a higher tier or for lack of capacity", 30
     ),
@@ -160,6 +167,15 @@
     ResultCode.STREAM_ORIGIN_UNKNOWN: CodeInfo(
         503, "the version that began this stream is not known", 31
     ),
+    ResultCode.CONNECTIONS_FULL: CodeInfo(
+        503, "this process has as many connections as it may", 31
+    ),
+    ResultCode.MEMORY_FULL: CodeInfo(
+        503, "this process holds as much for its clients as it may", 31
+    ),
+    ResultCode.CLIENT_STALLED: CodeInfo(
+        503, "the client did not send or read, and others needed what it held", 31
+    ),
     ResultCode.COMMAND_UNAVAILABLE: CodeInfo(503, "no quorum of keepers can be reached", 40),
     ResultCode.COMMAND_OUTCOME_UNKNOWN: CodeInfo(
         409, "the command may have run; this result is final", 41
--- a/troutstand/daemon/cli.py
+++ b/troutstand/daemon/cli.py
@@ -23,12 +23,15 @@
 from troutstand.generated.messages import StoredIdentity
 from troutstand.generated.settings import Role, Settings
 from troutstand.util.clock import ClockLoop
+from troutstand.util.guardedserver import ClientTimeouts, make_guard
 from troutstand.util.listening import ServerTimeouts, listen
 
 app = App(name="troutstandd", help="Run one process of troutstand.")
 
 _DISK_ID_BYTES = 12
 _SERVER_TIMEOUTS = ServerTimeouts(keep_alive_s=3630.0, shutdown_s=1.0)
+_CLIENT_TIMEOUTS = ClientTimeouts(idle_s=3630.0)
+_MEMORY_MB = 256.0
 # Requests create few reference cycles, so collecting at Python's default
 # threshold costs more than it frees.
 GC_ALLOCATIONS = 50_000
@@ -42,10 +45,11 @@
         loop.add_signal_handler(signal_number, stopping.set)
     await process.start()
     admin = AdminApi(process, stopping.set)
-    runners = [await listen(admin.make_app(), settings.admin, "admin", _SERVER_TIMEOUTS)]
+    guard = make_guard(_MEMORY_MB, 0, _CLIENT_TIMEOUTS, process.node.events)
+    runners = [await listen(admin.make_app(), settings.admin, "admin", guard, _SERVER_TIMEOUTS)]
     if isinstance(process, EntryProcess) and settings.callers:
         callers = CallerApi(process).make_app()
-        runners.append(await listen(callers, settings.callers, "callers", _SERVER_TIMEOUTS))
+        runners.append(await listen(callers, settings.callers, "callers", guard, _SERVER_TIMEOUTS))
     # Exclude long-lived objects from collections, which would delay token streams.
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)
--- a/troutstand/routing/bodymemory.py
+++ b/troutstand/routing/bodymemory.py
@@ -8,11 +8,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from troutstand.util.guardedserver import GuardedConnection
+
 MAX_BODY_BYTES = 16 << 20
 # Bytes of all large bodies together that are being received or wait for their callers.
 MAX_LARGE_BODIES_BYTES = 64 << 20
 # A body counts as large beyond this, so that small ones are received whatever others do.
 _SMALL_BODY_BYTES = 1 << 20
+# What a body is counted with whose length its head does not tell.
+UNKNOWN_BODY_BYTES = 256 << 10
 
 
 class BodyTooLargeError(Exception):
@@ -67,6 +71,26 @@
         body.large_bytes += growth
 
 
+class HeldBodies(contextlib.ExitStack):
+    """Count the bodies of responses to one request until its caller has them.
+
+    Parameters
+    ----------
+    connection
+        The caller's connection; None waits for no room.
+    """
+
+    def __init__(self, connection: GuardedConnection | None) -> None:
+        super().__init__()
+        self._connection = connection
+
+    async def reserve(self, length: int) -> None:
+        """Wait until there is room for a body of this length, in bytes."""
+        connection = self._connection
+        if connection is not None:
+            await connection.guard.hold_response(connection.client, length)
+
+
 class TrackedBody:
     """Hold the size of one body."""
 
--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -22,8 +22,7 @@
 from troutstand.util.clock import MIN_SUSPEND_S, read_clock_s
 
 if TYPE_CHECKING:
-    import contextlib
-
+    from troutstand.routing.bodymemory import HeldBodies
     from troutstand.routing.callerresponse import CallerResponse
     from troutstand.routing.calls import Call
     from troutstand.routing.gateway import Gateway
@@ -57,7 +56,7 @@
         call: Call,
         outgoing: OutgoingRequest,
         response: CallerResponse,
-        held_bodies: contextlib.ExitStack,
+        held_bodies: HeldBodies,
     ) -> None:
         self.history = AttemptHistory(call.route.attempts, call.is_repeatable)
         self.was_placed = False
--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -19,10 +19,9 @@
 from troutstand.util.clock import read_clock_s
 
 if TYPE_CHECKING:
-    import contextlib
-
     from troutstand.generated.messages import Declined
     from troutstand.routing.attempt import Attempt
+    from troutstand.routing.bodymemory import HeldBodies
     from troutstand.routing.calls import Call
     from troutstand.routing.gateway import Gateway
     from troutstand.routing.relay import OutgoingRequest
@@ -54,7 +53,7 @@
         request: web.BaseRequest,
         call: Call,
         outgoing: OutgoingRequest,
-        held_bodies: contextlib.ExitStack,
+        held_bodies: HeldBodies,
     ) -> None:
         self._gateway = gateway
         self._call = call
--- a/troutstand/routing/controlserver.py
+++ b/troutstand/routing/controlserver.py
@@ -11,6 +11,7 @@
 from troutstand.core.rollouts.state import find_rollout
 from troutstand.generated.messages import StoredConfiguration
 from troutstand.routing.dialect import ROLLOUTS_PATH, encode_default_rollout
+from troutstand.util.guardedserver import receive_body
 from troutstand.util.listening import listen
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     from troutstand.routing.lineclient import LineClient
     from troutstand.routing.rolloutstore import RolloutStore
     from troutstand.util.events import EventBus
+    from troutstand.util.guardedserver import ClientGuard
 
 MAX_BODY_BYTES = 64 << 20
 _RETRY_AFTER_S = "0.2"
@@ -51,9 +53,9 @@
         self._events = events
         self._runner: web.AppRunner | None = None
 
-    async def start(self, address: Address) -> None:
+    async def start(self, address: Address, guard: ClientGuard) -> None:
         """Start listening on the address."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application()
         app.router.add_route(*self._dialect.configuration_write, self._write_configuration)
         app.router.add_route(*self._dialect.configuration_read, self._read_configuration)
         app.router.add_route(*self._dialect.rollout_begin, self._begin_rollout)
@@ -61,7 +63,7 @@
         # The command line uses the default dialect in every deployment.
         app.router.add_get(f"{ROLLOUTS_PATH}/{{service}}/evidence", self._read_rollout_evidence)
         app.router.add_delete(f"{ROLLOUTS_PATH}/{{service}}", self._abort_rollout)
-        self._runner = await listen(app, address, "control")
+        self._runner = await listen(app, address, "control", guard)
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -69,8 +71,8 @@
             await self._runner.cleanup()
 
     async def _write_configuration(self, request: web.Request) -> web.Response:
-        data = await request.read()
         try:
+            data = await receive_body(request, MAX_BODY_BYTES)
             configuration = self._dialect.decode_configuration(data)
         except* TroutstandError as group:
             errors = [e for e in flatten_group(group) if isinstance(e, TroutstandError)]
@@ -112,7 +114,9 @@
 
     async def _begin_rollout(self, request: web.Request) -> web.Response:
         try:
-            rollout_request = self._dialect.decode_rollout(await request.read())
+            rollout_request = self._dialect.decode_rollout(
+                await receive_body(request, MAX_BODY_BYTES)
+            )
             await self._check_service(rollout_request.service)
             await self._rollouts.begin(rollout_request)
         except TroutstandError as error:
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -13,12 +13,8 @@
 from troutstand.core.plannedstop import AnswerLengths, PlannedStop
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import ProcessState
-from troutstand.routing.callerconnection import (
-    MAX_HEADERS,
-    CallerConnection,
-    CallerServer,
-    CallerWriter,
-)
+from troutstand.routing.bodymemory import HeldBodies
+from troutstand.routing.callerwriter import CallerWriter
 from troutstand.routing.callhandler import CallHandler
 from troutstand.routing.calls import add_fingerprint, make_outgoing, parse_call
 from troutstand.routing.connectionpool import ConnectionPool
@@ -29,12 +25,19 @@
 from troutstand.routing.node import RoutingNode, parse_address
 from troutstand.routing.placement import Placement
 from troutstand.routing.relay import Sender
-from troutstand.routing.requestbodies import RequestBodies
 from troutstand.routing.targetlist import TargetList
 from troutstand.routing.tunnelclient import TunnelClient
 from troutstand.routing.tunnelserver import TunnelServer
 from troutstand.util.clock import read_clock_s
-from troutstand.util.listening import MAX_HEADER_BYTES, listen, write_full_response
+from troutstand.util.guardedserver import (
+    MAX_HEADER_BYTES,
+    MAX_HEADERS,
+    ClientTimeouts,
+    GuardedConnection,
+    GuardedServer,
+    receive_body,
+)
+from troutstand.util.listening import listen, open_site, write_full_response
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -43,11 +46,10 @@
     from troutstand.generated.routing import RoutingSettings
     from troutstand.routing.calls import Call
     from troutstand.routing.dialect import Dialect
-    from troutstand.routing.requestbodies import HeldBody
 
+_MS_PER_S = 1000.0
 _CONNECT_TIMEOUT_S = 0.3
 _PRUNE_INTERVAL_S = 1.0
-_LISTEN_BACKLOG = 1024
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 _DRAIN_POLL_INTERVAL_S = 0.02
 _IDLE_BEFORE_STOP_S = 0.6
@@ -95,8 +97,10 @@
         )
         self.pool = ConnectionPool(self.dialer)
         self.sender = Sender(self.pool, dialect.headers, self.placement)
-        self._bodies = RequestBodies(settings.request_bodies_bytes)
-        self.metrics.held_request_bytes.set_function(lambda: self._bodies.held_bytes)
+        memory = self.node.guard.memory
+        memory.max_body_bytes = settings.request_bodies_bytes
+        self.node.guard.get_timeouts = self._get_client_timeouts
+        self.metrics.watch_clients(memory)
         self._busy_connections: set[web.RequestHandler] = set()
         # When the last answer ended on a connection that was not told to close, while stopping.
         self._answered_s: dict[web.RequestHandler, float] = {}
@@ -107,7 +111,7 @@
         # Called before open requests are aborted; refuse those whose response has not started.
         self.on_abort: set[Callable[[], None]] = set()
         self._runners: list[web.BaseRunner] = []
-        self._site: web.TCPSite | None = None
+        self._site: web.BaseSite | None = None
         self._server: web.Server | None = None
 
     def _update_table(self, table: RouteTable) -> None:
@@ -127,7 +131,7 @@
         await self.node.start_metrics()
 
     async def _listen_callers(self) -> None:
-        server = CallerServer(
+        server = GuardedServer(
             self._handle,
             request_factory=_create_request,
             handler_cancellation=True,
@@ -139,24 +143,19 @@
             # Bodies reach targets as they were sent.
             auto_decompress=False,
         )
-        server.on_refused = self._log_refused_head
+        server.guard = self.node.guard
         self._server = server
         runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_SHARE * self.settings.stop_s)
         await runner.setup()
         address = parse_address(self.settings.callers)
-        self._site = web.TCPSite(runner, address.ip, address.port, backlog=_LISTEN_BACKLOG)
-        try:
-            await self._site.start()
-        except OSError as error:
-            detail = f"callers {self.settings.callers}: {error}"
-            raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
+        self._site = await open_site(runner, address, "callers")
         self._runners.append(runner)
 
     async def _listen_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(self.dialect.readiness_path, self._handle_readiness)
         address = parse_address(self.settings.readiness)
-        self._runners.append(await listen(app, address, "readiness"))
+        self._runners.append(await listen(app, address, "readiness", self.node.guard))
 
     @property
     def is_stopping(self) -> bool:
@@ -235,33 +234,34 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        protocol = request.protocol
-        self._busy_connections.add(protocol)
+        connection = request.protocol
+        assert isinstance(connection, GuardedConnection)
+        self._busy_connections.add(connection)
         try:
-            with contextlib.ExitStack() as held_bodies:
+            with HeldBodies(connection) as held_bodies:
                 response = await self._respond(request, held_bodies)
                 await self._write_response(request, response)
             if self.is_stopping and response.keep_alive:
-                self._answered_s[protocol] = read_clock_s()
+                self._answered_s[connection] = read_clock_s()
         finally:
-            self._busy_connections.discard(protocol)
-            assert isinstance(protocol, CallerConnection)
-            protocol.is_handling = False
+            self._busy_connections.discard(connection)
         return response
 
-    def _log_refused_head(self, error: TroutstandError) -> None:
-        self.node.events.emit("head_refused", code=error.code, detail=error.detail)
-
     async def _write_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Write a response while its connection still counts as busy."""
         if response.prepared:
             return
         if self.is_stopping:
             response.force_close()
-        # The caller has disconnected.
-        with contextlib.suppress(ConnectionError):
-            if not await write_full_response(request, response):
-                self._log_dropped_response(request, response)
+        try:
+            # The caller has disconnected.
+            with contextlib.suppress(ConnectionError):
+                if not await write_full_response(request, response):
+                    self._log_dropped_response(request, response)
+        finally:
+            if isinstance(response, web.Response):
+                # The connection keeps its last response for as long as it is idle.
+                response.body = None
 
     def _log_dropped_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         self.node.events.emit(
@@ -288,7 +288,7 @@
                 connection.transport.close()
 
     async def _respond(
-        self, request: web.BaseRequest, held_bodies: contextlib.ExitStack
+        self, request: web.BaseRequest, held_bodies: HeldBodies
     ) -> web.StreamResponse:
         table = self.follower.table
         if table is None:
@@ -296,23 +296,23 @@
             return make_error_response(
                 TroutstandError(ResultCode.STARTING, detail, retry_after_s=_STARTING_RETRY_AFTER_S)
             )
-        with self._bodies.hold() as body:
-            try:
-                call, data = await self._receive_call(request, table, body)
-            except TroutstandError as error:
-                self._log_refused(request, error, table.version)
-                return make_error_response(error)
-            headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
-            names, path = self.dialect.headers, request.raw_path
-            outgoing = make_outgoing(call, names, request.method, path, headers, data)
-            return await CallHandler(self, request, call, outgoing, held_bodies).run()
+        try:
+            call, data = await self._receive_call(request, table)
+        except TroutstandError as error:
+            self._log_refused(request, error, table.version)
+            return make_error_response(error)
+        headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers]
+        names, path = self.dialect.headers, request.raw_path
+        outgoing = make_outgoing(call, names, request.method, path, headers, data)
+        return await CallHandler(self, request, call, outgoing, held_bodies).run()
 
     async def _receive_call(
-        self, request: web.BaseRequest, table: RouteTable, body: HeldBody
+        self, request: web.BaseRequest, table: RouteTable
     ) -> tuple[Call, bytes]:
         path, names = request.raw_path, self.dialect.headers
         call = parse_call(table, names, request.headers, path, self.settings.tier_order)
-        data = await self._receive_body(request, table.configuration.limits.body_bytes, body)
+        limit = table.configuration.limits.body_bytes
+        data = await self._receive_body(request, limit, call.deadline_s)
         host = request.headers.get("host", "")
         return add_fingerprint(call, request.method, host, path, data), data
 
@@ -322,23 +322,37 @@
             "request_refused", key, code=error.code, detail=error.detail, version=version
         )
 
-    async def _receive_body(self, request: web.BaseRequest, limit: int, body: HeldBody) -> bytes:
+    async def _receive_body(self, request: web.BaseRequest, limit: int, deadline_s: float) -> bytes:
         """Return the body of a request.
 
         Raises
         ------
         TroutstandError
-            BODY_TOO_LARGE, BODIES_FULL, or DRAINING if the gateway aborts its requests first.
+            BODY_TOO_LARGE, BODIES_FULL, REQUEST_TIMEOUT at the deadline of the request, or
+            DRAINING if the gateway aborts its requests first.
         """
         try:
-            async with asyncio.timeout(None) as timeout:
+            async with asyncio.timeout(deadline_s - read_clock_s()) as timeout:
                 with self.refuse_on_abort(timeout):
-                    return await body.receive(request, limit)
+                    return await receive_body(request, limit)
         except TimeoutError as error:
-            detail = "the gateway stopped before the request body had arrived"
-            raise TroutstandError(
-                ResultCode.DRAINING, detail, retry_after_s=_STOPPED_RETRY_AFTER_S
-            ) from error
+            if self.is_aborting:
+                detail = "the gateway stopped before the request body had arrived"
+                raise TroutstandError(
+                    ResultCode.DRAINING, detail, retry_after_s=_STOPPED_RETRY_AFTER_S
+                ) from error
+            detail = "the request body had not arrived whole at the deadline of the request"
+            raise TroutstandError(ResultCode.REQUEST_TIMEOUT, detail) from error
+
+    def _get_client_timeouts(self) -> ClientTimeouts:
+        """Return the timeouts of the configuration in force."""
+        table = self.follower.table
+        if table is None:
+            return ClientTimeouts()
+        limits = table.configuration.limits
+        return ClientTimeouts(
+            limits.header_timeout_ms / _MS_PER_S, None, limits.idle_timeout_ms / _MS_PER_S
+        )
 
     @contextlib.contextmanager
     def refuse_on_abort(
@@ -359,7 +373,6 @@
 
 def _create_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
     """Create a request object with the gateway's own writer."""
-    protocol.begin_request(payload)
     loop = asyncio.get_running_loop()
     return web.BaseRequest(
         message,
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -177,7 +177,7 @@
         self.node.spawn(self._run_contacts(), "contacts")
         self.node.spawn(self._run_replacement(), "replacement")
         if self.node.settings.control:
-            await self._control.start(parse_address(self.node.settings.control))
+            await self._control.start(parse_address(self.node.settings.control), self.node.guard)
 
     async def stop(self) -> None:
         """Close the control address, the links and the storage."""
--- a/troutstand/routing/metrics.py
+++ b/troutstand/routing/metrics.py
@@ -12,8 +12,10 @@
 from troutstand.util.listening import listen
 
 if TYPE_CHECKING:
+    from troutstand.core.clientmemory import ClientMemory
     from troutstand.generated.settings import Address
     from troutstand.util.events import Event, EventBus
+    from troutstand.util.guardedserver import ClientGuard
 
 _LAG_INTERVAL_S = 0.25
 _BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -53,11 +55,11 @@
             await asyncio.sleep(_LAG_INTERVAL_S)
             self.loop_lag_s.observe(max(0.0, read_clock_s() - before_s - _LAG_INTERVAL_S))
 
-    async def serve(self, address: Address) -> web.AppRunner:
+    async def serve(self, address: Address, guard: ClientGuard) -> web.AppRunner:
         """Serve the metrics at `/metrics` of an address."""
         app = web.Application()
         app.router.add_get("/metrics", self._get_metrics)
-        return await listen(app, address, "metrics_port")
+        return await listen(app, address, "metrics_port", guard)
 
     async def _get_metrics(self, request: web.Request) -> web.Response:
         return web.Response(body=generate_latest(self.registry), content_type="text/plain")
@@ -103,6 +105,16 @@
             "Bytes of request bodies that are held until their requests end",
             registry=self.registry,
         )
+        self.client_bytes = Gauge(
+            "troutstand_client_bytes",
+            "Bytes that are held for clients, as they are accounted",
+            registry=self.registry,
+        )
+        self.client_connections = Gauge(
+            "troutstand_client_connections",
+            "Open connections of clients",
+            registry=self.registry,
+        )
         self.stream_origins = Counter(
             "troutstand_stream_origins",
             "Streams that callers resumed, by how the version that began them was learnt",
@@ -115,3 +127,9 @@
             ["ending"],
             registry=self.registry,
         )
+
+    def watch_clients(self, memory: ClientMemory) -> None:
+        """Show what a process holds for its clients."""
+        self.held_request_bytes.set_function(lambda: memory.body_bytes)
+        self.client_bytes.set_function(lambda: memory.held_bytes)
+        self.client_connections.set_function(lambda: len(memory))
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -22,6 +22,7 @@
 from troutstand.routing.metrics import NodeMetrics
 from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_standard_output
+from troutstand.util.guardedserver import ClientTimeouts, make_guard
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -72,6 +73,10 @@
         self.identity = Identity(settings.site, self.process, bytes.fromhex(settings.link_key_hex))
         self.traffic = Traffic()
         self.metrics = NodeMetrics(self.events)
+        # What the clients of all HTTP listeners hold together.
+        self.guard = make_guard(
+            settings.memory_mb, settings.max_descriptors, ClientTimeouts(), self.events
+        )
         self._metrics_runner: web.AppRunner | None = None
         # Called with each peer that refuses a connection, which means that its process has ended.
         self.on_refused: Callable[[ProcessId], None] | None = None
@@ -122,7 +127,7 @@
         port = self.settings.metrics_port
         if port:
             address = Address(self.settings.bind_ip or self.settings.ip, port)
-            self._metrics_runner = await self.metrics.serve(address)
+            self._metrics_runner = await self.metrics.serve(address, self.guard)
 
     def _record_suspend(self, duration_s: float) -> None:
         self.resumed_s = read_clock_s()
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -13,7 +13,7 @@
 
 from troutstand.core.notices import parse_notice
 from troutstand.generated.messages import Ending, TargetNotice
-from troutstand.routing.bodymemory import BodyMemory
+from troutstand.routing.bodymemory import MAX_BODY_BYTES, UNKNOWN_BODY_BYTES, BodyMemory
 from troutstand.routing.httpclient import ExchangeError, encode_request_head
 from troutstand.routing.silencewatch import SilenceWatch
 from troutstand.util.clock import read_clock_s
@@ -24,6 +24,7 @@
     from troutstand.core.paths import Reach
     from troutstand.core.selfreport import BlockReason
     from troutstand.generated.messages import Placed
+    from troutstand.routing.bodymemory import HeldBodies
     from troutstand.routing.connectionpool import ConnectionPool
     from troutstand.routing.dialect import HeaderNames
     from troutstand.routing.httpclient import (
@@ -209,6 +210,12 @@
     return SendError(Ending.broken, str(error), was_resent=is_resent)
 
 
+def _get_length(head: ResponseHead) -> int:
+    """Return the length of a response body, or what one of unknown length is counted with."""
+    length = head.get("content-length") or ""
+    return min(int(length), MAX_BODY_BYTES) if length.isdecimal() else UNKNOWN_BODY_BYTES
+
+
 class Sender:
     """Send requests to targets."""
 
@@ -364,7 +371,7 @@
         except (SendError, TimeoutError):
             sent.connection.abort()
 
-    async def read_body(self, sent: SentRequest, held: contextlib.ExitStack | None = None) -> bytes:
+    async def read_body(self, sent: SentRequest, held: HeldBodies | None = None) -> bytes:
         """Return a response's whole body and release its connection.
 
         Parameters
@@ -380,11 +387,13 @@
         return await self._read_body(sent, self._body_memory, held)
 
     async def _read_body(
-        self, sent: SentRequest, memory: BodyMemory, held: contextlib.ExitStack | None = None
+        self, sent: SentRequest, memory: BodyMemory, held: HeldBodies | None = None
     ) -> bytes:
         with contextlib.ExitStack() as receiving:
             received = receiving.enter_context(memory.track())
             try:
+                if held is not None:
+                    await held.reserve(_get_length(sent.head))
                 body = await sent.connection.receive_body(received)
             except ExchangeError as error:
                 sent.connection.abort()
--- a/troutstand/testing/attemptscript.py
+++ b/troutstand/testing/attemptscript.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
@@ -11,6 +10,7 @@
 from troutstand.core.paths import Reach
 from troutstand.generated.configuration import RouteKind
 from troutstand.generated.messages import Declined, Ended, Ending, Placed
+from troutstand.routing.bodymemory import HeldBodies
 from troutstand.routing.callattempts import CallAttempts
 from troutstand.routing.httpclient import ResponseHead
 from troutstand.routing.relay import OutgoingRequest, SendError, SentRequest
@@ -144,7 +144,7 @@
             cast("Call", call),
             OutgoingRequest(_REQUEST, "POST", "/", [], b"", True),
             cast("CallerResponse", response),
-            contextlib.ExitStack(),
+            HeldBodies(None),
         )
 
     def find_ending(self, target: str) -> Ended:
--- /dev/null
+++ b/troutstand/util/guardedserver.py
@@ -0,0 +1,762 @@
+"""Serve HTTP to clients that may send too much, stop short, or not read.
+
+What each connection holds is counted before it is parsed, so that its cost is known while it
+is still bytes. One request of a connection is parsed at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import resource
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from troutstand.core.clientmemory import (
+    BODY_COPIES,
+    CHUNKED_BYTES,
+    Client,
+    ClientMemory,
+    Phase,
+    compute_budget,
+    estimate_head_bytes,
+)
+from troutstand.core.codes import ResultCode, Run, describe_code
+from troutstand.core.errors import TroutstandError
+from troutstand.core.parseturns import ParseTurns
+from troutstand.util.clock import read_clock_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.streams import StreamReader
+
+    from troutstand.util.events import EventBus
+
+MAX_HEADER_BYTES = 64 << 10
+# The shortest header takes this many bytes, so that the bytes of a head bound their number.
+_MIN_HEADER_BYTES = 4
+MAX_HEADERS = MAX_HEADER_BYTES // _MIN_HEADER_BYTES
+_HEAD_END = re.compile(rb"\n\r?\n")
+# The longest end of a head less one byte: a search must go back by this much.
+_HEAD_END_OVERLAP = 3
+_MESSAGE_END = b"\r\n\r\n"
+_VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
+# Empty lines are skipped before a request up to this size.
+_MAX_EMPTY_BYTES = 4 << 10
+# A parser keeps the headers of the last request, so that a connection with more is closed.
+_MAX_KEPT_HEADERS = 256
+# Bytes that one call of the transport reads.
+_READ_BYTES = 32 << 10
+# Bytes of a chunked body that are parsed before its reader may take them.
+_SLICE_BYTES = 8 << 10
+# What is still read from a client whose head was refused.
+_MAX_DROPPED_BYTES = 4 << 20
+_DROP_S = 1.0
+_SWEEP_INTERVAL_S = 0.25
+# A process that stood still for longer has not read what its clients may have sent in time.
+_MAX_SWEEP_LAG_S = 0.5
+_RETRY_AFTER_S = 0.5
+# Share of the descriptors for clients; the rest is for targets, peers and files.
+_CONNECTION_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class ClientTimeouts:
+    """Set how long clients may take, in seconds.
+
+    Parameters
+    ----------
+    head_s
+        From the first byte of a head to its end.
+    body_s
+        From the first byte of a head to the end of the body; None leaves it to the handler.
+    idle_s
+        Without a request, or without reading any of a response.
+    """
+
+    head_s: float = 10.0
+    body_s: float | None = 60.0
+    idle_s: float = 75.0
+
+
+class ClientGuard:
+    """Hold what all HTTP connections of a process share.
+
+    Parameters
+    ----------
+    get_timeouts
+        Returns the timeouts in force.
+    on_refused
+        Called with the reason when a connection is refused or closed.
+    """
+
+    def __init__(
+        self,
+        memory: ClientMemory,
+        get_timeouts: Callable[[], ClientTimeouts],
+        on_refused: Callable[[TroutstandError], None],
+    ) -> None:
+        self.memory = memory
+        self.on_refused = on_refused
+        self.get_timeouts = get_timeouts
+        self._turns: ParseTurns | None = None
+        self._connections: dict[Client, GuardedConnection] = {}
+        self._room_waiters: list[asyncio.Future[None]] = []
+        memory.on_released = self._wake_waiters
+        self._sweep_due_s = 0.0
+        self._sweep_handle: asyncio.TimerHandle | None = None
+
+    @property
+    def turns(self) -> ParseTurns:
+        """Return the turns of the running event loop."""
+        if self._turns is None:
+            self._turns = ParseTurns(asyncio.get_running_loop().call_soon)
+        return self._turns
+
+    def add(self, connection: GuardedConnection, client: Client) -> bool:
+        """Add a connection; return whether there is room for it."""
+        if not self.memory.add(client, read_clock_s()):
+            return False
+        self._connections[client] = connection
+        if self._sweep_handle is None:
+            self._schedule_sweep()
+        return True
+
+    def remove(self, client: Client) -> None:
+        """Release what a connection held."""
+        self.memory.remove(client)
+        self._connections.pop(client, None)
+
+    async def hold_response(self, client: Client, count: int) -> None:
+        """Count the body of a response, once there is room for it."""
+        while not self.memory.hold_response(client, BODY_COPIES * count):
+            waiter = asyncio.get_running_loop().create_future()
+            self._room_waiters.append(waiter)
+            await waiter
+
+    def _wake_waiters(self) -> None:
+        waiters, self._room_waiters = self._room_waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _schedule_sweep(self) -> None:
+        self._sweep_due_s = read_clock_s() + _SWEEP_INTERVAL_S
+        loop = asyncio.get_running_loop()
+        self._sweep_handle = loop.call_later(_SWEEP_INTERVAL_S, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close the connections of clients that take too long."""
+        self._sweep_handle = None
+        now_s = read_clock_s()
+        if now_s - self._sweep_due_s <= _MAX_SWEEP_LAG_S:
+            timeouts = self.get_timeouts()
+            for client, connection in list(self._connections.items()):
+                connection.check_timeouts(client, timeouts, now_s)
+        if self._connections:
+            self._schedule_sweep()
+
+
+def count_usable_descriptors(max_descriptors: int) -> int:
+    """Return the descriptors that a process may open.
+
+    Parameters
+    ----------
+    max_descriptors
+        What the settings allow; 0 takes the limit of the system.
+    """
+    return max_descriptors or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+def make_guard(
+    memory_mb: float, max_descriptors: int, timeouts: ClientTimeouts, events: EventBus
+) -> ClientGuard:
+    """Return the guard of a process.
+
+    Parameters
+    ----------
+    memory_mb
+        Memory that the process may use, in 10^6 bytes.
+    max_descriptors
+        As in `count_usable_descriptors`.
+    """
+    count = count_usable_descriptors(max_descriptors)
+    memory = ClientMemory(compute_budget(memory_mb), int(_CONNECTION_SHARE * count))
+
+    def log_refused(error: TroutstandError) -> None:
+        is_head = error.code is ResultCode.HEAD_TOO_LARGE
+        name = "head_refused" if is_head else "client_refused"
+        events.emit(name, code=error.code, detail=error.detail)
+
+    return ClientGuard(memory, lambda: timeouts, log_refused)
+
+
+class GuardedConnection(web.RequestHandler):
+    """Parse one request at a time, once the memory for it is counted."""
+
+    # Set by the server after the connection is created.
+    guard: ClientGuard
+    client: Client
+    is_handling = False
+    # Whether the body of the request in progress is refused.
+    _is_body_refused = False
+    # Why, until the handler of the request takes it. An error keeps the frames that raised it.
+    _refusal: TroutstandError | None = None
+    # Called when the body of the request in progress is refused.
+    on_body_refused: Callable[[], None] | None = None
+    # Received bytes that are not parsed yet.
+    _unparsed: bytearray
+    # How many of them are counted.
+    _unparsed_bytes = 0
+    _searched_bytes = 0
+    _empty_bytes = 0
+    _payload: StreamReader | None = None
+    # Bytes that are left of a body with a length; None for a body in chunks.
+    _body_left: int | None = 0
+    # The end of what was parsed of a body in chunks.
+    _tail = b""
+    # Bytes of a body in chunks that were parsed since the last byte of its content.
+    _framing_bytes = 0
+    _chunked_bytes = 0
+    _head_bytes = 0
+    _awaits_turn = False
+    # What the client had not read when that was last checked, and what of it is counted.
+    _unread_bytes = 0
+    _sending_bytes = 0
+    _must_close = False
+    # Whether the rest of a request is read and dropped, since it has been answered.
+    _is_lingering = False
+    # What came after the head was refused; None before.
+    _dropped_bytes: int | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count a new connection, or close it if there is no room for it."""
+        self._unparsed = bytearray()
+        super().connection_made(transport)
+        # Less than the default, so that many connections hold little that is not parsed.
+        transport.max_size = _READ_BYTES  # type: ignore[attr-defined]
+        self.client = Client(self._give_way)
+        if not self.guard.add(self, self.client):
+            detail = f"got more than the {len(self.guard.memory)} connections that are accepted"
+            self.guard.on_refused(TroutstandError(ResultCode.CONNECTIONS_FULL, detail))
+            self.force_close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the connection held."""
+        super().connection_lost(exc)
+        self._unparsed.clear()
+        self._payload = None
+        if self.is_handling:
+            # The handler is cancelled, and releases what it holds at its end.
+            self._must_close = True
+        else:
+            self.guard.remove(self.client)
+
+    # Receiving
+
+    def data_received(self, data: bytes) -> None:
+        """Count the data, and parse what may be parsed."""
+        if self._dropped_bytes is not None:
+            self._drop(data)
+        elif not data:
+            # The reader of a body has made room.
+            super().data_received(b"")
+            self._finish_body_if_whole()
+            self._parse()
+        elif not (self._close or self._force_close):
+            self._unparsed += data
+            self._parse()
+
+    def _drop(self, data: bytes) -> None:
+        assert self._dropped_bytes is not None
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > _MAX_DROPPED_BYTES:
+            self.force_close()
+
+    @property
+    def _is_receiving_body(self) -> bool:
+        return self._payload is not None
+
+    def _parse(self) -> None:
+        """Parse received bytes until more are needed, or until others have their turn."""
+        while self._unparsed and not self._awaits_turn and self._dropped_bytes is None:
+            if self._force_close or self._close:
+                self._unparsed.clear()
+            elif self._is_receiving_body:
+                if self._reading_paused or not self._parse_body(has_turn=False):
+                    break
+            elif self.is_handling or self._messages or not self._parse_head(has_turn=False):
+                break
+        self._limit_reading()
+
+    def _limit_reading(self) -> None:
+        """Count what is not parsed, and stop reading while that is much."""
+        if len(self._unparsed) != self._unparsed_bytes:
+            memory = self.guard.memory
+            memory.release(self.client, self._unparsed_bytes)
+            self._unparsed_bytes = len(self._unparsed)
+            memory.hold_unconditionally(self.client, self._unparsed_bytes)
+        if self._must_wait:
+            self._pause_transport_reading()
+        elif not (self._reading_paused or self._buffer_paused):
+            self._resume_transport_reading()
+
+    @property
+    def _must_wait(self) -> bool:
+        """Return whether what was received must be parsed before more is read."""
+        return len(self._unparsed) > MAX_HEADER_BYTES or (
+            self._awaits_turn and bool(self._unparsed)
+        )
+
+    def _resume_transport_reading(self) -> None:
+        if not self._must_wait:
+            super()._resume_transport_reading()
+
+    def _take_turn(self, lines: int, has_turn: bool) -> bool:
+        """Return whether lines may be parsed now; wait for a turn otherwise."""
+        turns = self.guard.turns
+        if has_turn or turns.take(lines):
+            return True
+        self._awaits_turn = True
+        turns.wait(lines, self._use_turn)
+        return False
+
+    def _use_turn(self) -> None:
+        self._awaits_turn = False
+        if self._unparsed and self.transport is not None and self._dropped_bytes is None:
+            if self._is_receiving_body:
+                if not self._reading_paused:
+                    self._parse_body(has_turn=True)
+            elif not (self.is_handling or self._messages):
+                self._parse_head(has_turn=True)
+        self._parse()
+
+    def _set_phase(self, phase: Phase) -> None:
+        self.guard.memory.set_phase(self.client, phase, read_clock_s())
+
+    # Heads
+
+    def _skip_empty_lines(self) -> None:
+        content = self._unparsed.lstrip(b"\r\n")
+        self._empty_bytes += len(self._unparsed) - len(content)
+        self._unparsed = content
+
+    def _parse_head(self, has_turn: bool) -> bool:
+        """Parse the next head if it is whole; return whether it was parsed."""
+        if not self._searched_bytes:
+            self._skip_empty_lines()
+            if self._empty_bytes > _MAX_EMPTY_BYTES:
+                self._refuse_head(self._empty_bytes)
+                return False
+            if not self._unparsed:
+                return False
+            self._set_phase(Phase.RECEIVING)
+        end = self._find_head_end()
+        size = len(self._unparsed) if end is None else end
+        if size > MAX_HEADER_BYTES:
+            self._refuse_head(size)
+            return False
+        if end is None:
+            return False
+        lines = self._unparsed.count(b"\n", 0, end)
+        if not self._take_turn(lines, has_turn) or not self._hold_head(end, lines):
+            return False
+        self._feed_head(end, lines)
+        return True
+
+    def _find_head_end(self) -> int | None:
+        """Return the size of the next head, None before it is whole."""
+        line_end = self._unparsed.find(b"\n")
+        if line_end >= 0 and not self._unparsed[:line_end].rstrip().endswith(_VERSIONS):
+            # The parser says what is wrong with it.
+            return min(len(self._unparsed), MAX_HEADER_BYTES)
+        start = max(0, self._searched_bytes - _HEAD_END_OVERLAP)
+        match = _HEAD_END.search(self._unparsed, start)
+        if match is None:
+            self._searched_bytes = len(self._unparsed)
+            return None
+        # The same end is found again after a wait for a turn.
+        self._searched_bytes = max(1, match.start())
+        return match.end()
+
+    def _hold_head(self, size: int, lines: int) -> bool:
+        memory = self.guard.memory
+        memory.release(self.client, self._head_bytes)
+        self._head_bytes = 0
+        count = estimate_head_bytes(size, lines)
+        if memory.hold(self.client, count):
+            self._head_bytes = count
+            return True
+        detail = (
+            f"the request takes {count} bytes beside {memory.held_bytes} held bytes, "
+            f"at most {memory.max_bytes} bytes together are accepted"
+        )
+        self._refuse(TroutstandError(ResultCode.MEMORY_FULL, detail, Run.NO, _RETRY_AFTER_S))
+        return False
+
+    def _feed_head(self, size: int, lines: int) -> None:
+        head = bytes(self._unparsed[:size])
+        del self._unparsed[:size]
+        self._searched_bytes = self._empty_bytes = 0
+        self._must_close = lines > _MAX_KEPT_HEADERS
+        super().data_received(head)
+        if not self._messages:
+            detail = f"the head of {size} bytes is not a request"
+            self._refuse(TroutstandError(ResultCode.HEAD_MALFORMED, detail, Run.NO))
+            return
+        message: Any = self._messages[-1][0]
+        payload: Any = self._messages[-1][1]
+        if payload.is_eof():
+            self._set_phase(Phase.WORKING)
+            return
+        self._payload = payload
+        self._tail, self._framing_bytes = b"", 0
+        self._body_left = None if message.chunked else int(message.headers["Content-Length"])
+        if self._body_left is None:
+            self._chunked_bytes = CHUNKED_BYTES
+            self.guard.memory.hold_unconditionally(self.client, CHUNKED_BYTES)
+
+    # Bodies
+
+    def _parse_body(self, has_turn: bool) -> bool:
+        """Parse a part of the body; return whether it was parsed."""
+        size = len(self._unparsed)
+        lines = 0
+        if self._body_left is None:
+            size = min(size, _SLICE_BYTES)
+            lines = self._unparsed.count(b"\n", 0, size)
+        else:
+            size = min(size, self._body_left)
+            self._body_left -= size
+        if not self._take_turn(lines, has_turn):
+            return False
+        payload = self._payload
+        assert payload is not None
+        received_bytes = payload.total_bytes
+        data = bytes(self._unparsed[:size])
+        del self._unparsed[:size]
+        super().data_received(data)
+        self._count_body(payload.total_bytes - received_bytes, len(data))
+        self._tail = (self._tail + data)[-len(_MESSAGE_END) :]
+        self._finish_body_if_whole()
+        return True
+
+    def _count_body(self, content_bytes: int, size: int) -> None:
+        if self._is_body_refused:
+            return
+        memory = self.guard.memory
+        self._framing_bytes = 0 if content_bytes else self._framing_bytes + size
+        if self._framing_bytes > MAX_HEADER_BYTES:
+            self._must_close = True
+            detail = (
+                f"got {self._framing_bytes} bytes of trailers or chunk extensions, "
+                f"at most {MAX_HEADER_BYTES} bytes are accepted"
+            )
+            self._refuse_body(TroutstandError(ResultCode.HEAD_TOO_LARGE, detail, Run.NO))
+        elif content_bytes and not memory.hold_body(self.client, content_bytes):
+            self._refuse_body(self._make_bodies_full(content_bytes))
+
+    def _make_bodies_full(self, count: int) -> TroutstandError:
+        memory = self.guard.memory
+        detail = (
+            f"got {count} bytes of a request body beside {memory.body_bytes} bytes of bodies and "
+            f"{memory.held_bytes} held bytes, at most {memory.max_body_bytes} and "
+            f"{memory.max_bytes} bytes together are accepted"
+        )
+        return TroutstandError(ResultCode.BODIES_FULL, detail, Run.NO, _RETRY_AFTER_S)
+
+    def check_body_length(self, length: int) -> None:
+        """Raise if a body of this length does not fit.
+
+        Raises
+        ------
+        TroutstandError
+            BODIES_FULL
+        """
+        if not self.guard.memory.could_hold_body(length):
+            raise self._make_bodies_full(length)
+
+    def raise_refusal(self) -> None:
+        """Raise why the body is refused, if it is and that has not been raised yet.
+
+        Raises
+        ------
+        TroutstandError
+        """
+        if self._refusal is None:
+            return
+        # A local variable would form a cycle with the frames, which hold the body.
+        try:
+            raise self._refusal from None
+        finally:
+            self._refusal = None
+
+    def _refuse_body(self, error: TroutstandError) -> None:
+        """Let the handler of the request refuse it."""
+        self._is_body_refused, self._refusal = True, error
+        if self.on_body_refused is not None:
+            self.on_body_refused()
+
+    def _finish_body_if_whole(self) -> None:
+        payload = self._payload
+        if payload is None or not payload.is_eof():
+            return
+        self._payload = None
+        if self._is_lingering:
+            self._is_lingering = self._is_body_refused = False
+        if self._body_left is None and self._tail != _MESSAGE_END:
+            # The parser has a part of the next request, which was not counted.
+            self._close = True
+        if self.is_handling or self._messages:
+            self._set_phase(Phase.WORKING)
+        else:
+            self._set_phase(Phase.IDLE)
+
+    # Requests
+
+    async def _handle_request(
+        self, request: web.BaseRequest, start_time: float | None, request_handler: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        self.is_handling = True
+        try:
+            return await super()._handle_request(request, start_time, request_handler)
+        except asyncio.CancelledError:
+            # Raised below without the frames of the handler, which hold bodies; the server's
+            # task and its error form a cycle.
+            pass
+        finally:
+            self._end_request()
+        raise asyncio.CancelledError
+
+    def _end_request(self) -> None:
+        self.is_handling = False
+        memory, client = self.guard.memory, self.client
+        memory.release_body(client)
+        memory.release_responses(client)
+        memory.release(client, self._chunked_bytes)
+        self._chunked_bytes = 0
+        if self.transport is None:
+            self.guard.remove(client)
+            return
+        if self._must_close or client.is_giving_way:
+            # Neither the rest of a body nor another request is read.
+            self._lingering_time = 0.0
+            self._close = True
+        self._refusal = None
+        self._is_lingering = self._is_body_refused = self._payload is not None
+        if not self._is_lingering:
+            if client.phase is Phase.WORKING:
+                self._set_phase(Phase.IDLE)
+            if self._unparsed:
+                self._loop.call_soon(self._parse)
+
+    # Sending
+
+    def pause_writing(self) -> None:
+        """Count what the client has not read yet."""
+        super().pause_writing()
+        if self.transport is None:
+            return
+        self._set_phase(Phase.SENDING)
+        self._count_unread()
+
+    def _count_unread(self) -> None:
+        """Count the unread bytes that are not counted as the body of a response."""
+        assert self.transport is not None
+        memory, client = self.guard.memory, self.client
+        memory.release(client, self._sending_bytes)
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        self._sending_bytes = max(0, self._unread_bytes - client.response_bytes)
+        memory.hold_unconditionally(client, self._sending_bytes)
+
+    def resume_writing(self) -> None:
+        """Release what the client has read."""
+        super().resume_writing()
+        self.guard.memory.release(self.client, self._sending_bytes)
+        self._sending_bytes = 0
+        self._set_phase(Phase.WORKING if self.is_handling else Phase.IDLE)
+
+    # Refusals
+
+    def check_timeouts(self, client: Client, timeouts: ClientTimeouts, now_s: float) -> None:
+        """Close the connection if its client takes too long."""
+        passed_s = now_s - client.since_s
+        match client.phase:
+            case Phase.OPENED if passed_s > timeouts.idle_s:
+                self._close_connection(f"no request came for {passed_s:.1f} s")
+            case Phase.IDLE if passed_s > timeouts.idle_s:
+                self._abort()
+            case Phase.RECEIVING if self._is_receiving_body:
+                if timeouts.body_s is not None and passed_s > timeouts.body_s:
+                    self._refuse_body(self._make_timeout(passed_s))
+            case Phase.RECEIVING if passed_s > timeouts.head_s and not self._awaits_turn:
+                self._refuse(self._make_timeout(passed_s))
+            case Phase.SENDING if self.transport is not None:
+                self._check_sending(timeouts, passed_s)
+
+    def _make_timeout(self, passed_s: float) -> TroutstandError:
+        detail = f"the request was not received whole in {passed_s:.1f} s"
+        return TroutstandError(ResultCode.REQUEST_TIMEOUT, detail, Run.NO)
+
+    def _check_sending(self, timeouts: ClientTimeouts, passed_s: float) -> None:
+        assert self.transport is not None
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes != self._unread_bytes:
+            self._count_unread()
+            self.client.since_s = read_clock_s()
+        elif passed_s > timeouts.idle_s:
+            self._close_connection(f"nothing of the response was read for {passed_s:.1f} s")
+
+    def _close_connection(self, detail: str) -> None:
+        self.guard.on_refused(TroutstandError(ResultCode.CLIENT_STALLED, detail))
+        self._abort()
+
+    def _abort(self) -> None:
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def _give_way(self) -> None:
+        """Refuse the request that is being received, or close the connection."""
+        detail = f"the client stalls, and others need what it holds; it awaits {self._awaited}"
+        error = TroutstandError(ResultCode.CLIENT_STALLED, detail, Run.NO, _RETRY_AFTER_S)
+        if self._is_lingering or self.client.phase is not Phase.RECEIVING:
+            self._close_connection(detail)
+        elif self._is_receiving_body:
+            self._refuse_body(error)
+        else:
+            self._refuse(error)
+
+    @property
+    def _awaited(self) -> str:
+        return self.client.phase.value
+
+    def _refuse_head(self, size: int) -> None:
+        detail = (
+            f"got {size} bytes of a request head, at most {MAX_HEADER_BYTES} bytes are accepted"
+        )
+        self._refuse(TroutstandError(ResultCode.HEAD_TOO_LARGE, detail, Run.NO))
+
+    def _refuse(self, error: TroutstandError) -> None:
+        """Answer a request that is not parsed, and close the connection."""
+        self.guard.on_refused(error)
+        self._dropped_bytes = 0
+        self._unparsed.clear()
+        if self.transport is None:
+            return
+        assert isinstance(self.transport, asyncio.Transport)
+        self.transport.write(encode_refusal(error))
+        # A connection that is closed while bytes come is reset, and the response may be lost.
+        self.transport.write_eof()
+        asyncio.get_running_loop().call_later(_DROP_S, self.force_close)
+
+
+def encode_refusal(error: TroutstandError) -> bytes:
+    """Return the response that refuses a request without a handler."""
+    status = HTTPStatus(describe_code(error.code).http_status)
+    told = {"code": int(error.code), "error": error.detail, "run": error.run.value}
+    body = json.dumps(told).encode()
+    lines = [
+        f"HTTP/1.1 {status.value} {status.phrase}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    if error.retry_after_s is not None:
+        lines.append(f"Retry-After: {error.retry_after_s:.3f}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class GuardedServer(web.Server):
+    """Serve the connections of clients under a guard."""
+
+    guard: ClientGuard
+
+    def __call__(self) -> GuardedConnection:
+        """Return the protocol of a new connection."""
+        options = {**self._kwargs, "read_bufsize": _READ_BYTES}
+        connection = GuardedConnection(self, loop=self._loop, **options)
+        connection.guard = self.guard
+        return connection
+
+
+class GuardedAppRunner(web.AppRunner):
+    """Run an application whose connections are under a guard."""
+
+    __slots__ = ("_guard",)
+
+    def __init__(self, app: web.Application, guard: ClientGuard, **kwargs: Any) -> None:
+        super().__init__(app, **kwargs)
+        self._guard = guard
+
+    async def _make_server(self) -> web.Server:
+        made = await super()._make_server()
+        server = GuardedServer(
+            made.request_handler,
+            request_factory=made.request_factory,
+            handler_cancellation=made.handler_cancellation,
+            loop=asyncio.get_running_loop(),
+            **made._kwargs,
+        )
+        server.guard = self._guard
+        return server
+
+
+async def receive_body(request: web.BaseRequest, limit: int) -> bytes:
+    """Return the body of a request.
+
+    Parameters
+    ----------
+    limit
+        Maximum size in bytes.
+
+    Raises
+    ------
+    TroutstandError
+        BODY_TOO_LARGE, or why the connection refuses the body.
+    """
+    connection = request.protocol
+    assert isinstance(connection, GuardedConnection)
+    length = request.content_length or 0
+    if length > limit:
+        raise _make_too_large(length, limit)
+    connection.raise_refusal()
+    connection.check_body_length(length)
+    if request.headers.get("expect", "").lower() == "100-continue" and request.transport:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    try:
+        async with asyncio.timeout(None) as timeout:
+            connection.on_body_refused = lambda: timeout.reschedule(
+                asyncio.get_running_loop().time()
+            )
+            return await _read_pieces(connection, request, limit)
+    except TimeoutError:
+        connection.raise_refusal()
+        raise
+    finally:
+        connection.on_body_refused = None
+
+
+async def _read_pieces(
+    connection: GuardedConnection, request: web.BaseRequest, limit: int
+) -> bytes:
+    # A list of pieces would take more than their bytes.
+    body = bytearray()
+    while request.can_read_body and (piece := await request.content.readany()):
+        body += piece
+        if len(body) > limit:
+            raise _make_too_large(len(body), limit)
+        connection.raise_refusal()
+    connection.raise_refusal()
+    return bytes(body)
+
+
+def _make_too_large(size: int, limit: int) -> TroutstandError:
+    detail = f"got {size} bytes of a request body, at most {limit} bytes are accepted"
+    return TroutstandError(ResultCode.BODY_TOO_LARGE, detail)
--- a/troutstand/util/listening.py
+++ b/troutstand/util/listening.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -9,12 +10,16 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
+from troutstand.util.guardedserver import MAX_HEADER_BYTES, GuardedAppRunner
 
 if TYPE_CHECKING:
     from troutstand.generated.settings import Address
+    from troutstand.util.guardedserver import ClientGuard
 
-MAX_HEADER_BYTES = 64 << 10
+# Connections that wait to be accepted.
 _BACKLOG = 1024
+# Connections that are accepted in one turn of the event loop, before any of them is counted.
+ACCEPTED_AT_ONCE = 16
 
 
 @dataclass(frozen=True)
@@ -32,6 +37,7 @@
     application: web.Application,
     address: Address,
     settings_field: str,
+    guard: ClientGuard,
     timeouts: ServerTimeouts = _DEFAULT_TIMEOUTS,
 ) -> web.AppRunner:
     """Serve an application at an address and return its runner.
@@ -41,8 +47,9 @@
     TroutstandError
         ADDRESS_IN_USE with the name of the settings field.
     """
-    runner = web.AppRunner(
+    runner = GuardedAppRunner(
         application,
+        guard,
         access_log=None,
         handler_cancellation=True,
         max_line_size=MAX_HEADER_BYTES,
@@ -51,12 +58,54 @@
         shutdown_timeout=timeouts.shutdown_s,
     )
     await runner.setup()
+    await open_site(runner, address, settings_field)
+    return runner
+
+
+async def open_site(runner: web.BaseRunner, address: Address, settings_field: str) -> web.SockSite:
+    """Listen at an address with a runner that is set up.
+
+    Raises
+    ------
+    TroutstandError
+        ADDRESS_IN_USE with the name of the settings field.
+    """
+    listener: socket.socket | None = None
     try:
-        await web.TCPSite(runner, address.ip, address.port, backlog=_BACKLOG).start()
+        listener = open_listener(address)
+        site = web.SockSite(runner, listener, backlog=ACCEPTED_AT_ONCE)
+        await site.start()
+        lengthen_backlog(listener)
     except OSError as error:
+        if listener is not None:
+            listener.close()
         detail = f"{settings_field} {address.ip}:{address.port}: {error}"
         raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
-    return runner
+    return site
+
+
+def open_listener(address: Address) -> socket.socket:
+    """Return a bound socket, to be listened on with `ACCEPTED_AT_ONCE` as the backlog at first.
+
+    Raises
+    ------
+    OSError
+    """
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address.ip, address.port))
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
+
+
+def lengthen_backlog(listener: socket.socket) -> None:
+    """Let more connections wait than asyncio accepts at once, which uses one number for both."""
+    listener.listen(_BACKLOG)
 
 
 def has_response_started(request: web.BaseRequest) -> bool:
