Bound what peers may send and hold before they prove who they are

Seen: 40 connections to the link port of a keeper or scheduler that each send a message of 8 MiB but for its last byte take 382 and 386 MB; 400 that send nothing hold 418 descriptors, as do 400 at a gateway's port for tunnels (416). Cause: a message of up to 16 MiB is accepted before the greeting is checked, and nothing counts the connections whose peer is not known. Change: such a peer may send 16 KiB; an eighth of the descriptors is for such connections, the oldest of which is reset for a new one. 16 connections are accepted at a time, so that they are counted before there are too many.

--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -20,7 +20,9 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import ProcessId
+from troutstand.daemon.pendingpeers import PendingPeers
 from troutstand.generated.messages import PeerMessage, Refused
+from troutstand.util.listening import ACCEPTED_AT_ONCE, lengthen_backlog, open_listener
 
 if TYPE_CHECKING:
     from troutstand.generated.settings import Address, Limits
@@ -30,6 +32,8 @@
 
 _NONCE_BYTES = 16
 _MAX_HANDSHAKE_BYTES = 1024
+# What a peer may send before it has proved who it is: the opening of the connection, a greeting.
+_MAX_UNPROVED_BYTES = 16 << 10
 _INITIAL_BACKOFF_S = 0.05
 # A lost link is reopened at once: if the peer's process has ended, the connection is refused.
 _REOPEN_DELAY_S = 0.01
@@ -108,6 +112,38 @@
     return convert_record(decoded, Frame)
 
 
+class _LinkConnection(ServerConnection):
+    """Bound what a peer sends until it has proved who it is."""
+
+    # Shared by the connections of a server, which makes a subclass of its own.
+    pending: PendingPeers
+    _unproved_bytes = 0
+    _is_proved = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        oldest = self.pending.add(self.transport)
+        if oldest is not None:
+            oldest.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self.pending.discard(self.transport)
+
+    def data_received(self, data: bytes) -> None:
+        if not self._is_proved:
+            self._unproved_bytes += len(data)
+            if self._unproved_bytes > _MAX_UNPROVED_BYTES:
+                self.transport.abort()
+                return
+        super().data_received(data)
+
+    def record_proof(self) -> None:
+        """Record that the peer has proved who it is."""
+        self._is_proved = True
+        self.pending.discard(self.transport)
+
+
 class LinkServer:
     """Accept links from peers and reply to their messages.
 
@@ -127,7 +163,9 @@
         limits: Limits,
         events: EventBus,
         handler: Handler,
+        pending: PendingPeers | None = None,
     ) -> None:
+        self._pending = pending or PendingPeers()
         self._identity = identity
         self._peers = peers
         self._limits = limits
@@ -139,17 +177,29 @@
         self._connections: dict[ServerConnection, str] = {}
 
     async def start(self, address: Address) -> None:
-        """Open the listening socket."""
+        """Open the listening socket.
+
+        Raises
+        ------
+        OSError
+        """
+
+        class Connection(_LinkConnection):
+            pending = self._pending
+
+        listener = open_listener(address)
         self._server = await serve(
             self._handle_connection,
-            address.ip,
-            address.port,
+            sock=listener,
+            backlog=ACCEPTED_AT_ONCE,
+            create_connection=Connection,
             max_size=self._limits.message_bytes,
             compression=None,
             ping_interval=None,
             open_timeout=self._limits.lease_s,
             close_timeout=self._limits.lease_s,
         )
+        lengthen_backlog(listener)
 
     async def stop(self) -> None:
         """Close the listening socket and every link; abort those that peers do not close."""
@@ -216,6 +266,8 @@
         # Without a list of peers, the site's key is sufficient.
         if self._peers is not None and greeting.process not in self._peers:
             raise TroutstandError(ResultCode.LINK_REFUSED, f"unknown process {greeting.process!r}")
+        assert isinstance(connection, _LinkConnection)
+        connection.record_proof()
         own = self._identity.process
         await connection.send(self._identity.compute_proof(own, greeting.nonce, challenge))
         return ProcessId(greeting.process)
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -16,13 +16,14 @@
 from troutstand.core.ids import Incarnation, ProcessId, name_process
 from troutstand.core.scheduling.options import LoadOptions
 from troutstand.daemon.links import Identity, Link, LinkServer, Traffic
+from troutstand.daemon.pendingpeers import PendingPeers
 from troutstand.generated.messages import Contact, PeerMessage, ProcessState, Refused
 from troutstand.generated.routing import RoutingRole
 from troutstand.generated.settings import Address, Limits
 from troutstand.routing.metrics import NodeMetrics
 from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_standard_output
-from troutstand.util.guardedserver import ClientTimeouts, make_guard
+from troutstand.util.guardedserver import ClientTimeouts, count_usable_descriptors, make_guard
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -40,6 +41,8 @@
 _MANY_LOST_COUNT = 2
 _MANY_LINKS_PROBE_PERIOD_S = 4 * _LINK_LEASE_S
 _CONNECT_TIMEOUT_S = 0.25
+# Share of the descriptors for connections of peers that have not proved who they are.
+_PENDING_SHARE = 0.125
 _PORT_OFFSETS = {RoutingRole.keeper: 0, RoutingRole.scheduler: 1, RoutingRole.gateway: 2}
 
 
@@ -77,6 +80,9 @@
         self.guard = make_guard(
             settings.memory_mb, settings.max_descriptors, ClientTimeouts(), self.events
         )
+        self.pending_peers = PendingPeers(
+            int(_PENDING_SHARE * count_usable_descriptors(settings.max_descriptors))
+        )
         self._metrics_runner: web.AppRunner | None = None
         # Called with each peer that refuses a connection, which means that its process has ended.
         self.on_refused: Callable[[ProcessId], None] | None = None
@@ -141,7 +147,9 @@
         TroutstandError
             ADDRESS_IN_USE.
         """
-        self._server = LinkServer(self.identity, None, _LINK_LIMITS, self.events, handler)
+        self._server = LinkServer(
+            self.identity, None, _LINK_LIMITS, self.events, handler, self.pending_peers
+        )
         try:
             await self._server.start(self.listen_address)
         except OSError as error:
--- a/troutstand/routing/tunnelserver.py
+++ b/troutstand/routing/tunnelserver.py
@@ -26,6 +26,7 @@
     parse_request,
 )
 from troutstand.util.clock import read_clock_s
+from troutstand.util.listening import ACCEPTED_AT_ONCE, lengthen_backlog, open_listener
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -93,7 +94,11 @@
         """
         address = self._node.listen_address
         try:
-            self._server = await asyncio.start_server(self._serve, address.ip, address.port)
+            listener = open_listener(address)
+            self._server = await asyncio.start_server(
+                self._serve, sock=listener, backlog=ACCEPTED_AT_ONCE
+            )
+            lengthen_backlog(listener)
         except OSError as error:
             detail = f"tunnels {self._node.process}: {error}"
             raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
@@ -111,6 +116,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         _enable_keep_alive(writer)
+        pending = self._node.pending_peers
+        oldest = pending.add(writer.transport)
+        if oldest is not None:
+            oldest.abort()
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
                 request, challenge = await self._receive_request(reader, writer)
@@ -123,6 +132,8 @@
             self._node.events.emit("tunnel_abandoned", detail=type(error).__name__)
             writer.transport.abort()
             return
+        finally:
+            pending.discard(writer.transport)
         outcome, target = await self._connect(request)
         writer.write(make_reply(self._node.identity, challenge, request.nonce, outcome))
         if target is None:
