Cut texts in events at 1,024 characters

Seen: 10,000 refused requests with unknown paths of 15,000 bytes take 144 MB where 128 are given. Cause: the refusal quotes the path, and the last 20,000 events are kept for `troutstandctl explain`. Change: a text in an event is cut at 1,024 characters when it is published, so that log and memory have a bound.

--- a/troutstand/util/events.py
+++ b/troutstand/util/events.py
@@ -29,6 +29,8 @@
 
 # Number of events kept for `troutstandctl explain`.
 MAX_RECENT_EVENTS = 20_000
+# What a client sends may be quoted in a value, and is kept with the recent events.
+_MAX_TEXT_CHARACTERS = 1024
 _STDOUT_FD = 1
 _UNQUOTED = re.compile(r"^[^\s\"=]+$")
 METRIC_PREFIX = "troutstand"
@@ -46,6 +48,13 @@
     fields: dict[str, Field]
 
 
+def _shorten(value: Field) -> Field:
+    """Return a value without what follows the most characters that are kept of it."""
+    if isinstance(value, str) and len(value) > _MAX_TEXT_CHARACTERS:
+        return f"{value[:_MAX_TEXT_CHARACTERS]}..."
+    return value
+
+
 def format_value(value: Field) -> str:
     """Format a value, quoted if it contains blanks, quotes or equals signs."""
     if isinstance(value, float):
@@ -112,7 +121,9 @@
     ) -> None:
         """Publish an event."""
         stamp = self.clock.tick()
-        self._subject.on_next(Event(name, stamp, self.process, request, code, fields))
+        shortened = {key: _shorten(value) for key, value in fields.items()}
+        request = request[:_MAX_TEXT_CHARACTERS]
+        self._subject.on_next(Event(name, stamp, self.process, request, code, shortened))
 
     def subscribe(self, subscriber: Callable[[Event], None]) -> None:
         """Call a function with every event."""
