--- a/troutstand/routing/main.py
+++ b/troutstand/routing/main.py
@@ -14,6 +14,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.startup import load_routing_settings
 from troutstand.util.clock import ClockLoop
+from troutstand.util.memory import return_large_blocks
 from troutstand.util.reloadsignal import ignore_reload, install_reload_handler
 
 if TYPE_CHECKING:
@@ -111,6 +112,7 @@
 def run_process(path: Path, dialect: Dialect) -> None:
     """Run the process described by a settings file; exit with an error code on failure."""
     exit_code = 0
+    return_large_blocks()
     # Objects loaded at startup live until exit, so collecting them is wasted work.
     gc.disable()
     try:
