Count the lines of trailers like headers

Cause: the parser keeps trailers like headers, and until its next request; only 128 KB were counted for a body in chunks, whatever its trailers take. Found by reading. Change: lines that come without any content of a body are counted as headers as they come; a connection whose body ended with many of them is closed after its answer. An idle connection is closed rather than reset at its timeout.

--- a/troutstand/tests/misbehavingclients.feature
+++ b/troutstand/tests/misbehavingclients.feature
@@ -16,6 +16,7 @@
       | 200   | bodies of 4 MiB, a byte short, with a length        |
       | 200   | bodies of 4 MiB, a byte short, in large chunks      |
       | 40    | bodies of 4 MiB of trailers without end             |
+      | 60    | 60 KB of trailers without their end                 |
       | 200   | requests for 900000 bytes that nobody reads         |
       | 40    | requests for 8000000 bytes that nobody reads        |
       | 20    | 500 requests of an unknown path of 15000 bytes      |
--- a/troutstand/tests/steps/misbehavingclients.py
+++ b/troutstand/tests/steps/misbehavingclients.py
@@ -150,6 +150,8 @@
             return Script(head(_CHUNKED), _make_chunk(1) * 8192, _TINY_CHUNKS // 8192)
         case "bodies of 4 MiB of trailers without end":
             return Script(head(_CHUNKED) + b"1\r\nx\r\n0\r\n", b"a:b\r\n" * 13_107, 64)
+        case "60 KB of trailers without their end":
+            return Script(head(_CHUNKED) + b"1\r\nx\r\n0\r\n", b"a:b\r\n" * 1200, 10)
         case "requests for 900000 bytes that nobody reads":
             large = _make_head(context, f"large-{request}", ["Content-Length: 0"], "/get/x")
             return Script(large, must_read=False)
--- a/troutstand/util/guardedserver.py
+++ b/troutstand/util/guardedserver.py
@@ -19,6 +19,7 @@
 from troutstand.core.clientmemory import (
     BODY_COPIES,
     CHUNKED_BYTES,
+    HEADER_BYTES,
     Client,
     ClientMemory,
     Phase,
@@ -441,16 +442,18 @@
         data = bytes(self._unparsed[:size])
         del self._unparsed[:size]
         super().data_received(data)
-        self._count_body(payload.total_bytes - received_bytes, len(data))
+        self._count_body(payload.total_bytes - received_bytes, len(data), lines)
         self._tail = (self._tail + data)[-len(_MESSAGE_END) :]
         self._finish_body_if_whole()
         return True
 
-    def _count_body(self, content_bytes: int, size: int) -> None:
+    def _count_body(self, content_bytes: int, size: int, lines: int) -> None:
         if self._is_body_refused:
             return
         memory = self.guard.memory
         self._framing_bytes = 0 if content_bytes else self._framing_bytes + size
+        if not content_bytes:
+            self._hold_trailers(lines)
         if self._framing_bytes > MAX_HEADER_BYTES:
             self._must_close = True
             detail = (
@@ -461,6 +464,21 @@
         elif content_bytes and not memory.hold_body(self.client, content_bytes):
             self._refuse_body(self._make_bodies_full(content_bytes))
 
+    def _hold_trailers(self, lines: int) -> None:
+        """Count lines that may be trailers, which the parser keeps like headers."""
+        count = HEADER_BYTES * lines
+        if self.guard.memory.hold(self.client, count):
+            self._chunked_bytes += count
+            return
+        self._must_close = True
+        detail = (
+            f"the trailers take {self._chunked_bytes + count} bytes beside "
+            f"{self.guard.memory.held_bytes} held bytes, "
+            f"at most {self.guard.memory.max_bytes} bytes together are accepted"
+        )
+        error = TroutstandError(ResultCode.MEMORY_FULL, detail, Run.NO, _RETRY_AFTER_S)
+        self._refuse_body(error)
+
     def _make_bodies_full(self, count: int) -> TroutstandError:
         memory = self.guard.memory
         detail = (
@@ -507,6 +525,11 @@
         if payload is None or not payload.is_eof():
             return
         self._payload = None
+        if self._framing_bytes <= _SLICE_BYTES:
+            self._release_chunked()
+        else:
+            # The parser keeps the trailers until the next request.
+            self._must_close = True
         if self._is_lingering:
             self._is_lingering = self._is_body_refused = False
         if self._body_left is None and self._tail != _MESSAGE_END:
@@ -517,6 +540,10 @@
         else:
             self._set_phase(Phase.IDLE)
 
+    def _release_chunked(self) -> None:
+        self.guard.memory.release(self.client, self._chunked_bytes)
+        self._chunked_bytes = 0
+
     # Requests
 
     async def _handle_request(
@@ -538,8 +565,7 @@
         memory, client = self.guard.memory, self.client
         memory.release_body(client)
         memory.release_responses(client)
-        memory.release(client, self._chunked_bytes)
-        self._chunked_bytes = 0
+        self._release_chunked()
         if self.transport is None:
             self.guard.remove(client)
             return
@@ -587,10 +613,8 @@
         """Close the connection if its client takes too long."""
         passed_s = now_s - client.since_s
         match client.phase:
-            case Phase.OPENED if passed_s > timeouts.idle_s:
-                self._close_connection(f"no request came for {passed_s:.1f} s")
-            case Phase.IDLE if passed_s > timeouts.idle_s:
-                self._abort()
+            case Phase.OPENED | Phase.IDLE if passed_s > timeouts.idle_s:
+                self.force_close()
             case Phase.RECEIVING if self._is_receiving_body:
                 if timeouts.body_s is not None and passed_s > timeouts.body_s:
                     self._refuse_body(self._make_timeout(passed_s))
