--- a/troutstand/testing/crowd.py
+++ b/troutstand/testing/crowd.py
@@ -31,6 +31,8 @@
     count: int = 0
     end: bytes = b""
     must_read: bool = True
+    # Between two pieces.
+    pause_s: float = 0.0
 
 
 @dataclass(eq=False)
@@ -76,6 +78,8 @@
                 writer.write(piece)
                 await writer.drain()
                 self.written_bytes += len(piece)
+                if script.pause_s:
+                    await asyncio.sleep(script.pause_s)
         self.has_settled.set()
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
--- a/troutstand/tests/misbehavingclients.feature
+++ b/troutstand/tests/misbehavingclients.feature
@@ -15,6 +15,8 @@
       | 250   | heads of 3900 lines without their end               |
       | 200   | bodies of 4 MiB, a byte short, with a length        |
       | 200   | bodies of 4 MiB, a byte short, in large chunks      |
+      | 200   | whole bodies of 4 MiB                               |
+      | 100   | whole bodies of 4 MiB, and read no answer           |
       | 40    | bodies of 4 MiB of trailers without end             |
       | 60    | 60 KB of trailers without their end                 |
       | 200   | requests for 900000 bytes that nobody reads         |
@@ -40,6 +42,8 @@
     Examples:
       | what                                           |
       | half a head                                    |
+      | half a head, and then a byte every 50 ms       |
+      | a body, a byte every 50 ms                     |
       | nothing                                        |
       | a body that stops short                        |
       | trailers that stop short                       |
@@ -61,6 +65,20 @@
       | half a head             |
       | a body that stops short |
 
+  # Guards against a stop that waits for clients.
+  Scenario Outline: A gateway ends in time while 100 clients send <what>
+    Given a routed site whose processes may use 128 MB and 1024 descriptors
+    When 100 clients send <what> to the callers' address, and stay
+    And their gateway is asked to end
+    Then it has ended on its own
+
+    Examples:
+      | what                                                |
+      | half a head                                         |
+      | a body that stops short                             |
+      | requests for 8000000 bytes that nobody reads        |
+      | bodies of 262144 chunks of one byte                 |
+
   # Guards against bounds that only the callers' address has.
   Scenario Outline: <count> clients with <what> at the <listener> address leave a <role> within its memory
     Given a routed site whose processes may use 128 MB and 256 descriptors
--- a/troutstand/tests/steps/misbehavingclients.py
+++ b/troutstand/tests/steps/misbehavingclients.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import itertools
+import signal
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import websockets
@@ -150,6 +151,10 @@
             return Script(head(_CHUNKED), _make_chunk(1) * 8192, _TINY_CHUNKS // 8192)
         case "bodies of 4 MiB of trailers without end":
             return Script(head(_CHUNKED) + b"1\r\nx\r\n0\r\n", b"a:b\r\n" * 13_107, 64)
+        case "whole bodies of 4 MiB" | "whole bodies of 4 MiB, and read no answer":
+            large = "large" if "read no" in what else "whole"
+            begin = _make_head(context, f"{large}-{request}", [f"Content-Length: {4 * _MIB}"])
+            return Script(begin, b"x" * _CHUNK_BYTES, 64, must_read=large == "whole")
         case "60 KB of trailers without their end":
             return Script(head(_CHUNKED) + b"1\r\nx\r\n0\r\n", b"a:b\r\n" * 1200, 10)
         case "requests for 900000 bytes that nobody reads":
@@ -161,6 +166,10 @@
         case "500 requests of an unknown path of 15000 bytes":
             path = f"/unknown/{'x' * 15_000}"
             return Script(b"", _make_head(context, request, ["Content-Length: 0"], path), 500)
+        case "half a head, and then a byte every 50 ms":
+            return Script(head()[:-2], b"x", 2000, pause_s=0.05)
+        case "a body, a byte every 50 ms":
+            return Script(head("Content-Length: 2000"), b"x", 2000, pause_s=0.05)
         case "half a head":
             return Script(head()[:-2])
         case "nothing":
@@ -235,7 +244,7 @@
             # Large pieces are shared by the clients.
             base = scripts.setdefault(what, _make_script(context, what, "crowd"))
             begin = base.begin.replace(b"crowd", f"crowd-{number}".encode())
-            return Script(begin, base.piece, base.count, base.end, base.must_read)
+            return replace(base, begin=begin)
 
         context.crowd = Crowd(listener.address, make, count)
         await context.crowd.start(_SETTLE_S)
@@ -377,6 +386,26 @@
     assert most <= context.descriptors, f"{most} descriptors"
 
 
+@when("their gateway is asked to end")
+def tell_to_stop(context: Context) -> None:
+    context.scene.site.send_signal(context.listener.process.name, signal.SIGTERM)
+
+
+@then("it has ended on its own")
+def check_ended(context: Context) -> None:
+    context.scene.background.run(_stop_watching(context))
+    child = context.listener.process.child
+
+    async def has_ended() -> bool:
+        return child.poll() is not None
+
+    try:
+        context.scene.background.run(wait_until(has_ended, "the gateway ends"))
+    finally:
+        context.scene.background.run(context.crowd.leave())
+    assert child.returncode == 0, child.returncode
+
+
 @then("the gateway closes all of them")
 def check_closed(context: Context) -> None:
     address = context.listener.address
