--- a/troutstand/daemon/cli.py
+++ b/troutstand/daemon/cli.py
@@ -22,8 +22,8 @@
 from troutstand.daemon.storage import format_folder, read_identity
 from troutstand.generated.messages import StoredIdentity
 from troutstand.generated.settings import Role, Settings
+from troutstand.util.clientguard import ClientTimeouts, make_guard
 from troutstand.util.clock import ClockLoop
-from troutstand.util.guardedserver import ClientTimeouts, make_guard
 from troutstand.util.listening import ServerTimeouts, listen
 
 app = App(name="troutstandd", help="Run one process of troutstand.")
--- a/troutstand/routing/bodymemory.py
+++ b/troutstand/routing/bodymemory.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from troutstand.util.guardedserver import GuardedConnection
+    from troutstand.util.guardedconnection import GuardedConnection
 
 MAX_BODY_BYTES = 16 << 20
 # Bytes of all large bodies together that are being received or wait for their callers.
--- a/troutstand/routing/controlserver.py
+++ b/troutstand/routing/controlserver.py
@@ -23,8 +23,8 @@
     from troutstand.routing.dialect import Dialect
     from troutstand.routing.lineclient import LineClient
     from troutstand.routing.rolloutstore import RolloutStore
+    from troutstand.util.clientguard import ClientGuard
     from troutstand.util.events import EventBus
-    from troutstand.util.guardedserver import ClientGuard
 
 MAX_BODY_BYTES = 64 << 20
 _RETRY_AFTER_S = "0.2"
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -28,15 +28,10 @@
 from troutstand.routing.targetlist import TargetList
 from troutstand.routing.tunnelclient import TunnelClient
 from troutstand.routing.tunnelserver import TunnelServer
+from troutstand.util.clientguard import ClientTimeouts
 from troutstand.util.clock import read_clock_s
-from troutstand.util.guardedserver import (
-    MAX_HEADER_BYTES,
-    MAX_HEADERS,
-    ClientTimeouts,
-    GuardedConnection,
-    GuardedServer,
-    receive_body,
-)
+from troutstand.util.guardedconnection import MAX_HEADER_BYTES, GuardedConnection
+from troutstand.util.guardedserver import MAX_HEADERS, GuardedServer, receive_body
 from troutstand.util.listening import listen, open_site, write_full_response
 
 if TYPE_CHECKING:
--- a/troutstand/routing/metrics.py
+++ b/troutstand/routing/metrics.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from troutstand.core.clientmemory import ClientMemory
     from troutstand.generated.settings import Address
+    from troutstand.util.clientguard import ClientGuard
     from troutstand.util.events import Event, EventBus
-    from troutstand.util.guardedserver import ClientGuard
 
 _LAG_INTERVAL_S = 0.25
 _BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -21,9 +21,9 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.generated.settings import Address, Limits
 from troutstand.routing.metrics import NodeMetrics
+from troutstand.util.clientguard import ClientTimeouts, count_usable_descriptors, make_guard
 from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_standard_output
-from troutstand.util.guardedserver import ClientTimeouts, count_usable_descriptors, make_guard
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/troutstand/util/listening.py
+++ b/troutstand/util/listening.py
@@ -10,11 +10,12 @@
 
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
-from troutstand.util.guardedserver import MAX_HEADER_BYTES, GuardedAppRunner
+from troutstand.util.guardedconnection import MAX_HEADER_BYTES
+from troutstand.util.guardedserver import GuardedAppRunner
 
 if TYPE_CHECKING:
     from troutstand.generated.settings import Address
-    from troutstand.util.guardedserver import ClientGuard
+    from troutstand.util.clientguard import ClientGuard
 
 # Connections that wait to be accepted.
 _BACKLOG = 1024
