Serve requests behind bodies in chunks, and close at once after a 408

A request that came with the end of a body in chunks was parsed with it, and its connection closed unread, since it had not been counted. A body in chunks is now parsed up to what looks like its end, and the rest waits its turn. After the deadline of a request whose body stopped short, its connection stayed for 10 s more to drop the rest; it closes with the response.

rawheads.feature: six requests in chunks written at once (content that holds what ends a body), a head and a body that stop short are refused with 408, 2013 and "no".

--- a/troutstand/tests/rawheads.feature
+++ b/troutstand/tests/rawheads.feature
@@ -49,3 +49,20 @@
     Given a routed site whose targets send back the header value of ASCII bytes that they got
     When 6 requests with bodies of 300000 bytes are written at once on one connection
     Then each of them gets status 200
+
+  # Guards against a parser that takes the next request for a part of a body in chunks.
+  Scenario: Requests with bodies in chunks are served on one connection, written at once
+    Given a routed site whose targets send back the header value of ASCII bytes that they got
+    When 6 requests with bodies in chunks are written at once on one connection
+    Then each of them gets status 200
+
+  # Guards against requests whose rest is awaited for as long as their callers stay.
+  Scenario Outline: A <part> that stops short is refused as not run
+    Given a routed site whose targets send back the header value of ASCII bytes that they got
+    When a <part> that stops short is written
+    Then the caller has got status 408 with code 2013 and "no" within 6 s
+
+    Examples:
+      | part |
+      | head |
+      | body |
--- a/troutstand/tests/steps/rawheads.py
+++ b/troutstand/tests/steps/rawheads.py
@@ -230,3 +230,31 @@
 def check_all(context: Context, status: int) -> None:
     heads = context.received.count(f"HTTP/1.1 {status} ".encode())
     assert heads == context.count, context.received[:2000]
+
+
+@when("{count:d} requests with bodies in chunks are written at once on one connection")
+def send_chunks(context: Context, count: int) -> None:
+    # The content holds what would end a body.
+    body = b"7\r\nx0\r\n\r\nx\r\n5\r\n0\r\n\r\n\r\n0\r\n\r\n"
+    requests = []
+    for number in range(count):
+        more = [b"Transfer-Encoding: chunked"]
+        if number == count - 1:
+            more.append(b"Connection: close")
+        head = _make_head("/do/", f"raw-{number}", more)
+        requests.append(head.replace(b"Content-Length: 1\r\n", b"") + b"\r\n" + body)
+    context.received = context.scene.background.run(_exchange(context, b"".join(requests)))
+    context.count = count
+
+
+# Requests that stop short
+
+
+@when("a {part} that stops short is written")
+def send_short(context: Context, part: str) -> None:
+    data = _make_head("/do/", "raw-1", [b"Connection: close"], 2)
+    if part == "body":
+        data += b"\r\nx"
+    began_s = time.monotonic()
+    context.received = context.scene.background.run(_exchange(context, data))
+    context.took_s = time.monotonic() - began_s
--- a/troutstand/util/guardedconnection.py
+++ b/troutstand/util/guardedconnection.py
@@ -37,6 +37,8 @@
 # The longest end of a head less one byte: a search must go back by this much.
 _HEAD_END_OVERLAP = 3
 _MESSAGE_END = b"\r\n\r\n"
+# The end of a body in chunks without trailers.
+_LAST_CHUNK = b"0\r\n\r\n"
 _VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
 # Empty lines are skipped before a request up to this size.
 _MAX_EMPTY_BYTES = 4 << 10
@@ -308,13 +310,27 @@
         assert payload is not None
         received_bytes = payload.total_bytes
         data = bytes(self._unparsed[:size])
-        del self._unparsed[:size]
-        super().data_received(data)
+        if self._body_left is None:
+            data = data[: self._feed_chunks(payload, data)]
+        else:
+            super().data_received(data)
+        del self._unparsed[: len(data)]
         self._count_body(payload.total_bytes - received_bytes, len(data), lines)
         self._tail = (self._tail + data)[-len(_MESSAGE_END) :]
         self._finish_body_if_whole()
         return True
 
+    def _feed_chunks(self, payload: StreamReader, data: bytes) -> int:
+        """Parse a part of a body in chunks, at most up to its end; return the bytes parsed."""
+        parsed = 0
+        while parsed < len(data) and not payload.is_eof() and not self._reading_paused:
+            # What looks like the end of the body may be a part of its content.
+            end = data.find(_LAST_CHUNK, parsed)
+            piece_end = len(data) if end < 0 else end + len(_LAST_CHUNK)
+            super().data_received(data[parsed:piece_end])
+            parsed = piece_end
+        return parsed
+
     def _count_body(self, content_bytes: int, size: int, lines: int) -> None:
         if self._is_body_refused:
             return
@@ -367,6 +383,10 @@
         if not self.guard.memory.could_hold_body(length):
             raise self._make_bodies_full(length)
 
+    def stop_reading(self) -> None:
+        """Close the connection after the response, without the rest of the body."""
+        self._must_close = True
+
     def raise_refusal(self) -> None:
         """Raise why the body is refused, if it is and that has not been raised yet.
 
--- a/troutstand/util/guardedserver.py
+++ b/troutstand/util/guardedserver.py
@@ -85,6 +85,10 @@
     except TimeoutError:
         connection.raise_refusal()
         raise
+    except asyncio.CancelledError:
+        # The handler awaits the rest no longer.
+        connection.stop_reading()
+        raise
     finally:
         connection.on_body_refused = None
 
