Enforce the configuration's limit of headers

Cause: header_bytes was decoded and read by nothing; a head could have 64 KiB where 16 KiB are allowed. Change: headers above it get 431 (2011) as soon as they have come, the first line of the request not counted, so that no client inside the limit meets it however it counts; a new configuration holds for the next head.

--- a/troutstand/daemon/cli.py
+++ b/troutstand/daemon/cli.py
@@ -22,7 +22,7 @@
 from troutstand.daemon.storage import format_folder, read_identity
 from troutstand.generated.messages import StoredIdentity
 from troutstand.generated.settings import Role, Settings
-from troutstand.util.clientguard import ClientTimeouts, make_guard
+from troutstand.util.clientguard import ClientLimits, make_guard
 from troutstand.util.clock import ClockLoop
 from troutstand.util.listening import ServerTimeouts, listen
 
@@ -30,7 +30,7 @@
 
 _DISK_ID_BYTES = 12
 _SERVER_TIMEOUTS = ServerTimeouts(keep_alive_s=3630.0, shutdown_s=1.0)
-_CLIENT_TIMEOUTS = ClientTimeouts(idle_s=3630.0)
+_CLIENT_LIMITS = ClientLimits(idle_s=3630.0)
 _MEMORY_MB = 256.0
 # Requests create few reference cycles, so collecting at Python's default
 # threshold costs more than it frees.
@@ -45,7 +45,7 @@
         loop.add_signal_handler(signal_number, stopping.set)
     await process.start()
     admin = AdminApi(process, stopping.set)
-    guard = make_guard(_MEMORY_MB, 0, _CLIENT_TIMEOUTS, process.node.events)
+    guard = make_guard(_MEMORY_MB, 0, _CLIENT_LIMITS, process.node.events)
     runners = [await listen(admin.make_app(), settings.admin, "admin", guard, _SERVER_TIMEOUTS)]
     if isinstance(process, EntryProcess) and settings.callers:
         callers = CallerApi(process).make_app()
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -28,7 +28,7 @@
 from troutstand.routing.targetlist import TargetList
 from troutstand.routing.tunnelclient import TunnelClient
 from troutstand.routing.tunnelserver import TunnelServer
-from troutstand.util.clientguard import ClientTimeouts
+from troutstand.util.clientguard import ClientLimits
 from troutstand.util.clock import read_clock_s
 from troutstand.util.guardedconnection import MAX_HEADER_BYTES, GuardedConnection
 from troutstand.util.guardedserver import MAX_HEADERS, GuardedServer, receive_body
@@ -94,7 +94,7 @@
         self.sender = Sender(self.pool, dialect.headers, self.placement)
         memory = self.node.guard.memory
         memory.max_body_bytes = settings.request_bodies_bytes
-        self.node.guard.get_timeouts = self._get_client_timeouts
+        self.node.guard.get_limits = self._get_client_limits
         self.metrics.watch_clients(memory)
         self._busy_connections: set[web.RequestHandler] = set()
         # When the last answer ended on a connection that was not told to close, while stopping.
@@ -339,14 +339,18 @@
             detail = "the request body had not arrived whole at the deadline of the request"
             raise TroutstandError(ResultCode.REQUEST_TIMEOUT, detail) from error
 
-    def _get_client_timeouts(self) -> ClientTimeouts:
-        """Return the timeouts of the configuration in force."""
+    def _get_client_limits(self) -> ClientLimits:
+        """Return the limits of the configuration in force."""
         table = self.follower.table
         if table is None:
-            return ClientTimeouts()
+            return ClientLimits()
         limits = table.configuration.limits
-        return ClientTimeouts(
-            limits.header_timeout_ms / _MS_PER_S, None, limits.idle_timeout_ms / _MS_PER_S
+        return ClientLimits(
+            header_bytes=limits.header_bytes,
+            head_s=limits.header_timeout_ms / _MS_PER_S,
+            # The deadline of a request ends its body.
+            body_s=None,
+            idle_s=limits.idle_timeout_ms / _MS_PER_S,
         )
 
     @contextlib.contextmanager
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -21,7 +21,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.generated.settings import Address, Limits
 from troutstand.routing.metrics import NodeMetrics
-from troutstand.util.clientguard import ClientTimeouts, count_usable_descriptors, make_guard
+from troutstand.util.clientguard import ClientLimits, count_usable_descriptors, make_guard
 from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_standard_output
 
@@ -78,7 +78,7 @@
         self.metrics = NodeMetrics(self.events)
         # What the clients of all HTTP listeners hold together.
         self.guard = make_guard(
-            settings.memory_mb, settings.max_descriptors, ClientTimeouts(), self.events
+            settings.memory_mb, settings.max_descriptors, ClientLimits(), self.events
         )
         self.pending_peers = PendingPeers(
             int(_PENDING_SHARE * count_usable_descriptors(settings.max_descriptors))
--- a/troutstand/tests/misbehavingclients.feature
+++ b/troutstand/tests/misbehavingclients.feature
@@ -112,4 +112,5 @@
       | 2200 distinct headers                       |
       | a body of 4 MiB with a length               |
       | a body of 4 MiB in chunks of 16 bytes       |
+      | a body of 256 KiB in chunks of one byte     |
       | a body and trailers of 8 KiB                |
--- a/troutstand/tests/rawheads.feature
+++ b/troutstand/tests/rawheads.feature
@@ -66,3 +66,13 @@
       | part |
       | head |
       | body |
+
+  # Guards against a limit of the configuration that nothing enforces.
+  Scenario: Headers have the limit of the configuration in force
+    Given a routed site whose targets send back the header value of ASCII bytes that they got
+    When a configuration allows headers of 4096 bytes
+    Then in the end a request with headers of 4097 bytes gets 431
+    And in the end a request with headers of 4096 bytes gets 200
+    When a configuration allows headers of 8192 bytes
+    Then in the end a request with headers of 8192 bytes gets 200
+    And in the end a request with headers of 8193 bytes gets 431
--- a/troutstand/tests/steps/misbehavingclients.py
+++ b/troutstand/tests/steps/misbehavingclients.py
@@ -440,6 +440,11 @@
         + _make_chunk(16) * (4 * _MIB // 16)
         + b"0\r\n\r\n"
     ),
+    "a body of 256 KiB in chunks of one byte": lambda context: (
+        _make_head(context, "whole", [_CHUNKED, "Connection: close"])
+        + _make_chunk(1) * _TINY_CHUNKS
+        + b"0\r\n\r\n"
+    ),
     "a body and trailers of 8 KiB": lambda context: (
         _make_head(context, "whole", [_CHUNKED, "Connection: close"])
         + b"1\r\nx\r\n0\r\n"
--- a/troutstand/util/clientguard.py
+++ b/troutstand/util/clientguard.py
@@ -11,6 +11,7 @@
 from troutstand.core.codes import ResultCode
 from troutstand.core.parseturns import ParseTurns
 from troutstand.util.clock import read_clock_s
+from troutstand.util.guardedconnection import MAX_HEADER_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,11 +28,13 @@
 
 
 @dataclass(frozen=True)
-class ClientTimeouts:
-    """Set how long clients may take, in seconds.
+class ClientLimits:
+    """Set what clients may send, and how long they may take, in seconds.
 
     Parameters
     ----------
+    header_bytes
+        Maximum size of the headers of a request, without its first line.
     head_s
         From the first byte of a head to its end.
     body_s
@@ -40,6 +43,7 @@
         Without a request, or without reading any of a response.
     """
 
+    header_bytes: int = MAX_HEADER_BYTES
     head_s: float = 10.0
     body_s: float | None = 60.0
     idle_s: float = 75.0
@@ -50,8 +54,8 @@
 
     Parameters
     ----------
-    get_timeouts
-        Returns the timeouts in force.
+    get_limits
+        Returns the limits in force.
     on_refused
         Called with the reason when a connection is refused or closed.
     """
@@ -59,12 +63,12 @@
     def __init__(
         self,
         memory: ClientMemory,
-        get_timeouts: Callable[[], ClientTimeouts],
+        get_limits: Callable[[], ClientLimits],
         on_refused: Callable[[TroutstandError], None],
     ) -> None:
         self.memory = memory
         self.on_refused = on_refused
-        self.get_timeouts = get_timeouts
+        self.get_limits = get_limits
         self._turns: ParseTurns | None = None
         self._connections: dict[Client, GuardedConnection] = {}
         self._room_waiters: list[asyncio.Future[None]] = []
@@ -116,9 +120,9 @@
         self._sweep_handle = None
         now_s = read_clock_s()
         if now_s - self._sweep_due_s <= _MAX_SWEEP_LAG_S:
-            timeouts = self.get_timeouts()
+            limits = self.get_limits()
             for client, connection in list(self._connections.items()):
-                connection.check_timeouts(client, timeouts, now_s)
+                connection.check_timeouts(client, limits, now_s)
         if self._connections:
             self._schedule_sweep()
 
@@ -135,7 +139,7 @@
 
 
 def make_guard(
-    memory_mb: float, max_descriptors: int, timeouts: ClientTimeouts, events: EventBus
+    memory_mb: float, max_descriptors: int, limits: ClientLimits, events: EventBus
 ) -> ClientGuard:
     """Return the guard of a process.
 
@@ -154,4 +158,4 @@
         name = "head_refused" if is_head else "client_refused"
         events.emit(name, code=error.code, detail=error.detail)
 
-    return ClientGuard(memory, lambda: timeouts, log_refused)
+    return ClientGuard(memory, lambda: limits, log_refused)
--- a/troutstand/util/guardedconnection.py
+++ b/troutstand/util/guardedconnection.py
@@ -30,7 +30,7 @@
 
     from aiohttp.streams import StreamReader
 
-    from troutstand.util.clientguard import ClientGuard, ClientTimeouts
+    from troutstand.util.clientguard import ClientGuard, ClientLimits
 
 MAX_HEADER_BYTES = 64 << 10
 _HEAD_END = re.compile(rb"\n\r?\n")
@@ -220,15 +220,14 @@
         if not self._searched_bytes:
             self._skip_empty_lines()
             if self._empty_bytes > _MAX_EMPTY_BYTES:
-                self._refuse_head(self._empty_bytes)
+                self._refuse_head(self._empty_bytes, "empty lines", _MAX_EMPTY_BYTES)
                 return False
             if not self._unparsed:
                 return False
             self._set_phase(Phase.RECEIVING)
         end = self._find_head_end()
         size = len(self._unparsed) if end is None else end
-        if size > MAX_HEADER_BYTES:
-            self._refuse_head(size)
+        if self._is_head_too_large(size):
             return False
         if end is None:
             return False
@@ -238,6 +237,18 @@
         self._feed_head(end, lines)
         return True
 
+    def _is_head_too_large(self, size: int) -> bool:
+        """Refuse a head that exceeds its bounds; return whether it does."""
+        if size > MAX_HEADER_BYTES:
+            self._refuse_head(size, "a request head", MAX_HEADER_BYTES)
+            return True
+        line_bytes = self._unparsed.find(b"\n", 0, size) + 1
+        header_bytes, limit = size - line_bytes, self.guard.get_limits().header_bytes
+        if line_bytes and header_bytes > limit:
+            self._refuse_head(header_bytes, "request headers", limit)
+            return True
+        return False
+
     def _find_head_end(self) -> int | None:
         """Return the size of the next head, None before it is whole."""
         line_end = self._unparsed.find(b"\n")
@@ -496,31 +507,31 @@
 
     # Refusals
 
-    def check_timeouts(self, client: Client, timeouts: ClientTimeouts, now_s: float) -> None:
+    def check_timeouts(self, client: Client, limits: ClientLimits, now_s: float) -> None:
         """Close the connection if its client takes too long."""
         passed_s = now_s - client.since_s
         match client.phase:
-            case Phase.OPENED | Phase.IDLE if passed_s > timeouts.idle_s and not self.is_handling:
+            case Phase.OPENED | Phase.IDLE if passed_s > limits.idle_s and not self.is_handling:
                 self.force_close()
             case Phase.RECEIVING if self._is_receiving_body:
-                if timeouts.body_s is not None and passed_s > timeouts.body_s:
+                if limits.body_s is not None and passed_s > limits.body_s:
                     self._refuse_body(self._make_timeout(passed_s))
-            case Phase.RECEIVING if passed_s > timeouts.head_s and not self._awaits_turn:
+            case Phase.RECEIVING if passed_s > limits.head_s and not self._awaits_turn:
                 self._refuse(self._make_timeout(passed_s))
             case Phase.SENDING if self.transport is not None:
-                self._check_sending(timeouts, passed_s)
+                self._check_sending(limits, passed_s)
 
     def _make_timeout(self, passed_s: float) -> TroutstandError:
         detail = f"the request was not received whole in {passed_s:.1f} s"
         return TroutstandError(ResultCode.REQUEST_TIMEOUT, detail, Run.NO)
 
-    def _check_sending(self, timeouts: ClientTimeouts, passed_s: float) -> None:
+    def _check_sending(self, limits: ClientLimits, passed_s: float) -> None:
         assert self.transport is not None
         unread_bytes = self.transport.get_write_buffer_size()
         if unread_bytes != self._unread_bytes:
             self._count_unread()
             self.client.since_s = read_clock_s()
-        elif passed_s > timeouts.idle_s:
+        elif passed_s > limits.idle_s:
             self._close_connection(f"nothing of the response was read for {passed_s:.1f} s")
 
     def _close_connection(self, detail: str) -> None:
@@ -547,10 +558,8 @@
         else:
             self._refuse(error)
 
-    def _refuse_head(self, size: int) -> None:
-        detail = (
-            f"got {size} bytes of a request head, at most {MAX_HEADER_BYTES} bytes are accepted"
-        )
+    def _refuse_head(self, size: int, what: str, limit: int) -> None:
+        detail = f"got {size} bytes of {what}, at most {limit} bytes are accepted"
         self._refuse(TroutstandError(ResultCode.HEAD_TOO_LARGE, detail, Run.NO))
 
     def _refuse(self, error: TroutstandError) -> None:
