--- a/troutstand/core/clientmemory.py
+++ b/troutstand/core/clientmemory.py
@@ -1,4 +1,4 @@
-"""Account for what a process holds for its clients, and choose whose connection gives way."""
+"""Account for what a process holds for its clients, and choose whose connection is evicted."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 # A client that holds at most this much may use all of it, larger ones only a share.
 _SMALL_BYTES = 256 << 10
 _LARGE_SHARE = 0.75
-# Once the memory is full, connections give way until this share of the limit is left over.
+# Once the memory is full, connections are evicted until this share of the limit is left over.
 _ROOM_SHARE = 0.125
 
 
@@ -39,9 +39,9 @@
     IDLE = "a further request"
 
 
-# Clients whose connections give way for the memory that others need.
+# Clients that are evicted for the memory that others need.
 _HOLDING = frozenset({Phase.RECEIVING, Phase.SENDING})
-# Clients whose connections give way for the descriptors that others need, in this order.
+# Clients that are evicted first for the descriptors that others need.
 _STALLED = frozenset({Phase.OPENED, Phase.RECEIVING, Phase.SENDING})
 
 
@@ -51,11 +51,11 @@
 
     Parameters
     ----------
-    give_way
+    evict
         Refuses the request in progress, if there is one, and closes the connection.
     """
 
-    give_way: Callable[[], None]
+    evict: Callable[[], None]
     phase: Phase = Phase.OPENED
     # When the phase began.
     since_s: float = 0.0
@@ -64,7 +64,7 @@
     body_bytes: int = 0
     # Bytes of the bodies of responses to it, which are among those it holds.
     response_bytes: int = 0
-    is_giving_way: bool = False
+    is_evicted: bool = False
 
 
 def compute_budget(memory_mb: float) -> int:
@@ -91,7 +91,7 @@
     """Bound what all clients of a process hold together.
 
     What a client holds counts until its connection has released it, so that connections which
-    give way make room only once their memory is free.
+    are evicted make room only once their memory is free.
 
     Parameters
     ----------
@@ -112,7 +112,7 @@
         self.max_bytes = max_bytes
         self.max_body_bytes = max_body_bytes if max_body_bytes is not None else max_bytes
         self._max_clients = max_clients
-        self._giving_way_count = 0
+        self._evicted_count = 0
         # In the order in which their phases began.
         self._clients: dict[Client, None] = {}
 
@@ -126,7 +126,7 @@
 
     def add(self, client: Client, now_s: float) -> bool:
         """Add a new connection; return whether there is room for it."""
-        open_count = len(self._clients) - self._giving_way_count
+        open_count = len(self._clients) - self._evicted_count
         has_room = open_count < self._max_clients or self._close_one()
         if has_room:
             client.since_s = now_s
@@ -139,9 +139,9 @@
         if client not in self._clients:
             return
         del self._clients[client]
-        self._giving_way_count -= client.is_giving_way
+        self._evicted_count -= client.is_evicted
         # The connection and its account would form a cycle, which is freed late.
-        client.give_way = _do_nothing
+        client.evict = _do_nothing
         self.release_body(client)
         self.release_responses(client)
         self.release(client, client.held_bytes)
@@ -157,9 +157,9 @@
     def hold(self, client: Client, count: int) -> bool:
         """Count further bytes of a client; return False if they do not fit.
 
-        If they do not fit, other clients that stall give way.
+        If they do not fit, other clients that stall are evicted.
         """
-        if client.is_giving_way:
+        if client.is_evicted:
             return False
         is_small = client.held_bytes + count <= _SMALL_BYTES
         limit = self.max_bytes if is_small else int(_LARGE_SHARE * self.max_bytes)
@@ -171,7 +171,7 @@
         return True
 
     def hold_unconditionally(self, client: Client, count: int) -> None:
-        """Count bytes that are held already; other clients that stall give way to them."""
+        """Count bytes that are held already; other clients that stall are evicted for them."""
         self._count(client, count)
         excess = self.held_bytes - int(_LARGE_SHARE * self.max_bytes)
         if excess > 0:
@@ -203,7 +203,7 @@
         client.body_bytes = 0
 
     def could_hold_body(self, count: int) -> bool:
-        """Return whether a body fits, if all that are still being received give way."""
+        """Return whether a body fits, if all that are still being received are evicted."""
         excess = self.body_bytes + count - self.max_body_bytes
         if excess <= 0:
             return True
@@ -217,8 +217,8 @@
         A body that is alone never waits, however large it is.
         """
         is_alone = not self.response_bytes
-        if client.is_giving_way or not self.hold(client, count):
-            if not (is_alone or client.is_giving_way):
+        if client.is_evicted or not self.hold(client, count):
+            if not (is_alone or client.is_evicted):
                 return False
             self._count(client, count)
         client.response_bytes += count
@@ -236,7 +236,7 @@
         self.held_bytes += count
 
     def _make_room(self, requester: Client, count: int, is_body: bool) -> None:
-        """Let the clients give way that have stalled for longest, until enough is to be freed."""
+        """Evict the clients that have stalled for longest, until enough is to be freed."""
         freed = 0
         for client in list(self._clients):
             if freed >= count:
@@ -244,22 +244,22 @@
             held = client.body_bytes if is_body else client.held_bytes - CONNECTION_BYTES
             if client is requester or held <= 0:
                 continue
-            if client.is_giving_way:
+            if client.is_evicted:
                 freed += held
             elif client.phase in _HOLDING:
                 freed += held
-                self._give_way(client)
+                self._evict(client)
 
     def _close_one(self) -> bool:
-        """Let one connection give way; return whether there was one that could."""
+        """Evict one connection; return whether there was one to evict."""
         for phases in (_STALLED, frozenset({Phase.IDLE})):
             for client in self._clients:
-                if client.phase in phases and not client.is_giving_way:
-                    self._give_way(client)
+                if client.phase in phases and not client.is_evicted:
+                    self._evict(client)
                     return True
         return False
 
-    def _give_way(self, client: Client) -> None:
-        client.is_giving_way = True
-        self._giving_way_count += 1
-        client.give_way()
+    def _evict(self, client: Client) -> None:
+        client.is_evicted = True
+        self._evicted_count += 1
+        client.evict()
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -32,8 +32,8 @@
 
 _NONCE_BYTES = 16
 _MAX_HANDSHAKE_BYTES = 1024
-# What a peer may send before it has proved who it is: the opening of the connection, a greeting.
-_MAX_UNPROVED_BYTES = 16 << 10
+# What a peer may send before it is authenticated: the opening of the connection, a greeting.
+_MAX_UNAUTHENTICATED_BYTES = 16 << 10
 _INITIAL_BACKOFF_S = 0.05
 # A lost link is reopened at once: if the peer's process has ended, the connection is refused.
 _REOPEN_DELAY_S = 0.01
@@ -113,12 +113,12 @@
 
 
 class _LinkConnection(ServerConnection):
-    """Bound what a peer sends until it has proved who it is."""
+    """Bound what a peer sends until it is authenticated."""
 
     # Shared by the connections of a server, which makes a subclass of its own.
     pending: PendingPeers
-    _unproved_bytes = 0
-    _is_proved = False
+    _unauthenticated_bytes = 0
+    _is_authenticated = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -131,16 +131,16 @@
         self.pending.discard(self.transport)
 
     def data_received(self, data: bytes) -> None:
-        if not self._is_proved:
-            self._unproved_bytes += len(data)
-            if self._unproved_bytes > _MAX_UNPROVED_BYTES:
+        if not self._is_authenticated:
+            self._unauthenticated_bytes += len(data)
+            if self._unauthenticated_bytes > _MAX_UNAUTHENTICATED_BYTES:
                 self.transport.abort()
                 return
         super().data_received(data)
 
-    def record_proof(self) -> None:
-        """Record that the peer has proved who it is."""
-        self._is_proved = True
+    def record_authenticated(self) -> None:
+        """Record that the peer is authenticated."""
+        self._is_authenticated = True
         self.pending.discard(self.transport)
 
 
@@ -267,7 +267,7 @@
         if self._peers is not None and greeting.process not in self._peers:
             raise TroutstandError(ResultCode.LINK_REFUSED, f"unknown process {greeting.process!r}")
         assert isinstance(connection, _LinkConnection)
-        connection.record_proof()
+        connection.record_authenticated()
         own = self._identity.process
         await connection.send(self._identity.compute_proof(own, greeting.nonce, challenge))
         return ProcessId(greeting.process)
--- a/troutstand/daemon/pendingpeers.py
+++ b/troutstand/daemon/pendingpeers.py
@@ -1,4 +1,4 @@
-"""Bound the connections whose peers have not proved who they are."""
+"""Bound the connections whose peers are not authenticated."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 if TYPE_CHECKING:
     import asyncio
 
-# Connections that a process accepts from unproved peers, unless its settings say less.
+# Connections that a process accepts from such peers, unless its settings say less.
 MAX_PENDING_PEERS = 1024
 
 
 class PendingPeers:
-    """Hold the connections of unproved peers; the oldest is reset where there are too many."""
+    """Hold the connections of such peers; the oldest is reset where there are too many."""
 
     def __init__(self, max_count: int = MAX_PENDING_PEERS) -> None:
         self._max_count = max_count
@@ -29,5 +29,5 @@
         return oldest
 
     def discard(self, transport: asyncio.WriteTransport) -> None:
-        """Remove a connection that has closed, or whose peer has proved who it is."""
+        """Remove a connection that has closed, or whose peer is authenticated."""
         self._transports.pop(transport, None)
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -41,7 +41,7 @@
 _MANY_LOST_COUNT = 2
 _MANY_LINKS_PROBE_PERIOD_S = 4 * _LINK_LEASE_S
 _CONNECT_TIMEOUT_S = 0.25
-# Share of the descriptors for connections of peers that have not proved who they are.
+# Share of the descriptors for connections of peers that are not authenticated.
 _PENDING_SHARE = 0.125
 _PORT_OFFSETS = {RoutingRole.keeper: 0, RoutingRole.scheduler: 1, RoutingRole.gateway: 2}
 
--- a/troutstand/tests/clientmemory.feature
+++ b/troutstand/tests/clientmemory.feature
@@ -1,4 +1,4 @@
-Feature: What a process holds for its clients is bounded, and who stalls gives way
+Feature: What a process holds for its clients is bounded, and who stalls is evicted
 
   # Guards against an account that evicts callers whose requests are in progress.
   Scenario Outline: A client that is <phase> <outcome> when others need its memory
@@ -10,20 +10,20 @@
 
     Examples:
       | phase     | outcome            |
-      | RECEIVING | gives way          |
-      | SENDING   | gives way          |
-      | WORKING   | does not give way  |
+      | RECEIVING | is evicted          |
+      | SENDING   | is evicted          |
+      | WORKING   | is not evicted  |
 
-  Scenario: The client that has stalled for longest gives way first
+  Scenario: The client that has stalled for longest is evicted first
     Given an account of 1000000 bytes for 10 clients
     And a client that is RECEIVING and holds 340000 bytes
     And a client that is RECEIVING and holds 300000 bytes
     When another client asks for 300000 bytes
     Then it is refused
-    And only the first client gives way
+    And only the first client is evicted
 
   # Guards against memory that counts as free while the connection still holds it.
-  Scenario: Memory is free once the connection that gave way has released it
+  Scenario: Memory is free once the connection that was evicted has released it
     Given an account of 1000000 bytes for 10 clients
     And a client that is RECEIVING and holds 700000 bytes
     When another client asks for 300000 bytes
@@ -49,10 +49,10 @@
 
     Examples:
       | phase     | outcome            | answer   |
-      | OPENED    | gives way          | accepted |
-      | IDLE      | gives way          | accepted |
-      | RECEIVING | gives way          | accepted |
-      | WORKING   | does not give way  | refused  |
+      | OPENED    | is evicted          | accepted |
+      | IDLE      | is evicted          | accepted |
+      | RECEIVING | is evicted          | accepted |
+      | WORKING   | is not evicted  | refused  |
 
   # Guards against a response that waits for ever since it is larger than the account.
   Scenario: A response that is alone is never made to wait
--- a/troutstand/tests/steps/clientmemory.py
+++ b/troutstand/tests/steps/clientmemory.py
@@ -20,11 +20,11 @@
 def open_account(context: Context, size: int, count: int) -> None:
     context.memory = ClientMemory(size, count)
     context.clients = []
-    context.gave_way = []
+    context.evicted = []
 
 
 def _connect(context: Context) -> Client:
-    client = Client(lambda: context.gave_way.append(client))
+    client = Client(lambda: context.evicted.append(client))
     context.is_accepted = context.memory.add(client, 0.0)
     return client
 
@@ -64,15 +64,15 @@
     assert context.is_accepted is (answer == "accepted")
 
 
-@then("the first client gives way")
-@then("only the first client gives way")
-def check_gives_way(context: Context) -> None:
-    assert context.gave_way == [context.clients[0]], context.gave_way
+@then("the first client is evicted")
+@then("only the first client is evicted")
+def check_evicted(context: Context) -> None:
+    assert context.evicted == [context.clients[0]], context.evicted
 
 
-@then("the first client does not give way")
+@then("the first client is not evicted")
 def check_stays(context: Context) -> None:
-    assert not context.gave_way
+    assert not context.evicted
 
 
 @then("the other client gets {count:d} bytes")
--- a/troutstand/util/guardedconnection.py
+++ b/troutstand/util/guardedconnection.py
@@ -103,7 +103,7 @@
         super().connection_made(transport)
         # Less than the default, so that many connections hold little that is not parsed.
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
-        self.client = Client(self._give_way)
+        self.client = Client(self._evict)
         if not self.guard.add(self, self.client):
             detail = f"got a connection beside {len(self.guard.memory)} others, none can be closed"
             self.guard.on_refused(TroutstandError(ResultCode.CONNECTIONS_FULL, detail))
@@ -467,7 +467,7 @@
         if self.transport is None:
             self.guard.remove(client)
             return
-        if self._must_close or client.is_giving_way:
+        if self._must_close or client.is_evicted:
             # Neither the rest of a body nor another request is read.
             self._lingering_time = 0.0
             self._close = True
@@ -544,7 +544,7 @@
         if transport is not None:
             transport.abort()
 
-    def _give_way(self) -> None:
+    def _evict(self) -> None:
         """Refuse the request that is being received, or close the connection."""
         detail = (
             "the client stalls, and others need what it holds; "
