--- a/review/4/case.py
+++ b/review/4/case.py
@@ -65,7 +65,7 @@
     workers = [Worker(record, f"i-{number}") for number in range(1, 5)]
     for worker in workers:
         await worker.start("127.0.0.1")
-    first, second, third, fourth = workers
+    first, second = workers[:2]
     old = [encode(first.list_entry()), encode(second.list_entry())]
     platform.show(old, "the first two workers, ready")
     site = Deployment(record, platform)
--- a/review/rig.py
+++ b/review/rig.py
@@ -20,16 +20,19 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 ROOT = Path(__file__).resolve().parent.parent
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
 SERVICE, HOST, KEY, TENANT = "svc", "one.example", "key-one", "tenant-one"
 DRAIN_S = 3.0
+_PORT_OFFSETS = {"keeper": 0, "scheduler": 1, "gateway": 2}
 
 
 class NotRunError(Exception):
@@ -200,9 +203,7 @@
             run.ended = run.ended or "cut"
             self.record.write("worker_ended", worker=self.name, request=request, how=run.ended)
 
-    async def _stream(
-        self, told: dict[str, str], after: int, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _stream(self, told: dict[str, str], after: int, writer: asyncio.StreamWriter) -> None:
         lines = ["HTTP/1.1 200 OK", *(f"{key}: {value}" for key, value in told.items())]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]
         writer.write("\r\n".join(lines).encode())
@@ -226,7 +227,10 @@
 
     ip: str
     address: str = ""
-    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    # Both sides of each connection, oldest first.
+    _connections: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = field(
+        default_factory=list
+    )
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -234,12 +238,13 @@
         host, port = server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
-    def reset(self) -> int:
-        """Reset all open connections on both sides; return how many there were."""
-        writers = list(self._writers)
-        for writer in writers:
-            reset_connection(writer)
-        return len(writers) // 2
+    def reset_half(self) -> int:
+        """Reset every other open connection on both sides; return how many."""
+        chosen = list(self._connections)[::2]
+        for connection in chosen:
+            for writer in connection:
+                reset_connection(writer)
+        return len(chosen)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -247,8 +252,8 @@
         except OSError:
             writer.transport.abort()
             return
-        both = {writer, inner_writer}
-        self._writers |= both
+        both = (writer, inner_writer)
+        self._connections.append(both)
         passing = [
             asyncio.create_task(self._pass(reader, inner_writer)),
             asyncio.create_task(self._pass(inner_reader, writer)),
@@ -258,7 +263,7 @@
         except asyncio.CancelledError:
             pass
         finally:
-            self._writers -= both
+            self._connections.remove(both)
             for task in passing:
                 task.cancel()
             for one in both:
@@ -272,6 +277,73 @@
             await asyncio.sleep(0.05)
 
 
+class Links:
+    """Pass bytes between the processes of a deployment, unless their machines are cut off."""
+
+    def __init__(self) -> None:
+        self._cuts: set[frozenset[str]] = set()
+        self._healed = asyncio.Event()
+
+    def cut(self, one: str, others: list[str]) -> None:
+        """Cut a machine off from others: nothing passes, and nothing is reset."""
+        self._cuts |= {frozenset((one, other)) for other in others}
+
+    def heal(self) -> None:
+        """End all cuts; what was held up goes on."""
+        self._cuts.clear()
+        self._healed.set()
+        self._healed = asyncio.Event()
+
+    async def open(self, shown_ip: str, ip: str, port: int) -> None:
+        """Listen where a process is said to be, and pass bytes to where it listens."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            peer = writer.get_extra_info("peername")[0]
+            await self._serve(reader, writer, frozenset((peer, ip)), (ip, port))
+
+        await asyncio.start_server(serve, shown_ip, port)
+
+    async def _wait(self, pair: frozenset[str]) -> None:
+        while pair in self._cuts:
+            await self._healed.wait()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: frozenset[str],
+        address: tuple[str, int],
+    ) -> None:
+        both = {writer}
+        passing: list[asyncio.Task[None]] = []
+        try:
+            await self._wait(pair)
+            inner_reader, inner_writer = await asyncio.open_connection(*address)
+            both.add(inner_writer)
+            passing = [
+                asyncio.create_task(self._pass(reader, inner_writer, pair)),
+                asyncio.create_task(self._pass(inner_reader, writer, pair)),
+            ]
+            await asyncio.wait(passing, return_when=asyncio.FIRST_COMPLETED)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for task in passing:
+                task.cancel()
+            for one in both:
+                one.transport.abort()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pair: frozenset[str]
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(1 << 16):
+                await self._wait(pair)
+                writer.write(data)
+                await writer.drain()
+            await self._wait(pair)
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that the other side sees a reset."""
     sock = writer.get_extra_info("socket")
@@ -342,20 +414,32 @@
 class Deployment:
     """Run gateways, keepers and schedulers with the commands of the deploy file."""
 
-    def __init__(self, record: Record, platform: Platform, gateways: int = 2) -> None:
+    def __init__(
+        self,
+        record: Record,
+        platform: Platform,
+        gateways: int = 2,
+        links: Links | None = None,
+    ) -> None:
         self.record = record
+        self._links = links
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.processes: dict[str, Process] = {}
         self._commands = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self._list_address = platform.address
-        self._seeds = [f"{self.net}.{number}:8229" for number in (1, 2, 3)]
+        self._seeds = [f"{self._show(f'{self.net}.{number}')}:8229" for number in (1, 2, 3)]
         for number in (1, 2, 3):
             self._add("keeper", number, f"{self.net}.{number}")
             self._add("scheduler", number, f"{self.net}.{number}")
         for number in range(1, gateways + 1):
             self._add("gateway", number, f"{self.net}.{10 + number}")
 
+    def _show(self, ip: str) -> str:
+        """Return the address at which a machine is said to be: another one, with links between."""
+        first, _, last = ip.rpartition(".")
+        return ip if self._links is None else f"{first}.{100 + int(last)}"
+
     def _add(self, role: str, number: int, ip: str) -> None:
         name = f"{role}-{number}"
         settings: dict[str, Any] = {
@@ -363,7 +447,7 @@
             "host": name,
             "failure_domain": "zone-" + "abc"[(number - 1) % 3],
             "role": role,
-            "ip": ip,
+            "ip": self._show(ip),
             "bind_ip": ip,
             "first_port": 7600,
             "link_key_hex": "7f0c2a6f5be94d1bb5e4f1d2a3c6980e",
@@ -443,6 +527,10 @@
         """Start all processes, give them a configuration and wait until gateways are ready."""
         if not (ROOT / "target/deps").is_dir():
             raise NotRunError("target/deps is missing: run the build of the deploy file")
+        for process in self.processes.values():
+            if self._links is not None:
+                port = 7600 + _PORT_OFFSETS[process.role]
+                await self._links.open(self._show(process.ip), process.ip, port)
         for name in self.processes:
             self.start(name)
         await wait_until(lambda: self.configure(configuration), "a configuration is taken")
