--- a/review/rig.py
+++ b/review/rig.py
@@ -32,6 +32,7 @@
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
 SERVICE, HOST, KEY, TENANT = "svc", "one.example", "key-one", "tenant-one"
 DRAIN_S = 3.0
+_MAX_RUN_S = 110.0
 _PORT_OFFSETS = {"keeper": 0, "scheduler": 1, "gateway": 2}
 
 
@@ -680,10 +681,10 @@
     record = Record(folder / "record.txt")
     record.write("case", trouble=int(HAS_TROUBLE))
     try:
-        broken = asyncio.run(case(record))
-    except (NotRunError, OSError) as error:
-        record.write("not_run", detail=error)
-        print(f"not run: {error}")
+        broken = asyncio.run(asyncio.wait_for(case(record), _MAX_RUN_S))
+    except Exception as error:  # whatever else fails is no result
+        record.write("not_run", detail=repr(error))
+        print(f"not run: {error!r}")
         return EXIT_NOT_RUN
     for line in broken:
         record.write("broken", what=line)
