Reset connections by lot in the case of streams of two versions

Every other connection was reset before, and placements take turns at old and new workers, so that few or many of the new one's streams were hit (3 to 12).

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -32,7 +32,7 @@
 SETTLE_S = 43.0
 CUT_S = 4.0
 # Streams of the new version that have begun when the connections are reset.
-BEGUN = 12
+BEGUN = 24
 EVENTS = 60
 
 
@@ -117,15 +117,15 @@
     """Start streams at the first gateway until cancelled."""
     while True:
         clients.start()
-        await asyncio.sleep(0.025)
+        await asyncio.sleep(0.0125)
 
 
 async def run(record: Record) -> list[str]:
     """Replace a worker by one of a new version while a gateway is cut off, and reset streams."""
     platform = Platform(record)
     await platform.start("127.0.0.1")
-    old = [Worker(record, f"i-old-{n}", slots=60, events=EVENTS) for n in (1, 2)]
-    new = Worker(record, "i-new-1", version="v2", slots=60, events=EVENTS)
+    old = [Worker(record, f"i-old-{n}", slots=200, events=EVENTS) for n in (1, 2)]
+    new = Worker(record, "i-new-1", version="v2", slots=200, events=EVENTS)
     for worker in [*old, new]:
         await worker.start("127.0.0.1")
     platform.show([encode(w.list_entry()) for w in old], "two workers of v1")
--- a/review/rig.py
+++ b/review/rig.py
@@ -240,8 +240,8 @@
         self.address = f"{host}:{port}"
 
     def reset_half(self) -> int:
-        """Reset every other open connection on both sides; return how many."""
-        chosen = list(self._connections)[::2]
+        """Reset half of the open connections, drawn by lot, on both sides; return how many."""
+        chosen = random.sample(self._connections, len(self._connections) // 2)
         for connection in chosen:
             for writer in connection:
                 reset_connection(writer)
