--- a/review/5/case.py
+++ b/review/5/case.py
@@ -130,7 +130,7 @@
         await worker.start("127.0.0.1")
     platform.show([encode(w.list_entry()) for w in old], "two workers of v1")
     links = Links()
-    site = Deployment(record, platform, links=links)
+    site = Deployment(record, platform, gateways=7, links=links)
     clients = Clients(site, record)
     try:
         await site.open(make_configuration())
