--- a/review/6/case.py
+++ b/review/6/case.py
@@ -165,7 +165,7 @@
         await worker.start("127.0.0.1")
     platform.show([encode(worker.list_entry()) for worker in workers], "two workers a version")
     links = Links()
-    site = Deployment(record, platform, links=links)
+    site = Deployment(record, platform, gateways=7, links=links)
     clients = Clients(site, record)
     route = make_route("r-stream", "/stream/", "streaming", timeoutMs=TIMEOUT_MS)
     try:
