Start background loops again that fail, and keep links open when a handler fails

Cause: RoutingNode.spawn and Node.spawn log the failure of a task and nothing starts it again; LinkServer caught only TroutstandError from handlers that return an awaitable, and nothing from the others.

Change: loops run under util.backgroundloop.keep_running, which logs each error and starts the loop again after 0.2 to 2 s. All loops of both kinds of nodes use it, also those that run once at the start (limit usage, readiness).

failedtasks.feature on the code before: the scenario of the handler ended with LINK_CLOSED in place of a reply; the two of loops could not run, since nothing there starts a loop again. 3 of 3 pass now.

--- a/troutstand/daemon/entry.py
+++ b/troutstand/daemon/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from troutstand.backends.engine import EngineBackend
@@ -97,16 +98,15 @@
         )
         self.node.make_heartbeat = self._make_heartbeat
         await self.node.start(self.handle)
-        self.node.spawn(self._run_heartbeats(), "heartbeat")
-        self.node.spawn(self._become_ready(), "readiness")
-        self.node.spawn(self.leased_scheduler.run(), "lease")
-        self.node.spawn(self.leased_scheduler.run_ticks(), "ticks")
+        self.node.spawn_loop(self._run_heartbeats, "heartbeat")
+        self.node.spawn_loop(self._become_ready, "readiness")
+        self.node.spawn_loop(self.leased_scheduler.run, "lease")
+        self.node.spawn_loop(self.leased_scheduler.run_ticks, "ticks")
         if self.settings.statsd:
-            self.node.spawn(self.leased_scheduler.run_gauges(), "gauges")
+            self.node.spawn_loop(self.leased_scheduler.run_gauges, "gauges")
         if self.settings.host_list_url:
-            self.node.spawn(
-                self.leased_scheduler.run_host_list(self.settings.host_list_url), "host list"
-            )
+            read_list = partial(self.leased_scheduler.run_host_list, self.settings.host_list_url)
+            self.node.spawn_loop(read_list, "host list")
 
     async def stop(self) -> None:
         """Stop the node and close the HTTP session."""
--- a/troutstand/daemon/keeper.py
+++ b/troutstand/daemon/keeper.py
@@ -112,7 +112,7 @@
         """Open the links and start sending heartbeats."""
         await self.node.start(self.handle)
         self.node.state = ProcessState.serving
-        self.node.spawn(self._run_heartbeats(), "heartbeat")
+        self.node.spawn_loop(self._run_heartbeats, "heartbeat")
 
     async def stop(self) -> None:
         """Stop the node and close the storage."""
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -40,6 +40,8 @@
 _MAX_BACKOFF_S = 1.0
 # Sequence number of a message that expects no reply.
 _ONE_WAY_SEQUENCE = 0
+# What a refusal may hold.
+_MAX_DETAIL_CHARACTERS = 1024
 # How long a stopping process waits for its peers to close their links.
 _STOP_TIMEOUT_S = 0.5
 # Limit of unsent replies on a connection whose peer reads slowly.
@@ -286,12 +288,15 @@
             self._handle_frame(peer, frame, replies)
 
     def _handle_frame(self, peer: ProcessId, frame: Frame, replies: _Replies) -> None:
-        result = self._handler(peer, frame.message)
+        try:
+            result = self._handler(peer, frame.message)
+        except Exception as error:
+            result = self._refuse_failed(peer, frame, error)
         if isinstance(result, asyncio.Future):
             replies.awaited.add(result)
             result.add_done_callback(replies.awaited.discard)
         if isinstance(result, Awaitable):
-            task = asyncio.create_task(self._reply_when_ready(result, frame, replies))
+            task = asyncio.create_task(self._reply_when_ready(peer, result, frame, replies))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         elif result is not None and frame.sequence != _ONE_WAY_SEQUENCE:
@@ -299,18 +304,27 @@
 
     async def _reply_when_ready(
         self,
+        peer: ProcessId,
         result: Awaitable[PeerMessage | None],
         frame: Frame,
         replies: _Replies,
     ) -> None:
         try:
             reply = await result
-        except TroutstandError as error:
-            # The sender receives the error as its reply.
-            reply = Refused(int(error.code), error.detail)
+        except Exception as error:
+            reply = self._refuse_failed(peer, frame, error)
         if reply is not None and frame.sequence != _ONE_WAY_SEQUENCE:
             self._queue_reply(reply, frame, replies)
 
+    def _refuse_failed(self, peer: ProcessId, frame: Frame, error: Exception) -> Refused:
+        """Return the error of a message's handler as the reply to its sender."""
+        if isinstance(error, TroutstandError):
+            return Refused(int(error.code), error.detail[:_MAX_DETAIL_CHARACTERS])
+        # One message must not close the link, on which others wait for their replies.
+        detail = f"{type(frame.message).__name__}: {error!r}"
+        self._events.emit("message_failed", code=ResultCode.INTERNAL, peer=peer, detail=detail)
+        return Refused(int(ResultCode.INTERNAL), f"{type(frame.message).__name__} failed")
+
     def _queue_reply(self, reply: PeerMessage, frame: Frame, replies: _Replies) -> None:
         stamp = self._events.clock.tick().pack()
         data = encode_frame(Frame(stamp, _ONE_WAY_SEQUENCE, frame.sequence, reply))
--- a/troutstand/daemon/node.py
+++ b/troutstand/daemon/node.py
@@ -5,7 +5,8 @@
 import asyncio
 import secrets
 import time
-from typing import TYPE_CHECKING, Any
+from functools import partial
+from typing import TYPE_CHECKING
 
 from troutstand.core.clock import HybridClock
 from troutstand.core.codes import ResultCode
@@ -14,6 +15,7 @@
 from troutstand.daemon.links import Identity, LinkServer
 from troutstand.daemon.peers import Peers, ReceivedHeartbeat
 from troutstand.generated.messages import Heartbeat, Outcome, ProcessState
+from troutstand.util.backgroundloop import keep_running
 from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_log
 
@@ -70,7 +72,7 @@
             raise TroutstandError(ResultCode.ADDRESS_IN_USE, detail) from error
         for task in self.peers.start_links():
             self.track_task(task)
-        self.spawn(watch_suspends(self._log_suspend), "suspends")
+        self.spawn_loop(partial(watch_suspends, self._log_suspend), "suspends")
         self.events.emit("process_started", incarnation=self.incarnation)
 
     def _log_suspend(self, length_s: float) -> None:
@@ -80,6 +82,10 @@
         """Run a coroutine as a task that is cancelled on stop; log its failure."""
         self.track_task(asyncio.create_task(coroutine, name=name))
 
+    def spawn_loop(self, run: Callable[[], Coroutine[None, None, None]], name: str) -> None:
+        """Run a background loop that is cancelled on stop; log a failure and start it again."""
+        self.spawn(keep_running(run, partial(self._log_failure, name)), name)
+
     def track_task(self, task: asyncio.Task[None]) -> None:
         """Hold a reference to a task until it ends, and log its failure."""
         self._tasks.add(task)
@@ -95,18 +101,20 @@
         if task.cancelled():
             return
         # A TroutstandError is already logged as command_refused.
-        if not isinstance(task.exception(), TroutstandError):
-            self._log_failure(task)
+        error = task.exception()
+        if error is not None and not isinstance(error, TroutstandError):
+            self._log_failure(task.get_name(), error)
 
     def _finish_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled():
-            self._log_failure(task)
-
-    def _log_failure(self, task: asyncio.Task[Any]) -> None:
-        if task.exception() is None:
+        if task.cancelled():
             return
-        detail = f"{task.get_name()}: {task.exception()!r}"
+        error = task.exception()
+        if error is not None:
+            self._log_failure(task.get_name(), error)
+
+    def _log_failure(self, name: str, error: BaseException) -> None:
+        detail = f"{name}: {error!r}"
         self.events.emit("task_failed", code=ResultCode.INTERNAL, detail=detail)
 
     async def stop(self) -> None:
--- a/troutstand/routing/gateway.py
+++ b/troutstand/routing/gateway.py
@@ -120,9 +120,9 @@
         await self._listen_callers()
         await self._listen_readiness()
         self.node.state = ProcessState.serving
-        self.node.spawn(self.follower.run(), "follower")
+        self.node.spawn_loop(self.follower.run, "follower")
         self.placement.start()
-        self.node.spawn(self._run_pruning(), "upkeep")
+        self.node.spawn_loop(self._run_pruning, "upkeep")
         await self.node.start_metrics()
 
     async def _listen_callers(self) -> None:
--- a/troutstand/routing/heartbeats.py
+++ b/troutstand/routing/heartbeats.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -65,7 +66,7 @@
 
     def start(self) -> None:
         """Start sending heartbeats and checking the schedulers."""
-        self._node.spawn(self._run(), "check schedulers")
+        self._node.spawn_loop(self._run, "check schedulers")
 
     async def _run(self) -> None:
         last_s = read_clock_s()
@@ -104,7 +105,8 @@
         for process in known:
             if process not in self._health:
                 self._health[process] = SchedulerHealth()
-                self._node.spawn(self._run_heartbeats(process), f"heartbeats {process}")
+                run = partial(self._run_heartbeats, process)
+                self._node.spawn_loop(run, f"heartbeats {process}")
         for process in set(self._health) - set(known):
             del self._health[process]
             self._node.close_link(process)
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -174,8 +174,8 @@
         await self.node.listen(self.handle)
         await self.node.start_metrics()
         self.node.state = ProcessState.serving
-        self.node.spawn(self._run_contacts(), "contacts")
-        self.node.spawn(self._run_replacement(), "replacement")
+        self.node.spawn_loop(self._run_contacts, "contacts")
+        self.node.spawn_loop(self._run_replacement, "replacement")
         if self.node.settings.control:
             await self._control.start(parse_address(self.node.settings.control), self.node.guard)
 
--- a/troutstand/routing/main.py
+++ b/troutstand/routing/main.py
@@ -71,7 +71,7 @@
     await process.start()
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD)
-    poll_task = asyncio.create_task(_poll_settings(process, path))
+    poll_task = process.node.spawn_loop(partial(_poll_settings, process, path), "settings")
     await stop_event.wait()
     poll_task.cancel()
     ignore_reload()
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -7,6 +7,7 @@
 import random
 import secrets
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 from troutstand.core.clock import HybridClock
@@ -21,6 +22,7 @@
 from troutstand.generated.routing import RoutingRole
 from troutstand.generated.settings import Address, Limits
 from troutstand.routing.metrics import NodeMetrics
+from troutstand.util.backgroundloop import keep_running
 from troutstand.util.clientguard import ClientLimits, count_usable_descriptors, make_guard
 from troutstand.util.clock import read_clock_s, watch_suspends
 from troutstand.util.events import EventBus, open_standard_output
@@ -128,8 +130,8 @@
 
     async def start_metrics(self) -> None:
         """Start the loop monitors, and serve metrics if the settings name a port."""
-        self.spawn(self.metrics.measure_loop_lag(), "loop lag")
-        self.spawn(watch_suspends(self._record_suspend), "suspends")
+        self.spawn_loop(self.metrics.measure_loop_lag, "loop lag")
+        self.spawn_loop(partial(watch_suspends, self._record_suspend), "suspends")
         port = self.settings.metrics_port
         if port:
             address = Address(self.settings.bind_ip or self.settings.ip, port)
@@ -180,11 +182,22 @@
         task.add_done_callback(self._finish_task)
         return task
 
+    def spawn_loop(
+        self, run: Callable[[], Coroutine[None, None, None]], name: str
+    ) -> asyncio.Task[None]:
+        """Run a background loop that is cancelled on close; log a failure and start it again."""
+        return self.spawn(keep_running(run, partial(self._log_failure, name)), name)
+
     def _finish_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
+        if task.cancelled():
             return
-        detail = f"{task.get_name()}: {task.exception()!r}"
+        error = task.exception()
+        if error is not None:
+            self._log_failure(task.get_name(), error)
+
+    def _log_failure(self, name: str, error: BaseException) -> None:
+        detail = f"{name}: {error!r}"
         self.events.emit("task_failed", code=ResultCode.INTERNAL, detail=detail)
 
     # Links
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -234,9 +234,9 @@
 
     def start(self) -> None:
         """Start heartbeats and the local decider's tasks."""
-        self._node.spawn(self._start_deciding(), "limit usage")
-        self._node.spawn(self._run_ticks(), "placement ticks")
-        self._node.spawn(self._run_local_list(), "local target list")
+        self._node.spawn_loop(self._start_deciding, "limit usage")
+        self._node.spawn_loop(self._run_ticks, "placement ticks")
+        self._node.spawn_loop(self._run_local_list, "local target list")
 
     # Requests
 
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -134,12 +134,12 @@
         await self.node.listen(self.handle)
         await self.node.start_metrics()
         self.node.state = ProcessState.serving
-        self.node.spawn(self.follower.run(), "follower")
-        self.node.spawn(self._load_usage(), "limit usage")
-        self.node.spawn(self._run_list_reads(), "target list")
-        self.node.spawn(self._run_ticks(), "ticks")
-        self.node.spawn(self._probes.run(), "gateway probes")
-        self.node.spawn(self.rollouts.run(), "rollouts")
+        self.node.spawn_loop(self.follower.run, "follower")
+        self.node.spawn_loop(self._load_usage, "limit usage")
+        self.node.spawn_loop(self._run_list_reads, "target list")
+        self.node.spawn_loop(self._run_ticks, "ticks")
+        self.node.spawn_loop(self._probes.run, "gateway probes")
+        self.node.spawn_loop(self.rollouts.run, "rollouts")
 
     async def stop(self) -> None:
         """Report not ready until the gateways have switched to another scheduler, then close."""
