Skip every entry of the list of targets that cannot be read or sent on

Callers saw: after two such entries (one cut off, one with bytes that are no text) requests went to a target that the list had shown as draining for 4 s, and none was served once the targets were replaced (0 of 20).

Cause: a page that is not JSON as a whole was read with surrogate escapes, so that an entry with invalid UTF-8 or a lone surrogate passed as valid. Computing the version of the list then raised UnicodeEncodeError, which nobody expected, and the loop that reads the list ended in all schedulers and gateways. An entry that is valid JSON but nested too deeply raised RecursionError on the same way, and an id longer than the messages between processes allow broke every reply that listed it.

Change: entries of a malformed page are found by their syntax and then decoded from their own bytes like any other; values nested too deeply are passed over; an entry is valid only if its target can be encoded for, and decoded from, a message. All readers of JSON from outside use codec.decode_json or catch the same errors (configurations, rollout orders, settings, engines, the host list).

--- a/troutstand/backends/engine.py
+++ b/troutstand/backends/engine.py
@@ -97,5 +97,5 @@
 def _decode(reply: Reply, record_type: type[T]) -> T:
     try:
         return msgspec.json.decode(reply.body, type=record_type)
-    except msgspec.DecodeError as error:
+    except (ValueError, RecursionError) as error:
         raise TroutstandError(ResultCode.TARGET_FAULT, str(error), Run.UNKNOWN) from error
--- a/troutstand/backends/hostlist.py
+++ b/troutstand/backends/hostlist.py
@@ -40,5 +40,5 @@
     try:
         async with session.get(url, timeout=timeout) as response:
             return msgspec.json.decode(await response.read(), type=HostList)
-    except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+    except (aiohttp.ClientError, TimeoutError, ValueError, RecursionError) as error:
         raise TroutstandError(ResultCode.TARGET_FAULT, f"host list: {error!r}") from error
--- a/troutstand/core/codec.py
+++ b/troutstand/core/codec.py
@@ -1,4 +1,4 @@
-"""Encode records as CBOR (RFC 8949) and decode them, validated against the schema."""
+"""Encode records as CBOR (RFC 8949), and decode CBOR and JSON, validated against a type."""
 
 from __future__ import annotations
 
@@ -32,6 +32,27 @@
         raise TroutstandError(ResultCode.LINK_MALFORMED, str(error)) from error
 
 
+def decode_json(data: bytes, record_type: type[T] | Any, code: ResultCode, subject: str = "") -> T:
+    """Decode JSON from outside into a type.
+
+    Parameters
+    ----------
+    subject
+        What the bytes hold, which the error names.
+
+    Raises
+    ------
+    TroutstandError
+        With the given code if the bytes cannot be read as JSON of this type.
+    """
+    try:
+        return msgspec.json.decode(data, type=record_type)
+    except (ValueError, RecursionError) as error:
+        # Invalid JSON, invalid UTF-8 or a type that does not match; or values nested too deeply.
+        detail = f"{subject}: {error}" if subject else str(error)
+        raise TroutstandError(code, detail) from error
+
+
 def convert_record(data: object, record_type: type[T] | Any) -> T:
     """Convert plain data to a record, validated against its schema.
 
--- a/troutstand/daemon/admin.py
+++ b/troutstand/daemon/admin.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import hdrs, web
 
+from troutstand.core.codec import decode_json
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.errors import TroutstandError, flatten_group
 from troutstand.core.reports import (
@@ -48,10 +49,7 @@
 
 
 async def _decode_body(request: web.Request, body_type: type[T]) -> T:
-    try:
-        return msgspec.json.decode(await request.read(), type=body_type)
-    except msgspec.DecodeError as error:
-        raise TroutstandError(ResultCode.TABLE_INVALID, str(error)) from error
+    return decode_json(await request.read(), body_type, ResultCode.TABLE_INVALID)
 
 
 def _read_resident_bytes() -> int:
--- a/troutstand/daemon/callerrequests.py
+++ b/troutstand/daemon/callerrequests.py
@@ -11,6 +11,7 @@
 import msgspec
 from aiohttp import hdrs, web
 
+from troutstand.core.codec import decode_json
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.core.fingerprint import compute_fingerprint, compute_part_digests
@@ -212,10 +213,7 @@
 
 
 def _decode_body(body: bytes, body_type: type[T]) -> tuple[dict[str, Any], T]:
-    try:
-        payload = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise TroutstandError(ResultCode.BODY_MALFORMED, str(error)) from error
+    payload = decode_json(body, Any, ResultCode.BODY_MALFORMED)
     try:
         return payload, msgspec.convert(payload, body_type)
     except msgspec.ValidationError as error:
--- a/troutstand/daemon/enginerelay.py
+++ b/troutstand/daemon/enginerelay.py
@@ -175,7 +175,7 @@
         if events[-1].is_usage:
             try:
                 decoded = msgspec.json.decode(events[-1].data, type=UsageEvent)
-            except msgspec.DecodeError as error:
+            except (ValueError, RecursionError) as error:
                 raise TroutstandError(ResultCode.TARGET_FAULT, str(error), Run.UNKNOWN) from error
             self.progress.usage = decoded.usage
         return events
@@ -255,7 +255,7 @@
     """
     try:
         chunks = [msgspec.json.decode(e.data, type=ChunkBody) for e in events if not e.is_usage]
-    except msgspec.DecodeError as error:
+    except (ValueError, RecursionError) as error:
         raise TroutstandError(ResultCode.TARGET_FAULT, str(error), Run.UNKNOWN) from error
     choices = [choice for chunk in chunks for choice in chunk.choices]
     if is_chat:
--- a/troutstand/daemon/startup.py
+++ b/troutstand/daemon/startup.py
@@ -4,10 +4,11 @@
 
 import ipaddress
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from troutstand.core.codec import decode_json
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
 from troutstand.core.ids import name_process
@@ -25,10 +26,7 @@
     TroutstandError
         SETTINGS_UNREADABLE or SETTINGS_INVALID, naming the field.
     """
-    try:
-        decoded = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise TroutstandError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
+    decoded = decode_json(data, Any, ResultCode.SETTINGS_UNREADABLE)
     try:
         return msgspec.convert(decoded, Settings)
     except msgspec.ValidationError as error:
--- a/troutstand/routing/dialect.py
+++ b/troutstand/routing/dialect.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from troutstand.core.codec import decode_json
 from troutstand.core.codes import ResultCode
 from troutstand.core.configuration import check_configuration
 from troutstand.core.errors import TroutstandError
@@ -73,10 +74,7 @@
     ExceptionGroup
         Of TroutstandError, one for each invalid part of a decoded configuration.
     """
-    try:
-        configuration = msgspec.json.decode(data, type=Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise TroutstandError(ResultCode.CONFIGURATION_INVALID, str(error)) from error
+    configuration = decode_json(data, Configuration, ResultCode.CONFIGURATION_INVALID)
     check_configuration(configuration)
     return configuration
 
@@ -105,10 +103,7 @@
     TroutstandError
         FIELD_INVALID.
     """
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise TroutstandError(ResultCode.FIELD_INVALID, f"rollout: {error}") from error
+    return decode_json(data, kind, ResultCode.FIELD_INVALID, "rollout")
 
 
 def decode_default_rollout(data: bytes) -> RolloutRequest:
--- a/troutstand/routing/startup.py
+++ b/troutstand/routing/startup.py
@@ -113,7 +113,7 @@
         settings = msgspec.json.decode(path.read_bytes(), type=RoutingSettings)
     except msgspec.ValidationError as error:
         raise TroutstandError(ResultCode.SETTINGS_INVALID, str(error)) from error
-    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise TroutstandError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
     check_routing_settings(settings)
     return settings
--- a/troutstand/routing/targetpages.py
+++ b/troutstand/routing/targetpages.py
@@ -13,16 +13,15 @@
 
 import msgspec
 
+from troutstand.core.codec import decode_json
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
-from troutstand.generated.messages import ListedState
+from troutstand.generated.messages import ListedState, ListedTarget
 from troutstand.routing.startup import ADDRESS_FORMAT, is_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from troutstand.generated.messages import ListedTarget
-
 T = TypeVar("T", bound=msgspec.Struct)
 
 _MAX_CAUSE_LENGTH = 200
@@ -30,6 +29,8 @@
 # Time for which a target stays known after its last valid entry: two reads of the list,
 # which is no longer than the list itself may lag.
 _RETENTION_S = 2.0
+_BRACKET_OR_STRING = re.compile(r'"(?:[^"\\]|\\.)*"|[][{}]', re.DOTALL)
+_UNREADABLE = msgspec.Raw(b"")
 
 
 @dataclass(frozen=True)
@@ -76,20 +77,14 @@
     invalid: list[InvalidEntry] = []
     for entry in entries:
         try:
-            targets.append(_check_target(translate(_decode_entry(entry, entry_type))))
-        except (msgspec.MsgspecError, UnicodeDecodeError, TroutstandError) as error:
-            detail = error.detail if isinstance(error, TroutstandError) else str(error)
+            decoded = decode_json(entry, entry_type, ResultCode.FIELD_INVALID)
+            targets.append(_check_target(translate(decoded)))
+        except TroutstandError as error:
             target_id = _read_target_id(entry, page_format.target)
-            invalid.append(InvalidEntry(target_id, detail[:_MAX_CAUSE_LENGTH]))
+            invalid.append(InvalidEntry(target_id, error.detail[:_MAX_CAUSE_LENGTH]))
     return TargetPage(targets, next_token, invalid)
 
 
-def _decode_entry(entry: Any, entry_type: type[T]) -> T:
-    if isinstance(entry, msgspec.Raw):
-        return msgspec.json.decode(entry, type=entry_type)
-    return msgspec.convert(entry, type=entry_type)
-
-
 def _check_target(target: ListedTarget) -> ListedTarget:
     if not target.target:
         raise TroutstandError(ResultCode.FIELD_INVALID, "the id of the target is empty")
@@ -100,14 +95,23 @@
         raise TroutstandError(ResultCode.FIELD_INVALID, detail)
     if target.slots < 1:
         raise TroutstandError(ResultCode.FIELD_INVALID, f"slots {target.slots}: must be at least 1")
-    return target
+    return _check_sendable(target)
+
+
+def _check_sendable(target: ListedTarget) -> ListedTarget:
+    """Raise if a message with this target would be refused by its receiver."""
+    try:
+        return decode_json(msgspec.json.encode(target), ListedTarget, ResultCode.FIELD_INVALID)
+    except (UnicodeEncodeError, OverflowError) as error:
+        raise TroutstandError(ResultCode.FIELD_INVALID, str(error)) from error
 
 
-def _read_target_id(entry: Any, id_field: str) -> str:
+def _read_target_id(entry: msgspec.Raw, id_field: str) -> str:
     """Return the target id of an invalid entry, or an empty string if it has none."""
     try:
-        plain = msgspec.json.decode(entry) if isinstance(entry, msgspec.Raw) else entry
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        plain = decode_json(entry, Any, ResultCode.FIELD_INVALID)
+    except TroutstandError:
+        # Reported as an entry without an id.
         return ""
     value = plain.get(id_field) if isinstance(plain, dict) else None
     return value[:_MAX_ID_LENGTH] if isinstance(value, str) else ""
@@ -152,19 +156,20 @@
 # Parsing
 
 
-def _split_page(data: bytes, page_format: PageFormat) -> tuple[list[Any], str | None]:
+def _split_page(data: bytes, page_format: PageFormat) -> tuple[list[msgspec.Raw], str | None]:
     """Return the entries of a page and the token of the next page."""
+    code = ResultCode.FIELD_INVALID
     try:
-        page = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
-        entries = msgspec.json.decode(page[page_format.entries], type=list[msgspec.Raw])
-        token = msgspec.json.decode(page.get(page_format.next_token, b"null"), type=str | None)
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError):
+        page = decode_json(data, dict[str, msgspec.Raw], code)
+        entries = decode_json(page[page_format.entries], list[msgspec.Raw], code)
+        token = decode_json(page.get(page_format.next_token, b"null"), str | None, code)
+    except (TroutstandError, KeyError):
         # The page as a whole is not valid JSON, for instance because an entry is truncated.
         return _salvage_page(data, page_format)
     return entries, token
 
 
-def _salvage_page(data: bytes, page_format: PageFormat) -> tuple[list[Any], str | None]:
+def _salvage_page(data: bytes, page_format: PageFormat) -> tuple[list[msgspec.Raw], str | None]:
     """Extract the readable entries of a malformed page.
 
     Raises
@@ -180,32 +185,58 @@
             "list of targets: the page has no readable token of the next page",
         )
     begin = re.search(rf'"{page_format.entries}"\s*:\s*\[', text)
-    entries = list(_salvage_entries(text, begin.end())) if begin else [None]
+    entries = list(_salvage_entries(text, begin.end())) if begin else [_UNREADABLE]
     try:
-        token = json.loads(tokens[-1])
-    except ValueError as error:
+        token = decode_json(_encode_slice(tokens[-1]), str | None, ResultCode.FIELD_INVALID)
+    except TroutstandError as error:
         detail = f"list of targets: invalid token of the next page {tokens[-1][:_MAX_ID_LENGTH]!r}"
         raise TroutstandError(ResultCode.FIELD_INVALID, detail) from error
     return entries, token
 
 
-def _salvage_entries(text: str, position: int) -> Iterator[Any]:
-    """Yield the values of a list; after a malformed value, continue at the next object."""
+def _salvage_entries(text: str, position: int) -> Iterator[msgspec.Raw]:
+    """Yield the values of a list; after a malformed value, continue at the next object.
+
+    The values are found by their syntax alone; their texts may still be invalid.
+    """
     decoder = json.JSONDecoder()
     while True:
         position = _skip_separators(text, position)
         if position >= len(text) or text[position] == "]":
             return
+        begin = position
         try:
-            value, position = decoder.raw_decode(text, position)
-            yield value
-        except (ValueError, RecursionError):
-            yield None
-            position = text.find("{", position + 1)
+            _, position = decoder.raw_decode(text, begin)
+            yield msgspec.Raw(_encode_slice(text[begin:position]))
+        except RecursionError:
+            yield _UNREADABLE
+            position = _skip_nested(text, begin)
+        except ValueError:
+            yield _UNREADABLE
+            position = text.find("{", begin + 1)
             if position < 0:
                 return
 
 
+def _encode_slice(text: str) -> bytes:
+    """Return the bytes of a part of a page that was decoded with surrogate escapes."""
+    return text.encode("utf-8", "surrogateescape")
+
+
+def _skip_nested(text: str, position: int) -> int:
+    """Return the position behind a list or object, or the end of the text if it is not closed."""
+    depth = 0
+    for match in _BRACKET_OR_STRING.finditer(text, position):
+        bracket = match[0]
+        if bracket in "[{":
+            depth += 1
+        elif bracket in "]}":
+            depth -= 1
+        if depth <= 0:
+            return match.end()
+    return len(text)
+
+
 def _skip_separators(text: str, position: int) -> int:
     while position < len(text) and text[position] in " \t\r\n,":
         position += 1
--- a/troutstand/tests/steps/targetpages.py
+++ b/troutstand/tests/steps/targetpages.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import time
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
@@ -11,14 +12,17 @@
 from hypothesis import given as draw
 from hypothesis import strategies as st
 
+from troutstand.core.codec import decode_record, encode_record
 from troutstand.core.codes import ResultCode
 from troutstand.core.errors import TroutstandError
-from troutstand.generated.messages import ListedState, ListedTarget
+from troutstand.daemon.links import Frame, decode_frame, encode_frame
+from troutstand.generated.messages import Learned, ListedState, ListedTarget
 from troutstand.generated.routing import RoutingRole
 from troutstand.routing.dialect import DEFAULT_PAGE, decode_default_targets
 from troutstand.routing.targetpages import InvalidEntry, PageFormat, TargetPage, ValidEntryCache
 from troutstand.testing.routedscene import Scene
 from troutstand.testing.routedsite import wait_until
+from troutstand.testing.standins import StandInTarget
 from troutstand.tests.environment import make_folder, next_subnet
 from troutstand.tests.steps.platform import LISTED, load_folder
 
@@ -27,6 +31,8 @@
 
     from behave.runner import Context
 
+_DEPTH = 20_000
+_NESTED = b"[" * _DEPTH + b"]" * _DEPTH
 _OWN = {
     "target": "a",
     "service": "work",
@@ -92,6 +98,17 @@
             return b"[]"
         case "its end cut off":
             return json.dumps(entry).encode()[:-9]
+        case "an escaped lone surrogate":
+            return json.dumps(entry).encode().replace(b"odd", rb"odd\ud800")
+        case "no text in its failure domain":
+            entry["zone" if "zone" in entry else "failure_domain"] = "nowhere"
+            return json.dumps(entry).encode().replace(b"nowhere", b"\xff\xfe")
+        case "a value nested too deeply":
+            return _NESTED
+        case "an unused field nested too deeply":
+            return json.dumps(entry).encode()[:-1] + b',"other":' + _NESTED + b"}"
+        case "an id too long for messages":
+            entry[writer.form.target] = "odd" * 100
         case _:
             raise AssertionError(fault)
     return json.dumps(entry).encode()
@@ -107,6 +124,29 @@
     context.page = context.writer.write_between(_spoil(context.writer, fault))
 
 
+@when("an entry with {fault} stands between them behind one whose end is cut off")
+def write_fault_after_cut(context: Context, fault: str) -> None:
+    writer = context.writer
+    odd = [_spoil(writer, "its end cut off"), _spoil(writer, fault)]
+    context.page = writer.write_between(b",".join(odd))
+
+
+@then("the page names the two valid targets and no other")
+def check_valid_only(context: Context) -> None:
+    page = context.writer.decode(context.page)
+    assert [entry.target for entry in page.targets] == ["a", "b"], page
+    assert page.invalid and page.next_token == "p-2", page
+
+
+@then("what the page names can be sent to another process")
+def check_sent(context: Context) -> None:
+    targets = context.writer.decode(context.page).targets
+    message = Learned(1, encode_record(targets))
+    frame = decode_frame(encode_frame(Frame(1, 1, 0, message)))
+    assert isinstance(frame.message, Learned)
+    assert decode_record(frame.message.content, list[ListedTarget]) == targets
+
+
 @then("the page names the two valid targets, and one invalid entry")
 def check_page(context: Context) -> None:
     page = context.writer.decode(context.page)
@@ -267,3 +307,50 @@
         told = [line for line in lines if "event=target_entry_spoiled" in line]
         assert len(told) == count, told
         assert all("cause=" in line for line in told), told
+
+
+_OWN_FAULTS = {
+    "a cut off end and bytes that are no text": ["its end cut off", "bytes that are no text"],
+    "a cut off end and an escaped lone surrogate": ["its end cut off", "an escaped lone surrogate"],
+}
+
+
+@when("the list holds entries with {fault} for {length_s:d} s")
+def spoil_list(context: Context, fault: str, length_s: int) -> None:
+    scene, writer = context.scene, PageWriter("own")
+    faults = _OWN_FAULTS.get(fault, [fault])
+    scene.list.invalid_entries = [_spoil(writer, fault) for fault in faults]
+    time.sleep(length_s)
+    scene.list.invalid_entries = []
+
+
+@when('a new target replaces the targets of the service "{service}"')
+def replace_targets(context: Context, service: str) -> None:
+    context.scene.background.run(_replace(context.scene, service))
+
+
+async def _replace(scene: Scene, service: str) -> None:
+    new = StandInTarget("new-1", service)
+    await new.start()
+    old = [target for target in scene.targets if target.service == service]
+    scene.targets[:] = [target for target in scene.targets if target.service != service] + [new]
+    for target in old:
+        await target.close()
+
+
+@then("within {length_s:d} s calls of {route} through each gateway get {status:d}")
+def check_served(context: Context, length_s: int, route: str, status: int) -> None:
+    end_s = time.monotonic() + length_s
+    while True:
+        results = context.scene.call_gateways(route)
+        if all(result.status == status for result in results):
+            return
+        assert time.monotonic() < end_s, results
+        time.sleep(0.2)
+
+
+@then("no process logs a failed task")
+def check_tasks(context: Context) -> None:
+    for process in context.scene.site.processes.values():
+        lines = process.log.read_text().splitlines()
+        assert not [line for line in lines if "event=task_failed" in line], process.name
--- a/troutstand/tests/targetpages.feature
+++ b/troutstand/tests/targetpages.feature
@@ -4,31 +4,63 @@
     Given a page in the <form> form with two valid entries
     When an entry with <fault> stands between them
     Then the page names the two valid targets, and one invalid entry
+    And what the page names can be sent to another process
 
     Examples:
-      | form       | fault                        |
-      | own        | a missing field              |
-      | own        | slots as a text              |
-      | own        | no slots                     |
-      | own        | an unknown state             |
-      | own        | an empty id                  |
-      | own        | an address that is none      |
-      | own        | bytes that are no text       |
-      | own        | a number in its place        |
-      | own        | null in its place            |
-      | own        | a list in its place          |
-      | own        | its end cut off              |
-      | platform's | a missing field              |
-      | platform's | slots as a text              |
-      | platform's | no slots                     |
-      | platform's | an unknown state             |
-      | platform's | an empty id                  |
-      | platform's | an address that is none      |
-      | platform's | bytes that are no text       |
-      | platform's | a number in its place        |
-      | platform's | null in its place            |
-      | platform's | a list in its place          |
-      | platform's | its end cut off              |
+      | form       | fault                             |
+      | own        | a missing field                   |
+      | own        | slots as a text                   |
+      | own        | no slots                          |
+      | own        | an unknown state                  |
+      | own        | an empty id                       |
+      | own        | an address that is none           |
+      | own        | bytes that are no text            |
+      | own        | a number in its place             |
+      | own        | null in its place                 |
+      | own        | a list in its place               |
+      | own        | its end cut off                   |
+      | own        | an escaped lone surrogate         |
+      | own        | no text in its failure domain     |
+      | own        | a value nested too deeply         |
+      | own        | an unused field nested too deeply |
+      | own        | an id too long for messages       |
+      | platform's | a missing field                   |
+      | platform's | slots as a text                   |
+      | platform's | no slots                          |
+      | platform's | an unknown state                  |
+      | platform's | an empty id                       |
+      | platform's | an address that is none           |
+      | platform's | bytes that are no text            |
+      | platform's | a number in its place             |
+      | platform's | null in its place                 |
+      | platform's | a list in its place               |
+      | platform's | its end cut off                   |
+      | platform's | an escaped lone surrogate         |
+      | platform's | no text in its failure domain     |
+      | platform's | a value nested too deeply         |
+      | platform's | an unused field nested too deeply |
+      | platform's | an id too long for messages       |
+
+  Scenario Outline: An entry with <fault> on a page that is not JSON as a whole
+    Given a page in the <form> form with two valid entries
+    When an entry with <fault> stands between them behind one whose end is cut off
+    Then the page names the two valid targets and no other
+    And what the page names can be sent to another process
+
+    Examples:
+      | form       | fault                             |
+      | own        | bytes that are no text            |
+      | own        | an escaped lone surrogate         |
+      | own        | no text in its failure domain     |
+      | own        | a value nested too deeply         |
+      | own        | an unused field nested too deeply |
+      | own        | an id too long for messages       |
+      | platform's | bytes that are no text            |
+      | platform's | an escaped lone surrogate         |
+      | platform's | no text in its failure domain     |
+      | platform's | a value nested too deeply         |
+      | platform's | an unused field nested too deeply |
+      | platform's | an id too long for messages       |
 
   Scenario Outline: Random data between valid entries does not affect them
     Given a page in the <form> form with two valid entries
@@ -62,3 +94,18 @@
     Then a call of /do/ through each gateway gets 200
     And a call of /stream/ through each gateway gets 200
     And the scheduler logs 3 invalid entries with their causes, each once
+
+  Scenario Outline: A site follows its list after entries with <fault>
+    Guards against a reading of the list that ends for good at an entry that cannot be read.
+    Given a routed site whose list holds 0 invalid entries beside its targets
+    When the list holds entries with <fault> for 3 s
+    And a new target replaces the targets of the service "work"
+    Then within 3 s calls of /do/ through each gateway get 200
+    And no process logs a failed task
+
+    Examples:
+      | fault                                         |
+      | a cut off end and bytes that are no text      |
+      | a cut off end and an escaped lone surrogate   |
+      | a value nested too deeply                     |
+      | an id too long for messages                   |
