Take the only known version for a stream's own only by a list read since

Cause: OriginFinder took the only version of its own lists for certain, asking nobody, until 3 s after its list was last known to be current. Others may have read a newer list in that time and begun streams at another version. Ruled out: wrong records of origins; the log of the gateway says source="only version".

Change: what is looked up first is what schedulers and keepers know. Only if none knows the stream, the single version counts, and only if a list that was read after the request arrived names no other: a scheduler that is asked for an unknown stream reads the list at once and tells what it lists as of when, and a gateway that decides alone reads it itself.

--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -52,7 +52,7 @@
     Decider,
     LocalDecider,
 )
-from troutstand.routing.targetlist import TargetListError
+from troutstand.routing.targetlist import TargetListError, wait_for_request
 from troutstand.routing.usagehandover import UsageHandover, name_decider
 from troutstand.routing.usagelog import UsageLog
 from troutstand.routing.usagesync import TAKEOVER_S, UsageSync, load_usage
@@ -80,6 +80,7 @@
 
 _TICK_S = 0.05
 _LOCAL_LIST_PERIOD_S = 1.0
+_MIN_LIST_PERIOD_S = 0.25
 # Assumed before a scheduler reports the number of gateways.
 DEFAULT_GATEWAY_COUNT = 8
 # A few round trips.
@@ -130,8 +131,13 @@
         self._notices = NoticeStore()
         self._origins = StreamOrigins()
         self._origin_sync = OriginSync(node, follower, self._origins)
+        self._list_requested = asyncio.Event()
         self._origin_finder = OriginFinder(
-            node, follower, self._origins, lambda: self._targets.targets
+            node,
+            follower,
+            self._origins,
+            lambda: self._targets.targets,
+            self._list_requested.set,
         )
         self._local = self._make_local()
 
@@ -587,7 +593,8 @@
     async def _run_local_list(self) -> None:
         """Read the list of targets while no scheduler sends it."""
         while True:
-            await asyncio.sleep(_LOCAL_LIST_PERIOD_S * (0.75 + 0.5 * self._node.random.random()))
+            period_s = _LOCAL_LIST_PERIOD_S * (0.75 + 0.5 * self._node.random.random())
+            await wait_for_request(self._list_requested, _MIN_LIST_PERIOD_S, period_s)
             if not self._is_local() or self._table is None:
                 continue
             try:
@@ -598,7 +605,7 @@
                 continue
             self._targets.emit_invalid_entries(self._node.events)
             self._notices.prune(self._targets.targets, read_clock_s())
-            self._origin_finder.confirm_list()
+            self._origin_finder.record_read(self._targets.read_began_s)
             if changed and self._is_local():
                 self._local.update_targets(self._targets.targets, read_clock_s())
                 self._deliver_local()
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -51,7 +51,12 @@
 from troutstand.routing.originsync import OriginSync
 from troutstand.routing.partevidencecache import PartEvidenceSync
 from troutstand.routing.rolloutdriver import RolloutDriver
-from troutstand.routing.targetlist import TargetList, TargetListError, TargetListUpdate
+from troutstand.routing.targetlist import (
+    TargetList,
+    TargetListError,
+    TargetListUpdate,
+    wait_for_request,
+)
 from troutstand.routing.usagehandover import name_decider
 from troutstand.routing.usagelog import UsageLog
 from troutstand.routing.usagesync import UsageSync, compute_takeover, load_usage
@@ -79,6 +84,7 @@
 _USAGE_TTL_PER_LIMIT_S = 0.0005
 _LIST_PERIOD_S = 0.9
 _STANDBY_LIST_PERIOD_S = 5.0
+_MIN_LIST_PERIOD_S = 0.2
 _MIN_HEARTBEAT_PERIOD_S = 0.1
 _HEARTBEAT_PERIOD_PER_GATEWAY_S = 0.0035
 _DRAIN_S = 1.0
@@ -191,8 +197,8 @@
                 if code is ResultCode.OK:
                     return Acknowledged()
                 return Refused(int(code), f"a further run of workspace {workspace}")
-            case OriginAsk(stream):
-                return OriginTold(self.dispatcher.origins.find(stream))
+            case OriginAsk():
+                return self._tell_origin(message, now_s)
             case AttachAsk():
                 return self._handle_attach(peer, message, now_s)
             case _:
@@ -202,6 +208,20 @@
         self._deliver_decisions()
         return None
 
+    def _tell_origin(self, ask: OriginAsk, now_s: float) -> OriginTold:
+        """Return the version that began a stream; without it, read the list anew."""
+        version = self.dispatcher.origins.find(ask.stream)
+        if version is None and self._gateways.count_attached():
+            self._list_requested.set()
+        versions = self.rollouts.versions.list_recent(ask.service, now_s)
+        return OriginTold(version, self._get_list_age_ms(now_s), sorted(versions))
+
+    def _get_list_age_ms(self, now_s: float) -> int:
+        """Return the milliseconds since the last read of the list began, -1 without one."""
+        if not self._has_list:
+            return -1
+        return math.ceil((now_s - self.targets.read_began_s) * _MILLI_PER_UNIT)
+
     def _apply_notices(self, peer: ProcessId, notices: list[TargetNotice], now_s: float) -> None:
         for notice in self.dispatcher.apply_notices(peer, notices, now_s):
             emit_notice_accepted(self.node.events, peer, notice)
@@ -461,10 +481,8 @@
                 self.node.events.emit("targets_unread", detail=str(error), age_s=age_s)
             is_busy = self._gateways.count_attached() > 0 or not self._has_list
             period_s = _LIST_PERIOD_S if is_busy else _STANDBY_LIST_PERIOD_S
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(period_s * (0.9 + 0.2 * self.node.random.random())):
-                    await self._list_requested.wait()
-            self._list_requested.clear()
+            period_s *= 0.9 + 0.2 * self.node.random.random()
+            await wait_for_request(self._list_requested, _MIN_LIST_PERIOD_S, period_s)
 
     async def _run_ticks(self) -> None:
         last_s = read_clock_s()
--- a/troutstand/routing/targetlist.py
+++ b/troutstand/routing/targetlist.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -75,6 +76,8 @@
         self._invalid: frozenset[InvalidEntry] = frozenset()
         self._new_invalid: list[InvalidEntry] = []
         self._last_read_s = read_clock_s()
+        # When the last successful read began, on the steady clock.
+        self.read_began_s = float("-inf")
 
     def install(self, targets: list[ListedTarget], version: str) -> None:
         """Replace the list and record the difference from the previous version."""
@@ -122,12 +125,13 @@
         TargetListError
             If the read fails; the list stays unchanged.
         """
+        began_s = read_clock_s()
         try:
             async with asyncio.timeout(_READ_TIMEOUT_S):
                 pages = await self._read_pages()
         except (TimeoutError, ExchangeError, TroutstandError) as error:
             raise TargetListError(str(error) or type(error).__name__) from error
-        self._last_read_s = read_clock_s()
+        self._last_read_s, self.read_began_s = read_clock_s(), began_s
         self._record_invalid_entries(pages)
         targets = self._valid_entries.merge(pages, self._last_read_s)
         targets.sort(key=lambda entry: entry.target)
@@ -192,6 +196,16 @@
         self._pool.close()
 
 
+async def wait_for_request(requested: asyncio.Event, min_s: float, max_s: float) -> None:
+    """Wait until a read of the list is requested, at least and at most for a time."""
+    await asyncio.sleep(min_s)
+    # Without a request, the list is read all the same.
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(max_s - min_s):
+            await requested.wait()
+    requested.clear()
+
+
 def _compute_version(targets: list[ListedTarget]) -> str:
     text = "\n".join(
         f"{t.target} {t.service} {t.address} {t.slots} {t.state.value} {t.version} {t.born_ms}"
--- a/troutstand/tests/softwareversions.feature
+++ b/troutstand/tests/softwareversions.feature
@@ -48,6 +48,16 @@
     Then no stream holds events of two versions
     And streams go on at least 0.95 times as often as new ones begin
 
+  # Guards against a gateway that takes the only version that it knows for that of every stream.
+  Scenario: A gateway that is cut off continues streams of the only listed version, and no others
+    Given a routed site behind proxies with 3 engines of each of 1 versions
+    And it has served one version for 42 s
+    When "gateway-2" is cut off for 4 s, and 12 callers take up streams of "gateway-1" there
+    Then at least 0.9 of the streams taken up from 1 s after the cut go on
+    When "gateway-2" is cut off for 4 s as engines of "v2" come, and 12 callers take up streams of "gateway-1" there
+    Then at least 6 streams that "v2" began are taken up
+    And no stream holds events of two versions
+
   Scenario Outline: Streams stay with their version while a rollout is <state>
     Given a routed site with 3 engines where rollouts are ordered
     When 16 callers read streams for 15 s, leave a third in the middle, and a version that <fault> is ordered
--- a/troutstand/tests/steps/softwareversions.py
+++ b/troutstand/tests/steps/softwareversions.py
@@ -235,6 +235,70 @@
     scene.background.run(play())
 
 
+@given("it has served one version for {length_s:d} s")
+def settle(context: Context, length_s: int) -> None:
+    time.sleep(length_s)
+
+
+@when(
+    '"{cut}" is cut off for {cut_s:g} s, and {count:d} callers take up streams of "{first}" there'
+)
+def take_up_at_cut(context: Context, cut: str, cut_s: float, count: int, first: str) -> None:
+    _take_up_elsewhere(context, (first, cut), cut_s, count, [])
+
+
+@when(
+    '"{cut}" is cut off for {cut_s:g} s as engines of "{version}" come, '
+    'and {count:d} callers take up streams of "{first}" there'
+)
+def take_up_as_version_comes(
+    context: Context, cut: str, cut_s: float, version: str, count: int, first: str
+) -> None:
+    _take_up_elsewhere(context, (first, cut), cut_s, count, [version])
+
+
+def _take_up_elsewhere(
+    context: Context, names: tuple[str, str], cut_s: float, count: int, new: list[str]
+) -> None:
+    """Begin streams at the first gateway, and take them up at the second one, which is cut off."""
+    gateways = [context.scene.site.processes[name] for name in names]
+
+    async def read_until(end_s: float) -> None:
+        while time.monotonic() < end_s:
+            name = f"s{next(context.names)}"
+            await context.stream_caller.read(
+                name, lambda tried: gateways[min(tried, 1)], _LEAVE_AFTER
+            )
+
+    async def play() -> None:
+        context.began_s = time.monotonic()
+        cutting = asyncio.create_task(cut_off(context.scene, [names[1]], cut_s))
+        for version in new:
+            await _add_engines(context, len(_list_engines(context)), version, Fault.NONE)
+        end_s = context.began_s + cut_s
+        await asyncio.gather(cutting, *(read_until(end_s) for _ in range(count)))
+
+    context.scene.background.run(play())
+
+
+@then("at least {least:g} of the streams taken up from {after_s:g} s after the cut go on")
+def check_sure_ones(context: Context, least: float, after_s: float) -> None:
+    tries = [t for s in context.stream_caller.streams for t in s.tries]
+    since_s = context.began_s + after_s
+    taken_up = [t for t in tries if t.first_event and t.was_judged and t.began_s >= since_s]
+    served = sum(bool(t.versions) or t.is_whole for t in taken_up)
+    refused = Counter(t.code for t in taken_up if t.code)
+    assert len(taken_up) >= _LEAST_RESUMED, len(taken_up)
+    assert served >= least * len(taken_up), (served, len(taken_up), refused)
+
+
+@then('at least {least:d} streams that "{version}" began are taken up')
+def check_taken_up(context: Context, least: int, version: str) -> None:
+    streams = [s for s in context.stream_caller.streams if version in s.tries[0].versions]
+    taken_up = [s for s in streams if any(t.first_event and t.status for t in s.tries)]
+    assert len(taken_up) >= least, (len(taken_up), len(streams))
+
+
 @when(
     "{count:d} callers read streams for {length_s:g} s, leave a third in the middle, "
     "and a version that {fault} is ordered"
--- a/troutstand/tests/steps/streamorigins.py
+++ b/troutstand/tests/steps/streamorigins.py
@@ -38,6 +38,8 @@
 _STEP_S = 0.5
 _LINKS_AFTER_S = 0.3
 _REMAINING_S = 3.0
+# Read before the stream was resumed.
+_OLD_LIST_MS = 5000
 _SIGHTING = re.compile(r"(\w+) from (\d+)(?: to (\d+))? s")
 
 
@@ -185,14 +187,17 @@
 
 def _list_at(context: Context, now_s: float) -> list[ListedTarget]:
     return [
-        ListedTarget(
-            f"{version}-{number}", _SERVICE, "127.0.0.1:1", "north", 1, ListedState.ready, version
-        )
+        _make_entry(version, number)
         for number, (version, from_s, to_s) in enumerate(context.sightings)
         if from_s <= now_s < to_s
     ]
 
 
+def _make_entry(version: str, number: int) -> ListedTarget:
+    name = f"{version}-{number}"
+    return ListedTarget(name, _SERVICE, "127.0.0.1:1", "north", 1, ListedState.ready, version)
+
+
 @given("lists with {sightings}")
 def use_lists(context: Context, sightings: str) -> None:
     context.sightings = [
@@ -252,12 +257,20 @@
     context.lease = lease
 
 
+@given("the list is read anew by {reader} once the stream is resumed")
+def use_reader(context: Context, reader: str) -> None:
+    context.reader, _, more = reader.partition(", with ")
+    context.new_versions = [more.rstrip(",")] if more else []
+
+
 class _Node:
     """Stand for a gateway's links to two processes."""
 
-    def __init__(self, asked: str) -> None:
+    def __init__(self, asked: str, told: list[str] | None) -> None:
         self._asked = asked
         self._began_s = time.monotonic()
+        # The versions that a scheduler lists as of each question; None for a list of before.
+        self._told = told
         self.contacts = SimpleNamespace(list_by_role=lambda _: ["one", "two"])
         self.events = SimpleNamespace(emit=lambda *_, **__: None)
 
@@ -268,9 +281,12 @@
         versions = {
             "no process knows": {},
             "one of two processes knows": {"one": "v1"},
+            "one of two processes knows at v2": {"one": "v2"},
             "two processes know at different versions": {"one": "v1", "two": "v2"},
         }.get(self._asked, {"one": "v1", "two": "v1"})
-        return OriginTold(versions.get(process))
+        if self._told is None:
+            return OriginTold(versions.get(process), _OLD_LIST_MS, ["v1"])
+        return OriginTold(versions.get(process), 0, self._told)
 
 
 @then("a stream that {asked} {outcome:Outcome}")
@@ -285,11 +301,20 @@
     follower = SimpleNamespace(rollouts=rollouts, list_keepers=list)
     read_s = context.now_s - context.age_s
     listed: list[ListedTarget] = []
+    versions = sorted({e.version for e in _list_at(context, context.known_s)})
+    is_told = context.reader == "a scheduler"
+
+    def read_list() -> None:
+        if context.reader == "the gateway":
+            listed.extend(_make_entry(version, 100) for version in context.new_versions)
+            finder.record_read(context.now_s + time.monotonic() - began_s)
+
     finder = OriginFinder(
-        _Node(asked),  # type: ignore[arg-type]
+        _Node(asked, [*versions, *context.new_versions] if is_told else None),  # type: ignore[arg-type]
         follower,  # type: ignore[arg-type]
         StreamOrigins(),
         lambda: listed,
+        read_list,
     )
     with mock.patch("troutstand.routing.originsync.read_clock_s") as clock:
         for step in range(int(context.known_s / _STEP_S) + 1) if context.sightings else ():
--- a/troutstand/tests/streamorigins.feature
+++ b/troutstand/tests/streamorigins.feature
@@ -66,25 +66,47 @@
       | the version in force has left                | v1 in force, v1, v2      | v1 from 0 to 3 s, v2 from 2 s  | 9  | 0     | v1, v2, v2 in force after v1       |
       | a version that left long ago is dropped      | v2 in force, v1, v2      | v2 from 0 s                    | 50 | 0     | v2, whole                          |
 
+  # Guards against a gateway that is cut off and takes the only version that it knows for the only one.
   Scenario Outline: A stream that no process knows <outcome>: <case>
     Given a gateway that has known its list for <known> s, last read <age> s ago, with <lists>
     And the keepers, <lease>, have a rollout book with <book>
+    And the list is read anew by <reader> once the stream is resumed
     Then a stream that no process knows <outcome>
 
     Examples:
-      | case                                        | known | age | lists                    | book            | lease       | outcome    |
-      | one version, watched for long               | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | goes to v1 |
-      | one version, and the book knows no other    | 5     | 1   | v1 from 0 s              | v1 in force, v1 | confirmed   | goes to v1 |
-      | the book may be old                         | 5     | 1   | v1 from 0 s              | v1 in force, v1 | unconfirmed | is unknown |
-      | the book knows another one                  | 5     | 1   | v2 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
-      | two versions                                | 45    | 1   | v1 from 0 s, v2 from 1 s | nothing         | confirmed   | is unknown |
-      | the list may be old                         | 45    | 9   | v1 from 0 s              | v1 in force, v1 | confirmed   | is unknown |
-      | the keepers confirm the book 0.3 s later    | 5     | 1   | v1 from 0 s              | v1 in force, v1 | late        | goes to v1 |
-      | the list is not known                       | 0     | 9   | nothing                  | nothing         | confirmed   | is unknown |
+      | case                                      | known | age | lists                    | book            | lease       | reader                | outcome    |
+      | one version, watched for long             | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | a scheduler           | goes to v1 |
+      | the same, at a gateway that decides alone | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | the gateway           | goes to v1 |
+      | another version may be listed by now      | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | nobody                | is unknown |
+      | a scheduler has read of another version   | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | a scheduler, with v2, | is unknown |
+      | the gateway reads of another version      | 45    | 1   | v1 from 0 s              | nothing         | unconfirmed | the gateway, with v2, | is unknown |
+      | one version, and the book knows no other  | 5     | 1   | v1 from 0 s              | v1 in force, v1 | confirmed   | a scheduler           | goes to v1 |
+      | another version may be in the book by now | 5     | 1   | v1 from 0 s              | v1 in force, v1 | confirmed   | nobody                | is unknown |
+      | the book may be old                       | 5     | 1   | v1 from 0 s              | v1 in force, v1 | unconfirmed | a scheduler           | is unknown |
+      | the book knows another one                | 5     | 1   | v2 from 0 s              | v1 in force, v1 | confirmed   | a scheduler           | is unknown |
+      | two versions                              | 45    | 1   | v1 from 0 s, v2 from 1 s | nothing         | confirmed   | a scheduler           | is unknown |
+      | the list may be old                       | 45    | 9   | v1 from 0 s              | v1 in force, v1 | confirmed   | nobody                | is unknown |
+      | no list was read for a while              | 45    | 9   | v1 from 0 s              | nothing         | unconfirmed | the gateway           | is unknown |
+      | the keepers confirm the book 0.3 s later  | 5     | 1   | v1 from 0 s              | v1 in force, v1 | late        | a scheduler           | goes to v1 |
+      | the list is not known                     | 0     | 9   | nothing                  | nothing         | confirmed   | nobody                | is unknown |
+
+  Scenario Outline: Where one version is known, a stream that <asked> <outcome>
+    Given a gateway that has known its list for 45 s, last read 1 s ago, with v1 from 0 s
+    And the keepers, unconfirmed, have a rollout book with nothing
+    And the list is read anew by nobody once the stream is resumed
+    Then a stream that <asked> <outcome>
+
+    Examples:
+      | asked                                    | outcome    |
+      | one of two processes knows               | goes to v1 |
+      | one of two processes knows at v2         | goes to v2 |
+      | processes know whose links do not open   | is unknown |
+      | two processes know at different versions | is unknown |
 
   Scenario Outline: Where two versions are listed, a stream that <asked> <outcome>
     Given a gateway that has known its list for 45 s, last read 1 s ago, with v1 from 0 s, v2 from 1 s
     And the keepers, confirmed, have a rollout book with nothing
+    And the list is read anew by a scheduler once the stream is resumed
     Then a stream that <asked> <outcome>
 
     Examples:
