Answer with 502 where a target's own status would deny that a request has run

Callers saw: a target's own 503, 429 or 408 for a command that it had run, with its seal.

Cause: Sender._check_head knows that an answer without the mark means a run, but CallHandler relayed any sealed status. No place said what a status tells.

Change: core.answerpromises is the table of what each answer of a target tells, by whether its request may run again; relay, attempts and relaying use it. An answer that would be a false promise becomes a 502 (5002) with run "unknown" and without the seal. For requests that may run again all stays as it was.

--- a/troutstand/routing/callattempts.py
+++ b/troutstand/routing/callattempts.py
@@ -10,6 +10,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from troutstand.core.answerpromises import AnswerKind
 from troutstand.core.codes import ResultCode
 from troutstand.core.paths import Reach
 from troutstand.generated.configuration import RouteKind
@@ -28,7 +29,6 @@
     from troutstand.routing.gateway import Gateway
     from troutstand.routing.relay import OutgoingRequest
 
-_MIN_SERVER_ERROR_STATUS = 500
 _MIN_RESPONSE_TIMEOUT_S = 0.2
 _STREAM_TIMEOUT_FACTOR = 1.5
 # Time after a declined placement before another one is requested beside silent targets.
@@ -265,7 +265,7 @@
             if self._has_others:
                 await self._receive_first(attempt, sent)
             return
-        is_error = sent.head.status >= _MIN_SERVER_ERROR_STATUS
+        is_error = sent.kind is AnswerKind.FAILED
         if is_error and (self._has_others or self.may_fail_over(attempt)):
             body = await self._gateway.sender.read_body(sent, self._held_bodies)
             self.server_error = sent, body
--- a/troutstand/routing/callhandler.py
+++ b/troutstand/routing/callhandler.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from troutstand.core.answerpromises import AnswerKind
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.errors import TroutstandError
 from troutstand.generated.messages import Ending
@@ -27,7 +28,6 @@
     from troutstand.routing.relay import OutgoingRequest
 
 _MIN_ERROR_STATUS = 400
-_MIN_SERVER_ERROR_STATUS = 500
 _RETRY_AFTER_S = 0.1
 _MIN_EVENT_TIMEOUT_S = 0.5
 _EVENT_TIMEOUT_FACTOR = 3.0
@@ -131,7 +131,7 @@
         self._attempts.record_first_byte(attempt, sent.first_s)
         body = await self._gateway.sender.read_body(sent, self._held_bodies)
         response = self._make_full_response(sent, body)
-        is_error = sent.head.status >= _MIN_SERVER_ERROR_STATUS
+        is_error = sent.kind is AnswerKind.FAILED
         return self._record_answered(response, sent), Ending.failed if is_error else Ending.whole
 
     # Responses
@@ -256,7 +256,10 @@
             return self._relay_server_error(*self._attempts.server_error)
         if not self._attempts.history.may_have_run:
             return self._refuse(ResultCode.NO_TARGET, error.detail, _RETRY_AFTER_S)
-        return self._refuse(ResultCode.ANSWER_CUT, error.detail, None)
+        code = ResultCode.ANSWER_CUT
+        if error.ending is Ending.failed:
+            code = ResultCode.TARGET_FAULT
+        return self._refuse(code, error.detail, None)
 
     def _refuse_aborted(self) -> web.StreamResponse:
         """Refuse a request whose response has not started when a stopping gateway aborts it."""
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from troutstand.core.answerpromises import AnswerKind, classify_answer
 from troutstand.core.notices import parse_notice
 from troutstand.generated.messages import Ending, TargetNotice
 from troutstand.routing.bodymemory import MAX_BODY_BYTES, UNKNOWN_BODY_BYTES, BodyMemory
@@ -33,10 +34,11 @@
         TargetConnection,
     )
 
-MISDIRECTED = 421
 _EVENT_STREAM = "text/event-stream"
 _FIRST_NON_SUCCESS = 300
 _FIRST_SUCCESS = 200
+# Endings of responses that are valid, but not relayed.
+_WHOLE_REJECTIONS = frozenset({Ending.turned_away, Ending.failed})
 _UNSENT = frozenset({Ending.unsent, Ending.kept_back})
 # A target may have closed an idle connection, so requests that must not be repeated
 # reuse only a connection that was idle for less than this.
@@ -148,6 +150,7 @@
     head: ResponseHead
     started_s: float
     first_s: float
+    kind: AnswerKind = AnswerKind.ANSWERED
 
     @property
     def is_success(self) -> bool:
@@ -321,9 +324,11 @@
             raise
         notice = parse_notice(head.status, head.get, self._names, placed.target, placed.born_ms)
         self._notices.handle_notice(outgoing.request, notice, started_s)
-        sent = SentRequest(placed, connection, head, started_s, read_clock_s() - started_s)
+        is_marked = head.get(self._names.not_run) is not None
+        kind = classify_answer(head.status, is_marked, outgoing.is_repeatable)
+        sent = SentRequest(placed, connection, head, started_s, read_clock_s() - started_s, kind)
         try:
-            self._check_head(outgoing, head, notice)
+            self._check_head(outgoing, sent, notice)
         except SendError as error:
             await self._drain_rejection(sent, error)
             raise
@@ -341,12 +346,13 @@
         return encode_request_head(outgoing.method, outgoing.path, headers)
 
     def _check_head(
-        self, outgoing: OutgoingRequest, head: ResponseHead, notice: TargetNotice
+        self, outgoing: OutgoingRequest, sent: SentRequest, notice: TargetNotice
     ) -> None:
+        head = sent.head
         echo = head.get(self._names.request)
         if echo and echo != outgoing.request:
             raise SendError(Ending.broken, f"the response has request ID {echo!r}", head.status)
-        if head.status == MISDIRECTED or head.get(self._names.not_run) is not None:
+        if sent.kind is AnswerKind.NOT_RUN:
             detail = "the target did not run the request"
             raise SendError(Ending.turned_away, detail, head.status, notice=notice)
         if head.get(self._names.seal) is None or not echo:
@@ -355,14 +361,17 @@
             )
         if head.get("content-encoding") is not None:
             raise SendError(Ending.broken, "the response has a content encoding", head.status)
+        if sent.kind is AnswerKind.FALSE_PROMISE:
+            detail = f"the target ran the request and answered {head.status}, which says it has not"
+            raise SendError(Ending.failed, detail, head.status)
 
     async def _drain_rejection(self, sent: SentRequest, error: SendError) -> None:
-        """Read a rejection to its end, so that its connection can be reused.
+        """Read a response that is not relayed to its end, so that its connection can be reused.
 
         Nothing tells a late copy of a rejection without a request ID from the next answer.
         """
         has_id = bool(sent.head.get(self._names.request))
-        if error.ending is not Ending.turned_away or not has_id:
+        if error.ending not in _WHOLE_REJECTIONS or not has_id:
             sent.connection.abort()
             return
         try:
