Keep on the keepers' disks which versions began streams, and tell missed ones again

Callers saw: while two versions served, streams of a gateway that was cut off from the core when all of the core was killed could not be taken up elsewhere: 0 of 20 went on, all were refused with 3017, while 20 of 20 new ones began.

Cause: origins were in the memory of schedulers, keepers and the gateway that relayed the stream. A kill of the core left them with that gateway alone, which nobody could ask. What a keeper was told while its link was down was lost too.

Schedulers and gateways tell a keeper whose link opened anew all that they know again, 5,000 streams a message; one message held up to 200,000 before, above what its receiver accepts.

--- a/troutstand/core/streamorigins.py
+++ b/troutstand/core/streamorigins.py
@@ -13,7 +13,9 @@
 # A stream is remembered for one to two of these. Callers retry within their deadlines.
 GENERATION_S = 20.0
 # Bounds the memory of one generation; about 60 MB.
-_MAX_STREAMS = 200_000
+MAX_STREAMS = 200_000
+# A message of so many takes some milliseconds to encode.
+MAX_GROUP_STREAMS = 5_000
 
 
 class StreamOrigins:
@@ -38,7 +40,7 @@
 
     def record(self, stream: str, version: str, now_s: float) -> None:
         """Record the version that sent a stream's first event."""
-        if now_s - self._began_s >= GENERATION_S or len(self._current) >= _MAX_STREAMS:
+        if now_s - self._began_s >= GENERATION_S or len(self._current) >= MAX_STREAMS:
             self._previous, self._current = self._current, {}
             self._began_s = now_s
         if self._current.get(stream) == version:
@@ -74,8 +76,21 @@
 
     def drain_untold(self) -> list[OriginGroup]:
         """Return the streams recorded since the last call."""
-        by_version: defaultdict[str, list[str]] = defaultdict(list)
-        for stream, version in self._untold.items():
-            by_version[version].append(stream)
-        self._untold = {}
-        return [OriginGroup(version, streams) for version, streams in sorted(by_version.items())]
+        untold, self._untold = self._untold, {}
+        return _group_streams(untold)
+
+    def list_groups(self) -> list[OriginGroup]:
+        """Return all streams that are known."""
+        return _group_streams(self._previous | self._current)
+
+
+def _group_streams(streams: dict[str, str]) -> list[OriginGroup]:
+    """Return streams by their versions, in groups that messages accept."""
+    by_version: defaultdict[str, list[str]] = defaultdict(list)
+    for stream, version in streams.items():
+        by_version[version].append(stream)
+    return [
+        OriginGroup(version, names[start : start + MAX_GROUP_STREAMS])
+        for version, names in sorted(by_version.items())
+        for start in range(0, len(names), MAX_GROUP_STREAMS)
+    ]
--- a/troutstand/daemon/links.py
+++ b/troutstand/daemon/links.py
@@ -400,6 +400,8 @@
     traffic: Traffic
     is_up: bool = False
     is_refused: bool = False
+    # How often the link was opened.
+    openings: int = 0
     bind_ip: str = ""
     ping_interval_s: float | None = None
     on_refused: Callable[[ProcessId], None] | None = None
@@ -462,6 +464,7 @@
         ) as connection:
             await asyncio.wait_for(self._authenticate(connection), self.limits.lease_s)
             self.is_up, self.is_refused, self._was_opened = True, False, True
+            self.openings += 1
             self._up_event.set()
             self._send_queue = asyncio.Queue(self.limits.link_queue_messages)
             writer = asyncio.create_task(_send_queued(connection, self._send_queue))
--- a/troutstand/daemon/storage.py
+++ b/troutstand/daemon/storage.py
@@ -50,6 +50,16 @@
     return body
 
 
+def read_frames(data: bytes) -> tuple[list[bytes], int]:
+    """Return the bytes of the records before the first invalid frame, and its offset."""
+    bodies: list[bytes] = []
+    offset = 0
+    while (body := read_frame(data, offset)) is not None:
+        bodies.append(body)
+        offset += _HEADER.size + len(body)
+    return bodies, offset
+
+
 def _has_valid_frame_after(data: bytes, offset: int) -> bool:
     position = data.find(_MAGIC, offset + 1)
     while position >= 0:
@@ -68,14 +78,8 @@
         STORAGE_CORRUPT if a valid frame follows an invalid one.
     """
     data = path.read_bytes() if path.exists() else b""
-    records: list[StoredRecord] = []
-    offset = 0
-    while offset < len(data):
-        body = read_frame(data, offset)
-        if body is None:
-            break
-        records.append(decode_record(body, StoredRecord))
-        offset += _HEADER.size + len(body)
+    bodies, offset = read_frames(data)
+    records: list[StoredRecord] = [decode_record(body, StoredRecord) for body in bodies]
     if offset < len(data) and _has_valid_frame_after(data, offset):
         raise TroutstandError(
             ResultCode.STORAGE_CORRUPT, f"{path.name}: invalid frame at byte {offset}"
--- a/troutstand/routing/keeper.py
+++ b/troutstand/routing/keeper.py
@@ -16,7 +16,6 @@
 from troutstand.core.ids import ProcessId
 from troutstand.core.limits.quota import make_bounds
 from troutstand.core.membership import INITIAL_DISK_ID, make_initial_set
-from troutstand.core.streamorigins import StreamOrigins
 from troutstand.daemon.links import handle_locally
 from troutstand.daemon.registers import RegisterClient
 from troutstand.daemon.storage import Storage, format_folder, read_identity, replace_identity
@@ -55,6 +54,7 @@
 from troutstand.routing.keeperreplacement import KeeperReplacement
 from troutstand.routing.lineclient import LineClient
 from troutstand.routing.node import RoutingNode, make_process_id, parse_address
+from troutstand.routing.originstore import OriginStore
 from troutstand.routing.partevidencestore import PartEvidenceStore, decode_stored
 from troutstand.routing.recoveringjournal import RecoveringJournal
 from troutstand.routing.rolloutstore import RolloutStore, decode_book
@@ -137,7 +137,7 @@
         )
         counted_s = make_bounds(settings).counted_s
         self.usage = UsageStore(Path(settings.data_folder), counted_s, self.node.events)
-        self.origins = StreamOrigins()
+        self.origins = OriginStore(Path(settings.data_folder), self.node.events)
         self.replacement = KeeperReplacement(self)
         self._compressed_configuration = (0, b"")
         self._absences: dict[ProcessId, float] = {}
@@ -183,6 +183,7 @@
         """Close the control address, the links and the storage."""
         await self._control.stop()
         await self.node.close()
+        self.origins.close()
         self.storage.close()
 
     # Messages
@@ -223,7 +224,7 @@
             case UsageAsk():
                 return self._tell_usage(message)
             case OriginNews(groups):
-                self.origins.merge(groups, read_clock_s())
+                self.origins.merge(groups)
                 return None
             case OriginAsk(stream):
                 return OriginTold(self.origins.find(stream))
--- a/troutstand/routing/node.py
+++ b/troutstand/routing/node.py
@@ -249,6 +249,11 @@
         """Send a message that has no reply; return whether it was queued."""
         return self._get_link(ProcessId(process)).send(message)
 
+    def count_openings(self, process: ProcessId) -> int:
+        """Return how often the link to a process was opened, 0 if it is not open now."""
+        entry = self._links.get(process)
+        return entry[0].openings if entry is not None and entry[0].is_up else 0
+
     async def ask(self, process: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
         """Send a request to a process and return its reply.
 
--- a/troutstand/routing/originsync.py
+++ b/troutstand/routing/originsync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,14 +19,14 @@
 
     from troutstand.core.ids import ProcessId
     from troutstand.core.streamorigins import StreamOrigins
-    from troutstand.generated.messages import ListedTarget
+    from troutstand.generated.messages import ListedTarget, OriginGroup
     from troutstand.routing.follower import Follower
     from troutstand.routing.node import RoutingNode
     from troutstand.routing.rolloutcache import RolloutCache
 
-# Joins streams that begin together into one message; shorter than the time to a first event, so
-# that the keepers know of a stream before its caller does.
+# Joins streams that begin together into one message.
 _TELL_DELAY_S = 0.01
+_TELL_AGAIN_PERIOD_S = 0.1
 # Targets of a version may come and go unseen in a longer time without a current list.
 _MAX_LIST_GAP_S = 3.0
 # A gateway that has just started opens its links first, while the caller waits.
@@ -41,27 +42,66 @@
 
 
 class OriginSync:
-    """Tell the keepers which streams began, while a service has several versions."""
+    """Tell the keepers which streams began, while a service has several versions.
 
-    def __init__(self, node: RoutingNode, follower: Follower, origins: StreamOrigins) -> None:
+    A message may be lost with its link, and a keeper may have been away, so that all that is known
+    is told again over each link that is opened anew.
+
+    Parameters
+    ----------
+    is_mixed
+        Returns whether any service has several versions.
+    """
+
+    def __init__(
+        self,
+        node: RoutingNode,
+        follower: Follower,
+        origins: StreamOrigins,
+        is_mixed: Callable[[], bool],
+    ) -> None:
         self._node = node
         self._follower = follower
         self._origins = origins
+        self._is_mixed = is_mixed
+        # The opening of each keeper's link since which all is told over it.
+        self._told_since: dict[ProcessId, int] = {}
+        # What is still to be told again.
+        self._owed: dict[ProcessId, deque[OriginGroup]] = {}
         origins.on_untold = self._schedule
 
-    def set_mixed(self, is_mixed: bool) -> None:
-        """Begin or stop to tell, by whether a service has several versions."""
-        self._origins.set_telling(is_mixed)
+    def set_telling(self, is_telling: bool) -> None:
+        """Begin or stop to tell of each stream that this process places."""
+        self._origins.set_telling(is_telling and self._is_mixed())
 
     def _schedule(self) -> None:
         asyncio.get_running_loop().call_later(_TELL_DELAY_S, self._send)
 
     def _send(self) -> None:
-        groups = self._origins.drain_untold()
-        if not groups:
-            return
+        for group in self._origins.drain_untold():
+            for keeper in self._follower.list_keepers():
+                self._node.send(keeper, OriginNews([group]))
+
+    async def run(self) -> None:
+        """Tell again what keepers may have missed, until cancelled."""
+        while True:
+            await asyncio.sleep(_TELL_AGAIN_PERIOD_S)
+            self.tell_again()
+
+    def tell_again(self) -> None:
+        """Send each keeper that may have missed something the next part of what is known."""
+        is_mixed = self._is_mixed()
         for keeper in self._follower.list_keepers():
-            self._node.send(keeper, OriginNews(groups))
+            opening = self._node.count_openings(keeper)
+            if not opening:
+                continue
+            if not is_mixed:
+                self._owed.pop(keeper, None)
+            elif self._told_since.get(keeper) != opening:
+                self._owed[keeper] = deque(self._origins.list_groups())
+            self._told_since[keeper] = opening
+            if owed := self._owed.get(keeper):
+                self._node.send(keeper, OriginNews([owed.popleft()]))
 
 
 @dataclass(frozen=True)
--- a/troutstand/routing/placement.py
+++ b/troutstand/routing/placement.py
@@ -130,7 +130,6 @@
         )
         self._notices = NoticeStore()
         self._origins = StreamOrigins()
-        self._origin_sync = OriginSync(node, follower, self._origins)
         self._list_requested = asyncio.Event()
         self._origin_finder = OriginFinder(
             node,
@@ -139,6 +138,9 @@
             lambda: self._targets.targets,
             self._list_requested.set,
         )
+        self._origin_sync = OriginSync(
+            node, follower, self._origins, lambda: self._origin_finder.is_mixed
+        )
         self._local = self._make_local()
 
     def _make_local(self) -> Dispatcher:
@@ -243,6 +245,7 @@
         self._node.spawn_loop(self._start_deciding, "limit usage")
         self._node.spawn_loop(self._run_ticks, "placement ticks")
         self._node.spawn_loop(self._run_local_list, "local target list")
+        self._node.spawn_loop(self._origin_sync.run, "stream origins")
 
     # Requests
 
@@ -578,11 +581,11 @@
                 self._update_rollouts(self._local, now_s)
                 self._local.tick(now_s)
                 self._usage_sync.tell(self._local.quotas, self._local.quotas.export_usage)
-                self._origin_sync.set_mixed(self._origin_finder.is_mixed)
+                self._origin_sync.set_telling(is_telling=True)
                 self._usage_log.emit_usage(self._local.quotas, now_s)
                 self._deliver_local()
             else:
-                self._origin_sync.set_mixed(is_mixed=False)
+                self._origin_sync.set_telling(is_telling=False)
                 self._local_active.clear()
 
     async def _run_local_list(self) -> None:
--- a/troutstand/routing/scheduler.py
+++ b/troutstand/routing/scheduler.py
@@ -123,7 +123,12 @@
         self._cached_usage: tuple[float, list[UsageSnapshot]] = (float("-inf"), [])
         self._usage_sync = UsageSync(self.node, self.follower, lambda: self._gateways.gateway_count)
         self._usage_log = UsageLog(self.node.events, SCHEDULER)
-        self._origin_sync = OriginSync(self.node, self.follower, self.dispatcher.origins)
+        self._origin_sync = OriginSync(
+            self.node,
+            self.follower,
+            self.dispatcher.origins,
+            lambda: self.rollouts.versions.is_mixed(read_clock_s()),
+        )
         self._probes = GatewayProbes(
             self.node, self._gateways, self._get_lease_s, self._handle_ended_gateway
         )
@@ -145,6 +150,7 @@
         self.node.spawn_loop(self._run_list_reads, "target list")
         self.node.spawn_loop(self._run_ticks, "ticks")
         self.node.spawn_loop(self._probes.run, "gateway probes")
+        self.node.spawn_loop(self._origin_sync.run, "stream origins")
         self.node.spawn_loop(self.rollouts.run, "rollouts")
 
     async def stop(self) -> None:
@@ -501,7 +507,7 @@
             self._load_report.update(self.dispatcher, now_s)
             if self._gateways.count_attached():
                 self._usage_sync.tell(self.quotas, self._list_usage)
-                self._origin_sync.set_mixed(self.rollouts.versions.is_mixed(now_s))
+                self._origin_sync.set_telling(is_telling=True)
                 self._usage_log.emit_usage(self.quotas, now_s)
             self._log_slow_tick(read_clock_s() - now_s, now_s)
             self._deliver_decisions()
--- a/troutstand/tests/softwareversions.feature
+++ b/troutstand/tests/softwareversions.feature
@@ -41,6 +41,17 @@
       | the deciding scheduler         |
       | all schedulers, without a start, |
       | all gateways and schedulers    |
+      | all processes                  |
+      | all keepers and schedulers     |
+
+  # Guards against origins that only killed processes, and a gateway that is cut off, have known.
+  Scenario: Streams of a gateway that is cut off go on at others after all keepers and schedulers were killed
+    Given a routed site behind proxies with 3 engines of each of 2 versions
+    And their streams last 7.5 s
+    When 20 callers read streams of "gateway-1", which is cut off for 5 s, and all keepers and schedulers are killed
+    And they take their streams up at "gateway-2" 3.5 s later
+    Then no stream holds events of two versions
+    And all streams that had begun before the cut go on, at least 12
 
   Scenario: Streams stay with their version on both sides of a split
     Given a routed site behind proxies with 3 engines of each of 2 versions
--- a/troutstand/tests/steps/softwareversions.py
+++ b/troutstand/tests/steps/softwareversions.py
@@ -161,6 +161,7 @@
         "all gateways": (RoutingRole.gateway,),
         "all schedulers": (RoutingRole.scheduler,),
         "all gateways and schedulers": (RoutingRole.gateway, RoutingRole.scheduler),
+        "all keepers and schedulers": (RoutingRole.keeper, RoutingRole.scheduler),
         "all processes": tuple(RoutingRole),
     }
     if killed == "the deciding scheduler":
@@ -292,6 +293,59 @@
     assert served >= least * len(taken_up), (served, len(taken_up), refused)
 
 
+@given("their streams last {length_s:g} s")
+def lengthen(context: Context, length_s: float) -> None:
+    for engine in _list_engines(context):
+        engine.events = int(length_s / _EVENT_S)
+
+
+@when(
+    '{count:d} callers read streams of "{first}", which is cut off for {cut_s:g} s, '
+    "and {killed} are killed"
+)
+def read_at_cut(context: Context, count: int, first: str, cut_s: float, killed: str) -> None:
+    gateway = context.scene.site.processes[first]
+    context.streams = [Stream(f"s{next(context.names)}") for _ in range(count)]
+    context.stream_caller.streams.extend(context.streams)
+
+    async def play() -> None:
+        context.reading = [
+            asyncio.create_task(context.stream_caller.send(stream, gateway))
+            for stream in context.streams
+        ]
+        await asyncio.sleep(_KILL_AFTER_S)
+        # Some may still wait for a slot.
+        context.begun = [s for s in context.streams if s.last_event]
+        context.cutting = asyncio.create_task(cut_off(context.scene, [first], cut_s))
+        await _kill(context, killed)
+
+    context.scene.background.run(play())
+
+
+@when('they take their streams up at "{other}" {after_s:g} s later')
+def take_up(context: Context, other: str, after_s: float) -> None:
+    gateway = context.scene.site.processes[other]
+
+    async def play() -> None:
+        await asyncio.sleep(after_s)
+        for task in context.reading:
+            task.cancel()
+        await asyncio.gather(*context.reading, return_exceptions=True)
+        left = [s for s in context.streams if s.last_event]
+        await asyncio.gather(*(context.stream_caller.send(s, gateway) for s in left))
+        await context.cutting
+
+    context.scene.background.run(play())
+
+
+@then("all streams that had begun before the cut go on, at least {least:d}")
+def check_all_go_on(context: Context, least: int) -> None:
+    last = [stream.tries[-1] for stream in context.begun]
+    going = sum(bool(one.versions) for one in last)
+    assert len(last) >= least, len(last)
+    assert going == len(last), (going, Counter((one.status, one.code) for one in last))
+
+
 @then('at least {least:d} streams that "{version}" began are taken up')
 def check_taken_up(context: Context, least: int, version: str) -> None:
     streams = [s for s in context.stream_caller.streams if version in s.tries[0].versions]
