End an attempt at once whose response has a status that is none

Callers saw: a target that answered 000 or 099 after it had run a request was waited for until the deadline (502 or 504 after 3 s, for each of ten requests in the new scenario: 30.3 s for 20 requests), and 600 to 999 were passed on. An entry process (OpenAI callers) passed 000 on as the answer.

Cause: the parsers of both clients take any three digits. TargetConnection took all below 200 for interim responses and went on waiting; HttpBackend made a reply of whatever status came.

Change: statuses below 100 end the response as malformed; final ones other than 200 to 599 are invalid in the table of core.answerpromises, which both clients ask now. Such a request may have run: 502 (5003, or 5002 at an entry process).

--- a/troutstand/backends/http.py
+++ b/troutstand/backends/http.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from troutstand.backends.base import Backend, Call, Reply
+from troutstand.core.answerpromises import is_final_status
 from troutstand.core.codes import ResultCode, Run
 from troutstand.core.errors import TroutstandError
 from troutstand.core.notices import LEAVING_HEADER, LIMIT_HEADER, parse_notice
@@ -127,6 +128,9 @@
         sent_s = read_clock_s()
         headers = self.make_headers(call)
         async with open_call(self._session, self.row.url, call, headers) as response:
+            if not is_final_status(response.status):
+                detail = f"the response has status {response.status:03}, 200 to 599 are accepted"
+                raise TroutstandError(ResultCode.TARGET_FAULT, detail, Run.UNKNOWN)
             notice = parse_notice(
                 response.status, response.headers.get, _NOTICE_HEADERS, self.row.name
             )
--- a/troutstand/core/answerpromises.py
+++ b/troutstand/core/answerpromises.py
@@ -41,6 +41,11 @@
     INVALID = "invalid"
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a number is the status of a final response."""
+    return _FIRST_FINAL <= status <= _LAST_STATUS
+
+
 def classify_answer(status: int, is_marked_not_run: bool, is_repeatable: bool) -> AnswerKind:
     """Return what an answer to a request tells.
 
@@ -52,7 +57,7 @@
         Whether the request may run more than once, so that its caller need not rely on the
         promise of a status.
     """
-    if not _FIRST_FINAL <= status <= _LAST_STATUS:
+    if not is_final_status(status):
         return AnswerKind.INVALID
     if is_marked_not_run or status == HTTPStatus.MISDIRECTED_REQUEST:
         return AnswerKind.NOT_RUN
--- a/troutstand/routing/httpclient.py
+++ b/troutstand/routing/httpclient.py
@@ -33,6 +33,7 @@
 _MAX_FRAMING_BYTES = 64 << 10
 # Time from the first byte of a head after which further bytes must end it.
 _MAX_HEAD_S = 10.0
+_MIN_INTERIM_STATUS = 100
 _MIN_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 # Where it stands within a line of a head, another response was cut in front of this one.
@@ -241,6 +242,11 @@
         if self.request_count > 1 and _holds_status_line(reason, headers):
             self._fail("the response head is joined to a part of another one")
             return
+        if status < _MIN_INTERIM_STATUS:
+            # The parser takes any three digits.
+            self._fail(f"the response has status {status:03}, 100 to 599 are accepted")
+            self._must_close = True
+            return
         self._is_informational = status < _MIN_FINAL_STATUS
         if self._is_informational:
             return
--- a/troutstand/routing/relay.py
+++ b/troutstand/routing/relay.py
@@ -359,6 +359,9 @@
             raise SendError(
                 Ending.broken, "the target's response seal or request ID is missing", head.status
             )
+        if sent.kind is AnswerKind.INVALID:
+            detail = f"the response has status {head.status}, 200 to 599 are accepted"
+            raise SendError(Ending.broken, detail, head.status)
         if head.get("content-encoding") is not None:
             raise SendError(Ending.broken, "the response has a content encoding", head.status)
         if sent.kind is AnswerKind.FALSE_PROMISE:
--- a/troutstand/tests/answerpromises.feature
+++ b/troutstand/tests/answerpromises.feature
@@ -48,3 +48,30 @@
       | /stream/          | 429    | 502      | not passed |
       | /get/             | 429    | 429      | passed     |
       | /stream/resume/   | 429    | 429      | passed     |
+
+  # Guards against a status below 100 that is taken for an interim response, so that the attempt waits on.
+  Scenario Outline: Targets that run requests of <route> and answer <status> in the status line
+    Given a routed site whose targets answer each second request, which they run, with <status>
+    When 20 requests of <route> are sent
+    Then all are answered within 2 s
+    And those that ran and failed get <told>, and their targets' seal is not passed
+    And no request of a route whose requests run once has run twice
+
+    Examples:
+      | route    | status | told |
+      | /do/     | 000    | 502  |
+      | /do/     | 099    | 502  |
+      | /do/     | 600    | 502  |
+      | /stream/ | 000    | 502  |
+
+  # Guards against a status that is none, which a caller got as its answer.
+  Scenario Outline: <kind> that answers an entry process with status <status> has failed
+    When <kind> answers an entry process with status <status>
+    Then the call fails with 5002 and may have run
+
+    Examples:
+      | kind      | status |
+      | a service | 000    |
+      | a service | 099    |
+      | a service | 600    |
+      | an engine | 000    |
--- a/troutstand/tests/relay.feature
+++ b/troutstand/tests/relay.feature
@@ -20,6 +20,18 @@
       | that it is full                               | unrepeatable  | turned_away |
       | that it is somebody else                      | unrepeatable  | turned_away |
       | with 100 first                                | repeatable    | whole       |
+      | with 103 first                                | unrepeatable  | whole       |
+      | with status 000                               | repeatable    | broken      |
+      | with status 000                               | unrepeatable  | broken      |
+      | with status 099                               | repeatable    | broken      |
+      | with status 600                               | unrepeatable  | broken      |
+      | with status 999                               | repeatable    | broken      |
+      | with status 0                                 | repeatable    | broken      |
+      | with status 1000                              | repeatable    | broken      |
+      | with status -01                               | repeatable    | broken      |
+      | with status OK                                | repeatable    | broken      |
+      | with status 101                               | repeatable    | broken      |
+      | with status 000, then in full                 | repeatable    | broken      |
       | nothing and resets                            | unrepeatable  | broken      |
 
   Scenario: A failed connect counts as not sent
--- a/troutstand/tests/steps/answerpromises.py
+++ b/troutstand/tests/steps/answerpromises.py
@@ -2,21 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import time
 from collections import Counter
 from dataclasses import dataclass, field
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import aiohttp
+import msgspec
 from behave import given, then, when
 
+from troutstand.backends.base import Call
+from troutstand.backends.engine import EngineBackend
+from troutstand.backends.http import make_session
+from troutstand.backends.service import ServiceBackend
 from troutstand.core.answerpromises import AnswerKind, classify_answer
+from troutstand.core.codes import Run
+from troutstand.core.errors import TroutstandError
 from troutstand.generated.routing import RoutingRole
 from troutstand.testing.routedscene import Scene
 from troutstand.testing.routedsite import HOST, KEY
+from troutstand.testing.scriptedtarget import Reply, ScriptedTarget
 from troutstand.tests.environment import make_folder
 from troutstand.tests.steps.resting import open_scene
+from troutstand.tests.steps.scheduler import make_target
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -41,11 +51,41 @@
     assert found is AnswerKind(outcome), found
 
 
+@when("{kind} answers an entry process with status {status}")
+def answer_entry(context: Context, kind: str, status: str) -> None:
+    answer = f"HTTP/1.1 {status} Odd\r\nContent-Length: 2\r\n\r\nhi".encode()
+
+    async def play() -> None:
+        target = ScriptedTarget([Reply(answer)])
+        await target.start()
+        row = msgspec.structs.replace(make_target("a"), url=f"http://{target.address}")
+        session = make_session()
+        backend_class = ServiceBackend if kind == "a service" else EngineBackend
+        backend = backend_class(row, session)
+        call = Call("r", "POST", "/x", b"{}", "application/json", 0, 2.0)
+        try:
+            context.reply = await backend.request(call)
+        except TroutstandError as error:
+            context.reply = error
+        finally:
+            await session.close()
+            await target.stop()
+
+    asyncio.run(play())
+
+
+@then("the call fails with {code:d} and may have run")
+def check_call(context: Context, code: int) -> None:
+    error = context.reply
+    assert isinstance(error, TroutstandError), error
+    assert (int(error.code), error.run) == (code, Run.UNKNOWN), error
+
+
 @dataclass
 class _FailingTargets:
     """Answer each second request with a status; all of them have run."""
 
-    status: int
+    status: str
     failed: set[str] = field(default_factory=set)
     _count: int = 0
 
@@ -53,14 +93,14 @@
         self._count += 1
         request = head.headers["x-request-id"]
         is_stream = "stream" in head.path
-        body, kind, status = b"whole", "text/plain", 200
+        body, kind, status = b"whole", "text/plain", "200"
         if is_stream:
             body, kind = b"id: 1\ndata: one\n\n", "text/event-stream"
         if self._count % 2 == 0:
             self.failed.add(request)
             body, kind, status = b"no confirmation", "text/plain", self.status
         lines = [
-            f"HTTP/1.1 {status} {HTTPStatus(status).phrase}",
+            f"HTTP/1.1 {status} Told",
             f"X-Request-Id: {request}",
             f"{_SEAL}: {target}",
             f"Content-Type: {kind}",
@@ -80,8 +120,8 @@
     body: bytes
 
 
-@given("a routed site whose targets answer each second request, which they run, with {status:d}")
-def open_failing(context: Context, status: int) -> None:
+@given("a routed site whose targets answer each second request, which they run, with {status}")
+def open_failing(context: Context, status: str) -> None:
     open_scene(context, Scene(make_folder(context)))
     context.failing = _FailingTargets(status)
     for target in context.scene.targets:
@@ -114,7 +154,14 @@
         return dict([await _send(context, route, number) for number in range(count)])
 
     context.route = route
+    began_s = time.monotonic()
     context.told = context.scene.background.run(play())
+    context.took_s = time.monotonic() - began_s
+
+
+@then("all are answered within {most_s:g} s")
+def check_time(context: Context, most_s: float) -> None:
+    assert context.took_s <= most_s, context.took_s
 
 
 @then("those that ran and failed get {status:d}, and their targets' seal is {seal}")
--- a/troutstand/tests/steps/relay.py
+++ b/troutstand/tests/steps/relay.py
@@ -63,6 +63,12 @@
     "that it is full": [Reply(make_answer("503 Full", seal="X-Not-Run: 1\r\n", request=""))],
     "that it is somebody else": [Reply(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")],
     "with 100 first": [Reply(b"HTTP/1.1 100 Continue\r\n\r\n" + make_answer())],
+    "with 103 first": [Reply(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + make_answer())],
+    **{
+        f"with status {status}": [Reply(make_answer(f"{status} Odd"))]
+        for status in ("000", "099", "600", "999", "0", "1000", "-01", "OK", "101")
+    },
+    "with status 000, then in full": [Reply(make_answer("000 Odd") + make_answer())],
     "nothing and resets": [Reply(b"", AfterReply.RESET)],
     "twice, then in full": [Reply(make_answer() + make_answer(body=b"ghost")), _FULL],
     "in full, resets at the next request, then answers in full": [
@@ -153,8 +159,10 @@
     for outgoing in outgoings:
         placed = Placed(_REQUEST, "t1", context.address)
         try:
-            sent = await sender.send(outgoing, placed, time.monotonic() + _LIMIT_S, lambda: None)
-            body = await sender.read_body(sent)
+            async with asyncio.timeout(_LIMIT_S):
+                end_s = time.monotonic() + _LIMIT_S
+                sent = await sender.send(outgoing, placed, end_s, lambda: None)
+                body = await sender.read_body(sent)
             assert body == b"hello", body
             context.outcomes.append("whole")
         except SendError as error:
