Take up more streams where a gateway is cut off

Seen: softwareversions.feature "A gateway that is cut off continues streams ..." failed in a whole run of the checks beside the review's scripts: 29 streams were taken up where the check judges 30 at least; the run kept no other figure.

Cause: 12 callers read fewer streams in the 3 s on a busy machine.

Change: 16 callers, of 18 slots.

--- a/troutstand/tests/softwareversions.feature
+++ b/troutstand/tests/softwareversions.feature
@@ -63,9 +63,9 @@
   Scenario: A gateway that is cut off continues streams of the only listed version, and no others
     Given a routed site behind proxies with 3 engines of each of 1 versions
     And it has served one version for 42 s
-    When "gateway-2" is cut off for 4 s, and 12 callers take up streams of "gateway-1" there
+    When "gateway-2" is cut off for 4 s, and 16 callers take up streams of "gateway-1" there
     Then at least 0.9 of the streams taken up from 1 s after the cut go on
-    When "gateway-2" is cut off for 4 s as engines of "v2" come, and 12 callers take up streams of "gateway-1" there
+    When "gateway-2" is cut off for 4 s as engines of "v2" come, and 16 callers take up streams of "gateway-1" there
     Then at least 6 streams that "v2" began are taken up
     And no stream holds events of two versions
 
--- a/troutstand/tests/steps/softwareversions.py
+++ b/troutstand/tests/steps/softwareversions.py
@@ -292,7 +292,7 @@
     taken_up = [t for t in tries if t.first_event and t.was_judged and t.began_s >= since_s]
     served = sum(bool(t.versions) or t.is_whole for t in taken_up)
     refused = Counter(t.code for t in taken_up if t.code)
-    assert len(taken_up) >= _LEAST_RESUMED, len(taken_up)
+    assert len(taken_up) >= _LEAST_RESUMED, (len(taken_up), served)
     assert served >= least * len(taken_up), (served, len(taken_up), refused)
 
 
