Restore stored origins in the order in which they were written

Callers could see: a stream that a keeper was told at two versions goes on at the older one, if the keeper's clock is set back between and its process then killed.

Cause: a keeper that starts sorted the records of a file by the time of day. Found by reading the change once more; not seen on a site.

Change: files are sorted by their number, and records keep their order within one.

originstore.feature "... where its clock was set back" failed before; 13 of 13 pass.

--- a/troutstand/routing/originstore.py
+++ b/troutstand/routing/originstore.py
@@ -71,7 +71,8 @@
 
     def _load(self) -> None:
         """Load what is stored, and store it again as a whole, so that restarts lose nothing."""
-        stored = sorted(self._read_all(), key=lambda record: (record.number, record.written_s))
+        # Records of one file stay in the order in which they were written: clocks may be set back.
+        stored = sorted(self._read_all(), key=lambda record: record.number)
         if not stored:
             return
         self._number = stored[-1].number
--- a/troutstand/tests/originstore.feature
+++ b/troutstand/tests/originstore.feature
@@ -18,6 +18,12 @@
     When the first stream is told again at "v3", and it is killed
     Then the first stream's version is "v3"
 
+  Scenario: The last version that a keeper was told counts where its clock was set back
+    Given a keeper that was told of 3 streams of "v1" and 2 of "v2"
+    When its clock is set back by 5 s
+    And the first stream is told again at "v3", and it is killed
+    Then the first stream's version is "v3"
+
   Scenario: A keeper without room on its disk goes on and knows what it is told
     Given a keeper that was told of 3 streams of "v1" and 2 of "v2"
     When its disk refuses writes while it is told of 4 streams of "v3"
--- a/troutstand/tests/steps/originstore.py
+++ b/troutstand/tests/steps/originstore.py
@@ -36,12 +36,14 @@
 
     def __init__(self) -> None:
         self.passed_s = 0.0
+        # How far the time of day was set.
+        self.set_s = 0.0
 
     def read_steady_s(self) -> float:
         return 1000.0 + self.passed_s
 
     def read_unix_s(self) -> float:
-        return 1.7e9 + self.passed_s
+        return 1.7e9 + self.passed_s + self.set_s
 
 
 def _act(context: Context, act: Callable[[], None]) -> None:
@@ -116,6 +118,11 @@
     _start(context)
 
 
+@when("its clock is set back by {length_s:d} s")
+def set_back(context: Context, length_s: int) -> None:
+    context.clock.set_s -= length_s
+
+
 @when('the first stream is told again at "{version}", and it is killed')
 def tell_again(context: Context, version: str) -> None:
     context.first = next(iter(context.streams))
