--- a/troutstand/tests/steps/targetpages.py
+++ b/troutstand/tests/steps/targetpages.py
@@ -82,6 +82,13 @@
             entry["slots"] = "two"
         case "no slots":
             entry["slots"] = 0
+        case "slots below any number":
+            entry["slots"] = -(10**400)
+        case "slots above any number":
+            entry["slots"] = "many"
+            return json.dumps(entry).encode().replace(b'"many"', b"1e999")
+        case "slots that are not finite":
+            entry["slots"] = float("inf")
         case "an unknown state":
             entry["state"] = "resting"
         case "an empty id":
@@ -294,6 +301,16 @@
     scene.open(next_subnet(context))
 
 
+@given("a routed site whose list holds entries with {fault} from its start")
+def open_with_fault(context: Context, fault: str) -> None:
+    writer = PageWriter("own")
+    entries = [_spoil(writer, each) for each in _OWN_FAULTS.get(fault, [fault])]
+    scene = Scene(make_folder(context), invalid_entries=entries)
+    context.scene = scene
+    context.sites.append(scene)
+    scene.open(next_subnet(context))
+
+
 @then("the scheduler logs {count:d} invalid entries with their causes, each once")
 def check_told(context: Context, count: int) -> None:
     scene = context.scene
--- a/troutstand/tests/targetpages.feature
+++ b/troutstand/tests/targetpages.feature
@@ -11,6 +11,9 @@
       | own        | a missing field                   |
       | own        | slots as a text                   |
       | own        | no slots                          |
+      | own        | slots below any number            |
+      | own        | slots above any number            |
+      | own        | slots that are not finite         |
       | own        | an unknown state                  |
       | own        | an empty id                       |
       | own        | an address that is none           |
@@ -27,6 +30,9 @@
       | platform's | a missing field                   |
       | platform's | slots as a text                   |
       | platform's | no slots                          |
+      | platform's | slots below any number            |
+      | platform's | slots above any number            |
+      | platform's | slots that are not finite         |
       | platform's | an unknown state                  |
       | platform's | an empty id                       |
       | platform's | an address that is none           |
@@ -109,3 +115,19 @@
       | a cut off end and an escaped lone surrogate   |
       | a value nested too deeply                     |
       | an id too long for messages                   |
+
+  Scenario Outline: A site starts beside entries with <fault>
+    Guards against processes that never read a list which holds entries that cannot be read.
+    Given a routed site whose list holds entries with <fault> from its start
+    Then within 3 s calls of /do/ through each gateway get 200
+    When a new target replaces the targets of the service "work"
+    Then within 3 s calls of /do/ through each gateway get 200
+    And no process logs a failed task
+
+    Examples:
+      | fault                                         |
+      | a cut off end and bytes that are no text      |
+      | a cut off end and an escaped lone surrogate   |
+      | a value nested too deeply                     |
+      | an id too long for messages                   |
+      | slots above any number                        |
