Test streams at a frozen gateway, and a core that is killed three times

Cause: the scenarios of this work cut a gateway off and killed the core once; a freeze and kills in a row were not among them.

Change: a scenario that freezes a gateway for 2.5 s as engines of a second version come, and a row that kills all keepers and schedulers three times.

--- a/troutstand/tests/softwareversions.feature
+++ b/troutstand/tests/softwareversions.feature
@@ -43,6 +43,7 @@
       | all gateways and schedulers    |
       | all processes                  |
       | all keepers and schedulers     |
+      | all keepers and schedulers, three times, |
 
   # Guards against origins that only killed processes, and a gateway that is cut off, have known.
   Scenario: Streams of a gateway that is cut off go on at others after all keepers and schedulers were killed
@@ -69,6 +70,13 @@
     Then at least 6 streams that "v2" began are taken up
     And no stream holds events of two versions
 
+  Scenario: A gateway that was frozen as a second version came joins no streams
+    Given a routed site with 3 engines of each of 1 versions
+    And it has served one version for 42 s
+    When "gateway-2" is frozen for 2.5 s as engines of "v2" come, and 16 callers take up streams of "gateway-1" there
+    Then at least 6 streams that "v2" began are taken up
+    And no stream holds events of two versions
+
   Scenario Outline: Streams stay with their version while a rollout is <state>
     Given a routed site with 3 engines where rollouts are ordered
     When 16 callers read streams for 15 s, leave a third in the middle, and a version that <fault> is ordered
--- a/troutstand/tests/steps/softwareversions.py
+++ b/troutstand/tests/steps/softwareversions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import signal
 import time
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -20,6 +21,8 @@
 from troutstand.tests.steps.routed import find_deciding
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from behave.runner import Context
 
     from troutstand.testing.routedsite import HostProcess
@@ -261,10 +264,41 @@
     _take_up_elsewhere(context, (first, cut), cut_s, count, [version])
 
 
+@when(
+    '"{frozen}" is frozen for {frozen_s:g} s as engines of "{version}" come, '
+    'and {count:d} callers take up streams of "{first}" there'
+)
+def take_up_at_frozen(
+    context: Context, frozen: str, frozen_s: float, version: str, count: int, first: str
+) -> None:
+    async def freeze() -> None:
+        context.scene.site.send_signal(frozen, signal.SIGSTOP)
+        await asyncio.sleep(frozen_s)
+        context.scene.site.send_signal(frozen, signal.SIGCONT)
+        # For callers that wait for it.
+        await asyncio.sleep(_WATCHED_S)
+
+    length_s = frozen_s + _WATCHED_S
+    _take_up_elsewhere(context, (first, frozen), length_s, count, [version], freeze())
+
+
 def _take_up_elsewhere(
-    context: Context, names: tuple[str, str], cut_s: float, count: int, new: list[str]
+    context: Context,
+    names: tuple[str, str],
+    length_s: float,
+    count: int,
+    new: list[str],
+    trouble: Coroutine[None, None, None] | None = None,
 ) -> None:
-    """Begin streams at the first gateway, and take them up at the second one, which is cut off."""
+    """Begin streams at the first gateway, and take them up at the second one in its trouble.
+
+    Parameters
+    ----------
+    new
+        Versions whose engines come as the trouble begins.
+    trouble
+        Cuts the second gateway off by default.
+    """
     gateways = [context.scene.site.processes[name] for name in names]
 
     async def read_until(end_s: float) -> None:
@@ -276,11 +310,12 @@
 
     async def play() -> None:
         context.began_s = time.monotonic()
-        cutting = asyncio.create_task(cut_off(context.scene, [names[1]], cut_s))
+        disturbing = trouble or cut_off(context.scene, [names[1]], length_s)
+        troubled = asyncio.create_task(disturbing)
         for version in new:
             await _add_engines(context, len(_list_engines(context)), version, Fault.NONE)
-        end_s = context.began_s + cut_s
-        await asyncio.gather(cutting, *(read_until(end_s) for _ in range(count)))
+        end_s = context.began_s + length_s
+        await asyncio.gather(troubled, *(read_until(end_s) for _ in range(count)))
 
     context.scene.background.run(play())
 
